Lay out the workspace and a node that serves a request

Cause: the repository was empty; every part needs the same types, events and effects. Ruled out: one package for all (the core could then import sockets unseen); dicts as messages. Change: five packages, a pinned lock, make test, and `Node`: events with a time go in, effects come out. Admission, ownership, membership and configuration are thin and will be replaced. Before: nothing ran. Conclusion: the layout carries the request path; the sockets come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+PACKAGES := packages/gooseberryport-core packages/gooseberryport-platform \
+            packages/gooseberryport-daemon packages/gooseberryport-cli standins
+SOURCES := packages standins tests
+SEED ?= 1
+
+.PHONY: demo test lint format soak bench proto clean
+
+$(VENV)/.ready: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q --disable-pip-version-check -r requirements.lock
+	$(VENV)/bin/pip install -q --disable-pip-version-check --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+demo: $(VENV)/.ready  ## Start a small deployment, steer requests through failures, check the result.
+	$(PY) -m gooseberryport_standins.demo
+
+lint: $(VENV)/.ready  ## Formatter, linter and type checker.
+	$(VENV)/bin/black -q --check $(SOURCES)
+	$(VENV)/bin/ruff check -q --no-cache $(SOURCES)
+	$(VENV)/bin/mypy --no-error-summary $(wildcard packages/*/src standins/src)
+
+test: lint  ## Everything that CI runs.
+	$(PY) -m pytest
+
+format: $(VENV)/.ready
+	$(VENV)/bin/black -q $(SOURCES)
+	$(VENV)/bin/ruff check -q --no-cache --fix $(SOURCES)
+
+soak: $(VENV)/.ready  ## Long randomised runs: make soak SEED=7
+	GOOSEBERRYPORT_SOAK_SEED=$(SEED) $(PY) -m gooseberryport_standins.soak --seed $(SEED)
+
+bench: $(VENV)/.ready  ## The figures of docs/CAPACITY.md and docs/design.
+	$(PY) -m gooseberryport_standins.bench --seed $(SEED)
+
+proto: $(VENV)/.ready  ## Make the committed protocol code anew.
+	cd packages/gooseberryport-daemon/src && ../../../$(PY) -m grpc_tools.protoc -I. \
+	  --python_out=. --pyi_out=. --grpclib_python_out=. gooseberryport_daemon/_peer.proto
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of gooseberryport for operators."""
--- /dev/null
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/main.py
@@ -0,0 +1,6 @@
+"""Entry point of `gooseberryport`."""
+
+
+def main() -> int:
+    """Run the command line; returns the exit code."""
+    return 0
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -0,0 +1,216 @@
+"""The decisions of one daemon behind one object: events in, effects out."""
+
+from __future__ import annotations
+
+import random
+
+from gooseberryport_core._admission import Admission
+from gooseberryport_core._config_sync import ConfigSync
+from gooseberryport_core._membership import Membership
+from gooseberryport_core._ownership import Ownership
+from gooseberryport_core._requests import Requests
+from gooseberryport_core._routing import Router
+from gooseberryport_core._views import Component, HeartbeatFacts, Peer
+from gooseberryport_core.config import Config
+from gooseberryport_core.effects import (
+    CancelTicket,
+    ConfigChanged,
+    Effect,
+    Exit,
+    SendBody,
+    SendTicket,
+    SendTicketReply,
+    StartUpstream,
+)
+from gooseberryport_core.events import (
+    AttemptEnded,
+    BodyArrived,
+    Event,
+    PeerUnreachable,
+    StopRequested,
+    Tick,
+    TicketArrived,
+    TicketCancelled,
+    TicketReplied,
+    UpstreamFinished,
+)
+from gooseberryport_core.lookup import LookupSnapshot
+from gooseberryport_core.messages import Refused
+from gooseberryport_core.settings import NodeSettings
+from gooseberryport_core.types import RequestId, TicketId, VmId, VmState
+
+
+class Node:
+    """Take every decision of one daemon.
+
+    Nothing in here opens a socket, reads a clock or starts a thread: the daemon, or a bench,
+    feeds events with a time and carries the returned effects out in their order.
+
+    Parameters
+    ----------
+    settings
+        Who and where the daemon is.
+    rng
+        Seeded source of every random choice.
+    """
+
+    def __init__(self, *, settings: NodeSettings, rng: random.Random) -> None:
+        self.settings = settings
+        self._stop_at = float("inf")
+        self._stopping = False
+        self._local: dict[TicketId, RequestId] = {}
+        self._membership = Membership(settings=settings, rng=rng, facts=self._facts)
+        self._ownership = Ownership(settings=settings, peers=self._membership, rng=rng)
+        self._config = ConfigSync(settings=settings, peers=self._membership, rng=rng)
+        self._admission = Admission(
+            settings=settings, owners=self._ownership, peers=self._membership, rng=rng
+        )
+        self._requests = Requests(
+            settings=settings,
+            owners=self._ownership,
+            peers=self._membership,
+            router=Router(
+                settings=settings, owners=self._ownership, peers=self._membership, rng=rng
+            ),
+            rng=rng,
+        )
+        self._components: tuple[Component, ...] = (
+            self._membership,
+            self._ownership,
+            self._admission,
+            self._requests,
+        )
+
+    @property
+    def cfg(self) -> Config:
+        """The configuration in force."""
+        return self._config.cfg
+
+    def lookup_snapshot(self, now: float) -> LookupSnapshot:
+        """Return what look-ups are answered from until the next snapshot."""
+        peers = [peer for peer in self._membership.live(now) if peer.state == VmState.LIVE]
+        if not self._stopping:
+            peers.append(self._self_peer(now))
+        return LookupSnapshot(
+            entries=tuple(peer for peer in peers if peer.http_address),
+            max_age_s=self.cfg.limits.lookup_max_age_s,
+        )
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Handle an event.
+
+        Parameters
+        ----------
+        event
+            What happened.
+        now
+            When, in seconds on a monotonic clock; never less than at the call before.
+
+        Returns
+        -------
+        list of Effect
+            What to do now, in this order.
+        """
+        effects = self._configure(self._config.handle(event, now), now)
+        if isinstance(event, StopRequested) and not self._stopping:
+            self._stopping = True
+            self._stop_at = now + self.cfg.limits.lookup_max_age_s
+        for component in self._components:
+            effects.extend(component.handle(event, now))
+        if isinstance(event, UpstreamFinished):
+            effects.extend(self._end_local(event, now))
+        effects = self._loop_back(effects, now)
+        if isinstance(event, Tick) and self._done(now):
+            effects.append(Exit())
+        return effects
+
+    def _configure(self, effects: list[Effect], now: float) -> list[Effect]:
+        done: list[Effect] = []
+        for effect in effects:
+            done.append(effect)
+            if isinstance(effect, ConfigChanged):
+                for component in self._components:
+                    done.extend(component.configure(self.cfg, now))
+        return done
+
+    def _loop_back(self, effects: list[Effect], now: float) -> list[Effect]:
+        """Carry out the effects that stay within this daemon; return the others."""
+        outside: list[Effect] = []
+        pending = list(effects)
+        while pending:
+            effect = pending.pop(0)
+            inner = self._inner(effect, now)
+            if inner is None:
+                outside.append(effect)
+            else:
+                pending = inner + pending
+        return outside
+
+    def _inner(self, effect: Effect, now: float) -> list[Effect] | None:
+        me = self.settings.vm
+        if isinstance(effect, SendTicket) and effect.vm == me:
+            self._local[effect.ticket.ticket_id] = RequestId("")
+            return self._admission.handle(TicketArrived(me, effect.ticket), now)
+        if isinstance(effect, SendTicket) and not effect.address:
+            lost = PeerUnreachable(effect.vm, effect.ticket.ticket_id)
+            return self._requests.handle(lost, now)
+        if isinstance(effect, SendTicketReply) and effect.vm == me:
+            if isinstance(effect.reply, Refused):
+                self._local.pop(effect.reply.ticket_id, None)
+            return self._requests.handle(TicketReplied(me, effect.reply), now)
+        if isinstance(effect, SendBody) and effect.ticket_id in self._local:
+            self._local[effect.ticket_id] = effect.request_id
+            return self._admission.handle(BodyArrived(effect.ticket_id), now)
+        if isinstance(effect, CancelTicket) and effect.ticket_id in self._local:
+            return self._admission.handle(TicketCancelled(effect.ticket_id), now)
+        if isinstance(effect, StartUpstream) and not effect.request_id:
+            return self._name_request(effect)
+        return None
+
+    def _name_request(self, effect: StartUpstream) -> list[Effect] | None:
+        request_id = self._local.get(effect.ticket_id)
+        if not request_id:
+            return None
+        named = StartUpstream(
+            effect.ticket_id,
+            request_id,
+            effect.upstream,
+            effect.address,
+            effect.timeout_s,
+            effect.fresh,
+        )
+        return [named]
+
+    def _end_local(self, event: UpstreamFinished, now: float) -> list[Effect]:
+        if self._local.pop(event.ticket_id, None) is None:
+            return []
+        ended = AttemptEnded(event.ticket_id, event.outcome, event.status, event.answer_bytes)
+        return self._requests.handle(ended, now)
+
+    def _done(self, now: float) -> bool:
+        idle = self._admission.idle and self._requests.idle and self._ownership.released
+        return self._stopping and now >= self._stop_at and idle
+
+    def _facts(self, now: float) -> HeartbeatFacts:
+        return HeartbeatFacts(
+            state=VmState.LEAVING if self._stopping else VmState.LIVE,
+            store=self._ownership.store_reach,
+            store_witness=self._ownership.store_witness,
+            lease_stamp=self._ownership.lease_stamp,
+            table_revision=self._ownership.table_revision,
+            config_version=self.cfg.version,
+            pools=self._admission.loads(now),
+        )
+
+    def _self_peer(self, now: float) -> Peer:
+        me = self.settings
+        return Peer(
+            VmId(me.vm),
+            me.incarnation,
+            me.zone,
+            me.region,
+            VmState.LIVE,
+            me.address,
+            me.http_address,
+            now,
+        )
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/messages.py
@@ -0,0 +1,285 @@
+"""Messages between daemons.
+
+Tickets, their replies and bodies travel on a gRPC stream for each attempt; the rest travel as
+datagrams, so each must fit into `MAX_DATAGRAM_BYTES` once encoded.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from gooseberryport_core.types import (
+    ConfigVersion,
+    Epoch,
+    Incarnation,
+    PoolId,
+    RefusalReason,
+    RegionName,
+    ServiceName,
+    StoreReach,
+    TicketId,
+    UpstreamId,
+    VmId,
+    VmState,
+    ZoneName,
+)
+
+MAX_DATAGRAM_BYTES = 1_200
+"""Longest datagram that no usual path cuts into pieces."""
+
+
+class _Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Common wire form of the messages."""
+
+
+class Ticket(_Message, frozen=True):
+    """Ask an owner for a slot.
+
+    Parameters
+    ----------
+    ticket_id
+        Identifier of this attempt.
+    pool, epoch
+        Pool that is asked, and the ownership that the sender believes in.
+    remaining_s
+        Time left until the caller's deadline when the ticket was sent; seconds.
+    repeatable
+        Whether the request may run twice.
+    first_try
+        False for a retry, which never displaces a first try.
+    body_bytes, answer_bytes
+        Size of the request's body and estimate of the answer's, for the link budgets.
+    source
+        Region of the entry daemon.
+    reserved
+        Upstream whose slot a `Pull` has reserved for this ticket; empty for none.
+    key
+        Idempotency key; empty for none.
+    """
+
+    ticket_id: TicketId
+    pool: PoolId
+    epoch: Epoch
+    remaining_s: float
+    repeatable: bool
+    first_try: bool
+    body_bytes: int
+    answer_bytes: int
+    source: RegionName
+    reserved: UpstreamId = UpstreamId("")
+    key: str = ""
+
+
+class Granted(_Message, frozen=True):
+    """Tell the entry daemon that a slot is reserved and the body may come."""
+
+    ticket_id: TicketId
+    upstream: UpstreamId
+
+
+class Refused(_Message, frozen=True):
+    """Tell the entry daemon that the request did not run here, and why.
+
+    Parameters
+    ----------
+    retry_after_s
+        Time after which asking again makes sense; seconds.
+    """
+
+    ticket_id: TicketId
+    reason: RefusalReason
+    retry_after_s: float = 0.0
+
+
+class Moved(_Message, frozen=True):
+    """Tell the entry daemon that another owner has reserved a slot for the ticket."""
+
+    ticket_id: TicketId
+    vm: VmId
+    pool: PoolId
+    epoch: Epoch
+    upstream: UpstreamId
+
+
+class Pull(_Message, frozen=True):
+    """Ask the owner of a pool with waiting requests for one of them.
+
+    Parameters
+    ----------
+    pool
+        Pool whose queue is asked.
+    offer_pool, offer_epoch, upstream
+        Slot that the sender has reserved for it.
+    serial
+        Number of the ask at its sender.
+    region
+        Region of the sender.
+    """
+
+    pool: PoolId
+    offer_pool: PoolId
+    offer_epoch: Epoch
+    upstream: UpstreamId
+    serial: int
+    region: RegionName
+
+
+class PullReply(_Message, frozen=True):
+    """Answer a `Pull`: the ticket that will come, or an empty name for nothing."""
+
+    serial: int
+    ticket_id: TicketId = TicketId("")
+
+
+class PoolLoad(_Message, frozen=True):
+    """Tell how busy a pool is.
+
+    Parameters
+    ----------
+    slots, busy
+        Usable slots and those taken.
+    queued
+        Requests that wait.
+    oldest_s
+        Age of the longest wait; seconds.
+    """
+
+    pool: PoolId
+    epoch: Epoch
+    slots: int
+    busy: int
+    queued: int
+    oldest_s: float
+
+
+class Heartbeat(_Message, frozen=True):
+    """Tell a peer that the sender lives, and what it knows.
+
+    Parameters
+    ----------
+    vm, incarnation, zone, region
+        Who sends.
+    state
+        `VmState.LEAVING` from the planned stop on.
+    serial
+        Number of the heartbeat at its sender.
+    heard
+        Members of the sender's region that it has heard within the heartbeat timeout.
+    store
+        Whether the sender reaches the key-value service.
+    store_witness
+        Whether any member it hears says that it reaches the service.
+    lease_stamp
+        Number of the newest lease renewal that the sender asks for.
+    table_revision
+        Newest revision of the region's ownership table that the sender has seen.
+    config_version
+        Newest configuration that the sender holds.
+    pools
+        Load of the pools that the sender owns.
+    address, http_address
+        ``IP:port`` of the sender's peer port and of its callers' port.
+    """
+
+    vm: VmId
+    incarnation: Incarnation
+    zone: ZoneName
+    region: RegionName
+    state: VmState
+    serial: int
+    heard: tuple[VmId, ...]
+    store: StoreReach
+    store_witness: bool
+    lease_stamp: int
+    table_revision: int
+    config_version: ConfigVersion
+    pools: tuple[PoolLoad, ...]
+    address: str
+    http_address: str
+
+
+class TableNotice(_Message, frozen=True):
+    """Pass on a region's ownership table as the key-value service holds it."""
+
+    region: RegionName
+    revision: int
+    table: bytes
+
+
+class TableRequest(_Message, frozen=True):
+    """Ask a peer for a region's ownership table, if newer than `revision`."""
+
+    region: RegionName
+    revision: int
+
+
+class ConfigRequest(_Message, frozen=True):
+    """Ask a peer for a piece of a configuration."""
+
+    version: ConfigVersion
+    offset: int
+
+
+class ConfigPiece(_Message, frozen=True):
+    """Pass on a piece of a configuration; `total` is its whole length in bytes."""
+
+    version: ConfigVersion
+    digest: str
+    offset: int
+    total: int
+    data: bytes
+
+
+class ZoneSummary(_Message, frozen=True):
+    """Pass on what a zone's chosen sender knows of its zone to another zone."""
+
+    zone: ZoneName
+    heartbeats: tuple[Heartbeat, ...]
+
+
+class LinkUse(_Message, frozen=True):
+    """Tell a region's daemons how much of a link's limit the sender wants and holds."""
+
+    source: RegionName
+    destination: RegionName
+    wanted_bytes_s: float
+    held_bytes_s: float
+
+
+class ServiceCount(_Message, frozen=True):
+    """Count a service's requests at one daemon since its start."""
+
+    service: ServiceName
+    total: int
+    slow: int
+    failed: int
+
+
+Message = (
+    Pull
+    | PullReply
+    | Heartbeat
+    | TableNotice
+    | TableRequest
+    | ConfigRequest
+    | ConfigPiece
+    | ZoneSummary
+    | LinkUse
+)
+TicketReply = Granted | Refused | Moved
+
+_encoder = msgspec.msgpack.Encoder()
+_message_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the wire form of a datagram message."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> Message | None:
+    """Return the message in a datagram, or None if it is not one of ours."""
+    try:
+        return _message_decoder.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_node.py
@@ -0,0 +1,69 @@
+import random
+
+import msgspec
+
+from gooseberryport_core import Config, Node, NodeSettings
+from gooseberryport_core.config import Region, Service, Upstream
+from gooseberryport_core.effects import FinishRequest, StartUpstream, StoreGet
+from gooseberryport_core.events import (
+    RequestArrived,
+    StoreGot,
+    StoreValue,
+    Tick,
+    UpstreamFinished,
+)
+from gooseberryport_core.types import AttemptOutcome, Outcome, RefusalReason
+
+CFG = Config(
+    version=1,
+    regions={"mittelland": Region(availability_zones=("bern-a",))},
+    services={"dressing-registry": Service(slots=1)},
+    upstreams={
+        "dressing-registry-01": Upstream("dressing-registry", "bern-a", "127.0.0.1:9"),
+    },
+)
+
+
+def make_node() -> Node:
+    settings = NodeSettings(
+        vm="vm-1",
+        incarnation=1,
+        zone="bern-a",
+        region="mittelland",
+        address="127.0.0.1:1",
+        http_address="127.0.0.1:2",
+    )
+    node = Node(settings=settings, rng=random.Random(7))
+    for effect in node.handle(Tick(wall=0.0), 0.0):
+        if isinstance(effect, StoreGet) and effect.key == "config/whole":
+            value = StoreValue(effect.key, msgspec.json.encode(CFG), 1)
+            node.handle(StoreGot(effect.call_id, (value,)), 0.0)
+    node.handle(Tick(wall=0.1), 0.1)
+    return node
+
+
+def test_request_runs_at_an_upstream_and_its_answer_is_delivered() -> None:
+    node = make_node()
+    arrived = RequestArrived("r1", "dressing-registry", "10.0.0.1", "GET")
+    (start,) = node.handle(arrived, 0.2)
+    assert isinstance(start, StartUpstream)
+    assert (start.request_id, start.upstream) == ("r1", "dressing-registry-01")
+    done = UpstreamFinished(start.ticket_id, AttemptOutcome.ANSWERED, 200, 10, 0.1)
+    (finish,) = node.handle(done, 0.3)
+    assert finish == FinishRequest("r1", Outcome.ANSWERED, start.ticket_id)
+
+
+def test_unknown_service_is_refused_before_it_ran() -> None:
+    (finish,) = make_node().handle(RequestArrived("r1", "nowhere", "10.0.0.1", "GET"), 0.2)
+    assert isinstance(finish, FinishRequest)
+    assert (finish.outcome, finish.reason) == (Outcome.NOT_RUN, RefusalReason.UNKNOWN_SERVICE)
+
+
+def test_second_request_waits_for_the_slot() -> None:
+    node = make_node()
+    (start,) = node.handle(RequestArrived("r1", "dressing-registry", "10.0.0.1", "GET"), 0.2)
+    assert isinstance(start, StartUpstream)
+    assert node.handle(RequestArrived("r2", "dressing-registry", "10.0.0.1", "GET"), 0.2) == []
+    done = UpstreamFinished(start.ticket_id, AttemptOutcome.ANSWERED, 200, 10, 0.1)
+    effects = node.handle(done, 0.3)
+    assert [e.request_id for e in effects if isinstance(e, StartUpstream)] == ["r2"]
--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The gooseberryport entry daemon."""
--- /dev/null
+++ b/packages/gooseberryport-platform/src/gooseberryport_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: key-value service and VM list."""
