--- /dev/null
+++ b/packages/gooseberryport-platform/src/gooseberryport_platform/_http.py
@@ -0,0 +1,209 @@
+"""One HTTP call, bounded in time and size, whose failure says whether it had an effect."""
+
+from __future__ import annotations
+
+import ipaddress
+import time
+from collections.abc import Callable, Mapping
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+from tenacity import (
+    RetryCallState,
+    Retrying,
+    retry_if_result,
+    stop_after_attempt,
+    stop_after_delay,
+    wait_random_exponential,
+)
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    LocationValueError,
+    NewConnectionError,
+)
+
+from gooseberryport_platform.calls import CallCounter, CallEnd, CallKind, CallRecord
+from gooseberryport_platform.errors import (
+    AddressInvalidError,
+    AnswerLostError,
+    AnswerTooLargeError,
+    ServiceError,
+    ServiceUnreachableError,
+)
+
+READ_CHUNK_BYTES = 65_536
+FIRST_BACK_OFF_S = 0.02
+LONGEST_BACK_OFF_S = 1.0
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole HTTP answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class Call(msgspec.Struct, frozen=True):
+    """One HTTP call.
+
+    Parameters
+    ----------
+    timeout_s
+        Time until the whole answer must be here; seconds.
+    """
+
+    kind: CallKind
+    method: str
+    target: str
+    timeout_s: float
+    body: bytes | None = None
+
+
+def checked_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of ``IP:port``; raises `AddressInvalidError`."""
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        raise AddressInvalidError(address=address, detail="not an IP number and a port") from None
+    if not 0 < number < 65_536:
+        raise AddressInvalidError(address=address, detail="the port is out of range")
+    return host, number
+
+
+class HttpCaller:
+    """Make calls to one service over kept connections.
+
+    Parameters
+    ----------
+    address
+        ``IP:port`` of the service.
+    connections
+        Connections kept open.
+    max_answer_bytes
+        Longest answer that is accepted.
+    counter
+        Counts every call.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        connections: int,
+        max_answer_bytes: int,
+        counter: CallCounter,
+    ) -> None:
+        host, port = checked_address(address)
+        self.address = address
+        self._max_answer_bytes = max_answer_bytes
+        self._counter = counter
+        self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=connections, retries=False)
+
+    def call(self, call: Call) -> Result[Answer, ServiceError]:
+        """Make one call; it ends within about its timeout, whatever the service does."""
+        started = time.monotonic()
+        result = self._try(call, started + call.timeout_s)
+        duration_s = time.monotonic() - started
+        self._counter.record(CallRecord(call.kind, _end_of(result), duration_s))
+        return result
+
+    def call_again(self, call: Call, *, attempts: int) -> Result[Answer, ServiceError]:
+        """Make a call that has no effect, and again with back-off if it fails for the moment.
+
+        All attempts together end within about the call's timeout.
+        """
+        deadline = time.monotonic() + call.timeout_s
+
+        def attempt() -> Result[Answer, ServiceError]:
+            left_s = max(deadline - time.monotonic(), 0.001)
+            return self.call(msgspec.structs.replace(call, timeout_s=left_s))
+
+        return _retrying(attempts, call.timeout_s)(attempt)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
+
+    def _try(self, call: Call, deadline: float) -> Result[Answer, ServiceError]:
+        timeout = urllib3.Timeout(total=call.timeout_s)
+        try:
+            resp = self._pool.urlopen(
+                call.method,
+                call.target,
+                body=call.body,
+                timeout=timeout,
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                decode_content=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError, LocationValueError) as exc:
+            return Failure(ServiceUnreachableError(address=self.address, detail=_text(exc)))
+        except (HTTPError, OSError) as exc:
+            return Failure(AnswerLostError(address=self.address, detail=_text(exc)))
+        return self._read(resp, deadline)
+
+    def _read(
+        self, resp: urllib3.BaseHTTPResponse, deadline: float
+    ) -> Result[Answer, ServiceError]:
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            while chunk := resp.read1(READ_CHUNK_BYTES):
+                size += len(chunk)
+                chunks.append(chunk)
+                if size > self._max_answer_bytes:
+                    resp.close()
+                    detail = f"the answer is longer than {self._max_answer_bytes} bytes"
+                    return Failure(AnswerTooLargeError(address=self.address, detail=detail))
+                if time.monotonic() > deadline:
+                    resp.close()
+                    return Failure(
+                        AnswerLostError(address=self.address, detail="the answer is late")
+                    )
+        except (HTTPError, OSError) as exc:
+            resp.close()
+            return Failure(AnswerLostError(address=self.address, detail=_text(exc)))
+        resp.release_conn()
+        return Success(Answer(resp.status, resp.headers, b"".join(chunks)))
+
+
+def _retrying(attempts: int, timeout_s: float) -> Retrying:
+    return Retrying(
+        retry=retry_if_result(_worth_repeating),
+        stop=stop_after_attempt(attempts) | stop_after_delay(timeout_s),
+        wait=wait_random_exponential(multiplier=FIRST_BACK_OFF_S, max=LONGEST_BACK_OFF_S),
+        retry_error_callback=_last_result,
+    )
+
+
+def _worth_repeating(result: Result[Answer, ServiceError]) -> bool:
+    if isinstance(result, Failure):
+        return bool(result.failure().repeatable)
+    return bool(result.unwrap().status >= 500)
+
+
+def _last_result(state: RetryCallState) -> Result[Answer, ServiceError]:
+    assert state.outcome is not None
+    last: Result[Answer, ServiceError] = state.outcome.result()
+    return last
+
+
+def _end_of(result: Result[Answer, ServiceError]) -> CallEnd:
+    if isinstance(result, Failure):
+        return CallEnd.AMBIGUOUS if result.failure().ambiguous else CallEnd.FAILED
+    return CallEnd.DONE if result.unwrap().status < 500 else CallEnd.AMBIGUOUS
+
+
+def _text(exc: Exception) -> str:
+    return f"{type(exc).__name__}: {exc}".rstrip(".")
+
+
+Clock = Callable[[], float]
+"""Returns the wall clock's time, in seconds since 1970-01-01 UTC."""
--- /dev/null
+++ b/packages/gooseberryport-platform/src/gooseberryport_platform/_prometheus_sd.py
@@ -0,0 +1,95 @@
+"""The VM list in the form of Prometheus's HTTP service discovery."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from gooseberryport_core.events import ListedVm
+from gooseberryport_core.types import Incarnation, VmId, VmState, ZoneName
+from gooseberryport_platform._http import Answer, Call, HttpCaller, checked_address
+from gooseberryport_platform.calls import CallCounter, CallKind
+from gooseberryport_platform.errors import (
+    AddressInvalidError,
+    AnswerMalformedError,
+    ServiceError,
+    ServiceFailedError,
+)
+from gooseberryport_platform.vm_list import VmListSettings
+
+MAX_ANSWER_BYTES = 8_388_608
+
+
+class _Labels(msgspec.Struct):
+    """Labels of a group of targets."""
+
+    vm: str = ""
+    availability_zone: str = ""
+    state: str = VmState.LIVE.value
+    incarnation: str = "0"
+
+
+class _Group(msgspec.Struct):
+    """One group of targets."""
+
+    targets: list[str]
+    labels: _Labels = msgspec.field(default_factory=_Labels)
+
+
+_groups_decoder = msgspec.json.Decoder(list[_Group])
+
+
+class PrometheusVmList:
+    """Read a list that a Prometheus server could read too.
+
+    Parameters
+    ----------
+    settings
+        Where it is.
+    counter
+        Counts every call.
+    """
+
+    def __init__(self, *, settings: VmListSettings, counter: CallCounter) -> None:
+        self._settings = settings
+        self._http = HttpCaller(
+            address=settings.address,
+            connections=1,
+            max_answer_bytes=MAX_ANSWER_BYTES,
+            counter=counter,
+        )
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    def read(self) -> Result[tuple[ListedVm, ...], ServiceError]:
+        """Read the list; a line that names no usable address or state is left out."""
+        call = Call(CallKind.VM_LIST, "GET", self._settings.path, self._settings.timeout_s)
+        answer = self._http.call_again(call, attempts=self._settings.read_attempts)
+        return answer.bind(self._lines)
+
+    def _lines(self, answer: Answer) -> Result[tuple[ListedVm, ...], ServiceError]:
+        if answer.status != 200:
+            detail = f"the VM list answered {answer.status}"
+            return Failure(ServiceFailedError(address=self._http.address, detail=detail))
+        try:
+            groups = _groups_decoder.decode(answer.body)
+        except msgspec.MsgspecError as exc:
+            return Failure(AnswerMalformedError(address=self._http.address, detail=str(exc)))
+        return Success(tuple(line for group in groups for line in _usable(group)))
+
+
+def _usable(group: _Group) -> Iterator[ListedVm]:
+    labels = group.labels
+    for target in group.targets:
+        try:
+            checked_address(target)
+            state = VmState(labels.state)
+            incarnation = Incarnation(int(labels.incarnation))
+        except (AddressInvalidError, ValueError):
+            continue
+        name = VmId(labels.vm or target)
+        yield ListedVm(name, ZoneName(labels.availability_zone), state, target, incarnation)
