--- a/packages/gooseberryport-core/src/gooseberryport_core/_config_checks.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_config_checks.py
@@ -177,7 +177,7 @@
 
 def _check_upstreams(cfg: Config) -> Iterator[Finding]:
     zones = _zones(cfg)
-    holders: dict[str, list[str]] = {}
+    holders: dict[str, list[UpstreamId]] = {}
     for name, upstream in cfg.upstreams.items():
         if upstream.service not in cfg.services:
             path = ("upstreams", name, "service")
@@ -191,9 +191,9 @@
             yield Finding(path, upstream.address, "not IP:port", remedy)
         holders.setdefault(upstream.address, []).append(name)
     for address, names in holders.items():
-        for name in names if len(names) > 1 else ():
-            others = ", ".join(other for other in names if other != name)
-            path = ("upstreams", name, "address")
+        for holder in names if len(names) > 1 else ():
+            others = ", ".join(other for other in names if other != holder)
+            path = ("upstreams", holder, "address")
             message = f"also the address of {others}"
             yield Finding(path, address, message, "give each upstream its own address")
 
--- a/packages/gooseberryport-core/tests/test_config_files.py
+++ b/packages/gooseberryport-core/tests/test_config_files.py
@@ -1,4 +1,5 @@
 import json
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
@@ -166,3 +167,12 @@
     fraction = parts["Shift"]["properties"]["fraction"]["anyOf"][0]
     assert (fraction["minimum"], fraction["maximum"]) == (0, 1)
     assert "required" not in parts["Shift"]
+
+
+@pytest.mark.parametrize("deployment", ["amt", "blue-mahoe"])
+def test_examples_have_no_problem(deployment: str) -> None:
+    folder = Path(__file__).parents[3] / "examples" / deployment
+    checked = check_files({path.name: path.read_bytes() for path in folder.glob("*.json")})
+    assert [str(problem) for problem in checked.problems] == []
+    assert checked.cfg is not None
+    assert len(checked.cfg.upstreams) == 28
