Decide where a request goes, how often it is tried and what its caller is told

Cause: the thin request path retried without a budget, knew no idempotency keys and no shifts. Ruled out: a store write for each key (writes would grow with requests); shift caps over sliding windows (a window that ends later may lose its total and keep its moves, so a cap below 1 can't be kept over every alignment by anyone who does not know the future). Change: retry budgets, tumbling-window shift and failover caps, claims decided in memory by the daemon that issued the key, claims of callers' own keys in group commits, invariants that raise under test, and one word per request: not-run only if no attempt may have run. Conclusion: the request's side of the contract stands; `SendTicket.inline_body` says when a body travels with its ticket.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
+from gooseberryport_core._claims import Claims
+from gooseberryport_core._invariants import Invariant, check
+from gooseberryport_core._retries import RetryBudget
 from gooseberryport_core._routing import Router
-from gooseberryport_core._views import Owners, Peers
-from gooseberryport_core.config import Config, Service
+from gooseberryport_core._shifts import Placement, Shifts
+from gooseberryport_core._views import Owner, Owners, Peers
+from gooseberryport_core.config import Config, Service, region_of_zone
 from gooseberryport_core.effects import (
     CancelTicket,
+    CountMetric,
     Effect,
     FinishRequest,
     SendBody,
@@ -18,6 +24,7 @@
 )
 from gooseberryport_core.events import (
     AttemptEnded,
+    ClaimDecided,
     Event,
     PeerUnreachable,
     RequestArrived,
@@ -29,14 +36,16 @@
 from gooseberryport_core.settings import NodeSettings
 from gooseberryport_core.types import (
     AttemptOutcome,
-    Epoch,
+    ClaimVerdict,
     Outcome,
     PoolId,
     RefusalReason,
+    RegionName,
     RequestId,
+    ServiceName,
     TicketId,
     UpstreamId,
-    VmId,
+    ZoneName,
 )
 
 MAX_OFFERS = 6
@@ -45,6 +54,27 @@
 DEADLINE_GRACE_S = 0.05
 """Time after the deadline that the owner's own word is waited for; seconds."""
 
+INLINE_BODY_BYTES = 16_384
+"""Longest body of a repeatable request that travels with its ticket, to save a round trip."""
+
+RETRY_AFTER_S = 0.2
+"""Time that a caller is told to wait if an owner named none; seconds."""
+
+
+class Home(msgspec.Struct, frozen=True):
+    """Where a client is.
+
+    Parameters
+    ----------
+    region
+        Region nearest to the client.
+    block
+        Block of the client, for the hash of the shift rules.
+    """
+
+    region: RegionName
+    block: str
+
 
 class _Request(msgspec.Struct):
     """One caller's request at its entry."""
@@ -52,14 +82,25 @@
     event: RequestArrived
     deadline: float
     repeatable: bool
-    pools: list[PoolId]
+    home: Home
+    claimed: bool = False
+    placement: Placement | None = None
+    pools: list[PoolId] = msgspec.field(default_factory=list)
     ticket_id: TicketId = TicketId("")
+    upstream: UpstreamId = UpstreamId("")
+    avoid: tuple[UpstreamId, ...] = ()
     body_sent: bool = False
+    ran_before: bool = False
     offers: int = 0
     retries: int = 0
     reason: RefusalReason = RefusalReason.NO_OWNER
     retry_after_s: float = 0.0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the attempt under way, or an earlier one, may have run."""
+        return self.body_sent or self.ran_before
+
 
 class Requests:
     """Carry each caller's request to an owner and its end back to the caller.
@@ -74,6 +115,10 @@
         What membership knows.
     router
         Ranks the pools for a request.
+    claims
+        Decides idempotency keys.
+    home_of
+        Returns where a client's IP address is.
     rng
         Source of jitter.
     """
@@ -85,30 +130,45 @@
         owners: Owners,
         peers: Peers,
         router: Router,
+        claims: Claims,
+        home_of: Callable[[str], Home],
         rng: random.Random,
     ) -> None:
         self._settings = settings
         self._owners = owners
         self._peers = peers
         self._router = router
+        self._claims = claims
+        self._home_of = home_of
         self._rng = rng
+        self._shifts = Shifts()
         self._cfg = Config()
+        self._regions: dict[ZoneName, RegionName] = {}
+        self._budgets: dict[ServiceName, RetryBudget] = {}
         self._requests: dict[RequestId, _Request] = {}
         self._tickets: dict[TicketId, RequestId] = {}
         self._serial = 0
+        self._wall_offset = 0.0
 
     def configure(self, cfg: Config, now: float) -> list[Effect]:
         """Take a newer configuration."""
         self._cfg = cfg
         self._router.configure(cfg, now)
+        self._shifts.configure(cfg)
+        zones = {zone for region in cfg.regions.values() for zone in region.availability_zones}
+        self._regions = {zone: region_of_zone(cfg, zone) or RegionName("") for zone in zones}
+        for name, service in cfg.services.items():
+            self._budgets.setdefault(name, RetryBudget(fraction=service.retry_fraction))
         return []
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Handle an event."""
         if isinstance(event, RequestArrived):
             return self._arrive(event, now)
+        if isinstance(event, ClaimDecided):
+            return self._decided(event, now)
         if isinstance(event, RequestCancelled):
-            return self._cancel(event.request_id)
+            return self._cancel(event.request_id, now)
         if isinstance(event, TicketReplied):
             return self._replied(event, now)
         if isinstance(event, PeerUnreachable):
@@ -116,6 +176,7 @@
         if isinstance(event, AttemptEnded):
             return self._ended(event, now)
         if isinstance(event, Tick):
+            self._wall_offset = event.wall - now
             return self._expire(now)
         return []
 
@@ -130,57 +191,89 @@
             return [_not_run(event.request_id, RefusalReason.UNKNOWN_SERVICE)]
         if event.body_bytes > service.max_body_bytes:
             return [_not_run(event.request_id, RefusalReason.TOO_LARGE)]
-        pools = self._router.rank(event.service, self._settings.region, now)
         req = _Request(
             event=event,
             deadline=now + _timeout(event, service),
             repeatable=event.method in service.idempotent_methods,
-            pools=list(pools),
+            home=self._home_of(event.client),
         )
         self._requests[event.request_id] = req
-        return self._offer_next(req, now)
+        self._budgets[event.service].earn()
+        if event.key and not req.repeatable:
+            return self._claims.ask(event.key, event.request_id, now)
+        return self._place(req, now)
+
+    def _decided(self, event: ClaimDecided, now: float) -> list[Effect]:
+        req = self._requests.get(event.request_id)
+        if req is None:
+            return []
+        if event.verdict == ClaimVerdict.FIRST:
+            req.claimed = True
+            return self._place(req, now)
+        undecided = event.verdict == ClaimVerdict.UNDECIDED
+        reason = RefusalReason.CLAIM_UNDECIDED if undecided else RefusalReason.DUPLICATE
+        return self._finish(req, Outcome.UNKNOWN, reason, now)
+
+    def _place(self, req: _Request, now: float) -> list[Effect]:
+        service = req.event.service
+        wall = now + self._wall_offset
+        placement, effects = self._shifts.place(service, req.home.region, req.home.block, wall)
+        req.placement = placement
+        req.pools = list(self._router.rank(service, placement.region, now))
+        return effects + self._offer_next(req, now)
 
     def _offer_next(self, req: _Request, now: float) -> list[Effect]:
+        effects: list[Effect] = []
         while req.pools and req.offers < MAX_OFFERS:
             pool = req.pools.pop(0)
             owner = self._owners.owner_of(pool)
             if owner is None:
                 continue
-            return self._offer(req, pool, owner.vm, owner.epoch, UpstreamId(""), now)
-        return self._finish(req, Outcome.NOT_RUN, req.reason)
+            allowed, reports = self._may_leave(req, pool, now)
+            effects.extend(reports)
+            if allowed:
+                return effects + self._offer(req, pool, owner, UpstreamId(""), now)
+            req.reason = RefusalReason.SHIFT_CAP
+        return effects + self._finish(req, self._refusal_outcome(req), req.reason, now)
+
+    def _may_leave(self, req: _Request, pool: PoolId, now: float) -> tuple[bool, list[Effect]]:
+        """Return whether a request may go to a pool, counting it if that is a failover."""
+        placement = req.placement
+        assert placement is not None
+        if self._regions.get(pool.zone) == placement.region:
+            return True, []
+        wall = now + self._wall_offset
+        return self._shifts.fail_over(req.event.service, placement.home, wall)
 
     def _offer(
-        self,
-        req: _Request,
-        pool: PoolId,
-        vm: VmId,
-        epoch: Epoch,
-        reserved: UpstreamId,
-        now: float,
+        self, req: _Request, pool: PoolId, owner: Owner, reserved: UpstreamId, now: float
     ) -> list[Effect]:
         self._serial += 1
         req.offers += 1
         me = self._settings
         ticket_id = TicketId(f"{me.vm}.{me.incarnation}.{self._serial}")
         req.ticket_id = ticket_id
+        req.upstream = UpstreamId("")
         self._tickets[ticket_id] = req.event.request_id
-        service = self._cfg.services[req.event.service]
         ticket = Ticket(
             ticket_id=ticket_id,
             pool=pool,
-            epoch=epoch,
+            epoch=owner.epoch,
             remaining_s=req.deadline - now,
             repeatable=req.repeatable,
             first_try=req.retries == 0,
             body_bytes=req.event.body_bytes,
-            answer_bytes=service.answer_bytes,
+            answer_bytes=self._cfg.services[req.event.service].answer_bytes,
             source=me.region,
             reserved=reserved,
             key=req.event.key,
+            avoid=req.avoid,
         )
-        peer = self._peers.peer(vm)
+        peer = self._peers.peer(owner.vm)
         address = peer.address if peer else ""
-        return [SendTicket(vm, address, ticket)]
+        inline = req.repeatable and req.event.body_bytes <= INLINE_BODY_BYTES
+        req.body_sent = inline and owner.vm != me.vm and bool(address)
+        return [SendTicket(owner.vm, address, ticket, inline_body=req.body_sent)]
 
     def _replied(self, event: TicketReplied, now: float) -> list[Effect]:
         reply = event.reply
@@ -188,24 +281,26 @@
             return self._refused(reply, now)
         req = self._request(reply.ticket_id)
         if req is None:
-            return []
+            return [CancelTicket(reply.ticket_id)] if isinstance(reply, Granted) else []
         if isinstance(reply, Moved):
-            self._tickets.pop(reply.ticket_id, None)
-            return self._offer(req, reply.pool, reply.vm, reply.epoch, reply.upstream, now)
-        assert isinstance(reply, Granted)
+            self._forget_attempt(req, ran=False)
+            return self._offer(req, reply.pool, Owner(reply.vm, reply.epoch), reply.upstream, now)
+        once = req.repeatable or not req.ran_before
+        reports = check(Invariant.AT_MOST_ONCE, once, f"{req.event.request_id} is sent again")
         req.body_sent = True
-        return [SendBody(req.event.request_id, reply.ticket_id)]
+        req.upstream = reply.upstream
+        return [*reports, SendBody(req.event.request_id, reply.ticket_id)]
 
     def _refused(self, reply: Refused, now: float) -> list[Effect]:
+        """Go on after an attempt that its owner says did not run."""
         req = self._request(reply.ticket_id)
         if req is None:
             return []
-        self._tickets.pop(reply.ticket_id, None)
-        req.body_sent = False
+        self._forget_attempt(req, ran=False)
         req.reason = reply.reason
         req.retry_after_s = reply.retry_after_s
         if now >= req.deadline:
-            return self._finish(req, Outcome.NOT_RUN, RefusalReason.DEADLINE)
+            return self._finish(req, self._refusal_outcome(req), RefusalReason.DEADLINE, now)
         return self._offer_next(req, now)
 
     def _ended(self, event: AttemptEnded, now: float) -> list[Effect]:
@@ -213,43 +308,76 @@
         if req is None:
             return []
         if event.outcome == AttemptOutcome.ANSWERED:
-            return self._finish(req, Outcome.ANSWERED, None)
+            return self._finish(req, Outcome.ANSWERED, None, now)
         ran = event.outcome == AttemptOutcome.UNKNOWN
+        self._forget_attempt(req, ran=ran)
         if ran and not req.repeatable:
-            return self._finish(req, Outcome.UNKNOWN, None)
+            return self._finish(req, Outcome.UNKNOWN, None, now)
         if now >= req.deadline:
-            outcome = Outcome.UNKNOWN if ran else Outcome.NOT_RUN
-            return self._finish(req, outcome, RefusalReason.DEADLINE)
-        self._tickets.pop(event.ticket_id, None)
-        req.body_sent = False
+            return self._finish(req, self._refusal_outcome(req), RefusalReason.DEADLINE, now)
+        if not self._budgets[req.event.service].spend():
+            return self._finish(req, self._refusal_outcome(req), RefusalReason.RETRY_BUDGET, now)
+        return self._retry(req, now)
+
+    def _retry(self, req: _Request, now: float) -> list[Effect]:
+        assert req.placement is not None
         req.retries += 1
         req.reason = RefusalReason.NO_UPSTREAM
-        return self._offer_next(req, now)
+        req.pools = list(self._router.rank(req.event.service, req.placement.region, now))
+        return [CountMetric("retries"), *self._offer_next(req, now)]
 
-    def _cancel(self, request_id: RequestId) -> list[Effect]:
+    def _forget_attempt(self, req: _Request, *, ran: bool) -> None:
+        self._tickets.pop(req.ticket_id, None)
+        if req.upstream:
+            req.avoid = (*req.avoid, req.upstream)
+        req.body_sent = False
+        req.ran_before = req.ran_before or ran
+
+    def _cancel(self, request_id: RequestId, now: float) -> list[Effect]:
         req = self._requests.pop(request_id, None)
         if req is None:
             return []
         self._tickets.pop(req.ticket_id, None)
-        return [CancelTicket(req.ticket_id)]
+        effects: list[Effect] = [CancelTicket(req.ticket_id)] if req.ticket_id else []
+        return effects + self._end_claim(req, ran=req.may_have_run, now=now)
 
     def _expire(self, now: float) -> list[Effect]:
+        late = [r for r in self._requests.values() if now >= r.deadline + DEADLINE_GRACE_S]
         effects: list[Effect] = []
-        for req in list(self._requests.values()):
-            if now < req.deadline + DEADLINE_GRACE_S:
-                continue
-            outcome = Outcome.UNKNOWN if req.body_sent else Outcome.NOT_RUN
-            effects.append(CancelTicket(req.ticket_id))
-            effects.extend(self._finish(req, outcome, RefusalReason.DEADLINE))
+        for req in late:
+            if req.ticket_id:
+                effects.append(CancelTicket(req.ticket_id))
+            outcome = self._refusal_outcome(req)
+            effects.extend(self._finish(req, outcome, RefusalReason.DEADLINE, now))
         return effects
 
+    def _refusal_outcome(self, req: _Request) -> Outcome:
+        """Return what a caller is told of a request that goes no further."""
+        undecided = bool(req.event.key) and not req.repeatable and not req.claimed
+        return Outcome.UNKNOWN if req.may_have_run or undecided else Outcome.NOT_RUN
+
     def _finish(
-        self, req: _Request, outcome: Outcome, reason: RefusalReason | None
+        self, req: _Request, outcome: Outcome, reason: RefusalReason | None, now: float
     ) -> list[Effect]:
         request_id = req.event.request_id
-        del self._requests[request_id]
+        true_word = outcome != Outcome.NOT_RUN or not req.may_have_run
+        effects = check(Invariant.NOT_RUN, true_word, f"{request_id} may have run")
+        effects += check(
+            Invariant.ONE_END, request_id in self._requests, f"{request_id} ends twice"
+        )
+        self._requests.pop(request_id, None)
         self._tickets.pop(req.ticket_id, None)
-        return [FinishRequest(request_id, outcome, req.ticket_id, reason, req.retry_after_s)]
+        retry_after_s = 0.0
+        if outcome != Outcome.ANSWERED:
+            retry_after_s = (req.retry_after_s or RETRY_AFTER_S) * self._rng.uniform(1.0, 1.5)
+        effects.append(FinishRequest(request_id, outcome, req.ticket_id, reason, retry_after_s))
+        return effects + self._end_claim(req, ran=outcome != Outcome.NOT_RUN, now=now)
+
+    def _end_claim(self, req: _Request, *, ran: bool, now: float) -> list[Effect]:
+        if not req.event.key or req.repeatable:
+            return []
+        ran = ran and req.claimed
+        return self._claims.ended(req.event.key, req.event.request_id, ran, now)
 
     def _request(self, ticket_id: TicketId) -> _Request | None:
         request_id = self._tickets.get(ticket_id)
--- a/packages/gooseberryport-core/src/gooseberryport_core/_views.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_views.py
@@ -30,6 +30,8 @@
     ----------
     heard_at
         When its newest heartbeat arrived; seconds, monotonic. Minus infinity if it is only listed.
+    key_prefix
+        Prefix of the idempotency keys that it decides.
     """
 
     vm: VmId
@@ -40,6 +42,7 @@
     address: str
     http_address: str
     heard_at: float
+    key_prefix: str = ""
 
 
 class Owner(msgspec.Struct, frozen=True):
@@ -121,3 +124,4 @@
     table_revision: int
     config_version: ConfigVersion
     pools: tuple[PoolLoad, ...]
+    key_prefix: str = ""
--- a/packages/gooseberryport-core/src/gooseberryport_core/config.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/config.py
@@ -145,7 +145,8 @@
     start
         Wall-clock start, seconds since 1970-01-01 UTC; 0 for at once.
     salt
-        Word that the hash of a client block is mixed with; the rule's name if empty.
+        Word that the hash of a client block is mixed with; the service and the source if empty, so
+        that several rules for one source move blocks that do not overlap.
     """
 
     service: ServiceName
@@ -198,7 +199,7 @@
         One-way delay between availability zones of a region, and to clients; milliseconds.
     """
 
-    failover_fraction: float = 0.5
+    failover_fraction: float = 1.0
     window_s: float = 1.0
     lookup_max_age_s: float = 5.0
     lease_s: float = 2.0
--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -5,16 +5,18 @@
 import random
 
 from gooseberryport_core._admission import Admission
+from gooseberryport_core._claims import Claims
 from gooseberryport_core._config_sync import ConfigSync
 from gooseberryport_core._membership import Membership
 from gooseberryport_core._ownership import Ownership
-from gooseberryport_core._requests import Requests
+from gooseberryport_core._requests import Home, Requests
 from gooseberryport_core._routing import Router
 from gooseberryport_core._views import Component, HeartbeatFacts, Peer
 from gooseberryport_core.config import Config
 from gooseberryport_core.effects import (
     CancelTicket,
     ConfigChanged,
+    Decide,
     Effect,
     Exit,
     SendBody,
@@ -65,19 +67,22 @@
         self._admission = Admission(
             settings=settings, owners=self._ownership, peers=self._membership, rng=rng
         )
+        self._claims = Claims(settings=settings, peers=self._membership, rng=rng)
+        router = Router(settings=settings, owners=self._ownership, peers=self._membership, rng=rng)
         self._requests = Requests(
             settings=settings,
             owners=self._ownership,
             peers=self._membership,
-            router=Router(
-                settings=settings, owners=self._ownership, peers=self._membership, rng=rng
-            ),
+            router=router,
+            claims=self._claims,
+            home_of=self._home_of,
             rng=rng,
         )
         self._components: tuple[Component, ...] = (
             self._membership,
             self._ownership,
             self._admission,
+            self._claims,
             self._requests,
         )
 
@@ -165,6 +170,8 @@
             return self._admission.handle(TicketCancelled(effect.ticket_id), now)
         if isinstance(effect, StartUpstream) and not effect.request_id:
             return self._name_request(effect)
+        if isinstance(effect, Decide):
+            return self._requests.handle(effect.event, now)
         return None
 
     def _name_request(self, effect: StartUpstream) -> list[Effect] | None:
@@ -200,8 +207,12 @@
             table_revision=self._ownership.table_revision,
             config_version=self.cfg.version,
             pools=self._admission.loads(now),
+            key_prefix=self._claims.key_prefix(now),
         )
 
+    def _home_of(self, client: str) -> Home:
+        return Home(self.settings.region, client)
+
     def _self_peer(self, now: float) -> Peer:
         me = self.settings
         return Peer(
--- a/packages/gooseberryport-core/src/gooseberryport_core/effects.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/effects.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from gooseberryport_core.events import ClaimDecided
 from gooseberryport_core.messages import Message, Ticket, TicketReply
 from gooseberryport_core.types import (
     CallId,
@@ -24,11 +25,19 @@
 
 
 class SendTicket(_Effect, frozen=True):
-    """Open a stream to an owner at `address` and send it a ticket."""
+    """Open a stream to an owner at `address` and send it a ticket.
+
+    Parameters
+    ----------
+    inline_body
+        Whether the body goes along with the ticket, so that the request may run as soon as the
+        owner grants it. A stream that breaks without a reply is then an attempt of unknown end.
+    """
 
     vm: VmId
     address: str
     ticket: Ticket
+    inline_body: bool = False
 
 
 class SendTicketReply(_Effect, frozen=True):
@@ -167,6 +176,12 @@
     version: int
 
 
+class Decide(_Effect, frozen=True):
+    """Hand a decision to another part of the same node; it never leaves `Node`."""
+
+    event: ClaimDecided
+
+
 class Exit(_Effect, frozen=True):
     """Everything is done after `StopRequested`: the process may end."""
 
@@ -187,5 +202,6 @@
     | LogEvent
     | CountMetric
     | ConfigChanged
+    | Decide
     | Exit
 )
--- a/packages/gooseberryport-core/src/gooseberryport_core/events.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/events.py
@@ -11,6 +11,7 @@
 from gooseberryport_core.types import (
     AttemptOutcome,
     CallId,
+    ClaimVerdict,
     Incarnation,
     RequestId,
     Revision,
@@ -208,6 +209,13 @@
     ambiguous: bool
 
 
+class ClaimDecided(_Event, frozen=True):
+    """The idempotency key of a caller's request was decided."""
+
+    request_id: RequestId
+    verdict: ClaimVerdict
+
+
 class StopRequested(_Event, frozen=True):
     """The platform or an operator asks for a graceful stop."""
 
@@ -229,5 +237,6 @@
     | StoreGot
     | StoreWritten
     | StoreFailed
+    | ClaimDecided
     | StopRequested
 )
--- a/packages/gooseberryport-core/src/gooseberryport_core/messages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/messages.py
@@ -9,12 +9,14 @@
 import msgspec
 
 from gooseberryport_core.types import (
+    ClaimVerdict,
     ConfigVersion,
     Epoch,
     Incarnation,
     PoolId,
     RefusalReason,
     RegionName,
+    RequestId,
     ServiceName,
     StoreReach,
     TicketId,
@@ -55,6 +57,8 @@
         Upstream whose slot a `Pull` has reserved for this ticket; empty for none.
     key
         Idempotency key; empty for none.
+    avoid
+        Upstreams where this request has just failed.
     """
 
     ticket_id: TicketId
@@ -68,6 +72,7 @@
     source: RegionName
     reserved: UpstreamId = UpstreamId("")
     key: str = ""
+    avoid: tuple[UpstreamId, ...] = ()
 
 
 class Granted(_Message, frozen=True):
@@ -179,6 +184,8 @@
         Load of the pools that the sender owns.
     address, http_address
         ``IP:port`` of the sender's peer port and of its callers' port.
+    key_prefix
+        Prefix of the idempotency keys that the sender decides; see `_claims`.
     """
 
     vm: VmId
@@ -196,6 +203,7 @@
     pools: tuple[PoolLoad, ...]
     address: str
     http_address: str
+    key_prefix: str = ""
 
 
 class TableNotice(_Message, frozen=True):
@@ -255,6 +263,45 @@
     failed: int
 
 
+class ClaimAsk(_Message, frozen=True):
+    """Ask the daemon that decides an idempotency key whether a request may run under it.
+
+    Parameters
+    ----------
+    key
+        The key.
+    request_id
+        The request; a repeated ask of the same request gets the same answer.
+    vm
+        Who asks.
+    """
+
+    key: str
+    request_id: RequestId
+    vm: VmId
+
+
+class ClaimReply(_Message, frozen=True):
+    """Answer a `ClaimAsk`."""
+
+    request_id: RequestId
+    verdict: ClaimVerdict
+
+
+class ClaimEnd(_Message, frozen=True):
+    """Tell the deciding daemon how the request that holds a key ended.
+
+    Parameters
+    ----------
+    ran
+        False only if the request provably did not run; the key is then free again.
+    """
+
+    key: str
+    request_id: RequestId
+    ran: bool
+
+
 Message = (
     Pull
     | PullReply
@@ -265,6 +312,9 @@
     | ConfigPiece
     | ZoneSummary
     | LinkUse
+    | ClaimAsk
+    | ClaimReply
+    | ClaimEnd
 )
 TicketReply = Granted | Refused | Moved
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/types.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/types.py
@@ -121,3 +121,19 @@
     REACHABLE = "reachable"
     UNREACHABLE = "unreachable"
     UNTRIED = "untried"
+
+
+class ClaimVerdict(Enum):
+    """Whether a request may run under its idempotency key."""
+
+    FIRST = "first"
+    """No other request holds the key: it may run."""
+
+    DUPLICATE = "duplicate"
+    """Another request holds the key and runs, or has run."""
+
+    LOST = "lost"
+    """Nobody can tell any more whether a request has run under the key."""
+
+    UNDECIDED = "undecided"
+    """The deciding daemon or the store did not answer; this request has not run."""
