Add stand-ins of the store, the VM list and upstreams; test the platform's clients on them

Cause: the clients had not met a service, and the daemon needs something to run against. Ruled out: cheroot for the stand-ins (its request object hides the socket, and a stand-in must cut, halve and hang at will); an HTTP parser of our own. Change: a threaded server on the standard library that the stand-ins share, faults as typed values set by PUT /_faults, each stand-in as a process and in-process; tests of the three clients. Conclusion: a failed write tells rightly whether it may have taken effect for refusal, hang, 503, lost answer, late effect and delay; settled_swap applies once.

--- /dev/null
+++ b/packages/gooseberryport-platform/tests/test_store.py
@@ -0,0 +1,161 @@
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from gooseberryport_core.effects import StoreGet, StoreList, StoreSwap, StoreWatch
+from gooseberryport_core.events import StoreFailed, StoreGot, StoreValue, StoreWritten
+from gooseberryport_core.types import CallId, Revision
+from gooseberryport_platform.calls import CallCounter, CallEnd, CallKind
+from gooseberryport_platform.errors import AddressInvalidError, WriteUndecidedError
+from gooseberryport_platform.settled import SwapEnd, settled_swap
+from gooseberryport_platform.store import Store, StoreSettings, open_store, run_store_effect
+from gooseberryport_standins.faults import Outage, StoreFaults
+from gooseberryport_standins.store import StoreStandin, open_store_standin
+
+ABSENT = Revision(0)
+CALL = CallId(7)
+KEY = "config/head"
+
+
+@pytest.fixture
+def standin() -> Iterator[StoreStandin]:
+    with open_store_standin() as standin:
+        yield standin
+
+
+@pytest.fixture
+def store(standin: StoreStandin) -> Iterator[Store]:
+    with open_store(StoreSettings(standin.door.address)) as store:
+        yield store
+
+
+def write(store: Store, key: str, value: bytes, expected: int = 0) -> int:
+    swapped = store.swap(key, value, Revision(expected)).unwrap()
+    assert swapped.applied
+    return swapped.current.revision
+
+
+def test_effects_are_answered_by_their_events(store: Store) -> None:
+    assert run_store_effect(store, StoreGet(CALL, KEY)) == StoreGot(
+        CALL, (StoreValue(KEY, b"", ABSENT),)
+    )
+    created = run_store_effect(store, StoreSwap(CALL, KEY, b'{"a": "\xc3\xa9"}', ABSENT))
+    assert isinstance(created, StoreWritten) and created.applied
+    assert created.current.value == b'{"a": "\xc3\xa9"}'
+    rejected = run_store_effect(store, StoreSwap(CALL, KEY, b"other", ABSENT))
+    assert rejected == StoreWritten(CALL, False, created.current)
+    write(store, "config/a part?", b"1")
+    listed = run_store_effect(store, StoreList(CALL, "config/"))
+    assert [value.key for value in listed.values] == ["config/a part?", KEY]
+    assert run_store_effect(store, StoreList(CALL, "none/")) == StoreGot(CALL, ())
+
+
+@pytest.mark.parametrize("existing", [False, True])
+def test_watch_wakes_for_its_own_key_alone(store: Store, existing: bool) -> None:
+    after = write(store, KEY, b"old") if existing else 0
+    got: list[StoreGot] = []
+    watch = StoreWatch(CALL, KEY, Revision(after), 20.0)
+    thread = threading.Thread(target=lambda: got.append(run_store_effect(store, watch)))
+    thread.start()
+    write(store, "other", b"x")
+    write(store, KEY, b"new", after)
+    thread.join(10.0)
+    assert got[0].values[0].value == b"new"
+
+
+def test_silent_watch_ends_and_a_missed_write_is_seen_at_once(store: Store) -> None:
+    first = write(store, KEY, b"1")
+    silent = run_store_effect(store, StoreWatch(CALL, KEY, Revision(first), 0.05))
+    assert silent.values[0].revision == first
+    write(store, KEY, b"2", first)
+    missed = run_store_effect(store, StoreWatch(CALL, KEY, Revision(first), 20.0))
+    assert missed.values[0].value == b"2"
+
+
+@pytest.mark.parametrize(
+    ("faults", "ambiguous"),
+    [
+        (StoreFaults(outage=Outage.REFUSE), False),
+        (StoreFaults(outage=Outage.HANG), True),
+        (StoreFaults(outage=Outage.ERROR), True),
+        (StoreFaults(lose_answers=1), True),
+        (StoreFaults(late_writes=1, late_s=0.01), True),
+        (StoreFaults(delay_s=1.0), True),
+    ],
+)
+def test_failed_write_tells_whether_it_may_have_taken_effect(
+    standin: StoreStandin, faults: StoreFaults, ambiguous: bool
+) -> None:
+    counter = CallCounter()
+    settings = StoreSettings(standin.door.address, timeout_s=0.2)
+    with open_store(settings, counter=counter) as store:
+        standin.set_faults(faults)
+        event = run_store_effect(store, StoreSwap(CALL, KEY, b"v", ABSENT))
+        assert event == StoreFailed(CALL, ambiguous)
+        end = CallEnd.AMBIGUOUS if ambiguous else CallEnd.FAILED
+        assert counter.count(CallKind.SWAP, end) == counter.count(CallKind.SWAP) == 1
+
+
+def test_value_that_is_too_long_is_refused_with_its_key(store: Store) -> None:
+    error = store.swap(KEY, b"x" * 1_000_001, ABSENT).failure()
+    assert not error.ambiguous
+    assert KEY in str(error) and "1000001 bytes" in str(error)
+
+
+def test_reads_are_repeated_and_writes_are_not(standin: StoreStandin, store: Store) -> None:
+    counter = CallCounter()
+    standin.set_faults(StoreFaults(outage=Outage.ERROR))
+    with open_store(StoreSettings(standin.door.address, read_attempts=3), counter=counter) as it:
+        assert "503" in str(it.get(KEY).failure())
+        it.swap(KEY, b"v", ABSENT)
+    assert counter.count(CallKind.GET) == 3
+    assert counter.count(CallKind.SWAP) == 1
+
+
+@pytest.mark.parametrize("address", ["store.example:8500", "127.0.0.1", "127.0.0.1:0", "1.2.3:80"])
+def test_names_are_not_looked_up(address: str) -> None:
+    with pytest.raises(AddressInvalidError, match="IP number"), open_store(StoreSettings(address)):
+        pass
+
+
+@pytest.mark.parametrize(
+    "faults", [StoreFaults(lose_answers=2), StoreFaults(late_writes=2, late_s=0.2)]
+)
+def test_settled_swap_is_applied_once_though_answers_are_lost(
+    standin: StoreStandin, store: Store, faults: StoreFaults
+) -> None:
+    standin.set_faults(faults)
+    settled = settled_swap(store, KEY, b"token-1", ABSENT).unwrap()
+    assert settled.end == SwapEnd.APPLIED
+    assert settled.current.value == b"token-1"
+    assert standin.stats.applied == 1
+
+
+def test_settled_swap_tells_a_lost_race_from_an_overwritten_write(
+    standin: StoreStandin, store: Store
+) -> None:
+    revision = write(store, KEY, b"theirs")
+    assert settled_swap(store, KEY, b"ours", ABSENT).unwrap().end == SwapEnd.REJECTED
+
+    class Overwriting:
+        """Loses the answer of a write that the next read finds overwritten."""
+
+        def swap(self, key: str, value: bytes, expected: Revision) -> object:
+            standin.set_faults(StoreFaults(lose_answers=1))
+            result = store.swap(key, value, expected)
+            write(store, key, b"theirs again", store.get(key).unwrap().revision)
+            return result
+
+        get = staticmethod(store.get)
+
+    settled = settled_swap(Overwriting(), KEY, b"ours", Revision(revision)).unwrap()
+    assert settled.end == SwapEnd.OVERWRITTEN
+    assert standin.stats.applied == 3
+
+
+def test_settled_swap_gives_up_undecided(standin: StoreStandin, store: Store) -> None:
+    standin.set_faults(StoreFaults(outage=Outage.ERROR))
+    error = settled_swap(store, KEY, b"v", ABSENT, settle_s=0.2).failure()
+    assert isinstance(error, WriteUndecidedError)
+    assert standin.door.address in str(error)
--- /dev/null
+++ b/standins/src/gooseberryport_standins/_upstream.py
@@ -0,0 +1,273 @@
+"""One stand-in of an upstream."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections import deque
+from enum import Enum
+
+import msgspec
+
+from gooseberryport_standins._server import Door, Exchange
+from gooseberryport_standins.faults import Outage, UpstreamFaults
+
+LOAD_PATH = "/load"
+NOT_RUN_HEADER = "X-Not-Run"
+REQUEST_ID_HEADER = "X-Request-Id"
+KEY_HEADER = "Idempotency-Key"
+TIMEOUT_HEADER = "Request-Timeout"
+HANG_S = 3_600.0
+HISTORY = 4_096
+"""Changes of the load that are remembered for lagging reports."""
+
+
+class Spread(Enum):
+    """How service times are spread around their mean."""
+
+    FIXED = "fixed"
+    EXPONENTIAL = "exponential"
+
+
+class UpstreamSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe a stand-in of an upstream.
+
+    Parameters
+    ----------
+    name, host
+        Its name and the address at which it listens.
+    slots
+        Requests that it runs at once; it sheds those above.
+    service_time_s, spread
+        Mean time that a request runs, in seconds, and how it is spread.
+    answer_bytes
+        Length of an answer's body.
+    cold_runs, cold_factor
+        Number of runs after its start that take longer, and by what factor at the first; it
+        falls evenly to 1.
+    seed
+        Seed of the service times.
+    """
+
+    name: str
+    host: str = "127.0.0.1"
+    slots: int = 4
+    service_time_s: float = 0.05
+    spread: Spread = Spread.EXPONENTIAL
+    answer_bytes: int = 2_000
+    cold_runs: int = 0
+    cold_factor: float = 1.0
+    seed: int = 1
+
+
+class RunEnd(Enum):
+    """How a run ended."""
+
+    RUNNING = "running"
+    DONE = "done"
+    CANCELLED = "cancelled"
+    LATE = "late"
+
+
+class Run(msgspec.Struct):
+    """One request that was started here."""
+
+    upstream: str
+    request_id: str
+    key: str
+    method: str
+    end: RunEnd = RunEnd.RUNNING
+
+
+class UpstreamStats(msgspec.Struct):
+    """Counts since the start.
+
+    Parameters
+    ----------
+    ran, cancelled, late
+        Requests started, and of these broken off by the other side, or at their deadline.
+    shed
+        Requests shed by the fault.
+    over_slots
+        Requests shed because every slot was taken.
+    most_at_once
+        Most requests that ran at once.
+    """
+
+    name: str
+    slots: int
+    ran: int = 0
+    cancelled: int = 0
+    late: int = 0
+    shed: int = 0
+    over_slots: int = 0
+    most_at_once: int = 0
+
+
+class UpstreamStandin:
+    """Answer as an upstream would, with faults on demand.
+
+    Parameters
+    ----------
+    spec
+        What it is like.
+    """
+
+    def __init__(self, spec: UpstreamSpec) -> None:
+        self.spec = spec
+        self.door: Door | None = None
+        self._rng = random.Random(spec.seed)
+        self._lock = threading.Lock()
+        self._faults = UpstreamFaults()
+        self._stats = UpstreamStats(spec.name, spec.slots)
+        self._runs: list[Run] = []
+        self._running: dict[int, Exchange] = {}
+        self._history: deque[tuple[float, int]] = deque([(time.time(), 0)], HISTORY)
+
+    @property
+    def address(self) -> str:
+        """``IP:port``."""
+        assert self.door is not None
+        return self.door.address
+
+    def set_faults(self, faults: UpstreamFaults) -> None:
+        """Show these faults, and no others, from now on."""
+        self._faults = faults
+        if self.door is None:
+            return
+        if faults.outage == Outage.REFUSE:
+            self.door.close()
+        else:
+            self.door.open()
+
+    def stats(self) -> UpstreamStats:
+        """Return the counts."""
+        with self._lock:
+            return msgspec.structs.replace(self._stats)
+
+    def runs(self) -> list[Run]:
+        """Return every request that was started."""
+        with self._lock:
+            return list(self._runs)
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        faults = self._faults
+        if faults.outage == Outage.HANG:
+            exchange.gone_within(HANG_S)
+            exchange.cut()
+        elif faults.outage == Outage.ERROR:
+            exchange.answer(503, b"out of order")
+        elif exchange.target == LOAD_PATH:
+            exchange.answer(200, self._report(), {"Content-Type": "text/plain; version=0.0.4"})
+        elif faults.cut_unread:
+            exchange.cut()
+        elif faults.shed:
+            with self._lock:
+                self._stats.shed += 1
+            _shed(exchange)
+        else:
+            self._serve_request(exchange)
+
+    def _serve_request(self, exchange: Exchange) -> None:
+        run = self._start(exchange)
+        if run is None:
+            _shed(exchange)
+            return
+        work_s = self._draw()
+        limit_s = _timeout_s(exchange)
+        if exchange.gone_within(min(work_s, limit_s)):
+            self._end(exchange, run, RunEnd.CANCELLED)
+            exchange.cut()
+        elif work_s > limit_s:
+            self._end(exchange, run, RunEnd.LATE)
+            exchange.answer(504, b"deadline passed")
+        else:
+            self._end(exchange, run, RunEnd.DONE)
+            self._answer(exchange, run)
+
+    def _answer(self, exchange: Exchange, run: Run) -> None:
+        if self._faults.cut:
+            exchange.cut()
+            return
+        body = f"{run.request_id} {self.spec.name} ".encode()
+        body += b"." * (self.spec.answer_bytes - len(body))
+        headers = {REQUEST_ID_HEADER: run.request_id, "X-Upstream": self.spec.name}
+        exchange.answer(200, body, headers, sent_fraction=0.5 if self._faults.half_answer else 1.0)
+
+    def _start(self, exchange: Exchange) -> Run | None:
+        run = Run(
+            self.spec.name,
+            exchange.headers.get(REQUEST_ID_HEADER, ""),
+            exchange.headers.get(KEY_HEADER, ""),
+            exchange.command,
+        )
+        with self._lock:
+            if len(self._running) >= self.spec.slots:
+                self._drop_gone()
+            if len(self._running) >= self.spec.slots:
+                self._stats.over_slots += 1
+                return None
+            self._running[id(run)] = exchange
+            self._runs.append(run)
+            self._stats.ran += 1
+            self._note_load()
+        return run
+
+    def _drop_gone(self) -> None:
+        """Free the slots of closed connections whose threads have not woken up yet."""
+        gone = [number for number, exchange in self._running.items() if exchange.gone()]
+        for number in gone:
+            del self._running[number]
+
+    def _end(self, exchange: Exchange, run: Run, end: RunEnd) -> None:
+        with self._lock:
+            self._running.pop(id(run), None)
+            run.end = end
+            self._stats.cancelled += end == RunEnd.CANCELLED
+            self._stats.late += end == RunEnd.LATE
+            self._note_load()
+
+    def _note_load(self) -> None:
+        load = len(self._running)
+        self._stats.most_at_once = max(self._stats.most_at_once, load)
+        self._history.append((time.time(), load))
+
+    def _draw(self) -> float:
+        spec = self.spec
+        with self._lock:
+            mean_s = spec.service_time_s * self._faults.slowdown
+            cold_left = max(spec.cold_runs - self._stats.ran, 0) / max(spec.cold_runs, 1)
+            mean_s *= 1 + (spec.cold_factor - 1) * cold_left
+            if spec.spread == Spread.FIXED:
+                return mean_s
+            return self._rng.expovariate(1 / mean_s)
+
+    def _report(self) -> bytes:
+        faults = self._faults
+        stamp = time.time() - faults.load_lag_s
+        with self._lock:
+            known = [load for at, load in self._history if at <= stamp]
+        load = known[-1] if known else 0
+        if faults.load_value >= 0:
+            load = faults.load_value
+        return (
+            "# TYPE requests_in_flight gauge\n"
+            f"requests_in_flight {load}\n"
+            "# TYPE leaving gauge\n"
+            f"leaving {int(faults.leaving)}\n"
+            "# TYPE report_timestamp_seconds gauge\n"
+            f"report_timestamp_seconds {stamp:.3f}\n"
+        ).encode()
+
+
+def _shed(exchange: Exchange) -> None:
+    exchange.answer(503, b"not run", {NOT_RUN_HEADER: "1", "Retry-After": "1"})
+
+
+def _timeout_s(exchange: Exchange) -> float:
+    try:
+        return float(exchange.headers.get(TIMEOUT_HEADER) or HANG_S)
+    except ValueError:
+        return HANG_S
--- /dev/null
+++ b/standins/src/gooseberryport_standins/vm_list.py
@@ -0,0 +1,143 @@
+"""Stand-in of the platform's VM list, in the form of Prometheus's HTTP service discovery."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import msgspec
+
+from gooseberryport_standins._process import Ready, announce, wait_for_stop
+from gooseberryport_standins._server import Door, Exchange, open_door
+from gooseberryport_standins.faults import FAULTS_PATH, Outage, VmListFaults
+
+LIST_PATH = "/vms"
+VMS_PATH = "/_vms"
+HANG_S = 3_600.0
+
+
+class VmLine(msgspec.Struct, frozen=True):
+    """One VM of the list: its name, place, state and ``IP:port``."""
+
+    vm: str
+    availability_zone: str
+    address: str
+    state: str = "live"
+    incarnation: int = 0
+
+
+class _Labels(msgspec.Struct, frozen=True):
+    """Labels of a group of targets."""
+
+    vm: str
+    availability_zone: str
+    state: str
+    incarnation: str
+
+
+class _Group(msgspec.Struct, frozen=True):
+    """A group of targets in the list's form."""
+
+    targets: list[str]
+    labels: _Labels
+
+
+class VmListStandin:
+    """Answer as the platform's VM list would, with faults on demand."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.door: Door | None = None
+        self._vms: tuple[VmLine, ...] = ()
+        self._shown: tuple[VmLine, ...] = ()
+        self._faults = VmListFaults()
+
+    def set_vms(self, vms: tuple[VmLine, ...]) -> None:
+        """Set the true list; it is shown unless the list is frozen."""
+        self._vms = vms
+        if not self._faults.frozen:
+            self._shown = vms
+
+    def set_faults(self, faults: VmListFaults) -> None:
+        """Show these faults, and no others, from now on."""
+        self._faults = faults
+        if not faults.frozen:
+            self._shown = self._vms
+        if self.door is None:
+            return
+        if faults.outage == Outage.REFUSE:
+            self.door.close()
+        else:
+            self.door.open()
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        if exchange.target == FAULTS_PATH:
+            self.set_faults(msgspec.json.decode(exchange.body, type=VmListFaults))
+            exchange.answer(200)
+        elif exchange.target == VMS_PATH and exchange.command == "PUT":
+            self.set_vms(msgspec.json.decode(exchange.body, type=tuple[VmLine, ...]))
+            exchange.answer(200)
+        elif exchange.target == VMS_PATH:
+            exchange.answer_json(list(self._vms))
+        elif exchange.target != LIST_PATH:
+            exchange.answer(404)
+        elif self._faults.outage == Outage.HANG:
+            exchange.gone_within(HANG_S)
+            exchange.cut()
+        elif self._faults.outage == Outage.ERROR:
+            exchange.answer(503, b"out of order")
+        else:
+            self.reads += 1
+            exchange.answer_json(self._groups())
+
+    def _groups(self) -> list[_Group]:
+        faults = self._faults
+        lines = [line for line in self._shown if line.vm not in faults.missing]
+        lines += [line for line in lines if line.vm in faults.twice]
+        return [_group(line) for line in lines]
+
+
+def _group(line: VmLine) -> _Group:
+    labels = _Labels(line.vm, line.availability_zone, line.state, str(line.incarnation))
+    return _Group([line.address], labels)
+
+
+@contextmanager
+def open_vm_list_standin(*, host: str = "127.0.0.1", port: int = 0) -> Iterator[VmListStandin]:
+    """Run the stand-in in this process; its address is ``standin.door.address``."""
+    standin = VmListStandin()
+    with open_door(standin, host=host, port=port) as door:
+        standin.door = door
+        yield standin
+
+
+@dataclass
+class VmListCommand:
+    """Run the stand-in of the VM list.
+
+    Parameters
+    ----------
+    host, port
+        Where it listens.
+    """
+
+    host: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+
+    def __call__(self) -> None:
+        """Run until SIGTERM."""
+        with (
+            open_vm_list_standin(host=self.host, port=self.port) as standin,
+            open_door(standin, host=self.host) as control,
+        ):
+            assert standin.door is not None
+            announce(Ready(standin.door.address, control.address))
+            wait_for_stop()
+
+
+if __name__ == "__main__":
+    cappa.invoke(VmListCommand)
