--- a/packages/gooseberryport-core/src/gooseberryport_core/_shifts.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_shifts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 import xxhash
 
@@ -103,21 +105,17 @@
             share = self._shares[name]
             share.enter(window)
             share.total += 1
-        point = 0.0
-        for name in names:
-            rule = self._cfg.shifts[name]
-            share = self._shares[name]
-            start = point
-            point += hashed_share(rule, wall)
-            if not start <= _position(rule, block) < point:
-                continue
-            if not share.allows(rule.cap_fraction):
-                break
-            share.moved += 1
-            held = share.moved <= rule.cap_fraction * share.total
-            effects = check(Invariant.SHIFT_CAP, held, f"{name}: {share}")
-            return Placement(home, rule.destination, name), effects
-        return Placement(home, home), []
+        moving = moving_rule(self._cfg, names, block, wall)
+        if not moving:
+            return Placement(home, home), []
+        rule = self._cfg.shifts[moving]
+        share = self._shares[moving]
+        if not share.allows(rule.cap_fraction):
+            return Placement(home, home), []
+        share.moved += 1
+        held = share.moved <= rule.cap_fraction * share.total
+        effects = check(Invariant.SHIFT_CAP, held, f"{moving}: {share}")
+        return Placement(home, rule.destination, moving), effects
 
     def fail_over(
         self, service: ServiceName, home: RegionName, wall: float
@@ -144,6 +142,28 @@
         return True, check(Invariant.FAILOVER_CAP, held, f"{service} from {home}: {share}")
 
 
+def moving_rule(cfg: Config, names: Iterable[RuleName], block: str, wall: float) -> RuleName:
+    """Return the rule, among those of one service and source, that moves a block; empty for none.
+
+    Parameters
+    ----------
+    names
+        The rules, in name order.
+    block
+        Block of the client.
+    wall
+        Wall clock, seconds since 1970-01-01 UTC.
+    """
+    point = 0.0
+    for name in names:
+        rule = cfg.shifts[name]
+        start = point
+        point += hashed_share(rule, wall)
+        if start <= _position(rule, block) < point:
+            return name
+    return RuleName("")
+
+
 def hashed_share(rule: Shift, wall: float) -> float:
     """Return the share of client blocks that a rule moves at `wall`, never above its cap."""
     if wall < rule.start:
--- a/packages/gooseberryport-core/src/gooseberryport_core/_views.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_views.py
@@ -32,6 +32,8 @@
         When its newest heartbeat arrived; seconds, monotonic. Minus infinity if it is only listed.
     key_prefix
         Prefix of the idempotency keys that it decides.
+    config_version
+        Version of the configuration in force there when it was last heard.
     """
 
     vm: VmId
@@ -43,6 +45,8 @@
     http_address: str
     heard_at: float
     key_prefix: str = ""
+    table_shape: int = 0
+    config_version: ConfigVersion = ConfigVersion(0)
 
 
 class Owner(msgspec.Struct, frozen=True):
@@ -125,3 +129,4 @@
     config_version: ConfigVersion
     pools: tuple[PoolLoad, ...]
     key_prefix: str = ""
+    table_shape: int = 0
