Name the caller's request in SendTicket

Cause: a daemon that sends a body along with its ticket must know whose body it is. Change: SendTicket.request_id, set by Requests.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -273,7 +273,8 @@
         address = peer.address if peer else ""
         inline = req.repeatable and req.event.body_bytes <= INLINE_BODY_BYTES
         req.body_sent = inline and owner.vm != me.vm and bool(address)
-        return [SendTicket(owner.vm, address, ticket, inline_body=req.body_sent)]
+        request_id = req.event.request_id
+        return [SendTicket(owner.vm, address, ticket, req.body_sent, request_id)]
 
     def _replied(self, event: TicketReplied, now: float) -> list[Effect]:
         reply = event.reply
--- a/packages/gooseberryport-core/src/gooseberryport_core/effects.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/effects.py
@@ -32,12 +32,15 @@
     inline_body
         Whether the body goes along with the ticket, so that the request may run as soon as the
         owner grants it. A stream that breaks without a reply is then an attempt of unknown end.
+    request_id
+        The caller's request behind the ticket.
     """
 
     vm: VmId
     address: str
     ticket: Ticket
     inline_body: bool = False
+    request_id: RequestId = RequestId("")
 
 
 class SendTicketReply(_Effect, frozen=True):
