Keep a publication's token with its change, so that it can be found after others published

Cause: a head swap whose answer is lost may have been applied and overwritten since; only the history can tell then. Change: the token moved from Head to Change.

--- a/packages/gooseberryport-core/src/gooseberryport_core/config_store.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/config_store.py
@@ -63,6 +63,9 @@
         When, by the author's wall clock; seconds since 1970-01-01 UTC.
     files
         The files that changed.
+    token
+        Word that no other publication carries; it tells whether a swap whose answer was lost
+        took effect.
     """
 
     version: ConfigVersion
@@ -70,6 +73,7 @@
     note: str
     at: float
     files: tuple[FileChange, ...]
+    token: str
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -82,16 +86,12 @@
     files
         Its files, by name.
     change
-        The change that made it.
-    token
-        Word that no other publication carries; it tells whether a swap whose answer was lost
-        took effect.
+        The change that made it; None before the first.
     """
 
     version: ConfigVersion = ConfigVersion(0)
     files: dict[str, FileEntry] = {}
     change: Change | None = None
-    token: str = ""
 
 
 class Publication(msgspec.Struct, frozen=True):
@@ -137,10 +137,8 @@
     ----------
     files
         New content of each file to be changed, by name; None deletes the file.
-    author, note, at
+    author, note, at, token
         As in `Change`.
-    token
-        As in `Head`.
     """
 
     files: dict[str, bytes | None]
@@ -270,11 +268,11 @@
         if head.files.get(name) != after[name]
     )
     version = ConfigVersion(head.version + 1)
-    change = Change(version, draft.author, draft.note, draft.at, changed)
+    change = Change(version, draft.author, draft.note, draft.at, changed, draft.token)
     files = _apply(head.files, changed)
     past_key = change_key(head.version) if head.change else ""
     past = msgspec.json.encode(head.change) if head.change else b""
-    new_head = Head(version, files, change, draft.token)
+    new_head = Head(version, files, change)
     return Success(Publication(_new_parts(draft, changed), past_key, past, new_head))
 
 
