--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := packages standins tests
 SEED ?= 1
 
-.PHONY: demo test lint format soak bench proto clean
+.PHONY: demo test lint format proof soak bench proto clean
 
 $(VENV)/.ready: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -28,6 +28,9 @@
 	$(VENV)/bin/black -q $(SOURCES)
 	$(VENV)/bin/ruff check -q --no-cache --fix $(SOURCES)
 
+proof: $(VENV)/.ready  ## Each guard taken out of a copy: its test must fail there.
+	$(PY) -m gooseberryport_standins.proof
+
 soak: $(VENV)/.ready  ## Long randomised runs: make soak SEED=7
 	GOOSEBERRYPORT_SOAK_SEED=$(SEED) $(PY) -m gooseberryport_standins.soak --seed $(SEED)
 
@@ -35,7 +38,8 @@
 	$(PY) -m gooseberryport_standins.bench --seed $(SEED)
 
 proto: $(VENV)/.ready  ## Make the committed protocol code anew.
-	cd packages/gooseberryport-daemon/src && ../../../$(PY) -m grpc_tools.protoc -I. \
+	cd packages/gooseberryport-daemon/src && PATH=$(CURDIR)/$(VENV)/bin:$$PATH \
+	  python -m grpc_tools.protoc -I. \
 	  --python_out=. --pyi_out=. --grpclib_python_out=. gooseberryport_daemon/_peer.proto
 
 clean:
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/testing.py
@@ -0,0 +1,86 @@
+"""Small stand-ins of a node's parts, for tests and benches that drive one part alone."""
+
+from __future__ import annotations
+
+import msgspec
+
+from gooseberryport_core._views import Holding, Owner, Peer, RemoteLoad
+from gooseberryport_core.settings import NodeSettings
+from gooseberryport_core.types import (
+    Incarnation,
+    PoolId,
+    RegionName,
+    VmId,
+    VmState,
+    ZoneName,
+)
+
+
+def make_settings(vm: str = "vm-1", *, zone: str = "bern-a", region: str = "") -> NodeSettings:
+    """Return settings of a daemon at made-up addresses."""
+    return NodeSettings(
+        vm=VmId(vm),
+        incarnation=Incarnation(1),
+        zone=ZoneName(zone),
+        region=RegionName(region or "mittelland"),
+        address=f"{vm}:peer",
+        http_address=f"{vm}:http",
+    )
+
+
+def make_peer(settings: NodeSettings, *, heard_at: float = 0.0) -> Peer:
+    """Return the daemon with these settings as a peer sees it."""
+    return Peer(
+        settings.vm,
+        settings.incarnation,
+        settings.zone,
+        settings.region,
+        VmState.LIVE,
+        settings.address,
+        settings.http_address,
+        heard_at,
+    )
+
+
+class FixedPeers(msgspec.Struct):
+    """Know a fixed set of peers and loads."""
+
+    peers: dict[VmId, Peer] = msgspec.field(default_factory=dict)
+    told: tuple[RemoteLoad, ...] = ()
+
+    def live(self, now: float) -> tuple[Peer, ...]:
+        """Return every peer."""
+        return tuple(self.peers.values())
+
+    def peer(self, vm: VmId) -> Peer | None:
+        """Return one peer."""
+        return self.peers.get(vm)
+
+    def loads(self, now: float) -> tuple[RemoteLoad, ...]:
+        """Return the loads that were set."""
+        return self.told
+
+
+class FixedOwners(msgspec.Struct):
+    """Know a fixed ownership, seen from one daemon."""
+
+    vm: VmId
+    owners: dict[PoolId, Owner] = msgspec.field(default_factory=dict)
+    valid_until: float = float("inf")
+    former_work_until: float = float("-inf")
+
+    def owner_of(self, pool: PoolId) -> Owner | None:
+        """Return the owner that was set."""
+        return self.owners.get(pool)
+
+    def holding(self, pool: PoolId, now: float) -> Holding | None:
+        """Return this daemon's holding while it is valid."""
+        owner = self.owners.get(pool)
+        if owner is None or owner.vm != self.vm or now >= self.valid_until:
+            return None
+        return Holding(owner.epoch, self.valid_until, self.former_work_until)
+
+    def holdings(self, now: float) -> dict[PoolId, Holding]:
+        """Return this daemon's valid holdings."""
+        found = {pool: self.holding(pool, now) for pool in self.owners}
+        return {pool: holding for pool, holding in found.items() if holding is not None}
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_requests.py
@@ -0,0 +1,213 @@
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gooseberryport_core._claims import Claims
+from gooseberryport_core._requests import Home, Requests, _Request
+from gooseberryport_core._routing import Router
+from gooseberryport_core._views import Owner
+from gooseberryport_core.config import Config, Region, Service, Upstream
+from gooseberryport_core.effects import (
+    CancelTicket,
+    Effect,
+    FinishRequest,
+    SendBody,
+    SendTicket,
+)
+from gooseberryport_core.events import (
+    AttemptEnded,
+    Event,
+    PeerUnreachable,
+    RequestArrived,
+    RequestCancelled,
+    Tick,
+    TicketReplied,
+)
+from gooseberryport_core.messages import Granted, Moved, Refused
+from gooseberryport_core.testing import FixedOwners, FixedPeers, make_peer, make_settings
+from gooseberryport_core.types import AttemptOutcome, Outcome, PoolId, RefusalReason
+
+CFG = Config(
+    version=1,
+    regions={"mittelland": Region(("bern-a", "olten-b"))},
+    services={"registry": Service(retry_fraction=0.1)},
+    upstreams={f"up-{z}": Upstream("registry", z, "127.0.0.1:9") for z in ("bern-a", "olten-b")},
+)
+POOLS = [PoolId("registry", "bern-a"), PoolId("registry", "olten-b")]
+
+
+class World:
+    """The owners and upstreams behind one entry, with a random will and an exact memory."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        me = make_settings()
+        other = make_peer(make_settings("vm-2"))
+        peers = FixedPeers({other.vm: other})
+        owners = FixedOwners(me.vm, {pool: Owner("vm-2", 1) for pool in POOLS})
+        self.requests = Requests(
+            settings=me,
+            owners=owners,
+            peers=peers,
+            router=Router(settings=me, owners=owners, peers=peers, rng=rng),
+            claims=Claims(settings=me, peers=peers, rng=rng),
+            home_of=lambda client: Home("mittelland", client),
+            rng=rng,
+        )
+        self.requests.configure(CFG, 0.0)
+        self.request_of: dict[str, str] = {}
+        self.inline: set[str] = set()
+        self.open: list[tuple[str, str]] = []
+        self.runs: dict[str, int] = {}
+        self.ends: dict[str, list[FinishRequest]] = {}
+
+    def feed(self, event: Event, now: float) -> None:
+        for effect in self.requests.handle(event, now):
+            self.carry_out(effect)
+
+    def carry_out(self, effect: Effect) -> None:
+        if isinstance(effect, SendTicket):
+            ticket_id = effect.ticket.ticket_id
+            self.request_of[ticket_id] = self.current
+            self.open.append((ticket_id, "ticket"))
+            if effect.inline_body:
+                self.inline.add(ticket_id)
+        elif isinstance(effect, SendBody):
+            self.request_of[effect.ticket_id] = effect.request_id
+            self.open.append((effect.ticket_id, "body"))
+        elif isinstance(effect, FinishRequest):
+            self.ends.setdefault(effect.request_id, []).append(effect)
+        elif isinstance(effect, CancelTicket):
+            self.open = [o for o in self.open if o[0] != effect.ticket_id]
+
+    def arrive(self, request_id: str, method: str, now: float) -> None:
+        self.current = request_id
+        self.feed(RequestArrived(request_id, "registry", "10.0.0.1", method, 2.0), now)
+
+    def step(self, now: float) -> None:
+        """Let one open ticket or body go on as chance has it."""
+        if not self.open:
+            return
+        ticket_id, stage = self.open.pop(self.rng.randrange(len(self.open)))
+        self.current = self.request_of[ticket_id]
+        if stage == "body":
+            self.end_attempt(ticket_id, now)
+        elif ticket_id in self.inline and self.rng.random() < 0.2:
+            self.run(ticket_id)
+            self.feed(AttemptEnded(ticket_id, AttemptOutcome.UNKNOWN, 0, 0), now)
+        else:
+            self.feed(self.reply(ticket_id), now)
+
+    def reply(self, ticket_id: str) -> Event:
+        granted = TicketReplied("vm-2", Granted(ticket_id, "up-bern-a"))
+        replies: list[Event] = [
+            granted,
+            granted,
+            TicketReplied("vm-2", Refused(ticket_id, RefusalReason.QUEUE_FULL, 0.1)),
+            TicketReplied("vm-2", Moved(ticket_id, "vm-2", POOLS[1], 1, "up-olten-b")),
+        ]
+        if ticket_id not in self.inline:
+            replies.append(PeerUnreachable("vm-2", ticket_id))
+        return self.rng.choice(replies)
+
+    def run(self, ticket_id: str) -> None:
+        request_id = self.request_of[ticket_id]
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+
+    def end_attempt(self, ticket_id: str, now: float) -> None:
+        ran = self.rng.random() < 0.5
+        if ran:
+            self.run(ticket_id)
+        words = [AttemptOutcome.UNKNOWN]
+        words += [AttemptOutcome.ANSWERED] * 2 if ran else [AttemptOutcome.SHED]
+        words += [] if ran else [AttemptOutcome.NOT_SENT]
+        self.feed(AttemptEnded(ticket_id, self.rng.choice(words), 200, 10), now)
+
+
+def drive(seed: int, method: str) -> World:
+    rng = random.Random(seed)
+    world = World(rng)
+    now = 0.0
+    for number in range(30):
+        now += rng.random() * 0.3
+        world.feed(Tick(now), now)
+        world.arrive(f"r{number}", method, now)
+        for _ in range(rng.randrange(6)):
+            world.step(now)
+        if rng.random() < 0.1:
+            world.feed(RequestCancelled(f"r{rng.randrange(number + 1)}"), now)
+    while world.open:
+        world.step(now)
+    world.feed(Tick(now + 10.0), now + 10.0)
+    return world
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=150)
+@given(seed=st.integers(0, 2**20), method=st.sampled_from(["GET", "POST"]))
+def test_each_caller_hears_one_true_word(seed: int, method: str) -> None:
+    world = drive(seed, method)
+    assert world.requests.idle
+    for request_id, ends in world.ends.items():
+        (end,) = ends
+        if end.outcome == Outcome.NOT_RUN:
+            assert world.runs.get(request_id, 0) == 0
+        if method == "POST":
+            assert world.runs.get(request_id, 0) <= 1
+
+
+def test_a_naive_entry_that_retries_every_failure_runs_orders_twice(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with monkeypatch.context() as patch:
+        patch.setattr(Requests, "_ended", retry_on_any_failure)
+        doubled = [s for s in range(20) if max(drive(s, "POST").runs.values(), default=0) > 1]
+    assert doubled
+    assert all(max(drive(s, "POST").runs.values(), default=0) <= 1 for s in doubled)
+
+
+def retry_on_any_failure(requests: Requests, event: AttemptEnded, now: float) -> list[Effect]:
+    req = requests._request(event.ticket_id)
+    if req is None:
+        return []
+    if event.outcome == AttemptOutcome.ANSWERED:
+        return requests._finish(req, Outcome.ANSWERED, None, now)
+    requests._forget_attempt(req, ran=False)
+    return requests._retry(req, now)
+
+
+def test_retries_stop_when_the_budget_is_used_up() -> None:
+    world = World(random.Random(1))
+    sent = 0
+    for number in range(200):
+        world.arrive(f"r{number}", "GET", 0.0)
+        while world.open:
+            ticket_id, stage = world.open.pop()
+            sent += stage == "body"
+            world.current = f"r{number}"
+            if stage == "ticket":
+                world.feed(TicketReplied("vm-2", Granted(ticket_id, "up-bern-a")), 0.0)
+            else:
+                world.feed(AttemptEnded(ticket_id, AttemptOutcome.SHED, 503, 0), 0.0)
+    retries = sent - 200
+    assert 0 < retries <= 5 + 0.1 * 200
+
+
+def test_a_retry_avoids_the_upstream_that_has_just_failed() -> None:
+    world = World(random.Random(1))
+    world.arrive("r1", "GET", 0.0)
+    ticket_id, _ = world.open.pop()
+    world.feed(TicketReplied("vm-2", Granted(ticket_id, "up-bern-a")), 0.0)
+    effects = world.requests.handle(AttemptEnded(ticket_id, AttemptOutcome.SHED, 503, 0), 0.1)
+    (ticket,) = [e.ticket for e in effects if isinstance(e, SendTicket)]
+    assert ticket.avoid == ("up-bern-a",)
+    assert not ticket.first_try
+
+
+@pytest.mark.parametrize(("sent", "ran_before"), [(True, False), (False, True), (True, True)])
+def test_a_request_that_may_have_run_is_never_called_not_run(sent: bool, ran_before: bool) -> None:
+    event = RequestArrived("r1", "registry", "10.0.0.1", "POST")
+    req = _Request(event, 1.0, False, Home("mittelland", ""))
+    req.body_sent, req.ran_before = sent, ran_before
+    assert World(random.Random(1)).requests._refusal_outcome(req) == Outcome.UNKNOWN
