Add the caller and load tool, and the check of what must hold after a run

Ruled out: closed-loop load (it hides waiting: latency is counted from when a request was due). Change: callers that cache look-ups by max-age, ask anew when every cached VM fails, repeat only what is idempotent or keyed, and tell answers that are not their own; find_violations compares their ends with the upstreams' own record of runs. Conclusion: ready for the daemon; run against fakes only so far.

--- /dev/null
+++ b/standins/src/gooseberryport_standins/caller.py
@@ -0,0 +1,192 @@
+"""Callers and a load tool: open-loop arrivals, latency percentiles and how requests ended."""
+
+from __future__ import annotations
+
+import queue
+import random
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import msgspec
+import urllib3
+from hdrh.histogram import HdrHistogram
+
+from gooseberryport_standins._caller import Caller, CallPlan, CallResult, End, Lookups
+
+__all__ = ["CallPlan", "CallResult", "End", "LoadPlan", "LoadSummary", "Traffic", "run_load"]
+
+LONGEST_US = 120_000_000
+DIGITS = 3
+CONNECTIONS = 64
+
+
+class Traffic(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One kind of request in a mixture.
+
+    Parameters
+    ----------
+    weight
+        Its share of the mixture.
+    keyed
+        Whether each carries an idempotency key.
+    timeout_s
+        Deadline; seconds.
+    """
+
+    service: str
+    method: str = "GET"
+    path: str = "item"
+    weight: float = 1.0
+    keyed: bool = False
+    timeout_s: float = 2.0
+    body_bytes: int = 0
+
+
+class LoadPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What load to make.
+
+    Parameters
+    ----------
+    rate
+        Mean arrivals a second; they do not wait for answers.
+    seconds
+        Length of the run.
+    clients
+        Number of clients, each with an IP number of its own.
+    threads
+        Most requests that are under way at once.
+    """
+
+    traffic: tuple[Traffic, ...]
+    rate: float = 100.0
+    seconds: float = 5.0
+    clients: int = 200
+    threads: int = 64
+    seed: int = 1
+
+
+class LoadSummary(msgspec.Struct, frozen=True):
+    """What came of a load.
+
+    Parameters
+    ----------
+    p50_ms, p99_ms
+        Latency of answered requests from when they were due; milliseconds.
+    ends, reasons
+        Number of requests by end, and of refusals by reason.
+    in_time
+        Share answered within their deadline.
+    """
+
+    sent: int
+    p50_ms: float
+    p99_ms: float
+    in_time: float
+    ends: dict[str, int]
+    reasons: dict[str, int]
+
+
+def run_load(plan: LoadPlan, seeds: tuple[str, ...], *, name: str = "load") -> list[CallResult]:
+    """Make a load through the entry VMs and return how each request ended; blocks.
+
+    Parameters
+    ----------
+    plan
+        The load.
+    seeds
+        ``IP:port`` of some entry VMs.
+    name
+        Word that makes the request ids of this run unique.
+    """
+    rng = random.Random(plan.seed)
+    due_calls: queue.SimpleQueue[tuple[float, CallPlan] | None] = queue.SimpleQueue()
+    results: list[CallResult] = []
+    with urllib3.PoolManager(maxsize=CONNECTIONS) as http:
+        lookups = Lookups(seeds=seeds, http=http, rng=random.Random(plan.seed + 1))
+        caller = Caller(lookups=lookups, http=http)
+
+        def work() -> None:
+            while (item := due_calls.get()) is not None:
+                due, call = item
+                results.append(caller.call(call, due))
+
+        workers = [threading.Thread(target=work, daemon=True) for _ in range(plan.threads)]
+        for worker in workers:
+            worker.start()
+        started = time.monotonic()
+        for offset_s, call in _arrivals(plan, rng, name):
+            time.sleep(max(started + offset_s - time.monotonic(), 0.0))
+            due_calls.put((started + offset_s, call))
+        for _ in workers:
+            due_calls.put(None)
+        for worker in workers:
+            worker.join()
+    return results
+
+
+def summarise(results: list[CallResult]) -> LoadSummary:
+    """Return the figures of a load."""
+    histogram = HdrHistogram(1, LONGEST_US, DIGITS)
+    answered = [result for result in results if result.end == End.ANSWERED]
+    for result in answered:
+        histogram.record_value(max(int(result.latency_s * 1e6), 1))
+    in_time = sum(result.latency_s <= result.plan.timeout_s for result in answered)
+    return LoadSummary(
+        sent=len(results),
+        p50_ms=histogram.get_value_at_percentile(50.0) / 1_000,
+        p99_ms=histogram.get_value_at_percentile(99.0) / 1_000,
+        in_time=in_time / max(len(results), 1),
+        ends=dict(Counter(result.end.value for result in results)),
+        reasons=dict(Counter(result.reason for result in results if result.reason)),
+    )
+
+
+def _arrivals(plan: LoadPlan, rng: random.Random, name: str) -> Iterator[tuple[float, CallPlan]]:
+    weights = [traffic.weight for traffic in plan.traffic]
+    offset_s = 0.0
+    serial = 0
+    while (offset_s := offset_s + rng.expovariate(plan.rate)) < plan.seconds:
+        serial += 1
+        traffic = rng.choices(plan.traffic, weights)[0]
+        client = rng.randrange(plan.clients)
+        yield offset_s, CallPlan(
+            request_id=f"{name}-{plan.seed}-{serial}",
+            service=traffic.service,
+            client=f"10.{client >> 16 & 255}.{client >> 8 & 255}.{client & 255}",
+            method=traffic.method,
+            path=traffic.path,
+            timeout_s=traffic.timeout_s,
+            keyed=traffic.keyed,
+            body=b"b" * traffic.body_bytes,
+        )
+
+
+@dataclass
+class CallerCommand:
+    """Make load through entry VMs and print what came of it.
+
+    Parameters
+    ----------
+    seeds
+        ``IP:port`` of some entry VMs, separated by commas.
+    plan
+        JSON of a `LoadPlan`.
+    """
+
+    seeds: Annotated[str, cappa.Arg(long=True)]
+    plan: Annotated[str, cappa.Arg(long=True)]
+
+    def __call__(self) -> None:
+        """Run the load."""
+        plan = msgspec.json.decode(self.plan, type=LoadPlan)
+        summary = summarise(run_load(plan, tuple(self.seeds.split(","))))
+        print(msgspec.json.encode(summary).decode())
+
+
+if __name__ == "__main__":
+    cappa.invoke(CallerCommand)
--- /dev/null
+++ b/standins/tests/test_caller.py
@@ -0,0 +1,142 @@
+import random
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+import msgspec
+import pytest
+import urllib3
+
+from gooseberryport_standins._caller import Caller, CallPlan, CallResult, End, Lookups
+from gooseberryport_standins._server import Door, Exchange, open_door
+from gooseberryport_standins.caller import LoadPlan, Traffic, run_load, summarise
+from gooseberryport_standins.checks import find_violations
+from gooseberryport_standins.upstream import Run, RunEnd, UpstreamStats
+
+GET = CallPlan("r1", "registry", "10.0.0.1", "GET", "item", 1.0)
+KEYED = msgspec.structs.replace(GET, method="POST", keyed=True)
+ONCE = msgspec.structs.replace(GET, method="POST")
+
+
+class Entry:
+    """A fake entry VM: it answers look-ups with a list, and requests in one fixed way."""
+
+    def __init__(self, way: str = "answer") -> None:
+        self.way = way
+        self.listed: list[str] = []
+        self.max_age = 60
+        self.lookups = 0
+        self.requests = 0
+
+    def serve(self, exchange: Exchange) -> None:
+        if exchange.target == "/v1/lookup":
+            self.lookups += 1
+            body = msgspec.json.encode([{"vm": a, "http_address": a} for a in self.listed])
+            exchange.answer(200, body, {"Cache-Control": f"max-age={self.max_age}"})
+            return
+        self.requests += 1
+        request_id = exchange.headers["X-Request-Id"]
+        if self.way == "answer":
+            exchange.answer(200, f"{request_id} up ...".encode())
+        elif self.way == "other":
+            exchange.answer(200, b"r99 up ...")
+        elif self.way == "error":
+            exchange.answer(500)
+        elif self.way == "cut":
+            exchange.cut()
+        elif self.way == "half":
+            exchange.answer(200, f"{request_id} up ...".encode(), sent_fraction=0.5)
+        else:
+            outcome, reason = self.way.split()
+            body = msgspec.json.encode({"outcome": outcome, "reason": reason})
+            exchange.answer(503, body, {"Content-Type": "application/problem+json"})
+
+
+@contextmanager
+def entries(*ways: str) -> Iterator[tuple[list[Entry], list[Door], Caller]]:
+    with ExitStack() as stack:
+        fakes = [Entry(way) for way in ways]
+        doors = [stack.enter_context(open_door(fake)) for fake in fakes]
+        for fake in fakes:
+            fake.listed = [door.address for door in doors]
+        http = stack.enter_context(urllib3.PoolManager())
+        seeds = (doors[0].address,)
+        caller = Caller(lookups=Lookups(seeds=seeds, http=http, rng=random.Random(1)), http=http)
+        yield fakes, doors, caller
+
+
+@pytest.mark.parametrize(
+    ("ways", "plan", "end", "sent"),
+    [
+        (["answer", "answer"], GET, End.ANSWERED, [1, 0]),
+        (["other", "answer"], GET, End.WRONG, [1, 0]),
+        (["error", "answer"], GET, End.FAILED, [1, 0]),
+        (["not-run queue-full", "answer"], KEYED, End.NOT_RUN, [1, 0]),
+        (["not-run stopping", "answer"], ONCE, End.ANSWERED, [1, 1]),
+        (["unknown deadline", "answer"], KEYED, End.UNKNOWN, [1, 0]),
+        (["cut", "answer"], GET, End.ANSWERED, [1, 1]),
+        (["half", "answer"], KEYED, End.ANSWERED, [1, 1]),
+        (["cut", "answer"], ONCE, End.UNKNOWN, [1, 0]),
+        (["cut", "not-run duplicate"], KEYED, End.UNKNOWN, [1, 1]),
+    ],
+)
+def test_request_ends_as_its_caller_may_conclude(
+    ways: list[str], plan: CallPlan, end: End, sent: list[int]
+) -> None:
+    with entries(*ways) as (fakes, _, caller):
+        assert caller.call(plan, time.monotonic()).end == end
+        assert [fake.requests for fake in fakes] == sent
+
+
+def test_lookup_is_cached_and_asked_anew_when_every_cached_vm_fails() -> None:
+    with entries("answer", "answer") as (fakes, doors, caller):
+        fakes[0].listed = [doors[1].address]
+        for _ in range(3):
+            assert caller.call(GET, time.monotonic()).end == End.ANSWERED
+        assert fakes[0].lookups == 1
+        doors[1].close()
+        fakes[0].listed = [doors[0].address]
+        assert caller.call(GET, time.monotonic()).end == End.ANSWERED
+        assert fakes[0].lookups == 2
+
+
+def test_request_that_nobody_takes_is_lost() -> None:
+    with entries("answer") as (_, doors, caller):
+        doors[0].close()
+        plan = msgspec.structs.replace(GET, timeout_s=0.1)
+        assert caller.call(plan, time.monotonic()).end == End.LOST
+
+
+def test_load_is_seeded_and_summed_up() -> None:
+    plan = LoadPlan((Traffic("registry"),), rate=200.0, seconds=0.3, threads=4, seed=5)
+    with entries("answer") as (_, doors, _caller):
+        first, second = (run_load(plan, (doors[0].address,)) for _ in range(2))
+    ids = [sorted(result.plan.request_id for result in results) for results in (first, second)]
+    assert ids[0] == ids[1] and len(ids[0]) > 20
+    summary = summarise(first)
+    assert summary.ends == {"answered": len(first)} and summary.in_time == 1.0
+    assert 0 < summary.p50_ms <= summary.p99_ms
+
+
+@pytest.mark.parametrize(
+    ("plan", "end", "times", "found"),
+    [
+        (GET, End.ANSWERED, 2, ""),
+        (KEYED, End.ANSWERED, 1, ""),
+        (ONCE, End.UNKNOWN, 1, ""),
+        (KEYED, End.ANSWERED, 2, "more than once"),
+        (GET, End.NOT_RUN, 1, "told not-run"),
+        (GET, End.ANSWERED, 0, "did not run"),
+        (GET, End.LOST, 0, "lost"),
+        (GET, End.WRONG, 1, "wrong"),
+    ],
+)
+def test_violations_are_named(plan: CallPlan, end: End, times: int, found: str) -> None:
+    runs = [Run("reg-1", plan.request_id, "", plan.method, RunEnd.DONE)] * times
+    lines = find_violations([CallResult(plan, end)], runs, [UpstreamStats("reg-1", 4)])
+    assert [found in line for line in lines] == ([True] if found else [])
+
+
+def test_work_above_the_slots_is_a_violation() -> None:
+    lines = find_violations([], [], [UpstreamStats("reg-1", 4, over_slots=2)])
+    assert lines == ["reg-1: 2 requests above its 4 slots"]
--- /dev/null
+++ b/standins/tests/test_upstream.py
@@ -0,0 +1,124 @@
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pytest
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from gooseberryport_standins._process import started
+from gooseberryport_standins.faults import UpstreamFaults
+from gooseberryport_standins.upstream import (
+    RunEnd,
+    Spread,
+    UpstreamSpec,
+    UpstreamStandin,
+    open_fleet,
+)
+
+NAME = "reg-1"
+QUICK = UpstreamSpec(NAME, slots=1, service_time_s=0.001, spread=Spread.FIXED)
+ENDLESS = UpstreamSpec(NAME, slots=1, service_time_s=60.0, spread=Spread.FIXED)
+
+
+@contextmanager
+def upstream(spec: UpstreamSpec) -> Iterator[UpstreamStandin]:
+    with open_fleet((spec,)) as fleet:
+        yield fleet.upstreams[NAME]
+
+
+def ask(
+    it: UpstreamStandin, request_id: str = "r1", timeout_s: float = 5.0, **headers: str
+) -> urllib3.BaseHTTPResponse:
+    return urllib3.request(
+        "POST",
+        f"http://{it.address}/x",
+        headers={"X-Request-Id": request_id, **headers},
+        timeout=timeout_s,
+        retries=False,
+    )
+
+
+def ask_in_vain(it: UpstreamStandin) -> None:
+    with pytest.raises(HTTPError):
+        ask(it)
+
+
+def wait_for(it: UpstreamStandin, end: RunEnd) -> None:
+    changed = threading.Event()
+    for _ in range(500):
+        if it.runs() and it.runs()[-1].end == end:
+            return
+        changed.wait(0.01)
+    pytest.fail(f"no run ended as {end}")
+
+
+def test_answer_carries_the_request_and_is_recorded() -> None:
+    with upstream(QUICK) as it:
+        resp = ask(it, "r7", **{"Idempotency-Key": "k"})
+        assert resp.data.startswith(f"r7 {NAME} ".encode())
+        assert len(resp.data) == QUICK.answer_bytes
+        run = it.runs()[0]
+        assert (run.request_id, run.key, run.method, run.end) == ("r7", "k", "POST", RunEnd.DONE)
+
+
+def test_request_over_the_slots_is_shed_and_counted() -> None:
+    with upstream(ENDLESS) as it:
+        first = threading.Thread(target=ask_in_vain, args=(it,))
+        first.start()
+        wait_for(it, RunEnd.RUNNING)
+        resp = ask(it, "r2")
+        assert (resp.status, resp.headers["X-Not-Run"]) == (503, "1")
+        stats = it.stats()
+        assert (stats.over_slots, stats.most_at_once, stats.ran) == (1, 1, 1)
+        it.door.close()
+        first.join()
+
+
+def test_work_stops_when_its_connection_closes_or_its_deadline_passes() -> None:
+    with upstream(ENDLESS) as it:
+        with pytest.raises(HTTPError):
+            ask(it, timeout_s=0.05)
+        wait_for(it, RunEnd.CANCELLED)
+        assert ask(it, **{"Request-Timeout": "0.02"}).status == 504
+        assert it.runs()[-1].end == RunEnd.LATE
+
+
+@pytest.mark.parametrize(
+    ("faults", "ran"),
+    [
+        (UpstreamFaults(cut=True), 1),
+        (UpstreamFaults(half_answer=True), 1),
+        (UpstreamFaults(cut_unread=True), 0),
+    ],
+)
+def test_broken_answers_are_never_whole(faults: UpstreamFaults, ran: int) -> None:
+    with upstream(QUICK) as it:
+        it.set_faults(faults)
+        with pytest.raises(HTTPError):
+            ask(it)
+        assert it.stats().ran == ran
+
+
+def test_cold_start_slows_the_first_runs_alone() -> None:
+    spec = UpstreamSpec(
+        NAME, service_time_s=0.01, spread=Spread.FIXED, cold_runs=2, cold_factor=11.0
+    )
+    it = UpstreamStandin(spec)
+    draws = []
+    for ran in range(4):
+        it._stats.ran = ran
+        draws.append(round(it._draw(), 6))
+    assert draws == [0.11, 0.06, 0.01, 0.01]
+
+
+def test_process_serves_until_it_is_ended() -> None:
+    def status(method: str, address: str, path: str, body: bytes = b"") -> int:
+        url = f"http://{address}{path}"
+        return urllib3.request(method, url, body=body, retries=False).status
+
+    with started("upstream", "--specs", '[{"name":"a"},{"name":"b"}]') as ready:
+        assert sorted(ready.addresses) == ["a", "b"]
+        shed = status("PUT", ready.control, "/_faults?upstream=b", b'{"shed":true}')
+        asked = [status("GET", ready.addresses[name], "/x") for name in "ab"]
+        assert [shed, *asked] == [200, 200, 503]
