Take requests back from an owner that fell silent

Cause: a request that waited at an owner whose VM was cut off or paused stayed there until its deadline; only a closed connection was noticed. Ruled out: shorter deadlines (they are the caller's); hedging every request (doubles the load when the system is slow). Change: once heartbeats of an owner stop, requests that were not sent go to another owner, sent ones that may be repeated are tried again under the retry budget, the rest wait for their answer. Conclusion: a silent owner costs a caller the peer timeout, not its deadline.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -45,6 +45,7 @@
     ServiceName,
     TicketId,
     UpstreamId,
+    VmId,
     ZoneName,
 )
 
@@ -87,6 +88,7 @@
     placement: Placement | None = None
     pools: list[PoolId] = msgspec.field(default_factory=list)
     ticket_id: TicketId = TicketId("")
+    owner: VmId = VmId("")
     upstream: UpstreamId = UpstreamId("")
     avoid: tuple[UpstreamId, ...] = ()
     body_sent: bool = False
@@ -177,7 +179,7 @@
             return self._ended(event, now)
         if isinstance(event, Tick):
             self._wall_offset = event.wall - now
-            return self._expire(now)
+            return self._expire(now) + self._leave_silent_owners(now)
         return []
 
     @property
@@ -253,6 +255,7 @@
         me = self._settings
         ticket_id = TicketId(f"{me.vm}.{me.incarnation}.{self._serial}")
         req.ticket_id = ticket_id
+        req.owner = owner.vm
         req.upstream = UpstreamId("")
         self._tickets[ticket_id] = req.event.request_id
         ticket = Ticket(
@@ -329,6 +332,7 @@
 
     def _forget_attempt(self, req: _Request, *, ran: bool) -> None:
         self._tickets.pop(req.ticket_id, None)
+        req.owner = VmId("")
         if req.upstream:
             req.avoid = (*req.avoid, req.upstream)
         req.body_sent = False
@@ -352,6 +356,26 @@
             effects.extend(self._finish(req, outcome, RefusalReason.DEADLINE, now))
         return effects
 
+    def _leave_silent_owners(self, now: float) -> list[Effect]:
+        """Take requests back from owners whose heartbeats have stopped.
+
+        One that was sent and may not be repeated stays: its answer may yet come.
+        """
+        live = {peer.vm for peer in self._peers.live(now)}
+        live.update((self._settings.vm, VmId("")))
+        effects: list[Effect] = []
+        for req in [req for req in self._requests.values() if req.owner not in live]:
+            if req.body_sent and not req.repeatable:
+                continue
+            effects.append(CancelTicket(req.ticket_id))
+            if req.body_sent:
+                lost = AttemptEnded(req.ticket_id, AttemptOutcome.UNKNOWN, 0, 0)
+                effects.extend(self._ended(lost, now))
+            else:
+                refused = Refused(req.ticket_id, RefusalReason.UNREACHABLE)
+                effects.extend(self._refused(refused, now))
+        return effects
+
     def _refusal_outcome(self, req: _Request) -> Outcome:
         """Return what a caller is told of a request that goes no further."""
         undecided = bool(req.event.key) and not req.repeatable and not req.claimed
--- a/packages/gooseberryport-core/tests/test_requests.py
+++ b/packages/gooseberryport-core/tests/test_requests.py
@@ -45,7 +45,7 @@
         self.rng = rng
         me = make_settings()
         other = make_peer(make_settings("vm-2"))
-        peers = FixedPeers({other.vm: other})
+        self.peers = peers = FixedPeers({other.vm: other})
         owners = FixedOwners(me.vm, {pool: Owner("vm-2", 1) for pool in POOLS})
         self.requests = Requests(
             settings=me,
@@ -211,3 +211,19 @@
     req = _Request(event, 1.0, False, Home("mittelland", ""))
     req.body_sent, req.ran_before = sent, ran_before
     assert World(random.Random(1)).requests._refusal_outcome(req) == Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_requests_come_back_from_an_owner_that_fell_silent(method: str) -> None:
+    world = World(random.Random(1))
+    world.arrive("waiting", "POST", 0.0)
+    world.arrive("sent", method, 0.0)
+    ticket_id, _ = world.open[-1]
+    world.feed(TicketReplied("vm-2", Granted(ticket_id, "up-bern-a")), 0.0)
+    world.peers.peers.clear()
+    world.feed(Tick(1.0), 1.0)
+    assert world.ends["waiting"][0].reason == RefusalReason.UNREACHABLE
+    assert world.ends["waiting"][0].outcome == Outcome.NOT_RUN
+    assert ("sent" in world.ends) == (method == "GET")
+    world.feed(Tick(9.0), 9.0)
+    assert world.ends["sent"][0].outcome == Outcome.UNKNOWN
