Run a daemon as a process: doors, owners' streams, upstreams, platform calls

Cause: the decisions had no process around them. Change: the settings file, the loop, the callers' doors as grafted WSGI callables, operators' pages, grpclib streams between daemons with the body inline where the node says so, urllib3 attempts that know whether bytes left, datagrams, statsd in batches, numbered logs in gooseberryport_core.log_events.

--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -0,0 +1,212 @@
+"""One daemon: its parts put together, run until it is asked to stop, and taken apart."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractContextManager, AsyncExitStack, asynccontextmanager
+
+import msgspec
+from grpclib.server import Server
+
+from gooseberryport_core import Node, NodeSettings
+from gooseberryport_core.effects import LogEvent, LogLevel
+from gooseberryport_core.log_events import LogNumber
+from gooseberryport_core.lookup import LookupSnapshot
+from gooseberryport_core.types import Incarnation, RequestId
+from gooseberryport_daemon._callers import Callers, Exchange
+from gooseberryport_daemon._datagrams import Datagrams
+from gooseberryport_daemon._front import Front, FrontView, Loop
+from gooseberryport_daemon._http_server import HttpServer, open_http_server
+from gooseberryport_daemon._logs import WriteLog, log_writer
+from gooseberryport_daemon._loop import Driver
+from gooseberryport_daemon._metrics import FLUSH_PERIOD_S, Metrics, open_metrics
+from gooseberryport_daemon._page_source import LoopPages
+from gooseberryport_daemon._pages import Pages
+from gooseberryport_daemon._peer_client import AnswerTaker, PeerClient
+from gooseberryport_daemon._peer_server import PeerServer
+from gooseberryport_daemon._platform_calls import open_platform_calls
+from gooseberryport_daemon._sockets import PeerSockets, bind_peer_port
+from gooseberryport_daemon._timers import Timers, open_timers
+from gooseberryport_daemon._upstreams import open_upstreams
+from gooseberryport_daemon._view import front_view
+from gooseberryport_daemon.settings import RESERVED_THREADS, DaemonSettings, parse_endpoint
+from gooseberryport_platform import ServiceError
+
+VIEW_PERIOD_S = 0.25
+"""Time between two snapshots for look-ups; seconds."""
+
+
+class Addresses(msgspec.Struct, frozen=True):
+    """Where a daemon listens."""
+
+    http: str
+    peer: str
+
+
+class Ready(msgspec.Struct, frozen=True):
+    """The line that a daemon prints once it listens."""
+
+    ready: Addresses
+
+
+class Running(msgspec.Struct, frozen=True):
+    """A running daemon: where it listens, and how it is asked to stop."""
+
+    addresses: Addresses
+    driver: Driver
+    stop: Callable[[], None]
+
+
+def run_daemon(settings: DaemonSettings) -> None:
+    """Run a daemon until SIGTERM or SIGINT; raises `DaemonError` if it can't start."""
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: DaemonSettings) -> None:
+    loop = asyncio.get_running_loop()
+    log = log_writer(vm=settings.vm)
+    async with open_daemon(settings, log=log) as running:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, running.stop)
+        sys.stdout.write(msgspec.json.encode(Ready(running.addresses)).decode() + "\n")
+        sys.stdout.flush()
+        await running.driver.done.wait()
+    log(LogEvent(LogNumber.DAEMON_STOPPED, LogLevel.INFO, "daemon stopped"))
+
+
+@asynccontextmanager
+async def open_daemon(settings: DaemonSettings, *, log: WriteLog) -> AsyncIterator[Running]:
+    """Start a daemon on the running loop; raises `DaemonError` if it can't start."""
+    loop = asyncio.get_running_loop()
+    async with AsyncExitStack() as stack:
+        metrics = stack.enter_context(open_metrics(address=settings.statsd, vm=settings.vm))
+        listen = parse_endpoint(settings.peer_listen, field="peer_listen")
+        sockets = stack.enter_context(bind_peer_port(listen))
+        driver = Driver(loop=loop, log=log, metrics=metrics)
+        front = _front(settings, loop, driver)
+        server = stack.enter_context(_http_server(settings, loop, driver, front, log))
+        addresses = Addresses(str(server.address), str(sockets.address))
+        driver.node = _node(settings, addresses)
+        _open_inner_parts(stack, settings, loop, driver)
+        await _open_peer_parts(stack, settings, sockets, driver)
+        _start_timers(stack.enter_context(open_timers(loop)), settings, driver, front, metrics)
+        driver.tick()
+        server.start()
+        yield Running(addresses, driver, driver.stop)
+
+
+def _node(settings: DaemonSettings, addresses: Addresses) -> Node:
+    incarnation = Incarnation(time.time_ns() // 1_000_000)
+    node_settings = NodeSettings(
+        vm=settings.vm,
+        incarnation=incarnation,
+        zone=settings.availability_zone,
+        region=settings.region,
+        address=addresses.peer,
+        http_address=addresses.http,
+        peers=settings.peers,
+        timing=settings.timing,
+    )
+    seed = f"{settings.seed or incarnation}/{settings.vm}"
+    return Node(settings=node_settings, rng=random.Random(seed))
+
+
+def _front(settings: DaemonSettings, loop: asyncio.AbstractEventLoop, driver: Driver) -> Front:
+    def submit(exchange: Exchange) -> None:
+        loop.call_soon_threadsafe(driver.admit, exchange)
+
+    def gone(request_id: RequestId) -> None:
+        loop.call_soon_threadsafe(driver.caller_gone, request_id)
+
+    return Front(
+        name=f"{settings.vm}-{time.time_ns() // 1_000_000:x}",
+        view=FrontView(LookupSnapshot(entries=(), max_age_s=0.0)),
+        loop=Loop(submit, gone),
+        most_waiting=settings.threads.http - RESERVED_THREADS,
+    )
+
+
+def _http_server(
+    settings: DaemonSettings,
+    loop: asyncio.AbstractEventLoop,
+    driver: Driver,
+    front: Front,
+    log: WriteLog,
+) -> AbstractContextManager[HttpServer]:
+    source = LoopPages(loop=loop, driver=driver, store_address=settings.store.address)
+    return open_http_server(
+        listen=parse_endpoint(settings.http_listen, field="http_listen"),
+        threads=settings.threads.http,
+        front=front,
+        pages=Pages(source=source),
+        log=log,
+    )
+
+
+def _open_inner_parts(
+    stack: AsyncExitStack,
+    settings: DaemonSettings,
+    loop: asyncio.AbstractEventLoop,
+    driver: Driver,
+) -> None:
+    def failed(error: ServiceError) -> None:
+        driver.log(LogNumber.PLATFORM_CALL_FAILED, "platform call failed", {"error": str(error)})
+
+    driver.callers = Callers(loop=loop)
+    driver.upstreams = stack.enter_context(
+        open_upstreams(
+            threads=settings.threads.upstream, loop=loop, finished=driver.upstream_finished
+        )
+    )
+    driver.platform = stack.enter_context(
+        open_platform_calls(settings=settings, loop=loop, feed=driver.feed, failed=failed)
+    )
+
+
+async def _open_peer_parts(
+    stack: AsyncExitStack, settings: DaemonSettings, sockets: PeerSockets, driver: Driver
+) -> None:
+    driver.peer_server = PeerServer(feed=driver.feed)
+    driver.peer_client = PeerClient(
+        vm=settings.vm,
+        feed=driver.feed,
+        answers=AnswerTaker(driver.callers.collect, driver.answer_broken),
+    )
+    stack.push_async_callback(driver.peer_client.close)
+    server = Server([driver.peer_server])
+    await server.start(sock=sockets.stream)
+    stack.push_async_callback(_close_server, server)
+    driver.datagrams = Datagrams(
+        arrived=driver.feed, refused=driver.datagram_refused, too_long=driver.datagram_too_long
+    )
+    loop = asyncio.get_running_loop()
+    await loop.create_datagram_endpoint(lambda: driver.datagrams, sock=sockets.datagram)
+    stack.callback(driver.datagrams.close)
+
+
+async def _close_server(server: Server) -> None:
+    server.close()
+    await server.wait_closed()
+
+
+def _start_timers(
+    timers: Timers, settings: DaemonSettings, driver: Driver, front: Front, metrics: Metrics
+) -> None:
+    def renew_view() -> None:
+        front.view = front_view(driver.node, asyncio.get_running_loop().time())
+
+    def read_loads() -> None:
+        for upstream in driver.node.owned_upstreams(asyncio.get_running_loop().time()):
+            driver.platform.read_load(driver.node.cfg, upstream)
+
+    driver.config_changed = renew_view
+    timers.every(settings.tick_s, driver.tick, first_s=settings.tick_s)
+    timers.every(VIEW_PERIOD_S, renew_view)
+    timers.every(FLUSH_PERIOD_S, metrics.flush, first_s=FLUSH_PERIOD_S)
+    timers.every(settings.vm_list_period_s, driver.platform.read_vm_list)
+    timers.every(settings.load_report_period_s, read_loads)
--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_datagrams.py
@@ -0,0 +1,73 @@
+"""Datagrams between daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from gooseberryport_core.effects import SendMessage
+from gooseberryport_core.events import MessageArrived
+from gooseberryport_core.messages import MAX_DATAGRAM_BYTES, decode_message, encode_message
+from gooseberryport_daemon.settings import Endpoint, parse_endpoint
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Send and receive the messages of the control protocols.
+
+    Parameters
+    ----------
+    arrived
+        Takes each message.
+    refused
+        Told of a datagram that is not a message of ours, with its sender.
+    too_long
+        Told of a message that is longer than a datagram may be, with its length in bytes.
+    """
+
+    def __init__(
+        self,
+        *,
+        arrived: Callable[[MessageArrived], None],
+        refused: Callable[[str], None],
+        too_long: Callable[[SendMessage, int], None],
+    ) -> None:
+        self._arrived = arrived
+        self._refused = refused
+        self._too_long = too_long
+        self._transport: asyncio.DatagramTransport | None = None
+        self.sent_bytes = 0
+        self.sent = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hand on one datagram."""
+        sender = str(Endpoint(*addr[:2]))
+        message = decode_message(data) if len(data) <= MAX_DATAGRAM_BYTES else None
+        if message is None:
+            self._refused(sender)
+            return
+        self._arrived(MessageArrived(message, sender))
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore a peer that is not there: silence is what membership counts."""
+
+    def send(self, effect: SendMessage) -> None:
+        """Send one message."""
+        data = encode_message(effect.message)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            self._too_long(effect, len(data))
+            return
+        endpoint = parse_endpoint(effect.address, field="address")
+        if self._transport is not None and not self._transport.is_closing():
+            self.sent += 1
+            self.sent_bytes += len(data)
+            self._transport.sendto(data, (endpoint.ip, endpoint.port))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_http_server.py
@@ -0,0 +1,114 @@
+"""CherryPy's HTTP server with the callers' doors and the operators' pages."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import cheroot.wsgi
+import cherrypy
+import msgspec
+from cherrypy._cptree import Tree
+
+from gooseberryport_core.effects import LogEvent, LogLevel
+from gooseberryport_core.log_events import LogNumber
+from gooseberryport_daemon._caller_conn import REQUEST_ENTRY
+from gooseberryport_daemon._front import Front
+from gooseberryport_daemon._pages import Pages
+from gooseberryport_daemon.errors import AddressInUseError
+from gooseberryport_daemon.settings import Endpoint
+
+BACKLOG = 256
+IDLE_CONNECTION_S = 10
+"""Time that a silent connection is kept; seconds."""
+
+KEPT_CONNECTIONS = 512
+STOP_S = 2
+"""Time that the server's threads get to end; seconds."""
+
+MAX_HEADER_BYTES = 65_536
+
+PAGE_CONFIG = {
+    "/": {
+        "tools.encode.on": False,
+        "tools.gzip.on": False,
+        "tools.trailing_slash.on": False,
+        "request.show_tracebacks": False,
+        "checker.on": False,
+    }
+}
+
+
+class _Gateway(cheroot.wsgi.Gateway_10):
+    """Gateway that lets the doors see the server's request."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Return the WSGI environment."""
+        environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[REQUEST_ENTRY] = self.req
+        return environ
+
+
+def _tree(front: Front, pages: Pages) -> Tree:
+    tree = Tree()
+    tree.graft(front.request, "")
+    tree.graft(front.lookup, "/v1/lookup")
+    cherrypy.config.update({"log.screen": False, "engine.autoreload.on": False})
+    for path, page in pages.by_path().items():
+        app = tree.mount(page, path, PAGE_CONFIG)
+        app.log.access_log.disabled = True
+    return tree
+
+
+class HttpServer(msgspec.Struct, frozen=True):
+    """A bound server; callers are taken from `start` on."""
+
+    address: Endpoint
+    start: Callable[[], None]
+
+
+@contextmanager
+def open_http_server(
+    *,
+    listen: Endpoint,
+    threads: int,
+    front: Front,
+    pages: Pages,
+    log: Callable[[LogEvent], None],
+) -> Iterator[HttpServer]:
+    """Bind the server, which uses threads of its own; raises `AddressInUseError`."""
+    server = cheroot.wsgi.Server(
+        (listen.ip, listen.port),
+        _tree(front, pages),
+        numthreads=threads,
+        request_queue_size=BACKLOG,
+        timeout=IDLE_CONNECTION_S,
+        shutdown_timeout=STOP_S,
+    )
+    server.gateway = _Gateway
+    server.max_request_header_size = MAX_HEADER_BYTES
+    server.keep_alive_conn_limit = KEPT_CONNECTIONS
+    server.error_log = _error_log(log)  # type: ignore[method-assign]
+    try:
+        server.prepare()
+    except OSError as exc:
+        raise AddressInUseError(subject=str(listen), detail=str(exc)) from exc
+    thread = threading.Thread(target=server.serve, name="http-accept", daemon=True)
+    try:
+        yield HttpServer(Endpoint(*server.bind_addr[:2]), thread.start)
+    finally:
+        server.stop()
+        if thread.ident is not None:
+            thread.join(STOP_S)
+
+
+def _error_log(log: Callable[[LogEvent], None]) -> Callable[..., None]:
+    """Return the server's log function; it is called in any thread."""
+
+    def error_log(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        weight = LogLevel.ERROR if traceback else LogLevel.WARNING
+        log(LogEvent(LogNumber.HTTP_SERVER_FAULT, weight, "HTTP server", {"fault": msg}))
+
+    return error_log
--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_metrics.py
@@ -0,0 +1,86 @@
+"""Counters and times, sent to statsd in batches."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from statsd import StatsClient
+
+from gooseberryport_core.effects import CountMetric
+from gooseberryport_daemon.settings import parse_endpoint
+
+PREFIX = "gooseberryport"
+FLUSH_PERIOD_S = 1.0
+"""Time between two batches; seconds."""
+
+MOST_TIMES = 2_000
+"""Most single times of one name in a batch; later ones are left out."""
+
+MAX_UDP_BYTES = 1_200
+
+
+class Metrics:
+    """Gather counts and times between two batches.
+
+    Parameters
+    ----------
+    client
+        Where batches go; None drops them.
+    """
+
+    def __init__(self, *, client: StatsClient | None) -> None:
+        self._client = client
+        self._counts: dict[str, int] = {}
+        self._times: dict[str, list[float]] = {}
+        self._gauges: dict[str, float] = {}
+
+    def count(self, effect: CountMetric) -> None:
+        """Add to a counter."""
+        self._counts[effect.name] = self._counts.get(effect.name, 0) + effect.value
+
+    def time(self, name: str, duration_s: float) -> None:
+        """Add a time, in seconds."""
+        times = self._times.setdefault(name, [])
+        if len(times) < MOST_TIMES:
+            times.append(duration_s)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name] = value
+
+    def flush(self) -> None:
+        """Send what was gathered."""
+        counts, self._counts = self._counts, {}
+        times, self._times = self._times, {}
+        gauges, self._gauges = self._gauges, {}
+        if self._client is None:
+            return
+        with self._client.pipeline() as batch:
+            for name, count in counts.items():
+                batch.incr(name, count)
+            for name, durations in times.items():
+                for duration_s in durations:
+                    batch.timing(name, duration_s * 1_000.0)
+            for name, value in gauges.items():
+                batch.gauge(name, value)
+
+
+@contextmanager
+def open_metrics(*, address: str, vm: str) -> Iterator[Metrics]:
+    """Open the way to statsd; an empty address drops the metrics."""
+    if not address:
+        yield Metrics(client=None)
+        return
+    endpoint = parse_endpoint(address, field="statsd")
+    client = StatsClient(
+        endpoint.ip,
+        endpoint.port,
+        prefix=f"{PREFIX}.{vm}",
+        maxudpsize=MAX_UDP_BYTES,
+        ipv6=":" in endpoint.ip,
+    )
+    try:
+        yield Metrics(client=client)
+    finally:
+        client.close()
--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_page_source.py
@@ -0,0 +1,100 @@
+"""What the operators' pages show, read on the loop for the thread that shows it."""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+import cherrypy
+
+from gooseberryport_core.status import Explanation, StatusPage
+from gooseberryport_core.types import ServiceName
+from gooseberryport_daemon._loop import Driver
+from gooseberryport_daemon._pages import Health, Readiness
+
+ANSWER_S = 1.0
+"""Time that the loop gets to answer a page; seconds."""
+
+T = TypeVar("T")
+
+
+class LoopPages:
+    """Answer the pages' questions.
+
+    Parameters
+    ----------
+    loop
+        The loop.
+    driver
+        Drives the node.
+    store_address
+        ``IP:port`` of the key-value service, for the message of a daemon that waits for it.
+    """
+
+    def __init__(
+        self, *, loop: asyncio.AbstractEventLoop, driver: Driver, store_address: str
+    ) -> None:
+        self._loop = loop
+        self._driver = driver
+        self._store_address = store_address
+
+    def health(self) -> Health:
+        """Return the process's own figures, once the loop has answered."""
+        return self._ask(self._health)
+
+    def readiness(self) -> Readiness:
+        """Return whether callers are served."""
+        return self._ask(self._readiness)
+
+    def status(self) -> StatusPage:
+        """Return what the daemon knows of the system."""
+        return self._ask(self._status)
+
+    def explain(self, service: str, client: str) -> Explanation:
+        """Return how a client's request would be steered."""
+        return self._ask(lambda: self._explain(ServiceName(service), client))
+
+    def _health(self) -> Health:
+        driver = self._driver
+        return Health(
+            vm=driver.node.settings.vm,
+            incarnation=driver.node.settings.incarnation,
+            callers=driver.callers.waiting(),
+            attempts=driver.upstreams.running(),
+            tickets_out=driver.peer_client.streams(),
+            tickets_in=driver.peer_server.streams(),
+        )
+
+    def _readiness(self) -> Readiness:
+        waits_for = []
+        if self._driver.stopping:
+            waits_for.append("nothing: this daemon is stopping")
+        elif self._driver.node.cfg.version == 0:
+            waits_for.append(
+                f"a configuration, from the store at {self._store_address} or from a peer"
+            )
+        return Readiness(not waits_for, tuple(waits_for))
+
+    def _status(self) -> StatusPage:
+        return self._driver.node.status(self._loop.time(), time.time())
+
+    def _explain(self, service: ServiceName, client: str) -> Explanation:
+        return self._driver.node.explain(service, client, self._loop.time(), time.time())
+
+    def _ask(self, question: Callable[[], T]) -> T:
+        answer: concurrent.futures.Future[T] = concurrent.futures.Future()
+
+        def on_loop() -> None:
+            try:
+                answer.set_result(question())
+            except Exception as exc:
+                answer.set_exception(exc)
+
+        self._loop.call_soon_threadsafe(on_loop)
+        try:
+            return answer.result(ANSWER_S)
+        except concurrent.futures.TimeoutError as exc:
+            raise cherrypy.HTTPError(503, "The loop is behind; ask again.") from exc
--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
@@ -0,0 +1,208 @@
+"""The entry daemon's side of the streams between daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from grpclib.client import Channel, Stream
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from gooseberryport_core.effects import SendTicket
+from gooseberryport_core.events import AttemptEnded, Event, PeerUnreachable, TicketReplied
+from gooseberryport_core.messages import Granted, TicketReply
+from gooseberryport_core.types import AttemptOutcome, TicketId, VmId
+from gooseberryport_daemon import _peer_pb2 as pb
+from gooseberryport_daemon._parts import AnswerHead, CallerRequest
+from gooseberryport_daemon._peer_grpc import PeerStub
+from gooseberryport_daemon._peer_wire import (
+    AttemptEnd,
+    FrameInvalidError,
+    read_answer_head,
+    read_end,
+    read_reply,
+    request_frames,
+    ticket_frames,
+)
+from gooseberryport_daemon.settings import parse_endpoint
+
+CONNECT_TIMEOUT_S = 0.5
+"""Time in which a ticket must have been written to its owner; seconds."""
+
+KEEPALIVE_S = 1.0
+"""Silence on a connection with open streams after which the peer is asked for a sign of life."""
+
+PeerStream = Stream[pb.EntryFrame, pb.OwnerFrame]
+
+StreamFault = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    FrameInvalidError,
+    OSError,
+    TimeoutError,
+)
+
+
+class AnswerTaker(msgspec.Struct, frozen=True):
+    """Where answers go, and who must know when one breaks off."""
+
+    collect: Callable[[TicketId, AnswerHead | None, bytes], Awaitable[None]]
+    broken: Callable[[TicketId], None]
+
+
+class _Outbound:
+    """One stream to an owner."""
+
+    def __init__(self, effect: SendTicket, inline: CallerRequest | None) -> None:
+        self.effect = effect
+        self.inline = inline
+        self.body: asyncio.Future[CallerRequest] = asyncio.get_running_loop().create_future()
+        self.body_left = False
+        self.reported = False
+        self.task: asyncio.Task[None] | None = None
+
+
+class PeerClient:
+    """Carry tickets, requests and answers between this entry daemon and the owners.
+
+    Parameters
+    ----------
+    vm
+        This daemon.
+    feed
+        Hands an event to the node.
+    answers
+        Takes the answers.
+    """
+
+    def __init__(self, *, vm: VmId, feed: Callable[[Event], None], answers: AnswerTaker) -> None:
+        self._vm = vm
+        self._feed = feed
+        self._answers = answers
+        self._outbound: dict[TicketId, _Outbound] = {}
+        self._channels: dict[str, Channel] = {}
+
+    def send_ticket(self, effect: SendTicket, inline: CallerRequest | None) -> None:
+        """Open a stream and offer a ticket, along with its request if that travels inline."""
+        outbound = _Outbound(effect, inline)
+        self._outbound[effect.ticket.ticket_id] = outbound
+        outbound.task = asyncio.get_running_loop().create_task(self._run(outbound))
+
+    def send_body(self, ticket_id: TicketId, request: CallerRequest) -> None:
+        """Send the request behind a granted ticket."""
+        outbound = self._outbound.get(ticket_id)
+        if outbound is not None and not outbound.body.done():
+            outbound.body.set_result(request)
+
+    def cancel(self, ticket_id: TicketId) -> None:
+        """Give a ticket up: its stream is reset and nothing more is reported of it."""
+        outbound = self._outbound.pop(ticket_id, None)
+        if outbound is not None and outbound.task is not None:
+            outbound.task.cancel()
+
+    def streams(self) -> int:
+        """Return how many tickets are out."""
+        return len(self._outbound)
+
+    async def close(self) -> None:
+        """Reset every stream and close the connections."""
+        tasks = [out.task for out in self._outbound.values() if out.task is not None]
+        for ticket_id in list(self._outbound):
+            self.cancel(ticket_id)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def _run(self, outbound: _Outbound) -> None:
+        ticket_id = outbound.effect.ticket.ticket_id
+        try:
+            await self._carry(outbound)
+        except StreamFault:
+            self._report_break(outbound)
+        finally:
+            if self._outbound.get(ticket_id) is outbound:
+                del self._outbound[ticket_id]
+
+    def _report_break(self, outbound: _Outbound) -> None:
+        """Tell the node of a broken stream: not run only if nothing of the body left."""
+        ticket_id = outbound.effect.ticket.ticket_id
+        if outbound.reported or self._outbound.get(ticket_id) is not outbound:
+            return
+        outbound.reported = True
+        self._answers.broken(ticket_id)
+        if outbound.body_left:
+            self._feed(AttemptEnded(ticket_id, AttemptOutcome.UNKNOWN, 0, 0))
+        else:
+            self._feed(PeerUnreachable(outbound.effect.vm, ticket_id))
+
+    async def _carry(self, outbound: _Outbound) -> None:
+        effect = outbound.effect
+        stub = PeerStub(self._channel(effect.address))
+        async with stub.Forward.open() as stream:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await stream.send_request()
+            inline = outbound.inline
+            outbound.body_left = inline is not None
+            parts = (inline.head, inline.body) if inline else None
+            for frame in ticket_frames(self._vm, effect.ticket, parts):
+                await stream.send_message(frame)
+            await self._receive(outbound, stream)
+
+    async def _send_request(self, outbound: _Outbound, stream: PeerStream) -> None:
+        request = await outbound.body
+        outbound.body_left = True
+        for frame in request_frames(request.head, request.body):
+            await stream.send_message(frame)
+
+    async def _receive(self, outbound: _Outbound, stream: PeerStream) -> None:
+        """Take replies and the answer in, up to the owner's last word."""
+        ticket_id = outbound.effect.ticket.ticket_id
+        size = 0
+        while not outbound.reported:
+            frame = _present(await stream.recv_message())
+            if frame.reply:
+                await self._take_reply(outbound, stream, read_reply(frame))
+            head = read_answer_head(frame)
+            if head is not None or frame.chunk:
+                size += len(frame.chunk)
+                await self._answers.collect(ticket_id, head, frame.chunk)
+            end = read_end(frame)
+            if end is not None:
+                outbound.reported = True
+                self._end(ticket_id, end, size)
+        await stream.end()
+
+    async def _take_reply(
+        self, outbound: _Outbound, stream: PeerStream, reply: TicketReply
+    ) -> None:
+        outbound.reported = not isinstance(reply, Granted)
+        self._feed(TicketReplied(outbound.effect.vm, reply))
+        if not outbound.reported and outbound.inline is None:
+            await self._send_request(outbound, stream)
+
+    def _end(self, ticket_id: TicketId, end: AttemptEnd, size: int) -> None:
+        outcome = end.outcome
+        if outcome == AttemptOutcome.ANSWERED and size != end.answer_bytes:
+            outcome = AttemptOutcome.UNKNOWN
+        if outcome != AttemptOutcome.ANSWERED:
+            self._answers.broken(ticket_id)
+        self._feed(AttemptEnded(ticket_id, outcome, end.status, end.answer_bytes))
+
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            endpoint = parse_endpoint(address, field="address")
+            config = Configuration(_keepalive_time=KEEPALIVE_S, _keepalive_timeout=KEEPALIVE_S)
+            channel = Channel(endpoint.ip, endpoint.port, config=config)
+            self._channels[address] = channel
+        return channel
+
+
+def _present(frame: pb.OwnerFrame | None) -> pb.OwnerFrame:
+    if frame is None:
+        raise FrameInvalidError("the stream ended before its end was told")
+    return frame
--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_server.py
@@ -0,0 +1,179 @@
+"""The owner's side of the streams between daemons."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from gooseberryport_core.events import (
+    BodyArrived,
+    Event,
+    TicketArrived,
+    TicketCancelled,
+    UpstreamFinished,
+)
+from gooseberryport_core.messages import Granted, Ticket, TicketReply
+from gooseberryport_core.types import TicketId, VmId
+from gooseberryport_daemon import _peer_pb2 as pb
+from gooseberryport_daemon._outbox import Outbox
+from gooseberryport_daemon._parts import AnswerHead, RequestHead
+from gooseberryport_daemon._peer_grpc import PeerBase
+from gooseberryport_daemon._peer_wire import (
+    AttemptEnd,
+    FrameInvalidError,
+    answer_frames,
+    read_reply,
+    read_request_head,
+    read_ticket,
+    reply_frame,
+)
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+    PeerStream = Stream[pb.EntryFrame, pb.OwnerFrame]
+
+
+class InboundRequest(msgspec.Struct, frozen=True):
+    """A granted request, whole."""
+
+    ticket: Ticket
+    head: RequestHead
+    body: bytes
+
+
+class _Inbound:
+    """One stream from an entry daemon."""
+
+    def __init__(self, ticket: Ticket) -> None:
+        self.ticket = ticket
+        self.outbox = Outbox()
+        self.request: InboundRequest | None = None
+        self.offered = False
+
+
+class PeerServer(PeerBase):
+    """Take tickets of other daemons to the node, and its replies and answers back.
+
+    Parameters
+    ----------
+    feed
+        Hands an event to the node.
+    """
+
+    def __init__(self, *, feed: Callable[[Event], None]) -> None:
+        self._feed = feed
+        self._inbound: dict[TicketId, _Inbound] = {}
+
+    async def Forward(self, stream: PeerStream) -> None:  # noqa: N802
+        """Serve one ticket from its offer to its end."""
+        first = await stream.recv_message()
+        if first is None:
+            return
+        ticket = read_ticket(first)
+        if ticket.ticket_id in self._inbound:
+            raise FrameInvalidError(f"ticket {ticket.ticket_id} is here already")
+        inbound = _Inbound(ticket)
+        self._inbound[ticket.ticket_id] = inbound
+        ended = False
+        try:
+            ended = await self._serve(stream, inbound, first)
+        finally:
+            del self._inbound[ticket.ticket_id]
+            inbound.outbox.close()
+            if not ended and inbound.offered:
+                self._feed(TicketCancelled(ticket.ticket_id))
+
+    def reply(self, reply: TicketReply) -> None:
+        """Send a reply on its ticket's stream."""
+        inbound = self._inbound.get(reply.ticket_id)
+        if inbound is not None:
+            inbound.outbox.add(reply_frame(reply))
+
+    def request(self, ticket_id: TicketId) -> InboundRequest | None:
+        """Return the request behind a ticket, once it is whole."""
+        inbound = self._inbound.get(ticket_id)
+        return inbound.request if inbound else None
+
+    def streams(self) -> int:
+        """Return how many tickets of other daemons are here."""
+        return len(self._inbound)
+
+    async def take(self, ticket_id: TicketId, head: AnswerHead | None, chunk: bytes) -> None:
+        """Send a part of an answer; waits while the entry daemon is behind."""
+        inbound = self._inbound.get(ticket_id)
+        if inbound is None:
+            return
+        for frame in answer_frames(head, chunk):
+            await inbound.outbox.room()
+            inbound.outbox.add(frame)
+
+    def finish(self, event: UpstreamFinished) -> None:
+        """Send the end of an attempt."""
+        inbound = self._inbound.get(event.ticket_id)
+        if inbound is not None:
+            end = AttemptEnd(event.outcome, event.status, event.answer_bytes)
+            inbound.outbox.add_end(end)
+
+    async def _serve(self, stream: PeerStream, inbound: _Inbound, first: pb.EntryFrame) -> bool:
+        """Return whether the stream came to its end by the node's word."""
+        inline = first.HasField("head")
+        if inline:
+            inbound.request = await _receive_request(stream, inbound.ticket, first)
+        inbound.offered = True
+        self._feed(TicketArrived(VmId(first.vm), inbound.ticket))
+        reply_frame = await inbound.outbox.next()
+        reply = read_reply(reply_frame)
+        if not isinstance(reply, Granted):
+            await stream.send_message(reply_frame)
+            return True
+        if inline:
+            inbound.outbox.keep_reply(reply_frame)
+        else:
+            await stream.send_message(reply_frame)
+            inbound.request = await _receive_request(stream, inbound.ticket, None)
+        if inbound.request is None:
+            return False
+        self._feed(BodyArrived(inbound.ticket.ticket_id))
+        return await _send_answer(stream, inbound.outbox)
+
+
+async def _send_answer(stream: PeerStream, outbox: Outbox) -> bool:
+    while True:
+        frame = await outbox.next()
+        await stream.send_message(frame)
+        if _is_last(frame):
+            return True
+
+
+async def _receive_request(
+    stream: PeerStream, ticket: Ticket, first: pb.EntryFrame | None
+) -> InboundRequest | None:
+    """Return the request once it is whole, or None if its stream ended before."""
+    frame = first or await stream.recv_message()
+    if frame is None:
+        return None
+    head = read_request_head(frame)
+    chunks = [frame.chunk]
+    size = len(frame.chunk)
+    while not frame.last:
+        frame = await stream.recv_message()
+        if frame is None:
+            return None
+        chunks.append(frame.chunk)
+        size += len(frame.chunk)
+        if size > ticket.body_bytes:
+            raise FrameInvalidError(
+                f"the body is longer than the {ticket.body_bytes} bytes announced"
+            )
+    if size != ticket.body_bytes:
+        raise FrameInvalidError(f"the body has {size} bytes, {ticket.body_bytes} were announced")
+    return InboundRequest(ticket, head, b"".join(chunks))
+
+
+def _is_last(frame: pb.OwnerFrame) -> bool:
+    if frame.HasField("end"):
+        return True
+    return bool(frame.reply) and not isinstance(read_reply(frame), Granted)
--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_upstreams.py
@@ -0,0 +1,272 @@
+"""Requests run at upstreams: urllib3 in threads, results back on the loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager, suppress
+from typing import Protocol
+
+import msgspec
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.util import SKIP_HEADER
+
+from gooseberryport_core.effects import StartUpstream
+from gooseberryport_core.events import UpstreamFinished
+from gooseberryport_core.types import AttemptOutcome, TicketId
+from gooseberryport_daemon._attempt import Attempt, AttemptCancelledError, AttemptPool, current
+from gooseberryport_daemon._parts import AnswerHead, RequestHead, end_to_end
+from gooseberryport_daemon.settings import parse_endpoint
+
+READ_CHUNK_BYTES = 65_536
+INLINE_ANSWER_BYTES = 65_536
+"""Longest answer that goes to the loop in one step."""
+
+IDLE_POOLS = 256
+"""Most upstreams to which connections are kept."""
+
+SHED_STATUS = 503
+SHED_HEADER = "X-Not-Run"
+TIMEOUT_HEADER = "Request-Timeout"
+REQUEST_ID_HEADER = "X-Request-Id"
+
+SHORTEST_TIMEOUT_S = 0.001
+
+
+class AnswerSink(Protocol):
+    """Takes the parts of an answer, on the loop."""
+
+    async def take(self, head: AnswerHead | None, chunk: bytes) -> None:
+        """Take a part; waits while the reader is behind."""
+
+
+class UpstreamRequest(msgspec.Struct, frozen=True):
+    """A request to be run, and where its answer goes."""
+
+    head: RequestHead
+    body: bytes
+    sink: AnswerSink
+    max_answer_bytes: int
+    connections: int
+
+
+class AnswerNotWholeError(Exception):
+    """The answer broke off, is too long, or its end can't be told."""
+
+
+class _Result(msgspec.Struct, frozen=True):
+    """How a call ended; a short answer comes with it whole."""
+
+    outcome: AttemptOutcome
+    status: int = 0
+    answer_bytes: int = 0
+    head: AnswerHead | None = None
+    body: bytes = b""
+    connected: bool = True
+
+
+class Upstreams:
+    """Run requests at upstreams.
+
+    Parameters
+    ----------
+    loop
+        Loop on which `start` and `cancel` are called and results arrive.
+    executor
+        Threads that make the calls.
+    finished
+        Called on the loop with the end of each attempt, after its answer has reached its sink.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        executor: ThreadPoolExecutor,
+        finished: Callable[[UpstreamFinished], None],
+    ) -> None:
+        self._loop = loop
+        self._executor = executor
+        self._finished = finished
+        self._attempts: dict[TicketId, Attempt] = {}
+        self._pools: dict[str, AttemptPool] = {}
+
+    def start(self, effect: StartUpstream, request: UpstreamRequest) -> None:
+        """Run a request now."""
+        attempt = Attempt(timeout_s=effect.timeout_s, fresh=effect.fresh)
+        self._attempts[effect.ticket_id] = attempt
+        pool = self._pool(effect.address, request.connections)
+        self._loop.create_task(self._run(effect.ticket_id, attempt, pool, request))
+
+    def cancel(self, ticket_id: TicketId) -> None:
+        """Break an attempt off; its end is still reported."""
+        attempt = self._attempts.get(ticket_id)
+        if attempt is not None:
+            attempt.cancel()
+
+    def running(self) -> int:
+        """Return how many attempts run."""
+        return len(self._attempts)
+
+    def close(self) -> None:
+        """Break everything off and close the connections."""
+        for attempt in self._attempts.values():
+            attempt.cancel()
+        for pool in self._pools.values():
+            pool.close()
+        self._pools.clear()
+
+    async def _run(
+        self, ticket_id: TicketId, attempt: Attempt, pool: AttemptPool, request: UpstreamRequest
+    ) -> None:
+        timer = self._loop.call_later(attempt.left_s, attempt.cancel)
+        call = _Call(attempt=attempt, pool=pool, request=request, loop=self._loop)
+        result = await self._loop.run_in_executor(self._executor, call.run)
+        timer.cancel()
+        del self._attempts[ticket_id]
+        if result.head is not None:
+            await request.sink.take(result.head, result.body)
+        self._finished(
+            UpstreamFinished(
+                ticket_id=ticket_id,
+                outcome=result.outcome,
+                status=result.status,
+                answer_bytes=result.answer_bytes,
+                duration_s=attempt.duration_s,
+                connected=result.connected,
+            )
+        )
+
+    def _pool(self, address: str, connections: int) -> AttemptPool:
+        pool = self._pools.pop(address, None)
+        if pool is None:
+            endpoint = parse_endpoint(address, field="address")
+            pool = AttemptPool(
+                endpoint.ip, endpoint.port, maxsize=connections, block=False, retries=False
+            )
+        self._pools[address] = pool
+        while len(self._pools) > IDLE_POOLS:
+            oldest = next(iter(self._pools))
+            self._pools.pop(oldest).close()
+        return pool
+
+
+@contextmanager
+def open_upstreams(
+    *, threads: int, loop: asyncio.AbstractEventLoop, finished: Callable[[UpstreamFinished], None]
+) -> Iterator[Upstreams]:
+    """Open the connections to upstreams and the threads that use them."""
+    executor = ThreadPoolExecutor(threads, thread_name_prefix="upstream")
+    upstreams = Upstreams(loop=loop, executor=executor, finished=finished)
+    try:
+        yield upstreams
+    finally:
+        upstreams.close()
+        executor.shutdown(wait=False, cancel_futures=True)
+
+
+class _Call:
+    """One call in its thread."""
+
+    def __init__(
+        self,
+        *,
+        attempt: Attempt,
+        pool: AttemptPool,
+        request: UpstreamRequest,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._attempt = attempt
+        self._pool = pool
+        self._request = request
+        self._loop = loop
+
+    def run(self) -> _Result:
+        """Make the call; every failure becomes a result."""
+        attempt = self._attempt
+        current.attempt = attempt
+        try:
+            return self._exchange()
+        except (NewConnectionError, ConnectTimeoutError):
+            return _Result(AttemptOutcome.NOT_SENT, connected=False)
+        except (HTTPError, OSError, AttemptCancelledError, AnswerNotWholeError, ValueError):
+            outcome = AttemptOutcome.UNKNOWN if attempt.sent else AttemptOutcome.NOT_SENT
+            return _Result(outcome)
+        finally:
+            attempt.leave()
+
+    def _exchange(self) -> _Result:
+        attempt = self._attempt
+        request = self._request
+        timeout_s = max(attempt.left_s, SHORTEST_TIMEOUT_S)
+        resp = self._pool.urlopen(
+            request.head.method,
+            request.head.target,
+            body=request.body or None,
+            headers=_upstream_headers(request, timeout_s),
+            timeout=urllib3.Timeout(total=timeout_s),
+            retries=False,
+            redirect=False,
+            preload_content=False,
+            decode_content=False,
+        )
+        try:
+            result = self._read(resp)
+        except BaseException:
+            resp.close()
+            raise
+        attempt.leave()
+        resp.release_conn()
+        return result
+
+    def _read(self, resp: urllib3.BaseHTTPResponse) -> _Result:
+        if resp.status == SHED_STATUS and resp.headers.get(SHED_HEADER) == "1":
+            with suppress(HTTPError, OSError):
+                resp.read(INLINE_ANSWER_BYTES, decode_content=False)
+            resp.close()
+            return _Result(AttemptOutcome.SHED, resp.status)
+        if not _has_visible_end(resp, self._request.head.method):
+            raise AnswerNotWholeError
+        headers = end_to_end(tuple(resp.headers.items()))
+        head = AnswerHead(resp.status, resp.reason or "", headers)
+        chunks: list[bytes] = []
+        size = 0
+        passed_on = False
+        for chunk in resp.stream(READ_CHUNK_BYTES, decode_content=False):
+            size += len(chunk)
+            if size > self._request.max_answer_bytes or self._attempt.left_s <= 0:
+                raise AnswerNotWholeError
+            chunks.append(chunk)
+            if size > INLINE_ANSWER_BYTES:
+                self._pass_on(None if passed_on else head, chunks)
+                passed_on = True
+                chunks = []
+        if not passed_on:
+            return _Result(AttemptOutcome.ANSWERED, resp.status, size, head, b"".join(chunks))
+        return _Result(AttemptOutcome.ANSWERED, resp.status, size)
+
+    def _pass_on(self, head: AnswerHead | None, chunks: list[bytes]) -> None:
+        taken = self._request.sink.take(head, b"".join(chunks))
+        asyncio.run_coroutine_threadsafe(taken, self._loop).result()
+
+
+def _has_visible_end(resp: urllib3.BaseHTTPResponse, method: str) -> bool:
+    """Return whether a cut in the answer would show."""
+    if method == "HEAD" or resp.status in (204, 304):
+        return True
+    chunked = "chunked" in resp.headers.get("transfer-encoding", "").lower()
+    return chunked or "content-length" in resp.headers
+
+
+def _upstream_headers(request: UpstreamRequest, timeout_s: float) -> dict[str, str]:
+    headers: dict[str, str] = {"accept-encoding": SKIP_HEADER, "user-agent": SKIP_HEADER}
+    for name, value in request.head.headers:
+        headers[name.lower()] = value
+    headers.pop("content-length", None)
+    headers[TIMEOUT_HEADER.lower()] = f"{timeout_s:.3f}"
+    headers.setdefault(REQUEST_ID_HEADER.lower(), request.head.request_id)
+    if request.body or request.head.method in ("POST", "PUT", "PATCH"):
+        headers["content-length"] = str(len(request.body))
+    return headers
--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_view.py
@@ -0,0 +1,22 @@
+"""What the callers' doors know, taken from the node."""
+
+from __future__ import annotations
+
+from gooseberryport_core import Node
+from gooseberryport_core.config import Config
+from gooseberryport_core.types import ServiceName
+from gooseberryport_daemon._front import FrontView, ServiceLimits
+
+
+def front_view(node: Node, now: float) -> FrontView:
+    """Return the view of a moment."""
+    return FrontView(lookup=node.lookup_snapshot(now), services=_limits(node.cfg))
+
+
+def _limits(cfg: Config) -> dict[ServiceName, ServiceLimits] | None:
+    if cfg.version == 0:
+        return None
+    return {
+        name: ServiceLimits(service.max_body_bytes, service.max_timeout_s)
+        for name, service in cfg.services.items()
+    }
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/main.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/main.py
@@ -1,6 +1,55 @@
 """Entry point of `gooseberryportd`."""
 
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from gooseberryport_daemon.errors import DaemonError, SettingsInvalidError, SettingsUnreadableError
+from gooseberryport_daemon.settings import load_settings
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+@cappa.command(name="gooseberryportd", help="Run one entry daemon of gooseberryport.")
+@dataclass
+class Arguments:
+    """Command line of the daemon."""
+
+    settings: Annotated[Path, cappa.Arg(help="Settings file, JSON.")]
+    check: Annotated[bool, cappa.Arg(long="--check", help="Check the settings file and end.")] = (
+        False
+    )
+
 
 def main() -> int:
     """Run the daemon; returns the exit code."""
-    return 0
+    arguments = cappa.parse(Arguments, completion=False)
+    try:
+        return _run(arguments)
+    except (SettingsInvalidError, SettingsUnreadableError) as exc:
+        print(f"gooseberryportd: {exc}", file=sys.stderr)
+        return EXIT_USAGE
+    except DaemonError as exc:
+        print(f"gooseberryportd: {exc}", file=sys.stderr)
+        return EXIT_FAILED
+
+
+def _run(arguments: Arguments) -> int:
+    settings = load_settings(arguments.settings)
+    if arguments.check:
+        return EXIT_DONE
+    from gooseberryport_daemon._daemon import run_daemon
+
+    run_daemon(settings)
+    return EXIT_DONE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/gooseberryport-daemon/tests/conftest.py
@@ -0,0 +1,27 @@
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from daemon_harness import Deployment, call, make_config, open_deployment, until
+
+from gooseberryport_standins.upstream import UpstreamSpec
+
+
+@pytest.fixture
+def deployment() -> Iterator[Deployment]:
+    with open_deployment() as opened:
+        yield opened
+
+
+@pytest.fixture
+def single(deployment: Deployment) -> Deployment:
+    """One daemon with one upstream of four slots."""
+    deployment.start_upstreams(UpstreamSpec("up-1", service_time_s=0.01))
+    deployment.publish(make_config(deployment.fleet))
+    daemon = deployment.start_daemon(deployment.settings("vm-1"))
+    until(lambda: call(daemon.http, "/dressing-registry/x").status == 200)
+    return deployment
--- /dev/null
+++ b/packages/gooseberryport-daemon/tests/daemon_harness.py
@@ -0,0 +1,178 @@
+import asyncio
+import http.client
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+
+import msgspec
+
+from gooseberryport_core.config import Config, Region, Service, Upstream
+from gooseberryport_core.effects import LogEvent
+from gooseberryport_daemon._daemon import Running, open_daemon
+from gooseberryport_daemon.settings import DaemonSettings, Threads
+from gooseberryport_platform import StoreSettings, VmListSettings, open_store
+from gooseberryport_standins.store import StoreStandin, open_store_standin
+from gooseberryport_standins.upstream import Fleet, UpstreamSpec, open_fleet
+from gooseberryport_standins.vm_list import VmLine, VmListStandin, open_vm_list_standin
+
+PATIENCE_S = 15.0
+ZONES = ("bern-a", "bern-b")
+
+
+class Reply(msgspec.Struct):
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def problem(self) -> dict[str, str]:
+        assert self.headers["Content-Type"] == "application/problem+json"
+        return msgspec.json.decode(self.body)
+
+
+def call(
+    address: str,
+    path: str,
+    method: str = "GET",
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    conn = http.client.HTTPConnection(address, timeout=PATIENCE_S)
+    try:
+        conn.request(method, path, body=body, headers=headers or {})
+        resp = conn.getresponse()
+        return Reply(resp.status, dict(resp.headers.items()), resp.read())
+    finally:
+        conn.close()
+
+
+def until(condition: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < deadline, "the condition was not met in time"
+        time.sleep(0.02)
+
+
+class DaemonThread:
+    def __init__(self, settings: DaemonSettings) -> None:
+        self.settings = settings
+        self.logs: list[LogEvent] = []
+        self.running: Running | None = None
+        self.fault: BaseException | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=self._main, daemon=True)
+
+    @property
+    def http(self) -> str:
+        assert self.running is not None
+        return self.running.addresses.http
+
+    @property
+    def peer(self) -> str:
+        assert self.running is not None
+        return self.running.addresses.peer
+
+    def start(self) -> None:
+        self._thread.start()
+        assert self._ready.wait(PATIENCE_S)
+        if self.fault is not None:
+            raise self.fault
+
+    def on_loop(self, function: Callable[[], object]) -> None:
+        assert self._loop is not None
+        done = threading.Event()
+        self._loop.call_soon_threadsafe(lambda: (function(), done.set()))
+        assert done.wait(PATIENCE_S)
+
+    def ask_to_stop(self) -> None:
+        assert self._loop is not None and self.running is not None
+        self._loop.call_soon_threadsafe(self.running.stop)
+
+    def joined(self) -> bool:
+        self._thread.join(PATIENCE_S)
+        return not self._thread.is_alive()
+
+    def kill(self) -> None:
+        if self._loop is not None and self.running is not None and self._thread.is_alive():
+            self._loop.call_soon_threadsafe(self.running.driver.done.set)
+        self.joined()
+
+    def _main(self) -> None:
+        try:
+            asyncio.run(self._run())
+        except BaseException as exc:
+            self.fault = exc
+        finally:
+            self._ready.set()
+
+    async def _run(self) -> None:
+        async with open_daemon(self.settings, log=self.logs.append) as running:
+            self._loop = asyncio.get_running_loop()
+            self.running = running
+            self._ready.set()
+            await running.driver.done.wait()
+
+
+class Deployment:
+    """Stand-ins of the platform, upstreams and daemons, all in this process."""
+
+    def __init__(self, stack: ExitStack) -> None:
+        self._stack = stack
+        self.store: StoreStandin = stack.enter_context(open_store_standin())
+        self.vm_list: VmListStandin = stack.enter_context(open_vm_list_standin())
+        self.fleet = Fleet({})
+        self.daemons: list[DaemonThread] = []
+
+    def start_upstreams(self, *specs: UpstreamSpec) -> None:
+        self.fleet = self._stack.enter_context(open_fleet(specs))
+
+    def publish(self, cfg: Config) -> None:
+        with open_store(StoreSettings(self.store.door.address)) as store:
+            current = store.get("config/whole").unwrap()
+            done = store.swap("config/whole", msgspec.json.encode(cfg), current.revision)
+            assert done.unwrap().applied
+
+    def settings(self, vm: str, zone: str = ZONES[0], **changes: object) -> DaemonSettings:
+        settings = DaemonSettings(
+            vm=vm,
+            availability_zone=zone,
+            region=zone.partition("-")[0],
+            store=StoreSettings(self.store.door.address),
+            vm_list=VmListSettings(self.vm_list.door.address),
+            vm_list_period_s=0.2,
+            seed=7,
+            threads=Threads(http=12, upstream=12),
+        )
+        return msgspec.structs.replace(settings, **changes)
+
+    def start_daemon(self, settings: DaemonSettings, *, ready: bool = True) -> DaemonThread:
+        daemon = DaemonThread(settings)
+        daemon.start()
+        self._stack.callback(daemon.kill)
+        self.daemons.append(daemon)
+        self.vm_list.set_vms(
+            tuple(VmLine(d.settings.vm, d.settings.availability_zone, d.peer) for d in self.daemons)
+        )
+        if ready:
+            until(lambda: call(daemon.http, "/readyz").status == 200)
+        return daemon
+
+
+def make_config(fleet: Fleet, *, zone: str = ZONES[0], **service: object) -> Config:
+    return Config(
+        version=1,
+        regions={"bern": Region(availability_zones=ZONES)},
+        services={"dressing-registry": Service(**service)},
+        upstreams={
+            name: Upstream("dressing-registry", zone, address)
+            for name, address in fleet.addresses.items()
+        },
+    )
+
+
+@contextmanager
+def open_deployment() -> Iterator[Deployment]:
+    with ExitStack() as stack:
+        yield Deployment(stack)
