--- /dev/null
+++ b/standins/src/gooseberryport_standins/publish.py
@@ -0,0 +1,54 @@
+"""Publish a configuration's files straight into the key-value service, for tests and benches."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Mapping
+
+import msgspec
+
+from gooseberryport_core.config_files import check_files
+from gooseberryport_core.config_store import (
+    HEAD_KEY,
+    Draft,
+    decode_head,
+    encode_head,
+    plan_publication,
+)
+from gooseberryport_core.types import ConfigVersion, Revision
+from gooseberryport_platform import Store, settled_swap
+
+ABSENT = Revision(0)
+
+
+def publish_files(store: Store, files: Mapping[str, bytes | None]) -> ConfigVersion:
+    """Publish files over those that are there, and return the version; raises what fails.
+
+    Parameters
+    ----------
+    store
+        The key-value service.
+    files
+        Content of each file by name; None takes a file away.
+    """
+    current = store.get(HEAD_KEY).unwrap()
+    draft = Draft(dict(files), "standins", "", time.time(), uuid.uuid4().hex)
+    publication = plan_publication(decode_head(current.value), draft).unwrap()
+    for key, value in publication.parts.items():
+        settled_swap(store, key, value, ABSENT).unwrap()
+    if publication.past_key:
+        settled_swap(store, publication.past_key, publication.past, ABSENT).unwrap()
+    head = encode_head(publication.head)
+    settled_swap(store, HEAD_KEY, head, current.revision).unwrap()
+    _publish_whole(store, files, publication.head.version)
+    return publication.head.version
+
+
+def _publish_whole(store: Store, files: Mapping[str, bytes | None], version: ConfigVersion) -> None:
+    """Write the key that daemons read as long as they do not read the head."""
+    known = {name: content for name, content in files.items() if content is not None}
+    cfg = check_files(known, version).cfg
+    current = store.get("config/whole").unwrap()
+    if cfg is not None:
+        store.swap("config/whole", msgspec.json.encode(cfg), current.revision).unwrap()
