Add the command line for configurations, rules and status

Files are three-way merged one by one; a lost answer is settled by reading back, in the history too if others have published since. Guards, each taken out on a scratch copy, then a test fails: conflict check (test_two_operators_merge...), search of the history (test_lost_answer_that_others_overwrote...), base check (test_folder_without_a_base...), whole check before publishing and capacity left by drains (test_drains_that_leave_no_capacity...), daemons without the version (test_apply_says_where...). A first form of the history test passed without its guard; it now also asserts what is printed. Conclusion: `report burn` is still missing; status and explain need the daemon's pages.

--- /dev/null
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/_rule_commands.py
@@ -0,0 +1,169 @@
+"""Commands on one drain or shift rule, each kept in a file of its own."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+import msgspec
+
+from gooseberryport_cli._publish_options import PublishOptions, publish_draft
+from gooseberryport_cli.context import Context
+from gooseberryport_cli.errors import UsageError
+from gooseberryport_cli.publishing import Publisher
+from gooseberryport_cli.times import parse_time
+from gooseberryport_core.config import Config, Drain, Shift
+from gooseberryport_core.config_files import check_files
+from gooseberryport_core.config_store import Head
+from gooseberryport_core.types import RegionName, RuleName, ServiceName, UpstreamId, ZoneName
+
+DRAIN_FILE = "90-drain-{}.json"
+SHIFT_FILE = "80-shift-{}.json"
+
+Seconds = Annotated[float, cappa.Arg(long=True, help="Seconds over which it takes effect")]
+StartTime = Annotated[
+    str, cappa.Arg(long=True, help="When: now, +15m (s, m, h, d, w) or 2027-01-31T02:00 (UTC)")
+]
+
+
+@cappa.command(name="drain")
+@dataclass
+class DrainCommand(PublishOptions):
+    """Take an upstream, an availability zone or a region out of service."""
+
+    name: Annotated[str, cappa.Arg(value_name="NAME", help="Upstream, zone or region")]
+    at: StartTime = "now"
+    ramp: Seconds = 0.0
+    service: Annotated[str, cappa.Arg(long=True, help="Only this service")] = ""
+
+    def run(self, ctx: Context) -> None:
+        """Run the command."""
+        start = parse_time(self.at, ctx.world.wall())
+        with ctx.publisher() as publisher:
+            head = publisher.head()
+            cfg = _config(publisher, head)
+            drain = Drain(
+                upstream=UpstreamId(self.name if self.name in cfg.upstreams else ""),
+                availability_zone=ZoneName(self.name if self.name in _zones(cfg) else ""),
+                region=RegionName(self.name if self.name in cfg.regions else ""),
+                service=ServiceName(self.service),
+                start=start,
+                ramp_s=self.ramp,
+            )
+            if not (drain.upstream or drain.availability_zone or drain.region):
+                remedy = "name an upstream, an availability zone or a region of `status`"
+                raise UsageError(message=f"nothing is called {self.name!r}", remedy=remedy)
+            edits = _with_rule("drains", DRAIN_FILE, self.name, drain)
+            publish_draft(ctx, publisher, self, edits, head.version, f"drain {self.name}")
+
+
+@dataclass
+class Undrain(PublishOptions):
+    """End a drain, planned or in force."""
+
+    name: Annotated[str, cappa.Arg(value_name="NAME", help="Name of the drain")]
+
+    def run(self, ctx: Context) -> None:
+        """Run the command."""
+        _remove_rule(ctx, self, "drains", self.name, f"undrain {self.name}")
+
+
+@cappa.command(name="shift")
+@dataclass
+class ShiftCommand(PublishOptions):
+    """Move a share of a service's clients from one region to another."""
+
+    name: Annotated[str, cappa.Arg(value_name="NAME", help="Name of the rule")]
+    service: Annotated[str, cappa.Arg(long=True, help="Service that moves")]
+    source: Annotated[str, cappa.Arg(long="--from", help="Region that clients leave")]
+    destination: Annotated[str, cappa.Arg(long="--to", help="Region that serves them")]
+    fraction: Annotated[float, cappa.Arg(long=True, help="Share of clients, 0 to 1")]
+    cap: Annotated[
+        float | None, cappa.Arg(long=True, help="Most of any window's traffic; the share if absent")
+    ] = None
+    at: StartTime = "now"
+    ramp: Seconds = 60.0
+
+    def run(self, ctx: Context) -> None:
+        """Run the command."""
+        shift = Shift(
+            service=ServiceName(self.service),
+            source=RegionName(self.source),
+            destination=RegionName(self.destination),
+            fraction=self.fraction,
+            cap_fraction=self.fraction if self.cap is None else self.cap,
+            ramp_s=self.ramp,
+            start=parse_time(self.at, ctx.world.wall()),
+        )
+        with ctx.publisher() as publisher:
+            version = publisher.head().version
+            edits = _with_rule("shifts", SHIFT_FILE, self.name, shift)
+            publish_draft(ctx, publisher, self, edits, version, f"shift {self.name}")
+
+
+@dataclass
+class Unshift(PublishOptions):
+    """End a shift."""
+
+    name: Annotated[str, cappa.Arg(value_name="NAME", help="Name of the rule")]
+
+    def run(self, ctx: Context) -> None:
+        """Run the command."""
+        _remove_rule(ctx, self, "shifts", self.name, f"unshift {self.name}")
+
+
+def _config(publisher: Publisher, head: Head) -> Config:
+    cfg = check_files(publisher.files(head.files), head.version).cfg
+    if cfg is None or not head.version:
+        remedy = "publish a folder with `apply` first"
+        raise UsageError(message="no configuration is published", remedy=remedy)
+    return cfg
+
+
+def _zones(cfg: Config) -> set[ZoneName]:
+    return {zone for region in cfg.regions.values() for zone in region.availability_zones}
+
+
+def _with_rule(
+    section: str, file_form: str, name: str, rule: msgspec.Struct
+) -> dict[str, bytes | None]:
+    """Return the file that holds a rule and nothing else."""
+    if not name or "/" in name:
+        raise UsageError(message=f"{name!r} is no name", remedy="give a name without slashes")
+    fields = {
+        field: value
+        for field, value in msgspec.to_builtins(rule).items()
+        if value != "" or (field in ("service", "source", "destination") and section == "shifts")
+    }
+    return {file_form.format(name): _text_of({section: {name: fields}})}
+
+
+def _remove_rule(ctx: Context, options: PublishOptions, section: str, name: str, note: str) -> None:
+    with ctx.publisher() as publisher:
+        head = publisher.head()
+        edits = _without_rule(publisher.files(head.files), section, RuleName(name))
+        if not edits:
+            remedy = f"look at the {section} in `show --merged`"
+            raise UsageError(message=f"no rule is called {name!r}", remedy=remedy)
+        publish_draft(ctx, publisher, options, edits, head.version, note)
+
+
+def _without_rule(files: dict[str, bytes], section: str, name: RuleName) -> dict[str, bytes | None]:
+    """Return the files that name a rule, each without it; a file left empty is deleted."""
+    edits: dict[str, bytes | None] = {}
+    for file, content in files.items():
+        parsed = json.loads(content)
+        rules = parsed.get(section) or {}
+        if name not in rules:
+            continue
+        del rules[name]
+        if not rules:
+            del parsed[section]
+        edits[file] = _text_of(parsed) if parsed else None
+    return edits
+
+
+def _text_of(value: dict[str, Any]) -> bytes:
+    return json.dumps(value, indent=2, ensure_ascii=False).encode() + b"\n"
--- /dev/null
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/daemons.py
@@ -0,0 +1,63 @@
+"""What daemons tell operators over HTTP."""
+
+from __future__ import annotations
+
+from typing import Protocol, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+import urllib3
+
+from gooseberryport_cli.errors import DaemonError
+from gooseberryport_core.status import Explanation, StatusPage
+
+TIMEOUT_S = 2.0
+
+Page = TypeVar("Page")
+
+
+class Daemons(Protocol):
+    """Pages of any daemon that answers."""
+
+    def status(self) -> StatusPage:
+        """Return what a daemon knows of the system; raises `DaemonError`."""
+
+    def explain(self, service: str, client: str) -> Explanation:
+        """Return how a daemon would steer a client's request; raises `DaemonError`."""
+
+
+class HttpDaemons:
+    """Pages of the daemons at some addresses, asked one after the other.
+
+    Parameters
+    ----------
+    addresses
+        ``IP:port`` of the callers' ports.
+    """
+
+    def __init__(self, addresses: tuple[str, ...]) -> None:
+        self._addresses = addresses
+        self._http = urllib3.PoolManager(
+            timeout=urllib3.Timeout(connect=TIMEOUT_S, read=TIMEOUT_S), retries=False
+        )
+
+    def status(self) -> StatusPage:
+        """Return what a daemon knows of the system; raises `DaemonError`."""
+        return self._get("/status", StatusPage)
+
+    def explain(self, service: str, client: str) -> Explanation:
+        """Return how a daemon would steer a client's request; raises `DaemonError`."""
+        query = urlencode({"service": service, "client": client})
+        return self._get(f"/explain?{query}", Explanation)
+
+    def _get(self, path: str, page_type: type[Page]) -> Page:
+        failures: dict[str, str] = {}
+        for address in self._addresses:
+            try:
+                resp = self._http.request("GET", f"http://{address}{path}")
+                if resp.status == 200:
+                    return msgspec.json.decode(resp.data, type=page_type)
+                failures[address] = f"status {resp.status}"
+            except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as exc:
+                failures[address] = str(exc)
+        raise DaemonError(failures=failures)
--- /dev/null
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/in_force.py
@@ -0,0 +1,55 @@
+"""Wait until a version is in force in every daemon."""
+
+from __future__ import annotations
+
+from gooseberryport_cli.context import Context
+from gooseberryport_cli.daemons import Daemons
+from gooseberryport_cli.errors import DaemonError, NotInForceError
+from gooseberryport_core.types import ConfigVersion, VmState
+
+POLL_S = 0.2
+
+
+def wait_in_force(ctx: Context, version: ConfigVersion, timeout_s: float) -> None:
+    """Wait until every VM that a daemon knows has a version in force.
+
+    Parameters
+    ----------
+    timeout_s
+        Longest wait; seconds.
+
+    Raises
+    ------
+    NotInForceError
+        If some do not have it in time.
+    DaemonError
+        If no daemon answers in time.
+    """
+    daemons = ctx.daemons()
+    deadline = ctx.world.monotonic() + timeout_s
+    with ctx.progress(f"waiting until version {version} is in force everywhere"):
+        while True:
+            late = ctx.world.monotonic() >= deadline
+            missing = _missing(daemons, version, must_answer=late)
+            if missing is not None and not missing:
+                return
+            if late:
+                raise NotInForceError(version=version, missing=missing or {}, waited_s=timeout_s)
+            ctx.world.sleep(POLL_S)
+
+
+def _missing(
+    daemons: Daemons, version: ConfigVersion, *, must_answer: bool
+) -> dict[str, ConfigVersion] | None:
+    """Return the VMs without the version; None if no daemon answers, unless it must."""
+    try:
+        page = daemons.status()
+    except DaemonError:
+        if must_answer:
+            raise
+        return None
+    return {
+        vm.vm: vm.config_version
+        for vm in page.vms
+        if vm.state != VmState.GONE and vm.config_version < version
+    }
--- /dev/null
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/publishing.py
@@ -0,0 +1,205 @@
+"""Read and publish configurations in the key-value service."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+import msgspec
+from returns.result import Failure, Result
+
+from gooseberryport_cli.errors import (
+    BusyError,
+    ConfigInvalidError,
+    EditConflictError,
+    StoreDamagedError,
+    StoreError,
+    UsageError,
+)
+from gooseberryport_core.config_files import CheckedConfig, check_files
+from gooseberryport_core.config_store import (
+    HEAD_KEY,
+    Change,
+    Draft,
+    FileEntry,
+    Head,
+    Publication,
+    change_key,
+    decode_change,
+    decode_head,
+    encode_head,
+    join_file,
+    part_key,
+    plan_publication,
+)
+from gooseberryport_core.types import ConfigVersion, Revision
+from gooseberryport_platform import ServiceError, Store, SwapEnd, settled_swap
+
+MAX_ATTEMPTS = 8
+"""Attempts to publish while others publish too."""
+
+ABSENT = Revision(0)
+
+Value = TypeVar("Value")
+
+
+class Planned(msgspec.Struct, frozen=True):
+    """A publication that was checked, and not written yet."""
+
+    publication: Publication
+    checked: CheckedConfig
+    revision: Revision
+
+    @property
+    def change(self) -> Change:
+        """The change that it would make."""
+        change = self.publication.head.change
+        assert change is not None
+        return change
+
+
+class Publisher:
+    """Publish configurations; its methods raise `StoreError` and `StoreDamagedError`.
+
+    Parameters
+    ----------
+    store
+        The key-value service.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._parts: dict[str, bytes] = {}
+
+    def head(self) -> Head:
+        """Return the newest head; of version 0 if nothing was published yet."""
+        return self._read_head()[0]
+
+    def changes(self, head: Head, after: ConfigVersion) -> tuple[Change, ...]:
+        """Return the changes that made the versions above `after`, newest first."""
+        if head.change is None or head.version <= after:
+            return ()
+        older = range(head.version - 1, after, -1)
+        return (head.change, *(self._read_change(ConfigVersion(version)) for version in older))
+
+    def change(self, head: Head, version: ConfigVersion) -> Change:
+        """Return the change that made a version; raises `UsageError` if there is none."""
+        if not 0 < version <= head.version:
+            remedy = f"use 1 to {head.version}" if head.version else "apply a folder first"
+            raise UsageError(message=f"there is no version {version}", remedy=remedy)
+        if head.change is not None and version == head.version:
+            return head.change
+        return self._read_change(version)
+
+    def files(self, entries: Mapping[str, FileEntry]) -> dict[str, bytes]:
+        """Return the content of files."""
+        return {name: self.content(entry) for name, entry in entries.items()}
+
+    def content(self, entry: FileEntry) -> bytes:
+        """Return the content of one file."""
+        for digest in entry.parts:
+            if digest not in self._parts:
+                self._parts[digest] = _unwrap(self._store.get(part_key(digest))).value
+        content = join_file(entry, self._parts)
+        if content is None:
+            key = part_key(entry.parts[0])
+            raise StoreDamagedError(key=key, detail="the content is missing or damaged")
+        return content
+
+    def plan(self, draft: Draft, base: ConfigVersion) -> Planned:
+        """Return a checked publication of a draft; nothing is written.
+
+        Parameters
+        ----------
+        draft
+            What should change.
+        base
+            Version that the draft was made from.
+
+        Raises
+        ------
+        EditConflictError
+            If others changed the same files since.
+        ConfigInvalidError
+            If the merged configuration has errors.
+        """
+        head, revision = self._read_head()
+        planned = plan_publication(head, draft, self.changes(head, base))
+        if isinstance(planned, Failure):
+            raise EditConflictError(conflicts=planned.failure())
+        publication = planned.unwrap()
+        checked = check_files(self._merged(head, draft), publication.head.version)
+        if checked.cfg is None:
+            raise ConfigInvalidError(problems=checked.errors)
+        return Planned(publication, checked, revision)
+
+    def publish(self, draft: Draft, base: ConfigVersion) -> Planned:
+        """Publish a draft as the next version; raises `BusyError` besides what `plan` raises."""
+        for _ in range(MAX_ATTEMPTS):
+            planned = self.plan(draft, base)
+            if not planned.change.files or self._write(planned):
+                return planned
+        raise BusyError(attempts=MAX_ATTEMPTS)
+
+    def _write(self, planned: Planned) -> bool:
+        publication = planned.publication
+        for key, value in publication.parts.items():
+            self._create(key, value)
+        if publication.past_key:
+            self._create(publication.past_key, publication.past)
+        token = planned.change.token
+        swapped = settled_swap(
+            self._store,
+            HEAD_KEY,
+            encode_head(publication.head),
+            planned.revision,
+            shows=lambda value: _token_of(value) == token,
+        )
+        end = _unwrap(swapped).end
+        if end == SwapEnd.OVERWRITTEN:
+            return self._was_applied(planned.change)
+        return end == SwapEnd.APPLIED
+
+    def _was_applied(self, change: Change) -> bool:
+        """Return whether a change whose answer was lost is part of the history."""
+        head = self.head()
+        if head.version < change.version:
+            return False
+        return self.change(head, change.version).token == change.token
+
+    def _create(self, key: str, value: bytes) -> None:
+        _unwrap(settled_swap(self._store, key, value, ABSENT))
+
+    def _merged(self, head: Head, draft: Draft) -> dict[str, bytes]:
+        kept = {name: entry for name, entry in head.files.items() if name not in draft.files}
+        added = {name: content for name, content in draft.files.items() if content is not None}
+        return {**self.files(kept), **added}
+
+    def _read_head(self) -> tuple[Head, Revision]:
+        got = _unwrap(self._store.get(HEAD_KEY))
+        try:
+            return decode_head(got.value), got.revision
+        except msgspec.MsgspecError as exc:
+            raise StoreDamagedError(key=HEAD_KEY, detail=str(exc)) from exc
+
+    def _read_change(self, version: ConfigVersion) -> Change:
+        key = change_key(version)
+        got = _unwrap(self._store.get(key))
+        try:
+            return decode_change(got.value)
+        except msgspec.MsgspecError as exc:
+            raise StoreDamagedError(key=key, detail=str(exc)) from exc
+
+
+def _token_of(value: bytes) -> str:
+    try:
+        change = decode_head(value).change
+    except msgspec.MsgspecError:
+        return ""
+    return change.token if change else ""
+
+
+def _unwrap(result: Result[Value, ServiceError]) -> Value:
+    if isinstance(result, Failure):
+        raise StoreError(cause=result.failure())
+    return result.unwrap()
