Own pools by leases in one table for each region

Cause: ownership was a rendezvous hash over the live daemons, with no lease, no epoch and nothing that keeps two daemons from owning one pool. Ruled out: a lease for each daemon in the service (writes grow with the fleet); the rule that a holder goes on while every VM it hears is cut off too (a dead peer looks like one that is cut off, so a holder cut from the one daemon that reaches the service would go on beside its successor). Change: a table for each region under one key, changed by compare-and-swap only; renewals of all members in one write; a lease counts from the issue of its stamp on the holder's clock; a lapse is a stamp seen unchanged for the lease and a margin; after a lapse the new owner starts only when so many of the table's witnesses know of its table that no majority is left that would let the former holder go on. Tables pass down a tree. A small simulation with clocks, network and store. Test of the node: its store answers every key now, as the table has to be read and written.

--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_assignment.py
@@ -0,0 +1,141 @@
+"""Which member should own which pool of a region; pure functions over the table."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+import xxhash
+
+from gooseberryport_core._lease_table import NOBODY, Grant, Member, MemberId, Table
+from gooseberryport_core.config import Config, pools_of, region_of_zone, slots_of
+from gooseberryport_core.types import Epoch, Incarnation, PoolId, RegionName, VmId
+
+NO_MEMBER = MemberId(NOBODY, Incarnation(0))
+
+
+def rendezvous_weight(vm: VmId, name: str) -> int:
+    """Return a VM's weight for a name; the VM with the highest weight is chosen."""
+    return xxhash.xxh3_64_intdigest(f"{vm}|{name}".encode())
+
+
+def region_pools(cfg: Config, region: RegionName) -> dict[PoolId, int]:
+    """Return the pools of a region with their slots."""
+    return {
+        pool: sum(slots_of(cfg, name) for name in names)
+        for pool, names in pools_of(cfg).items()
+        if region_of_zone(cfg, pool.zone) == region
+    }
+
+
+class Plan:
+    """Work out the grants of the next table.
+
+    Parameters
+    ----------
+    table
+        The table as it stands.
+    pools
+        Pools of the region with their slots.
+    candidates
+        Members that may be given pools.
+    leaving
+        Members that shall give up theirs.
+    lapsed_ms
+        Members whose lease has lapsed, with the time since its end in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: Table,
+        pools: Mapping[PoolId, int],
+        candidates: Iterable[Member],
+        leaving: frozenset[MemberId],
+        lapsed_ms: Mapping[MemberId, int],
+    ) -> None:
+        self._pools = pools
+        self._candidates = {member.id: member for member in candidates}
+        self._leaving = leaving
+        self._lapsed_ms = lapsed_ms
+        self._grants = {grant.pool: grant for grant in table.grants}
+        self._next_epoch = table.next_epoch
+        self._slots = dict.fromkeys(self._candidates, 0)
+        for grant in table.grants:
+            self._count(grant, 1)
+
+    def apply_to(self, table: Table) -> Table:
+        """Return the table with its next grants."""
+        if self._candidates:
+            self._grant_free()
+            self._name_successors()
+            self._balance()
+        grants = tuple(self._grants[pool] for pool in sorted(self._grants))
+        return msgspec.structs.replace(table, grants=grants, next_epoch=self._next_epoch)
+
+    def _heir(self, grant: Grant) -> MemberId:
+        return grant.owner if grant.successor == NO_MEMBER else grant.successor
+
+    def _count(self, grant: Grant, sign: int) -> None:
+        heir = self._heir(grant)
+        if heir in self._slots:
+            self._slots[heir] += sign * self._pools.get(grant.pool, 0)
+
+    def _put(self, grant: Grant) -> None:
+        former = self._grants.get(grant.pool)
+        if former is not None:
+            self._count(former, -1)
+        self._grants[grant.pool] = grant
+        self._count(grant, 1)
+
+    def _grant_free(self) -> None:
+        for pool in sorted(self._pools.keys() | self._grants.keys()):
+            grant = self._grants.get(pool)
+            if grant is None:
+                self._grant(pool, released=True, lapsed_ms=0)
+            elif grant.owner == NO_MEMBER and pool in self._pools:
+                self._grant(pool, released=grant.released, lapsed_ms=0)
+            elif grant.owner in self._lapsed_ms:
+                self._grant(pool, released=False, lapsed_ms=self._lapsed_ms[grant.owner])
+
+    def _grant(self, pool: PoolId, *, released: bool, lapsed_ms: int) -> None:
+        owner = self._best(pool)
+        self._put(Grant(pool, owner, self._next_epoch, released, lapsed_ms, NO_MEMBER))
+        self._next_epoch = Epoch(self._next_epoch + 1)
+
+    def _near(self, pool: PoolId) -> list[MemberId]:
+        zone = [m.id for m in self._candidates.values() if m.zone == pool.zone]
+        return zone or list(self._candidates)
+
+    def _best(self, pool: PoolId) -> MemberId:
+        def cost(member: MemberId) -> tuple[int, int]:
+            return (self._slots[member], -rendezvous_weight(member.vm, str(pool)))
+
+        return min(self._near(pool), key=cost)
+
+    def _name_successors(self) -> None:
+        """Name a successor where the owner leaves or lives too far away."""
+        for pool in sorted(self._pools):
+            grant = self._grants[pool]
+            if grant.successor not in (NO_MEMBER, *self._candidates):
+                grant = msgspec.structs.replace(grant, successor=NO_MEMBER)
+                self._put(grant)
+            if self._must_move(self._heir(grant), pool):
+                self._put(msgspec.structs.replace(grant, successor=self._best(pool)))
+
+    def _must_move(self, heir: MemberId, pool: PoolId) -> bool:
+        if heir in self._candidates:
+            return heir not in self._near(pool)
+        return heir in self._leaving
+
+    def _balance(self) -> None:
+        """Move one pool where that makes the fullest member less full, one at a time."""
+        if any(grant.successor != NO_MEMBER for grant in self._grants.values()):
+            return
+        for pool in sorted(self._pools, key=lambda pool: (self._pools[pool], pool)):
+            grant = self._grants[pool]
+            target = min(self._near(pool), key=lambda member: (self._slots[member], member))
+            surplus = self._slots.get(grant.owner, 0) - self._slots[target]
+            if surplus > max(self._pools[pool], 1):
+                self._put(msgspec.structs.replace(grant, successor=target))
+                return
--- a/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
@@ -1,22 +1,42 @@
-"""Which daemon owns which pool (thin form: a rendezvous hash over the live daemons)."""
+"""Which daemon owns which pool, by leases in one table for each region."""
 
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
-import xxhash
-
+from gooseberryport_core._assignment import NO_MEMBER, region_pools, rendezvous_weight
+from gooseberryport_core._holdings import Holdings
+from gooseberryport_core._lease_clock import NEVER, LapseWatch, StampClock
+from gooseberryport_core._lease_table import NOBODY, MemberId, SeenTable, Table, Witness
+from gooseberryport_core._outage import OutageRule
+from gooseberryport_core._roster import Roster, Seat, heartbeats_in
+from gooseberryport_core._table_spread import TableSpread, own_id
+from gooseberryport_core._table_sync import TableSync
+from gooseberryport_core._table_writer import Knowledge, next_table, writer_of
 from gooseberryport_core._views import Holding, Owner, Peers
-from gooseberryport_core.config import Config, pools_of, region_of_zone
-from gooseberryport_core.effects import Effect
-from gooseberryport_core.events import Event, Tick
+from gooseberryport_core.config import Config
+from gooseberryport_core.effects import Effect, LogEvent, LogLevel
+from gooseberryport_core.events import Event, MessageArrived, StopRequested, Tick
+from gooseberryport_core.log_events import LogNumber
+from gooseberryport_core.messages import TableNotice, TableRequest, TableStamps
 from gooseberryport_core.settings import NodeSettings
-from gooseberryport_core.types import Epoch, PoolId, StoreReach, VmId, VmState
+from gooseberryport_core.types import Epoch, PoolId, RegionName, StoreReach, VmId, VmState
+
+__all__ = ["Ownership", "rendezvous_weight"]
+
+STAMPS_PER_HEARTBEAT = 2
+OWN_RENEWAL_FRACTION = 0.4
+"""Part of the lease that is left when a member renews for itself, as nobody did it for all."""
+
+STAMP_HEARTBEATS = 3.0
+"""Age in heartbeats up to which a peer's stamp is written; an older one may be a dead daemon's."""
 
+LONGEST_ATTEMPT_S = 30.0
+"""Time that an attempt may run at a service that is not known here; seconds."""
 
-def rendezvous_weight(vm: VmId, name: str) -> int:
-    """Return a VM's weight for a name; the VM with the highest weight is chosen."""
-    return xxhash.xxh3_64_intdigest(f"{vm}|{name}".encode())
+STOP_GRACE_S = 10.0
+"""Time after a planned stop in which a handover is tried while the service is down; seconds."""
 
 
 class Ownership:
@@ -30,77 +50,330 @@
         What membership knows.
     rng
         Source of jitter.
+    busy
+        Whether work is in flight in a pool. Without it a pool that is handed over counts as busy
+        until the longest attempt has ended.
     """
 
-    def __init__(self, *, settings: NodeSettings, peers: Peers, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        peers: Peers,
+        rng: random.Random,
+        busy: Callable[[PoolId], bool] | None = None,
+    ) -> None:
+        timing = settings.timing
         self._settings = settings
         self._peers = peers
+        self._rng = rng
+        self._own = own_id(settings)
         self._cfg = Config()
-        self._owners: dict[PoolId, Owner] = {}
+        self._pools: dict[PoolId, int] = {}
+        self._stamps = StampClock()
+        self._lapses = LapseWatch(margin_s=timing.lease_margin_s)
+        self._roster = Roster(
+            region=settings.region, own=settings.vm, timeout_s=timing.peer_timeout_s
+        )
+        self._sync = TableSync(settings=settings, rng=rng)
+        self._spread = TableSpread(settings=settings)
+        self._holdings = Holdings(own=self._own, busy=busy)
+        self._outage = OutageRule(settings=settings, peers=peers, stamps=self._stamps)
+        self._owners: dict[RegionName, dict[PoolId, Owner]] = {}
+        self._next_write = NEVER
+        self._token_prefix = f"{settings.vm}.{settings.incarnation}."
+        self._ticked_at = NEVER
+        self._first_tick = NEVER
+        self._stop_at: float | None = None
+        self._gave_up = False
 
     def configure(self, cfg: Config, now: float) -> list[Effect]:
         """Take a newer configuration."""
         self._cfg = cfg
+        self._pools = region_pools(cfg, self._settings.region)
         return []
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Handle an event."""
         if isinstance(event, Tick):
-            self._owners = {pool: self._choose(pool, now) for pool in pools_of(self._cfg)}
-        return []
+            return self._tick(now)
+        if isinstance(event, MessageArrived):
+            return self._message(event, now)
+        if isinstance(event, StopRequested) and self._stop_at is None:
+            self._stop_at = now
+            return []
+        return self._store_answer(event, now)
 
     def owner_of(self, pool: PoolId) -> Owner | None:
-        """Return the owner of a pool."""
-        return self._owners.get(pool)
+        """Return the owner of a pool by the newest table known here, or None."""
+        for owners in self._owners.values():
+            if pool in owners:
+                return owners[pool]
+        return None
 
     def holding(self, pool: PoolId, now: float) -> Holding | None:
-        """Return this daemon's valid holding of a pool."""
-        owner = self._owners.get(pool)
-        if owner is None or owner.vm != self._settings.vm:
-            return None
-        return Holding(owner.epoch, now + 1.0, 0.0)
+        """Return this daemon's valid holding of a pool, or None if it must not admit."""
+        return self._holdings.holding(pool, self._valid_until(), self._max_attempt_s(pool), now)
 
     def holdings(self, now: float) -> dict[PoolId, Holding]:
         """Return all valid holdings of this daemon."""
-        found = {pool: self.holding(pool, now) for pool in self._owners}
+        found = {pool: self.holding(pool, now) for pool in self._holdings.pools}
         return {pool: holding for pool, holding in found.items() if holding}
 
     @property
     def store_reach(self) -> StoreReach:
         """Whether the key-value service answers."""
-        return StoreReach.UNTRIED
+        return self._sync.reach
 
     @property
     def store_witness(self) -> bool:
-        """Whether any member heard says that it reaches the service."""
-        return False
+        """Whether any daemon of the region heard of late says that it reaches the service."""
+        return self._roster.any_reaches_store
 
     @property
     def lease_stamp(self) -> int:
         """Number of the newest renewal asked for."""
-        return 0
+        return self._stamps.newest
 
     @property
     def table_revision(self) -> int:
         """Newest revision of the region's table seen."""
-        return 0
+        return self._sync.seen.revision if self._sync.seen else 0
+
+    @property
+    def table_shape(self) -> int:
+        """Shape of the region's newest table seen."""
+        return self._sync.seen.table.shape if self._sync.seen else 0
 
     @property
     def released(self) -> bool:
-        """Whether, after `StopRequested`, every pool is handed over."""
-        return True
+        """Whether, after `StopRequested`, every pool is handed over or that was given up."""
+        return len(self._holdings) == 0 or self._gave_up
+
+    def _tick(self, now: float) -> list[Effect]:
+        self._notice_pause(now)
+        step_s = self._settings.timing.heartbeat_s / STAMPS_PER_HEARTBEAT
+        if now >= self._stamps.issued_at(self._stamps.newest) + step_s:
+            self._stamps.issue(now)
+        self._stop_pools(now)
+        effects = self._outage.tick(
+            self._sync.seen,
+            cut_off=len(self._holdings) > 0 and self._sync.silent(now),
+            unfenced=self._unfenced,
+            now=now,
+        )
+        self._activate()
+        effects.extend(self._write(now))
+        effects.extend(self._sync.tick(now))
+        return effects
+
+    def _notice_pause(self, now: float) -> None:
+        """Forget what stood still while this process did."""
+        if now > self._ticked_at + self._settings.timing.peer_timeout_s:
+            self._lapses.restart()
+        self._ticked_at = now
+        if self._first_tick == NEVER:
+            self._first_tick = now
+
+    def _store_answer(self, event: Event, now: float) -> list[Effect]:
+        reach = self._sync.reach
+        former = self._sync.seen
+        newer = self._sync.handle(event, now)
+        effects = self._log_reach(reach)
+        if newer:
+            effects.extend(self._took(former, now, writer=self._writer_of_newest()))
+        return effects
+
+    def _writer_of_newest(self) -> VmId:
+        """Return this daemon if the newest table is its own write, else nobody."""
+        seen = self._sync.seen
+        mine = seen is not None and seen.table.token.startswith(self._token_prefix)
+        return self._own.vm if mine else NOBODY
+
+    def _message(self, event: MessageArrived, now: float) -> list[Effect]:
+        message = event.message
+        effects: list[Effect] = []
+        beats = heartbeats_in(event)
+        self._roster.take(beats, now)
+        for beat in beats:
+            effects.extend(self._spread.ask(beat, now))
+        if isinstance(message, TableStamps):
+            effects.extend(self._take_stamps(message, event.address, now))
+        elif isinstance(message, TableNotice):
+            seen = self._spread.take_piece(message)
+            effects.extend(self._take_passed(seen, message.writer, now))
+        elif isinstance(message, TableRequest):
+            effects.extend(self._spread.answer(message, event.address))
+        else:
+            effects.extend(self._outage.message(event, now))
+            self._activate()
+        return effects
+
+    def _take_stamps(self, message: TableStamps, address: str, now: float) -> list[Effect]:
+        seen = self._spread.take_stamps(message)
+        if seen is None:
+            return self._spread.request(message.region, address, now)
+        return self._take_passed(seen, message.writer, now)
+
+    def _take_passed(self, seen: SeenTable | None, writer: VmId, now: float) -> list[Effect]:
+        """Take a table that a peer passed on, of this region or another."""
+        if seen is None:
+            return []
+        if seen.table.region != self._settings.region:
+            self._keep_foreign(seen)
+            return []
+        former = self._sync.seen
+        return self._took(former, now, writer=writer) if self._sync.take(seen, now) else []
+
+    def _keep_foreign(self, seen: SeenTable) -> None:
+        if self._spread.keep(seen):
+            self._index(seen.table)
+
+    def _took(self, former: SeenTable | None, now: float, *, writer: VmId) -> list[Effect]:
+        """Act on a newer table of the own region, and pass it on if its writer is known."""
+        seen = self._sync.seen
+        assert seen is not None
+        self._spread.keep(seen)
+        self._lapses.observe(seen.table, now)
+        self._outage.saw(seen)
+        before = self._holdings.epochs
+        self._holdings.take(seen, now)
+        effects = self._log_changes(before)
+        if former is None or former.table.shape != seen.table.shape:
+            self._index(seen.table)
+        if writer:
+            effects.extend(self._spread.announce(seen, former, writer))
+        if self._unfenced:
+            effects.extend(self._outage.announce(seen, now))
+        self._activate()
+        return effects
 
-    def _choose(self, pool: PoolId, now: float) -> Owner:
+    def _index(self, table: Table) -> None:
+        self._owners[table.region] = {
+            grant.pool: Owner(grant.owner.vm, grant.epoch)
+            for grant in table.grants
+            if grant.owner != NO_MEMBER
+        }
+
+    @property
+    def _unfenced(self) -> bool:
+        """Whether this daemon waits for promises of witnesses."""
+        seen = self._sync.seen
+        changing = seen is not None and bool(seen.table.former_witnesses)
+        return self._holdings.unfenced or changing
+
+    def _activate(self) -> None:
+        seen = self._sync.seen
+        if seen is not None and self._holdings.unfenced:
+            self._holdings.activate(lambda revision: self._outage.clear_at(seen, revision))
+
+    def _valid_until(self) -> float:
+        return self._outage.valid_until(self._sync.seen) if self._sync.seen else NEVER
+
+    def _max_attempt_s(self, pool: PoolId) -> float:
+        service = self._cfg.services.get(pool.service)
+        return service.max_attempt_s if service else LONGEST_ATTEMPT_S
+
+    def _stop_pools(self, now: float) -> None:
+        """End admission of what is to be handed over."""
+        deserted = False
+        if self._stop_at is not None:
+            deserted = now >= self._stop_at + self._cfg.limits.lookup_max_age_s
+            self._gave_up = now >= self._stop_at + STOP_GRACE_S
+        self._holdings.stop(lambda pool: deserted or self._dropped(pool))
+
+    def _dropped(self, pool: PoolId) -> bool:
+        return bool(self._pools) and pool not in self._pools
+
+    def _write(self, now: float) -> list[Effect]:
+        seen = self._sync.seen
+        if seen is None or not self._sync.can_write:
+            return []
+        releases = self._holdings.releases(self._max_attempt_s, now)
+        known = self._knowledge(now)
+        if not releases and not self._due(seen, known, now):
+            return []
+        following = next_table(
+            seen.table,
+            known,
+            lapses=self._lapses,
+            releases=releases,
+            witnesses_settled=self._outage.witnesses_settled(now),
+            now=now,
+        )
+        self._next_write = now + self._settings.timing.renew_s
+        if following == seen.table:
+            return []
+        self._holdings.release_sent(releases, seen.revision)
+        return self._sync.swap(following, now)
+
+    def _due(self, seen: SeenTable, known: Knowledge, now: float) -> bool:
+        """Whether this daemon should write now: for all, or for itself if nobody else does."""
+        if now < self._next_write:
+            return False
+        if writer_of(self._settings.region, known.seats) == self._own.vm:
+            return True
+        member = seen.table.member(self._own)
+        if member is None:
+            return self._stop_at is None and now >= self._first_tick + known.lease_s
+        left_s = self._outage.lease_until(seen) - now
+        return left_s < member.lease_s * OWN_RENEWAL_FRACTION
+
+    def _knowledge(self, now: float) -> Knowledge:
         me = self._settings
-        near = {me.vm: (me.zone, me.region)}
-        for peer in self._peers.live(now):
-            if peer.state == VmState.LIVE:
-                near[peer.vm] = (peer.zone, peer.region)
-        region = region_of_zone(self._cfg, pool.zone)
-
-        def rank(vm: VmId) -> tuple[bool, bool, int]:
-            zone, vm_region = near[vm]
-            same_zone = zone == pool.zone
-            return (vm_region == region, same_zone, rendezvous_weight(vm, str(pool)))
-
-        return Owner(max(near, key=rank), Epoch(1))
+        own = Seat(
+            id=self._own,
+            zone=me.zone,
+            address=me.address,
+            state=VmState.LIVE if self._stop_at is None else VmState.LEAVING,
+            store=self._sync.reach,
+            stamp=self._stamps.newest,
+            table_revision=self.table_revision,
+            heard_at=now,
+        )
+        fresh_s = self._settings.timing.heartbeat_s * STAMP_HEARTBEATS
+        stamps = self._roster.stamps(since=now - fresh_s)
+        stamps[self._own] = self._stamps.newest
+        return Knowledge(
+            own=own,
+            heard=tuple(self._roster.heard(now)),
+            stamps=stamps,
+            outsiders=self._outsiders(now),
+            pools=self._pools,
+            lease_s=self._cfg.limits.lease_s,
+        )
+
+    def _outsiders(self, now: float) -> tuple[Witness, ...]:
+        live = sorted(self._peers.live(now), key=lambda peer: peer.vm)
+        return tuple(
+            Witness(MemberId(peer.vm, peer.incarnation), peer.address)
+            for peer in live
+            if peer.region != self._settings.region and peer.state == VmState.LIVE
+        )
+
+    def _log_reach(self, before: StoreReach) -> list[Effect]:
+        reach = self._sync.reach
+        if reach == before:
+            return []
+        if reach == StoreReach.UNREACHABLE:
+            self._lapses.restart()
+            text = "the key-value service can't be reached"
+            return [LogEvent(LogNumber.STORE_LOST, LogLevel.WARNING, text)]
+        return [LogEvent(LogNumber.STORE_BACK, LogLevel.INFO, "the key-value service answers")]
+
+    def _log_changes(self, before: dict[PoolId, Epoch]) -> list[Effect]:
+        after = self._holdings.epochs
+        lost = [pool for pool in before if pool not in after]
+        taken = [pool for pool in after if before.get(pool) != after[pool]]
+        effects: list[Effect] = []
+        for pool in lost:
+            fields = {"pool": str(pool), "epoch": str(before[pool])}
+            effects.append(_log(LogNumber.POOL_GIVEN_UP, "a pool has another owner now", fields))
+        for pool in taken:
+            fields = {"pool": str(pool), "epoch": str(after[pool])}
+            effects.append(_log(LogNumber.POOL_TAKEN, "this daemon owns a pool now", fields))
+        return effects
+
+
+def _log(number: LogNumber, text: str, fields: dict[str, str]) -> LogEvent:
+    return LogEvent(number, LogLevel.INFO, text, fields)
--- a/packages/gooseberryport-core/src/gooseberryport_core/messages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/messages.py
@@ -178,6 +178,8 @@
         Number of the newest lease renewal that the sender asks for.
     table_revision
         Newest revision of the region's ownership table that the sender has seen.
+    table_shape
+        Number of that table's shape, which stays the same while only stamps change.
     config_version
         Newest configuration that the sender holds.
     pools
@@ -204,14 +206,105 @@
     address: str
     http_address: str
     key_prefix: str = ""
+    table_shape: int = 0
 
 
 class TableNotice(_Message, frozen=True):
-    """Pass on a region's ownership table as the key-value service holds it."""
+    """Pass on a piece of a region's ownership table as the key-value service holds it.
+
+    Parameters
+    ----------
+    table
+        The piece that starts at `offset`.
+    total
+        Length of the whole table in bytes.
+    writer
+        VM that wrote it, from which it is spread; empty in an answer to a `TableRequest`.
+    """
 
     region: RegionName
     revision: int
     table: bytes
+    offset: int = 0
+    total: int = 0
+    writer: VmId = VmId("")
+
+
+class TableStamps(_Message, frozen=True):
+    """Pass on a newer revision of a table of which nothing changed but the lease stamps.
+
+    Parameters
+    ----------
+    shape
+        Number of the table's shape; the receiver must hold a table of this shape.
+    writer
+        VM that wrote it, from which it is spread.
+    stamps
+        Stamp of each member, in the table's order.
+    """
+
+    region: RegionName
+    revision: int
+    shape: int
+    writer: VmId
+    stamps: tuple[int, ...]
+
+
+class LeaseAsk(_Message, frozen=True):
+    """Ask a witness whether a holder may go on past its lease.
+
+    Parameters
+    ----------
+    vm, incarnation
+        The holder.
+    stamp
+        Its newest lease stamp, which the answer repeats.
+    revision
+        Newest table that it knows.
+    valid_s
+        Time for which it will count a yes, from the issue of the stamp; seconds.
+    """
+
+    region: RegionName
+    vm: VmId
+    incarnation: Incarnation
+    stamp: int
+    revision: int
+    valid_s: float
+
+
+class LeaseYes(_Message, frozen=True):
+    """Tell a holder that this witness knows of no newer table than the holder's."""
+
+    region: RegionName
+    vm: VmId
+    incarnation: Incarnation
+    stamp: int
+
+
+class FenceAsk(_Message, frozen=True):
+    """Tell a witness of a table, so that no holder goes on under an older one."""
+
+    region: RegionName
+    revision: int
+
+
+class FenceAck(_Message, frozen=True):
+    """Promise to let no holder go on under a table older than `revision`.
+
+    Parameters
+    ----------
+    vm, incarnation
+        The witness.
+    yes_left_s
+        Time for which the last yes that it gave may still be counted; seconds.
+    """
+
+    region: RegionName
+    vm: VmId
+    incarnation: Incarnation
+    revision: int
+    yes_left_s: float
 
 
 class TableRequest(_Message, frozen=True):
@@ -308,6 +401,11 @@
     | Heartbeat
     | TableNotice
     | TableRequest
+    | TableStamps
+    | LeaseAsk
+    | LeaseYes
+    | FenceAsk
+    | FenceAck
     | ConfigRequest
     | ConfigPiece
     | ZoneSummary
--- a/packages/gooseberryport-core/tests/test_node.py
+++ b/packages/gooseberryport-core/tests/test_node.py
@@ -4,15 +4,16 @@
 
 from gooseberryport_core import Config, Node, NodeSettings
 from gooseberryport_core.config import Region, Service, Upstream
-from gooseberryport_core.effects import FinishRequest, StartUpstream, StoreGet
+from gooseberryport_core.effects import Effect, FinishRequest, StartUpstream, StoreGet, StoreSwap
 from gooseberryport_core.events import (
     RequestArrived,
     StoreGot,
-    StoreValue,
+    StoreWritten,
     Tick,
     UpstreamFinished,
 )
 from gooseberryport_core.types import AttemptOutcome, Outcome, RefusalReason
+from gooseberryport_standins.simulation import SimStore
 
 CFG = Config(
     version=1,
@@ -34,14 +35,24 @@
         http_address="127.0.0.1:2",
     )
     node = Node(settings=settings, rng=random.Random(7))
-    for effect in node.handle(Tick(wall=0.0), 0.0):
-        if isinstance(effect, StoreGet) and effect.key == "config/whole":
-            value = StoreValue(effect.key, msgspec.json.encode(CFG), 1)
-            node.handle(StoreGot(effect.call_id, (value,)), 0.0)
-    node.handle(Tick(wall=0.1), 0.1)
+    store = SimStore()
+    store.swap("config/whole", msgspec.json.encode(CFG), 0)
+    for step in range(4):
+        drive(node, store, node.handle(Tick(wall=0.0), step * 0.05), step * 0.05)
     return node
 
 
+def drive(node: Node, store: SimStore, effects: list[Effect], now: float) -> None:
+    for effect in effects:
+        if isinstance(effect, StoreGet):
+            got = StoreGot(effect.call_id, (store.read(effect.key),))
+            drive(node, store, node.handle(got, now), now)
+        if isinstance(effect, StoreSwap):
+            applied = store.swap(effect.key, effect.value, effect.expected)
+            written = StoreWritten(effect.call_id, applied, store.read(effect.key))
+            drive(node, store, node.handle(written, now), now)
+
+
 def test_request_runs_at_an_upstream_and_its_answer_is_delivered() -> None:
     node = make_node()
     arrived = RequestArrived("r1", "dressing-registry", "10.0.0.1", "GET")
--- /dev/null
+++ b/standins/src/gooseberryport_standins/soak.py
@@ -0,0 +1,200 @@
+"""Long randomised runs of ownership, membership and configuration under every failure.
+
+``python -m gooseberryport_standins.soak --seed 7 --steps 200`` breaks a simulated fleet at random
+and fails with a traceback as soon as an invariant does not hold. It prints what it checked.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import msgspec
+
+from gooseberryport_core.config import Config, pools_of
+from gooseberryport_standins.simulation import (
+    APPLIED,
+    LATE,
+    LOST,
+    STORE,
+    Simulation,
+    owners,
+    publish_whole,
+)
+
+PLACES = {
+    "vm-1": ("bern-a", "mittelland"),
+    "vm-2": ("olten-b", "mittelland"),
+    "vm-3": ("bern-a", "mittelland"),
+    "vm-4": ("lausanne-a", "romandie"),
+    "vm-5": ("geneve-b", "romandie"),
+    "vm-6": ("lugano-a", "ticino"),
+}
+ZONES = {
+    "mittelland": ("bern-a", "olten-b"),
+    "romandie": ("lausanne-a", "geneve-b"),
+    "ticino": ("lugano-a",),
+}
+RECOVERY_S = 30.0
+STEPS = 200
+
+
+def example_config(version: int = 1) -> Config:
+    """Return a small configuration with two services in every zone."""
+    zones = [zone for names in ZONES.values() for zone in names]
+    services = ("dressing-registry", "truing-archive-svc")
+    plain = {
+        "version": version,
+        "regions": {name: {"availability_zones": names} for name, names in ZONES.items()},
+        "services": {name: {} for name in services},
+        "upstreams": {
+            f"{service}-{zone}-{number}": {
+                "service": service,
+                "availability_zone": zone,
+                "address": "127.0.0.1:9",
+            }
+            for service in services
+            for zone in zones
+            for number in range(2)
+        },
+    }
+    return msgspec.convert(plain, Config)
+
+
+class Faults:
+    """Break a simulation at random and mend it again.
+
+    Parameters
+    ----------
+    sim
+        The simulation.
+    rng
+        Source of the choices.
+    """
+
+    def __init__(self, sim: Simulation, rng: random.Random) -> None:
+        self.sim = sim
+        self.rng = rng
+        self.counts: Counter[str] = Counter()
+        self._kinds: tuple[Callable[[], None], ...] = (
+            self.kill,
+            self.restart,
+            self.pause,
+            self.cut,
+            self.cut_store,
+            self.heal,
+            self.store_down,
+            self.store_up,
+            self.stop,
+            self.lossy_writes,
+            self.sound_writes,
+        )
+
+    def step(self) -> None:
+        """Do one random thing and let some time pass."""
+        kind = self.rng.choice(self._kinds)
+        self.counts[kind.__name__] += 1
+        kind()
+        self.sim.run(self.rng.choice((0.05, 0.3, 1.0, 2.5, 6.0)) * self.rng.random())
+
+    def recover(self) -> None:
+        """Mend everything."""
+        self.heal()
+        self.store_up()
+        self.sound_writes()
+        for vm in self.sim.places:
+            if vm not in self.sim.daemons:
+                self.sim.start(vm)
+
+    def kill(self) -> None:
+        """End a daemon at once."""
+        if len(self.sim.daemons) > 2:
+            self.sim.kill(self._any_vm())
+
+    def restart(self) -> None:
+        """Start a daemon that is missing, or a new incarnation in place of one."""
+        vm = self.rng.choice(sorted(self.sim.places))
+        self.sim.kill(vm)
+        self.sim.start(vm)
+
+    def pause(self) -> None:
+        """Stop a process for a while."""
+        self.sim.pause(self._any_vm(), self.rng.uniform(0.1, 8.0))
+
+    def cut(self) -> None:
+        """Cut two VMs from each other."""
+        one, other = self.rng.sample(sorted(self.sim.places), 2)
+        self.sim.cut(one, other)
+
+    def cut_store(self) -> None:
+        """Cut a VM from the store."""
+        self.sim.cut(self._any_vm(), STORE)
+
+    def heal(self) -> None:
+        """Mend every cut."""
+        self.sim.cuts.clear()
+
+    def store_down(self) -> None:
+        """Let the store fail."""
+        self.sim.store.up = False
+
+    def store_up(self) -> None:
+        """Let the store serve."""
+        self.sim.store.up = True
+
+    def stop(self) -> None:
+        """Ask a daemon for a planned stop and end it some time later."""
+        vm = self._any_vm()
+        daemon = self.sim.daemons[vm]
+        self.sim.stop(vm)
+        self.sim.at(self.rng.uniform(1.0, 20.0), lambda: self._end(vm, daemon))
+
+    def lossy_writes(self) -> None:
+        """Lose answers to writes: some have taken effect, some will, some never do."""
+        fates = (APPLIED, "unanswered", LATE, LOST)
+        self.sim.swap_fate = lambda: self.rng.choice(fates)
+
+    def sound_writes(self) -> None:
+        """Answer every write."""
+        self.sim.swap_fate = lambda: APPLIED
+
+    def _any_vm(self) -> str:
+        return self.rng.choice(sorted(self.sim.daemons))
+
+    def _end(self, vm: str, daemon: object) -> None:
+        if self.sim.daemons.get(vm) is daemon:
+            self.sim.kill(vm)
+            self.sim.start(vm)
+
+
+def run_soak(seed: int, steps: int) -> Simulation:
+    """Break a fleet at random, then check that it recovers; raises AssertionError."""
+    cfg = example_config()
+    sim = Simulation(seed=seed, places=PLACES, publish=publish_whole(cfg))
+    faults = Faults(sim, random.Random(seed))
+    for _ in range(steps):
+        faults.step()
+    faults.recover()
+    pools = sorted(pools_of(cfg))
+    sim.run_until(lambda: all(len(vms) == 1 for vms in owners(sim, pools).values()), RECOVERY_S)
+    faults_seen = ", ".join(f"{name} {count}" for name, count in sorted(faults.counts.items()))
+    print(
+        f"seed {seed}: {steps} steps, {sim.now:.0f} s simulated, {sim.checked} checks, "
+        f"{len(sim.epochs)} pools, highest epoch {max(sim.epochs.values())}; {faults_seen}"
+    )
+    return sim
+
+
+def main() -> None:
+    """Run the soak that the command line asks for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--steps", type=int, default=STEPS)
+    args = parser.parse_args()
+    run_soak(args.seed, args.steps)
+
+
+if __name__ == "__main__":
+    main()
