--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -89,6 +89,7 @@
     pools: list[PoolId] = msgspec.field(default_factory=list)
     ticket_id: TicketId = TicketId("")
     owner: VmId = VmId("")
+    owner_heard: bool = False
     upstream: UpstreamId = UpstreamId("")
     avoid: tuple[UpstreamId, ...] = ()
     body_sent: bool = False
@@ -189,6 +190,8 @@
 
     def _arrive(self, event: RequestArrived, now: float) -> list[Effect]:
         service = self._cfg.services.get(event.service)
+        if self._cfg.version == 0:
+            return [_not_run(event.request_id, RefusalReason.NOT_READY)]
         if service is None:
             return [_not_run(event.request_id, RefusalReason.UNKNOWN_SERVICE)]
         if event.body_bytes > service.max_body_bytes:
@@ -227,7 +230,7 @@
     def _offer_next(self, req: _Request, now: float) -> list[Effect]:
         effects: list[Effect] = []
         while req.pools and req.offers < MAX_OFFERS:
-            pool = req.pools.pop(0)
+            pool = self._take_pool(req, now)
             owner = self._owners.owner_of(pool)
             if owner is None:
                 continue
@@ -238,6 +241,21 @@
             req.reason = RefusalReason.SHIFT_CAP
         return effects + self._finish(req, self._refusal_outcome(req), req.reason, now)
 
+    def _take_pool(self, req: _Request, now: float) -> PoolId:
+        """Take the best pool whose owner is heard; the best of all if none is."""
+        for pool in req.pools:
+            owner = self._owners.owner_of(pool)
+            if owner is not None and self._is_heard(owner.vm, now):
+                req.pools.remove(pool)
+                return pool
+        return req.pools.pop(0)
+
+    def _is_heard(self, vm: VmId, now: float) -> bool:
+        if vm == self._settings.vm:
+            return True
+        peer = self._peers.peer(vm)
+        return peer is not None and now - peer.heard_at <= self._settings.timing.peer_timeout_s
+
     def _may_leave(self, req: _Request, pool: PoolId, now: float) -> tuple[bool, list[Effect]]:
         """Return whether a request may go to a pool, counting it if that is a failover."""
         placement = req.placement
@@ -256,6 +274,7 @@
         ticket_id = TicketId(f"{me.vm}.{me.incarnation}.{self._serial}")
         req.ticket_id = ticket_id
         req.owner = owner.vm
+        req.owner_heard = self._is_heard(owner.vm, now)
         req.upstream = UpstreamId("")
         self._tickets[ticket_id] = req.event.request_id
         ticket = Ticket(
@@ -333,6 +352,7 @@
     def _forget_attempt(self, req: _Request, *, ran: bool) -> None:
         self._tickets.pop(req.ticket_id, None)
         req.owner = VmId("")
+        req.owner_heard = False
         if req.upstream:
             req.avoid = (*req.avoid, req.upstream)
         req.body_sent = False
@@ -357,15 +377,17 @@
         return effects
 
     def _leave_silent_owners(self, now: float) -> list[Effect]:
-        """Take requests back from owners whose heartbeats have stopped.
+        """Take requests back from owners whose heartbeats have stopped since the offer.
 
         One that was sent and may not be repeated stays: its answer may yet come.
         """
-        live = {peer.vm for peer in self._peers.live(now)}
-        live.update((self._settings.vm, VmId("")))
+        silent = {req.owner for req in self._requests.values() if req.owner_heard}
+        silent = {vm for vm in silent if not self._is_heard(vm, now)}
+        if not silent:
+            return []
         effects: list[Effect] = []
-        for req in [req for req in self._requests.values() if req.owner not in live]:
-            if req.body_sent and not req.repeatable:
+        for req in [req for req in self._requests.values() if req.owner in silent]:
+            if not req.owner_heard or (req.body_sent and not req.repeatable):
                 continue
             effects.append(CancelTicket(req.ticket_id))
             if req.body_sent:
--- a/packages/gooseberryport-core/src/gooseberryport_core/testing.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/testing.py
@@ -28,8 +28,8 @@
     )
 
 
-def make_peer(settings: NodeSettings, *, heard_at: float = 0.0) -> Peer:
-    """Return the daemon with these settings as a peer sees it."""
+def make_peer(settings: NodeSettings, *, heard_at: float = float("inf")) -> Peer:
+    """Return the daemon with these settings as a peer sees it; heard all the time by default."""
     return Peer(
         settings.vm,
         settings.incarnation,
--- a/packages/gooseberryport-core/src/gooseberryport_core/types.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/types.py
@@ -79,6 +79,7 @@
 class RefusalReason(Enum):
     """Why a request, or one attempt of it, was refused before it ran."""
 
+    NOT_READY = "not-ready"
     UNKNOWN_SERVICE = "unknown-service"
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
