Count slots exactly and queue by deadline at the owner

Cause: the thin admission scanned every ticket at each event, forgot cancelled work that an upstream may still run, and knew no lease, epoch, early refusal or region cap. Ruled out: a heap with lazy deletion for the queue (it can neither rank a newcomer nor give up the last retry); a region cap agreed between owners (shares by the pools' slots add up alone). Change: Slots, DeadlineQueue, ServiceTime, region shares and the lease check before each start. A slot whose attempt broke off stays taken until the upstream's deadline has passed, or until an answer to a later request proves that the path carried the cancellation. Conclusion: each guard taken out makes a test fail (lease, epoch at start, former work, lingering slots, lowered slots, early refusal); the cap's two guards stand in for one another.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
@@ -1,13 +1,19 @@
-"""Who may use a slot (thin form: first free slot, else wait in deadline order)."""
+"""Who may use a slot: the owner's side of a request."""
 
 from __future__ import annotations
 
 import random
+from enum import Enum
 
 import msgspec
 
-from gooseberryport_core._views import Owners, Peers
-from gooseberryport_core.config import Config, pools_of, slots_of
+from gooseberryport_core._invariants import Invariant, check
+from gooseberryport_core._pool import Pool
+from gooseberryport_core._region_caps import region_shares
+from gooseberryport_core._tickets import Entry, TicketState
+from gooseberryport_core._timers import Timers
+from gooseberryport_core._views import Holding, Owners, Peers
+from gooseberryport_core.config import Config, pools_of
 from gooseberryport_core.effects import CancelUpstream, Effect, SendTicketReply, StartUpstream
 from gooseberryport_core.events import (
     BodyArrived,
@@ -17,20 +23,44 @@
     TicketCancelled,
     UpstreamFinished,
 )
-from gooseberryport_core.messages import Granted, PoolLoad, Refused, Ticket
+from gooseberryport_core.messages import Granted, PoolLoad, Refused
 from gooseberryport_core.settings import NodeSettings
-from gooseberryport_core.types import PoolId, RefusalReason, RequestId, TicketId, UpstreamId, VmId
+from gooseberryport_core.types import (
+    AttemptOutcome,
+    PoolId,
+    RefusalReason,
+    RequestId,
+    TicketId,
+    UpstreamId,
+)
+
+GRANT_TIMEOUT_S = 0.5
+"""Time that a granted slot waits for the body; seconds."""
+
+LINGER_GRACE_S = 0.05
+"""Time after its deadline until an upstream has surely given a request up; seconds."""
+
+RETRY_AFTER_FLOOR_S = 0.05
+"""Shortest time after which asking again makes sense; seconds."""
+
+_HARMLESS = (AttemptOutcome.ANSWERED, AttemptOutcome.SHED, AttemptOutcome.NOT_SENT)
+"""Ends after which the upstream provably does not run the request."""
 
 
-class _Entry(msgspec.Struct):
-    """One ticket at this owner."""
+class _TimerKind(Enum):
+    """What a timer is for."""
 
-    ticket: Ticket
-    origin: VmId
-    arrived_at: float
-    deadline: float
-    upstream: UpstreamId = UpstreamId("")
-    running: bool = False
+    GRANT = "grant"
+    SLOT = "slot"
+
+
+class _Timer(msgspec.Struct, frozen=True):
+    """Something to do later for a ticket, or for an upstream of a pool."""
+
+    kind: _TimerKind
+    ticket_id: TicketId
+    pool_id: PoolId
+    upstream: UpstreamId
 
 
 class Admission:
@@ -56,103 +86,247 @@
         self._peers = peers
         self._rng = rng
         self._cfg = Config()
-        self._pools: dict[PoolId, tuple[UpstreamId, ...]] = {}
-        self._entries: dict[TicketId, _Entry] = {}
+        self._pools: dict[PoolId, Pool] = {}
+        self._entries: dict[TicketId, Entry] = {}
+        self._timers: Timers[_Timer] = Timers()
 
     def configure(self, cfg: Config, now: float) -> list[Effect]:
-        """Take a newer configuration."""
+        """Take a newer configuration; what runs goes on, also where slots were lowered."""
         self._cfg = cfg
-        self._pools = pools_of(cfg)
-        return []
+        members = pools_of(cfg)
+        shares = region_shares(cfg)
+        for pool_id in members:
+            self._pools.setdefault(pool_id, Pool(pool_id=pool_id))
+        effects: list[Effect] = []
+        for pool_id, pool in self._pools.items():
+            pool.configure(cfg, members.get(pool_id, ()), shares.get(pool_id, 0))
+            effects.extend(self._serve(pool, now))
+        return effects
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Handle an event."""
+        effects = self._run_timers(now)
         if isinstance(event, TicketArrived):
-            return self._offer(event, now)
-        if isinstance(event, BodyArrived):
-            return self._start(event.ticket_id, now)
-        if isinstance(event, TicketCancelled):
-            return self._cancel(event.ticket_id, now)
-        if isinstance(event, UpstreamFinished):
-            self._entries.pop(event.ticket_id, None)
-            return self._grant_waiting(now)
-        if isinstance(event, Tick):
-            return self._expire(now) + self._grant_waiting(now)
-        return []
+            effects.extend(self._offer(event, now))
+        elif isinstance(event, BodyArrived):
+            effects.extend(self._start(event.ticket_id, now))
+        elif isinstance(event, TicketCancelled):
+            effects.extend(self._cancel(event.ticket_id, now))
+        elif isinstance(event, UpstreamFinished):
+            effects.extend(self._finish(event, now))
+        elif isinstance(event, Tick):
+            for pool in self._pools.values():
+                effects.extend(self._serve(pool, now))
+        return effects
 
     def loads(self, now: float) -> tuple[PoolLoad, ...]:
         """Return the load of each pool that this daemon owns."""
-        return tuple(
-            PoolLoad(
-                pool,
-                holding.epoch,
-                sum(slots_of(self._cfg, name) for name in self._pools.get(pool, ())),
-                sum(self._in_use(name) for name in self._pools.get(pool, ())),
-                len(self._waiting(pool)),
-                0.0,
-            )
-            for pool, holding in self._owners.holdings(now).items()
-        )
+        found: list[PoolLoad] = []
+        for pool_id, holding in self._owners.holdings(now).items():
+            pool = self._pools.get(pool_id)
+            if pool is not None:
+                found.append(_load(pool, holding, now))
+        return tuple(found)
 
     @property
     def idle(self) -> bool:
         """Whether no ticket is held here."""
         return not self._entries
 
-    def _in_use(self, upstream: UpstreamId) -> int:
-        return sum(1 for entry in self._entries.values() if entry.upstream == upstream)
-
-    def _waiting(self, pool: PoolId) -> list[_Entry]:
-        found = [e for e in self._entries.values() if e.ticket.pool == pool and not e.upstream]
-        return sorted(found, key=lambda entry: entry.deadline)
-
-    def _free_upstream(self, pool: PoolId) -> UpstreamId | None:
-        free = [u for u in self._pools.get(pool, ()) if self._in_use(u) < slots_of(self._cfg, u)]
-        return min(free, key=self._in_use) if free else None
+    def _holding(self, pool: Pool, now: float) -> Holding | None:
+        holding = self._owners.holding(pool.pool_id, now)
+        if holding is None or now >= holding.valid_until:
+            return None
+        return holding
 
     def _offer(self, event: TicketArrived, now: float) -> list[Effect]:
         ticket = event.ticket
-        if self._owners.holding(ticket.pool, now) is None:
-            return [SendTicketReply(event.vm, Refused(ticket.ticket_id, RefusalReason.NOT_OWNER))]
-        self._entries[ticket.ticket_id] = _Entry(ticket, event.vm, now, now + ticket.remaining_s)
-        return self._grant_waiting(now)
+        if ticket.ticket_id in self._entries:
+            return []
+        entry = Entry(ticket, event.vm, now, now + ticket.remaining_s)
+        pool = self._pools.get(ticket.pool)
+        holding = self._holding(pool, now) if pool is not None else None
+        if pool is None or holding is None or holding.epoch != ticket.epoch:
+            return [_refusal(entry, RefusalReason.NOT_OWNER)]
+        refusal = self._refuse_early(pool, holding, entry, now)
+        if refusal is not None:
+            return [refusal]
+        effects = self._make_room(pool)
+        self._entries[ticket.ticket_id] = entry
+        pool.queue.push(entry)
+        effects.extend(self._serve(pool, now))
+        return effects
+
+    def _refuse_early(
+        self, pool: Pool, holding: Holding, entry: Entry, now: float
+    ) -> Effect | None:
+        """Return the refusal of a ticket that would wait in vain, or None."""
+        usable = pool.usable
+        if usable == 0:
+            return _refusal(entry, RefusalReason.NO_UPSTREAM)
+        wait_s = max(0.0, holding.former_work_until - now)
+        if pool.queue or pool.free_upstream() is None:
+            wait_s += pool.service_time.wait_s(pool.queue.rank(entry), usable)
+        late_s = wait_s + pool.service_time.mean_s - (entry.deadline - now)
+        if late_s >= 0:
+            return _refusal(entry, RefusalReason.DEADLINE, self._retry_after_s(late_s))
+        first_try = entry.ticket.first_try
+        if pool.queue.full and not (first_try and pool.queue.has_retry):
+            return _refusal(entry, RefusalReason.QUEUE_FULL, self._retry_after_s(wait_s))
+        return None
+
+    def _make_room(self, pool: Pool) -> list[Effect]:
+        if not pool.queue.full:
+            return []
+        retry = pool.queue.pop_retry()
+        assert retry is not None
+        return self._refuse(retry, RefusalReason.QUEUE_FULL, pool.service_time.mean_s)
+
+    def _retry_after_s(self, wait_s: float) -> float:
+        return max(RETRY_AFTER_FLOOR_S, wait_s) * self._rng.uniform(1.0, 1.5)
 
-    def _grant_waiting(self, now: float) -> list[Effect]:
+    def _serve(self, pool: Pool, now: float) -> list[Effect]:
+        """Grant free slots to the tickets that wait; refuse those that wait in vain."""
+        if not pool.queue:
+            return []
+        holding = self._holding(pool, now)
+        if holding is None:
+            return self._refuse_all(pool, RefusalReason.LEASE_LAPSED)
+        if pool.usable == 0:
+            return self._refuse_all(pool, RefusalReason.NO_UPSTREAM)
         effects: list[Effect] = []
-        for pool in {entry.ticket.pool for entry in self._entries.values() if not entry.upstream}:
-            for entry in self._waiting(pool):
-                upstream = self._free_upstream(pool)
-                if upstream is None:
-                    break
-                entry.upstream = upstream
-                granted = Granted(entry.ticket.ticket_id, upstream)
-                effects.append(SendTicketReply(entry.origin, granted))
+        for entry in pool.queue.pop_expired(now):
+            effects.extend(self._refuse(entry, RefusalReason.DEADLINE, 0.0))
+        if now < holding.former_work_until:
+            return effects
+        while pool.queue:
+            upstream = pool.free_upstream()
+            if upstream is None:
+                break
+            entry = pool.queue.pop()
+            if entry.ticket.epoch != holding.epoch:
+                effects.extend(self._refuse(entry, RefusalReason.NOT_OWNER, 0.0))
+                continue
+            effects.extend(self._grant(pool, entry, upstream, now))
+        return effects
+
+    def _grant(self, pool: Pool, entry: Entry, upstream: UpstreamId, now: float) -> list[Effect]:
+        ticket_id = entry.ticket.ticket_id
+        entry.state = TicketState.GRANTED
+        entry.upstream = upstream
+        pool.slots.take(upstream)
+        timer = _Timer(_TimerKind.GRANT, ticket_id, pool.pool_id, upstream)
+        self._timers.add(min(now + GRANT_TIMEOUT_S, entry.deadline), timer)
+        effects = self._check_slots(pool, upstream)
+        effects.append(SendTicketReply(entry.origin, Granted(ticket_id, upstream)))
         return effects
 
+    def _check_slots(self, pool: Pool, upstream: UpstreamId) -> list[Effect]:
+        taken = pool.slots.taken(upstream)
+        limit = pool.limit(upstream)
+        detail = f"{upstream} has {taken} requests in {limit} slots"
+        return check(Invariant.SLOTS, taken <= limit, detail)
+
     def _start(self, ticket_id: TicketId, now: float) -> list[Effect]:
         entry = self._entries.get(ticket_id)
-        if entry is None:
+        if entry is None or entry.state is not TicketState.GRANTED:
             return []
-        entry.running = True
-        address = self._cfg.upstreams[entry.upstream].address
-        timeout_s = max(entry.deadline - now, 0.001)
+        pool = self._pools[entry.ticket.pool]
+        service = self._cfg.services.get(entry.ticket.pool.service)
+        address = pool.address(entry.upstream)
+        if service is None or address is None or not pool.fits(entry.upstream):
+            return self._withdraw(pool, entry, RefusalReason.NO_UPSTREAM, now)
+        timeout_s = min(entry.deadline - now, service.max_attempt_s)
+        if timeout_s <= 0:
+            return self._withdraw(pool, entry, RefusalReason.DEADLINE, now)
+        holding = self._holding(pool, now)
+        if holding is None or holding.epoch != entry.ticket.epoch:
+            return self._withdraw(pool, entry, RefusalReason.LEASE_LAPSED, now)
+        entry.state = TicketState.RUNNING
+        entry.started_at = now
+        entry.expires_at = now + timeout_s
         fresh = not entry.ticket.repeatable
         return [StartUpstream(ticket_id, RequestId(""), entry.upstream, address, timeout_s, fresh)]
 
+    def _withdraw(
+        self, pool: Pool, entry: Entry, reason: RefusalReason, now: float
+    ) -> list[Effect]:
+        """Take a grant back before anything ran."""
+        pool.slots.release(entry.upstream)
+        return self._refuse(entry, reason, 0.0) + self._serve(pool, now)
+
     def _cancel(self, ticket_id: TicketId, now: float) -> list[Effect]:
         entry = self._entries.get(ticket_id)
         if entry is None:
             return []
-        if entry.running:
+        pool = self._pools[entry.ticket.pool]
+        if entry.state is TicketState.RUNNING:
+            entry.cancelled_at = min(now, entry.cancelled_at)
             return [CancelUpstream(ticket_id)]
         del self._entries[ticket_id]
-        return self._grant_waiting(now)
+        if entry.state is TicketState.WAITING:
+            pool.queue.remove(ticket_id)
+            return []
+        pool.slots.release(entry.upstream)
+        return self._serve(pool, now)
+
+    def _finish(self, event: UpstreamFinished, now: float) -> list[Effect]:
+        entry = self._entries.get(event.ticket_id)
+        if entry is None or entry.state is not TicketState.RUNNING:
+            return []
+        del self._entries[event.ticket_id]
+        pool = self._pools[entry.ticket.pool]
+        if event.outcome is AttemptOutcome.ANSWERED:
+            pool.service_time.add(event.duration_s)
+            pool.slots.prove(entry.upstream, entry.started_at)
+        if event.outcome in _HARMLESS:
+            pool.slots.release(entry.upstream)
+        else:
+            self._linger(pool, entry, now)
+        return self._serve(pool, now)
 
-    def _expire(self, now: float) -> list[Effect]:
-        late = [e for e in self._entries.values() if not e.upstream and e.deadline <= now]
+    def _linger(self, pool: Pool, entry: Entry, now: float) -> None:
+        until = entry.expires_at + LINGER_GRACE_S
+        pool.slots.linger(entry.upstream, min(now, entry.cancelled_at), until)
+        timer = _Timer(_TimerKind.SLOT, entry.ticket.ticket_id, pool.pool_id, entry.upstream)
+        self._timers.add(until, timer)
+
+    def _run_timers(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        while (timer := self._timers.pop_due(now)) is not None:
+            pool = self._pools[timer.pool_id]
+            if timer.kind is _TimerKind.SLOT:
+                pool.slots.settle(timer.upstream, now)
+                effects.extend(self._serve(pool, now))
+                continue
+            entry = self._entries.get(timer.ticket_id)
+            if entry is not None and entry.state is TicketState.GRANTED:
+                effects.extend(self._withdraw(pool, entry, RefusalReason.CANCELLED, now))
+        return effects
+
+    def _refuse(self, entry: Entry, reason: RefusalReason, wait_s: float) -> list[Effect]:
+        del self._entries[entry.ticket.ticket_id]
+        return [_refusal(entry, reason, self._retry_after_s(wait_s))]
+
+    def _refuse_all(self, pool: Pool, reason: RefusalReason) -> list[Effect]:
         effects: list[Effect] = []
-        for entry in late:
-            del self._entries[entry.ticket.ticket_id]
-            refused = Refused(entry.ticket.ticket_id, RefusalReason.DEADLINE)
-            effects.append(SendTicketReply(entry.origin, refused))
+        for entry in pool.queue.pop_all():
+            effects.extend(self._refuse(entry, reason, 0.0))
         return effects
+
+
+def _refusal(entry: Entry, reason: RefusalReason, retry_after_s: float = 0.0) -> SendTicketReply:
+    return SendTicketReply(entry.origin, Refused(entry.ticket.ticket_id, reason, retry_after_s))
+
+
+def _load(pool: Pool, holding: Holding, now: float) -> PoolLoad:
+    usable = pool.usable
+    head = pool.queue.head
+    return PoolLoad(
+        pool=pool.pool_id,
+        epoch=holding.epoch,
+        slots=usable,
+        busy=usable if now < holding.former_work_until else pool.slots.total,
+        queued=len(pool.queue),
+        oldest_s=now - head.arrived_at if head else 0.0,
+    )
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_admission.py
@@ -0,0 +1,387 @@
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from gooseberryport_core._admission import GRANT_TIMEOUT_S, LINGER_GRACE_S, Admission
+from gooseberryport_core._invariants import raising
+from gooseberryport_core._views import Holding, Owner, Peer, RemoteLoad
+from gooseberryport_core.config import Config, Region, Service, Upstream
+from gooseberryport_core.effects import CancelUpstream, Effect, SendTicketReply, StartUpstream
+from gooseberryport_core.events import (
+    BodyArrived,
+    Event,
+    Tick,
+    TicketArrived,
+    TicketCancelled,
+    UpstreamFinished,
+)
+from gooseberryport_core.messages import Granted, Refused, Ticket
+from gooseberryport_core.settings import NodeSettings
+from gooseberryport_core.types import AttemptOutcome, PoolId, RefusalReason
+
+SERVICE = "dressing-registry"
+POOLS = (PoolId(SERVICE, "bern-a"), PoolId(SERVICE, "olten-b"))
+ENTRY = "vm-2"
+
+
+def make_cfg(slots: int = 1, cap: int = 0, per_pool: int = 2, **service: object) -> Config:
+    upstreams = {
+        f"{pool.zone}-{i}": Upstream(SERVICE, pool.zone, f"127.0.0.1:{i + 1}")
+        for pool in POOLS
+        for i in range(per_pool)
+    }
+    return Config(
+        version=1,
+        regions={"mittelland": Region(("bern-a", "olten-b"), cap)},
+        services={SERVICE: Service(slots=slots, max_attempt_s=1.0, **service)},
+        upstreams=upstreams,
+    )
+
+
+class FakeOwners:
+    """Own every pool until told otherwise."""
+
+    def __init__(self) -> None:
+        self.epoch = 1
+        self.valid_until = float("inf")
+        self.former_work_until = 0.0
+
+    def owner_of(self, pool: PoolId) -> Owner | None:
+        return Owner("vm-1", self.epoch)
+
+    def holding(self, pool: PoolId, now: float) -> Holding | None:
+        return Holding(self.epoch, self.valid_until, self.former_work_until)
+
+    def holdings(self, now: float) -> dict[PoolId, Holding]:
+        return {
+            pool: Holding(self.epoch, self.valid_until, self.former_work_until) for pool in POOLS
+        }
+
+
+class FakePeers:
+    """Know nobody."""
+
+    def live(self, now: float) -> tuple[Peer, ...]:
+        return ()
+
+    def peer(self, vm: str) -> Peer | None:
+        return None
+
+    def loads(self, now: float) -> tuple[RemoteLoad, ...]:
+        return ()
+
+
+class Owner1:
+    """Drive one owner's admission and keep what it replied."""
+
+    def __init__(self, cfg: Config) -> None:
+        self.owners = FakeOwners()
+        node = NodeSettings("vm-1", 1, "bern-a", "mittelland", "127.0.0.1:1", "127.0.0.1:2")
+        self.admission = Admission(
+            settings=node, owners=self.owners, peers=FakePeers(), rng=random.Random(3)
+        )
+        self.now = 0.0
+        self.serial = 0
+        self.effects: list[Effect] = []
+        self.configure(cfg)
+
+    def configure(self, cfg: Config) -> None:
+        self.effects += self.admission.configure(cfg, self.now)
+
+    def feed(self, event: Event) -> list[Effect]:
+        effects = self.admission.handle(event, self.now)
+        self.effects += effects
+        return effects
+
+    def offer(self, timeout_s: float = 2.0, pool: PoolId = POOLS[0], **fields: object) -> str:
+        self.serial += 1
+        name = f"t{self.serial}"
+        epoch = fields.pop("epoch", self.owners.epoch)
+        first_try = fields.pop("first_try", True)
+        ticket = Ticket(
+            name, pool, epoch, timeout_s, True, first_try, 0, 100, "mittelland", **fields
+        )
+        self.feed(TicketArrived(ENTRY, ticket))
+        return name
+
+    def start(self, name: str) -> list[Effect]:
+        return self.feed(BodyArrived(name))
+
+    def finish(
+        self, name: str, outcome: AttemptOutcome = AttemptOutcome.ANSWERED, duration_s: float = 0.1
+    ) -> list[Effect]:
+        status = 200 if outcome is AttemptOutcome.ANSWERED else 0
+        return self.feed(UpstreamFinished(name, outcome, status, 100, duration_s))
+
+    def advance(self, seconds: float) -> list[Effect]:
+        self.now += seconds
+        return self.feed(Tick(wall=self.now))
+
+    def granted(self) -> list[str]:
+        return [r.ticket_id for r in self.replies() if isinstance(r, Granted)]
+
+    def refusals(self) -> dict[str, RefusalReason]:
+        return {r.ticket_id: r.reason for r in self.replies() if isinstance(r, Refused)}
+
+    def replies(self) -> list[object]:
+        return [e.reply for e in self.effects if isinstance(e, SendTicketReply)]
+
+
+@pytest.fixture(autouse=True)
+def raise_on_broken_invariants() -> Iterator[None]:
+    with raising():
+        yield
+
+
+def test_lease_is_checked_immediately_before_the_start() -> None:
+    owner = Owner1(make_cfg())
+    name = owner.offer()
+    owner.owners.valid_until = 0.5
+    owner.now = 0.4999
+    late = owner.offer(pool=POOLS[1])
+    assert any(isinstance(e, StartUpstream) for e in owner.start(name))
+    owner.now = 0.5
+    assert not any(isinstance(e, StartUpstream) for e in owner.start(late))
+    assert owner.refusals() == {late: RefusalReason.LEASE_LAPSED}
+
+
+def test_ticket_of_another_epoch_is_refused() -> None:
+    owner = Owner1(make_cfg())
+    assert owner.refusals() == {} and owner.granted() == []
+    stale = owner.offer(epoch=0)
+    assert owner.refusals() == {stale: RefusalReason.NOT_OWNER}
+
+
+def test_former_owners_work_holds_every_slot() -> None:
+    owner = Owner1(make_cfg())
+    owner.owners.former_work_until = 1.0
+    name = owner.offer()
+    owner.advance(0.9)
+    assert owner.granted() == []
+    owner.advance(0.1)
+    assert owner.granted() == [name]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "free_after_s"),
+    [
+        (AttemptOutcome.ANSWERED, 0.0),
+        (AttemptOutcome.NOT_SENT, 0.0),
+        (AttemptOutcome.SHED, 0.0),
+        (AttemptOutcome.UNKNOWN, 0.9 + LINGER_GRACE_S),
+    ],
+)
+def test_slot_is_free_once_the_upstream_has_provably_ended(
+    outcome: AttemptOutcome, free_after_s: float
+) -> None:
+    owner = Owner1(make_cfg(per_pool=1))
+    first = owner.offer()
+    (start,) = owner.start(first)
+    assert isinstance(start, StartUpstream) and start.timeout_s == 1.0
+    second = owner.offer()
+    owner.now = 0.1
+    owner.finish(first, outcome)
+    if free_after_s:
+        owner.advance(free_after_s - 0.001)
+        assert owner.granted() == [first]
+        owner.advance(0.002)
+    assert owner.granted() == [first, second]
+
+
+def test_answer_to_a_later_request_frees_a_cancelled_slot() -> None:
+    owner = Owner1(make_cfg(slots=2, per_pool=1))
+    first, second, third, fourth = (owner.offer(3.0) for _ in range(4))
+    owner.start(first)
+    owner.start(second)
+    assert isinstance(owner.feed(TicketCancelled(first))[0], CancelUpstream)
+    owner.finish(first, AttemptOutcome.UNKNOWN)
+    owner.now = 0.1
+    owner.finish(second)
+    assert owner.granted() == [first, second, third]
+    owner.start(third)
+    owner.now = 0.2
+    owner.finish(third)
+    fifth = owner.offer(3.0)
+    assert owner.granted() == [first, second, third, fourth, fifth]
+
+
+def test_slots_lowered_below_what_runs_cut_nothing_and_start_nothing() -> None:
+    owner = Owner1(make_cfg(slots=3, per_pool=1))
+    running = [owner.offer(), owner.offer()]
+    for name in running:
+        owner.start(name)
+    reserved = owner.offer()
+    waiting = owner.offer()
+    owner.configure(make_cfg(slots=1, per_pool=1))
+    owner.start(reserved)
+    assert not any(isinstance(e, CancelUpstream) for e in owner.effects)
+    assert owner.refusals() == {reserved: RefusalReason.NO_UPSTREAM}
+    owner.finish(running[0])
+    assert waiting not in owner.granted()
+    owner.finish(running[1])
+    assert waiting in owner.granted()
+
+
+def test_first_try_takes_the_place_of_a_retry_and_never_the_reverse() -> None:
+    owner = Owner1(make_cfg(per_pool=1, queue_limit=1))
+    owner.offer()
+    retry = owner.offer(first_try=False)
+    first_try = owner.offer()
+    late_retry = owner.offer(1.0, first_try=False)
+    late_first_try = owner.offer()
+    full = RefusalReason.QUEUE_FULL
+    assert owner.refusals() == {retry: full, late_retry: full, late_first_try: full}
+    owner.start("t1")
+    owner.finish("t1")
+    assert first_try in owner.granted()
+
+
+def test_ticket_that_can_not_be_served_in_time_is_refused_at_once() -> None:
+    owner = Owner1(make_cfg(per_pool=1))
+    owner.start(owner.offer())
+    owner.finish("t1", duration_s=0.5)
+    owner.offer()
+    patient = owner.offer(1.1)
+    hasty = owner.offer(0.9)
+    assert owner.refusals() == {hasty: RefusalReason.DEADLINE}
+    refusal = owner.replies()[-1]
+    assert isinstance(refusal, Refused) and refusal.retry_after_s > 0
+    assert patient not in owner.refusals()
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Any order of events; a naive count of what each upstream runs is kept beside."""
+
+    @initialize(cap=st.sampled_from([0, 3, 5]))
+    def begin(self, cap: int) -> None:
+        self.owner = Owner1(make_cfg(slots=2, cap=cap))
+        self.slots = 2
+        self.cap = cap or 8
+        self.seen = 0
+        self.offered: set[str] = set()
+        self.ended: set[str] = set()
+        self.running: dict[str, StartUpstream] = {}
+        self.gives_up_at: dict[str, float] = {}
+        self.lease_until = float("inf")
+
+    @rule(
+        timeout_s=st.sampled_from([0.05, 0.6, 2.0]),
+        pool=st.sampled_from(POOLS),
+        first_try=st.booleans(),
+        stale=st.sampled_from([0, 0, 0, 1]),
+    )
+    def offer(self, timeout_s: float, pool: PoolId, first_try: bool, stale: int) -> None:
+        epoch = self.owner.owners.epoch - stale
+        name = self.owner.offer(timeout_s, pool, first_try=first_try, epoch=epoch)
+        self.offered.add(name)
+        self.absorb()
+
+    def waiting_for_body(self) -> list[str]:
+        return [name for name in self.owner.granted() if name not in self.ended | set(self.running)]
+
+    @precondition(lambda self: self.waiting_for_body())
+    @rule(data=st.data())
+    def body(self, data: st.DataObject) -> None:
+        self.owner.start(data.draw(st.sampled_from(self.waiting_for_body())))
+        self.absorb()
+
+    @precondition(lambda self: self.offered - self.ended)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(sorted(self.offered - self.ended)))
+        self.owner.feed(TicketCancelled(name))
+        if name not in self.running:
+            self.ended.add(name)
+        self.absorb()
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), outcome=st.sampled_from(AttemptOutcome))
+    def finish(self, data: st.DataObject, outcome: AttemptOutcome) -> None:
+        name = data.draw(st.sampled_from(sorted(self.running)))
+        self.running.pop(name)
+        if outcome is not AttemptOutcome.UNKNOWN:
+            self.gives_up_at.pop(name)
+        self.ended.add(name)
+        self.owner.finish(name, outcome)
+        self.absorb()
+
+    @rule(seconds=st.sampled_from([0.001, 0.05, 0.3, 1.0]))
+    def advance(self, seconds: float) -> None:
+        self.owner.advance(seconds)
+        self.absorb()
+
+    @rule(slots=st.sampled_from([1, 2, 3]))
+    def configure(self, slots: int) -> None:
+        self.slots = slots
+        cap = 0 if self.cap == 8 else self.cap
+        self.owner.configure(make_cfg(slots=slots, cap=cap))
+        self.absorb()
+
+    @rule(lost=st.booleans())
+    def lease(self, lost: bool) -> None:
+        self.owner.owners.valid_until = self.owner.now if lost else float("inf")
+        self.owner.owners.epoch += not lost
+
+    def absorb(self) -> None:
+        """Take the new effects into the naive count."""
+        owner = self.owner
+        for effect in owner.effects[self.seen :]:
+            if isinstance(effect, StartUpstream):
+                self.check_start(effect)
+                self.running[effect.ticket_id] = effect
+                self.gives_up_at[effect.ticket_id] = owner.now + effect.timeout_s
+                self.upstream_of[effect.ticket_id] = effect.upstream
+            if isinstance(effect, SendTicketReply) and isinstance(effect.reply, Refused):
+                name = effect.reply.ticket_id
+                assert name not in self.ended and name not in self.running
+                self.ended.add(name)
+        self.seen = len(owner.effects)
+
+    @property
+    def upstream_of(self) -> dict[str, str]:
+        return self.__dict__.setdefault("_upstream_of", {})
+
+    def check_start(self, start: StartUpstream) -> None:
+        assert self.owner.now < self.owner.owners.valid_until
+        assert start.ticket_id not in self.ended
+        busy = [n for n, at in self.gives_up_at.items() if at > self.owner.now or n in self.running]
+        there = [n for n in busy if self.upstream_of[n] == start.upstream]
+        assert len(there) < self.slots
+        assert len(busy) < min(self.cap, self.slots * 4)
+
+    @invariant()
+    def at_most_one_grant_each(self) -> None:
+        granted = self.owner.granted()
+        assert len(granted) == len(set(granted))
+
+    def teardown(self) -> None:
+        for name in sorted(self.running):
+            self.running.pop(name)
+            self.ended.add(name)
+            self.owner.finish(name, AttemptOutcome.ANSWERED)
+        for _ in range(20):
+            self.owner.advance(0.5)
+            self.absorb()
+        assert self.ended == self.offered
+        assert self.owner.admission.idle
+
+
+AdmissionMachine.TestCase.settings = hypothesis_settings(
+    derandomize=True, deadline=None, database=None, max_examples=60, stateful_step_count=40
+)
+TestAdmissionMachine = AdmissionMachine.TestCase
+
+
+def test_grant_whose_body_never_comes_is_taken_back() -> None:
+    owner = Owner1(make_cfg(per_pool=1))
+    first, second = owner.offer(), owner.offer()
+    owner.advance(GRANT_TIMEOUT_S)
+    assert owner.refusals() == {first: RefusalReason.CANCELLED}
+    assert owner.granted() == [first, second]
+    assert owner.start(first) == []
