Run whole nodes under callers' requests and random faults

Cause: each part has its own tests, but what a caller is told depends on all of them together. Ruled out: asserting on effects alone; only a memory of what ran can tell that a word was true. It fails when an upstream is over its slots, a request or key runs twice, not-run is false, an end is told twice, or two daemons hold a pool. Before: no run of whole nodes.

--- /dev/null
+++ b/standins/src/gooseberryport_standins/traffic_soak.py
@@ -0,0 +1,112 @@
+"""Long randomised runs of whole nodes under callers' requests and every failure.
+
+``python -m gooseberryport_standins.traffic_soak --seed 7 --steps 200`` fails with a traceback as
+soon as an invariant does not hold. It prints what it checked.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+from collections import Counter
+
+from gooseberryport_core._invariants import raising
+from gooseberryport_core.types import Outcome
+from gooseberryport_standins.simulation import publish_whole
+from gooseberryport_standins.soak import PLACES, Faults, example_config
+from gooseberryport_standins.traffic import SimNode, TrafficSimulation
+
+STEPS = 100
+REQUESTS_A_STEP = 25
+RECOVERY_S = 30.0
+SETTLE_S = 10.0
+
+
+class Callers:
+    """Send requests, and copies of requests, to whichever VMs run.
+
+    Parameters
+    ----------
+    sim
+        The simulation.
+    rng
+        Source of the choices.
+    """
+
+    def __init__(self, sim: TrafficSimulation, rng: random.Random) -> None:
+        self.sim = sim
+        self.rng = rng
+        self.keys: list[str] = []
+
+    def send(self, count: int, within_s: float) -> None:
+        """Send requests at random moments of the time that comes."""
+        for _ in range(count):
+            self.sim.at(self.rng.uniform(0.0, within_s), self._send_one)
+
+    def _send_one(self) -> None:
+        vm = self.rng.choice(sorted(self.sim.daemons))
+        service = self.rng.choice(sorted(self.sim.cfg.services))
+        if self.rng.random() < 0.5:
+            self.sim.send_request(vm, service)
+            return
+        self.sim.send_request(vm, service, method="POST", key=self._key())
+
+    def _key(self) -> str:
+        """Return no key, a new issued key, a new key of the caller's own, or one used before."""
+        kind = self.rng.choice(("none", "issued", "own", "copy", "copy"))
+        if kind == "none":
+            return ""
+        if kind == "copy" and self.keys:
+            return self.rng.choice(self.keys[-5:])
+        word = f"k{len(self.keys)}"
+        if kind == "issued":
+            daemon = self.sim.daemons[self.rng.choice(sorted(self.sim.daemons))]
+            assert isinstance(daemon, SimNode)
+            local = daemon.local(self.sim.now)
+            word = daemon.node._claims.key_prefix(local) + word
+        self.keys.append(word)
+        return word
+
+
+def run_traffic_soak(seed: int, steps: int) -> TrafficSimulation:
+    """Break a serving fleet at random, then check every word that callers were told."""
+    cfg = example_config()
+    sim = TrafficSimulation(cfg=cfg, seed=seed, places=PLACES, publish=publish_whole(cfg))
+    faults = Faults(sim, random.Random(seed))
+    callers = Callers(sim, random.Random(seed))
+    with raising():
+        sim.run(SETTLE_S)
+        for _ in range(steps):
+            callers.send(REQUESTS_A_STEP, 2.0)
+            faults.step()
+        faults.recover()
+        sim.run(RECOVERY_S)
+        callers.send(REQUESTS_A_STEP, 1.0)
+        sim.run(SETTLE_S)
+        sim.check_words()
+    return sim
+
+
+def summary(sim: TrafficSimulation) -> str:
+    """Return one line that tells what a run checked."""
+    words = Counter(end.outcome for end in sim.ends.values())
+    told = ", ".join(f"{word.value} {words[word]}" for word in Outcome)
+    reasons = Counter(end.reason.value for end in sim.ends.values() if end.reason)
+    return (
+        f"{sim.now:.0f} s simulated, {len(sim.callers)} requests: {told}; "
+        f"{sum(sim.runs.values())} runs, most at one upstream {max(sim.peak.values(), default=0)}; "
+        f"reasons {dict(reasons.most_common())}"
+    )
+
+
+def main() -> None:
+    """Run the soak that the command line asks for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--steps", type=int, default=STEPS)
+    args = parser.parse_args()
+    print(f"seed {args.seed}: {summary(run_traffic_soak(args.seed, args.steps))}")
+
+
+if __name__ == "__main__":
+    main()
