Answer callers whose request takes longer than a tenth of a second

Cause: whether a caller has gone was asked by a peek on a socket that has a timeout; Python waits for that timeout before the call, so each request that outlived the first look hung for ten seconds and then counted as gone. Ruled out: a shorter look (it would still wait); the claims and the store (a run with 24 requests, one after the other, showed every hanging request as done at its upstream and gone from the daemon). Change: the socket is polled first, without waiting.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_caller_conn.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_caller_conn.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 from typing import Any
 
@@ -25,8 +26,11 @@
         """Return whether the caller has closed the connection."""
         if self._req is None:
             return False
+        sock = self._req.conn.socket
         try:
-            waiting = self._req.conn.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            if not _readable(sock):
+                return False
+            waiting = sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except (BlockingIOError, InterruptedError):
             return False
         except OSError:
@@ -37,3 +41,10 @@
         """Let the server close the connection once the answer is out."""
         if self._req is not None:
             self._req.close_connection = True
+
+
+def _readable(sock: socket.socket) -> bool:
+    """Return at once whether there is something to read; a socket with a timeout would wait."""
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
