Answer look-ups from a table of client blocks, nearest zone first

Cause: look-ups ranked all VMs by a hash of the client's address alone, without distances. Ruled out: all entries from the nearest zone (a cached answer would then name only VMs of a zone that is lost): two of the zone, one of its region, one of the nearest other region. Blocks are cut into /24 and /48 for the hash, so that a large block has many VMs. Guards, each broken on a scratch copy, then a test fails: side of the search, order of nested blocks (test_zone_is_that_of_the_longest_prefix, against a naive scan), quotas (test_nearest_zone...).

--- a/packages/gooseberryport-core/src/gooseberryport_core/_config_checks.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_config_checks.py
@@ -16,6 +16,7 @@
 """Sum of fractions above 1 that is put down to rounding."""
 
 MAX_PORT = 65_535
+MAX_V6_PREFIX = 64
 
 
 class Severity(Enum):
@@ -314,6 +315,9 @@
             remedy = "give a block such as 10.1.0.0/16 or fd00:1::/32"
             yield Finding(path, zone, "not a block of IP numbers", remedy)
             continue
+        if network.version == 6 and network.prefixlen > MAX_V6_PREFIX:
+            remedy = f"give a block of at most {MAX_V6_PREFIX} bits"
+            yield Finding(path, zone, "too long a prefix for IPv6", remedy)
         if str(network) != text:
             remedy = f"write {network}"
             yield Finding(path, zone, "not the usual form of the block", remedy)
--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -11,8 +11,9 @@
 from gooseberryport_core._ownership import Ownership
 from gooseberryport_core._requests import Home, Requests
 from gooseberryport_core._routing import Router
+from gooseberryport_core._shifts import moving_rule
 from gooseberryport_core._views import Component, HeartbeatFacts, Peer
-from gooseberryport_core.config import Config
+from gooseberryport_core.config import Config, pools_of
 from gooseberryport_core.effects import (
     CancelTicket,
     ConfigChanged,
@@ -36,10 +37,11 @@
     TicketReplied,
     UpstreamFinished,
 )
-from gooseberryport_core.lookup import LookupSnapshot
+from gooseberryport_core.lookup import BlockTable, LookupSnapshot, ZoneOrder, home_region
 from gooseberryport_core.messages import Refused
 from gooseberryport_core.settings import NodeSettings
-from gooseberryport_core.types import RequestId, TicketId, VmId, VmState
+from gooseberryport_core.status import Explanation, StatusPage, build_status, explain_pools
+from gooseberryport_core.types import RequestId, ServiceName, TicketId, UpstreamId, VmId, VmState
 
 
 class Node:
@@ -61,6 +63,8 @@
         self._stop_at = float("inf")
         self._stopping = False
         self._local: dict[TicketId, RequestId] = {}
+        self._blocks = BlockTable.from_texts({})
+        self._zone_order = ZoneOrder(Config())
         self._membership = Membership(settings=settings, rng=rng, facts=self._facts)
         self._ownership = Ownership(settings=settings, peers=self._membership, rng=rng)
         self._config = ConfigSync(settings=settings, peers=self._membership, rng=rng)
@@ -99,6 +103,77 @@
         return LookupSnapshot(
             entries=tuple(peer for peer in peers if peer.http_address),
             max_age_s=self.cfg.limits.lookup_max_age_s,
+            blocks=self._blocks,
+            order=self._zone_order,
+        )
+
+    def owned_upstreams(self, now: float) -> tuple[UpstreamId, ...]:
+        """Return the upstreams of the pools that this daemon owns."""
+        pools = pools_of(self.cfg)
+        return tuple(name for pool in self._ownership.holdings(now) for name in pools.get(pool, ()))
+
+    def status(self, now: float, wall: float) -> StatusPage:
+        """Return what this daemon knows of the system, for operators.
+
+        Parameters
+        ----------
+        now, wall
+            Seconds on the monotonic clock, and since 1970-01-01 UTC.
+        """
+        return build_status(
+            me=self._self_peer(now),
+            cfg=self.cfg,
+            peers=self._membership,
+            listed=self._membership.live(now),
+            owners=self._ownership,
+            own_loads=self._admission.loads(now),
+            now=now,
+            wall=wall,
+        )
+
+    def explain(self, service: ServiceName, client: str, now: float, wall: float) -> Explanation:
+        """Return how a client's request would be steered here, and why; nothing is counted.
+
+        Parameters
+        ----------
+        now, wall
+            Seconds on the monotonic clock, and since 1970-01-01 UTC.
+        """
+        home = self._home_of(client)
+        rules = [
+            name
+            for name in sorted(self.cfg.shifts)
+            if self.cfg.shifts[name].service == service
+            and self.cfg.shifts[name].source == home.region
+        ]
+        rule = moving_rule(self.cfg, rules, home.block, wall)
+        region = self.cfg.shifts[rule].destination if rule else home.region
+        router = Router(
+            settings=self.settings,
+            owners=self._ownership,
+            peers=self._membership,
+            rng=random.Random(0),
+        )
+        router.configure(self.cfg, now)
+        entries = self.lookup_snapshot(now).rank(service, client)
+        return Explanation(
+            service=service,
+            client=client,
+            home=home.region,
+            block=home.block,
+            region=region,
+            rule=rule,
+            entries=tuple(entry.vm for entry in entries),
+            candidates=explain_pools(
+                cfg=self.cfg,
+                service=service,
+                region=region,
+                ranked=router.rank(service, region, now),
+                owners=self._ownership,
+                peers=self._membership,
+                now=now,
+                wall=wall,
+            ),
         )
 
     def handle(self, event: Event, now: float) -> list[Effect]:
@@ -134,6 +209,8 @@
         for effect in effects:
             done.append(effect)
             if isinstance(effect, ConfigChanged):
+                self._blocks = BlockTable.from_texts(self.cfg.client_blocks)
+                self._zone_order = ZoneOrder(self.cfg)
                 for component in self._components:
                     done.extend(component.configure(self.cfg, now))
         return done
@@ -205,13 +282,15 @@
             store_witness=self._ownership.store_witness,
             lease_stamp=self._ownership.lease_stamp,
             table_revision=self._ownership.table_revision,
+            table_shape=self._ownership.table_shape,
             config_version=self.cfg.version,
             pools=self._admission.loads(now),
             key_prefix=self._claims.key_prefix(now),
         )
 
     def _home_of(self, client: str) -> Home:
-        return Home(self.settings.region, client)
+        place = self._blocks.find(client)
+        return Home(home_region(self.cfg, place, self.settings.region), place.block)
 
     def _self_peer(self, now: float) -> Peer:
         me = self.settings
@@ -224,4 +303,5 @@
             me.address,
             me.http_address,
             now,
+            config_version=self.cfg.version,
         )
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_lookup.py
@@ -0,0 +1,126 @@
+import ipaddress
+from collections import Counter
+
+import numpy as np
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gooseberryport_core._blocks import decode_rows, encode_rows
+from gooseberryport_core._views import Peer
+from gooseberryport_core.config import Config, Link, Region
+from gooseberryport_core.lookup import BlockRows, BlockTable, LookupSnapshot, ZoneOrder
+from gooseberryport_core.types import VmState
+
+CFG = Config(
+    regions={
+        "mittelland": Region(("bern-a", "olten-b")),
+        "romandie": Region(("lausanne-a", "geneve-b")),
+        "ticino": Region(("lugano-a",)),
+    },
+    links={
+        "m-r": Link("mittelland", "romandie", 280, delay_ms=20),
+        "m-t": Link("mittelland", "ticino", 280, delay_ms=12),
+    },
+)
+REGION_OF = {zone: name for name, r in CFG.regions.items() for zone in r.availability_zones}
+BLOCKS = BlockTable.from_texts({"10.0.0.0/16": "bern-a", "10.1.0.0/16": "lugano-a"})
+
+
+def peer(vm: str, zone: str) -> Peer:
+    return Peer(vm, 1, zone, REGION_OF[zone], VmState.LIVE, "", f"{vm}:80", 0.0)
+
+
+def snapshot(vms: dict[str, str]) -> LookupSnapshot:
+    entries = tuple(peer(vm, zone) for vm, zone in vms.items())
+    return LookupSnapshot(entries=entries, max_age_s=5.0, blocks=BLOCKS, order=ZoneOrder(CFG))
+
+
+FLEET = {f"{zone}-{n}": zone for zone in REGION_OF for n in range(4)}
+
+
+def naive_zone(blocks: dict[str, str], client: str) -> str | None:
+    address = ipaddress.ip_address(client)
+    networks = {ipaddress.ip_network(text, strict=False): zone for text, zone in blocks.items()}
+    holding = [n for n in networks if n.version == address.version and address in n]
+    return networks[max(holding, key=lambda n: n.prefixlen)] if holding else None
+
+
+# few distinct addresses, so that blocks nest, touch and leave gaps, up to both ends of the space
+corner_bytes = st.sampled_from([0, 1, 127, 128, 254, 255])
+v4 = st.lists(corner_bytes, min_size=4, max_size=4).map(lambda parts: ".".join(map(str, parts)))
+v6 = st.lists(corner_bytes, min_size=4, max_size=4).map(
+    lambda p: f"{p[0]:x}:{p[1]:x}:{p[2]:x}:{p[3]:x}::1"
+)
+zones = st.sampled_from(["a", "b", "c"])
+v4_blocks = st.tuples(v4, st.integers(0, 32)).map(lambda b: f"{b[0]}/{b[1]}")
+v6_blocks = st.tuples(v6, st.integers(0, 64)).map(lambda b: f"{b[0]}/{b[1]}")
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=300)
+@given(st.dictionaries(v4_blocks | v6_blocks, zones, max_size=12), st.lists(v4 | v6, min_size=1))
+def test_zone_is_that_of_the_longest_prefix(blocks: dict[str, str], clients: list[str]) -> None:
+    unique = {str(ipaddress.ip_network(t, strict=False)): zone for t, zone in blocks.items()}
+    table = BlockTable.from_texts(unique)
+    for client in clients:
+        assert table.find(client).zone == naive_zone(unique, client)
+
+
+@pytest.mark.parametrize(
+    ("client", "zone", "block"),
+    [
+        ("10.0.3.9", "bern-a", "10.0.3.0"),
+        ("::ffff:10.1.0.9", "lugano-a", "10.1.0.0"),
+        ("11.0.0.1", None, "11.0.0.0"),
+        ("2001:db8:1:2::3", None, "2001:db8:1::"),
+        ("no address", None, "no address"),
+    ],
+)
+def test_place_of_a_client(client: str, zone: str | None, block: str) -> None:
+    place = BLOCKS.find(client)
+    assert (place.zone, place.block) == (zone, block)
+
+
+@settings(derandomize=True, deadline=None, database=None)
+@given(st.lists(st.tuples(st.integers(0, 2**64 - 1), st.integers(0, 64), st.integers(0, 254))))
+def test_compact_form_keeps_every_row(rows: list[tuple[int, int, int]]) -> None:
+    columns = [np.array(c, t) for c, t in zip(zip(*rows, strict=True), "QBB", strict=False)]
+    table = BlockRows(*columns) if rows else BlockRows(*[np.array([], t) for t in "QBB"])
+    back = decode_rows(encode_rows(table))
+    found = zip(back.starts.tolist(), back.lengths.tolist(), back.zones.tolist(), strict=True)
+    assert sorted(found) == sorted(rows)
+
+
+def test_damaged_compact_form_is_refused() -> None:
+    with pytest.raises(ValueError, match="damaged"):
+        decode_rows(b"nothing")
+
+
+def test_nearest_zone_comes_first_then_its_region_then_the_shortest_link() -> None:
+    ranked = snapshot(FLEET).rank("any", "10.0.0.1")
+    assert [entry.zone for entry in ranked] == ["bern-a", "bern-a", "olten-b", "lugano-a"]
+
+
+def test_lost_zone_is_replaced_by_its_region() -> None:
+    left = {vm: zone for vm, zone in FLEET.items() if zone != "bern-a"}
+    ranked = snapshot(left).rank("any", "10.0.0.1")
+    assert [entry.zone for entry in ranked[:3]] == ["olten-b", "olten-b", "lugano-a"]
+
+
+@pytest.mark.parametrize("vms", [{}, {"x": "geneve-b"}, {"x": "bern-a", "y": "geneve-b"}])
+def test_few_vms_are_all_named(vms: dict[str, str]) -> None:
+    for client in ("10.0.0.1", "11.0.0.1", "junk"):
+        assert {entry.vm for entry in snapshot(vms).rank("any", client)} == set(vms)
+
+
+def test_callers_spread_evenly_and_stay_where_they_are() -> None:
+    clients = [f"10.0.{n // 8}.{n % 8}" for n in range(2048)]
+    before = {client: snapshot(FLEET).rank("any", client)[0].vm for client in clients}
+    blocks = Counter({client.rpartition(".")[0]: before[client] for client in clients}.values())
+    assert sum(blocks.values()) == 256
+    assert max(blocks.values()) < 1.3 * 256 / 4
+    gone = "bern-a-2"
+    left = {vm: zone for vm, zone in FLEET.items() if vm != gone}
+    after = {client: snapshot(left).rank("any", client)[0].vm for client in clients}
+    moved = [client for client in clients if before[client] != after[client]]
+    assert {before[client] for client in moved} == {gone}
