Name claimants in the whole fleet, and commit own keys through one daemon a bucket

Cause: claims compared request names that are unique only within an entry: two entries that both name a request r1 would both have been told that they hold the key. Also, every entry committed own keys itself, so writes to the store would have grown with the fleet. Ruled out: asking entries for globally unique names (a rule that nobody checks). Conclusion: at most once holds for any naming of requests.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_claim_buckets.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_claim_buckets.py
@@ -1,8 +1,9 @@
 """Idempotency keys of the callers' own making, claimed in the key-value service.
 
-Claims are written in group commits: every daemon gathers the claims of a short time and merges
-them by compare-and-swap into a few keys of the store, so that writes grow with time and not with
-requests. Compare-and-swap alone makes a claim unique, whichever daemons write.
+Claims are written in group commits: the claims of a short time are merged by compare-and-swap into
+a few keys of the store, so that writes grow with time and not with requests. Entry daemons hand the
+claims of one key of the store to one daemon, so that writes do not grow with daemons either; but
+compare-and-swap alone makes a claim unique, whichever daemons write.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 import msgspec
 import xxhash
 
-from gooseberryport_core.effects import Decide, Effect, StoreGet, StoreSwap
+from gooseberryport_core.effects import Decide, Effect, SendMessage, StoreGet, StoreSwap
 from gooseberryport_core.events import (
     ClaimDecided,
     Event,
@@ -22,7 +23,7 @@
     StoreWritten,
     Tick,
 )
-from gooseberryport_core.settings import NodeSettings
+from gooseberryport_core.messages import ClaimReply
 from gooseberryport_core.types import CallId, ClaimVerdict, RequestId, Revision
 
 BUCKETS = 8
@@ -61,11 +62,20 @@
 
 
 class _Waiting(msgspec.Struct):
-    """A claim, or the release of one, that is to be committed."""
+    """A claim, or the release of one, that is to be committed.
+
+    Parameters
+    ----------
+    token
+        Claimant: the request's name in the whole fleet.
+    reply_to
+        Address of the daemon that asked; empty for this one.
+    """
 
     digest: str
     request_id: RequestId
     token: str
+    reply_to: str
     give_up_at: float
     release: bool = False
 
@@ -92,37 +102,44 @@
 
     Parameters
     ----------
-    settings
-        Who this daemon is.
     rng
         Source of jitter.
     """
 
-    def __init__(self, *, settings: NodeSettings, rng: random.Random) -> None:
-        self._settings = settings
+    def __init__(self, *, rng: random.Random) -> None:
         self._rng = rng
         self._buckets = [_Bucket(f"claims/{number}") for number in range(BUCKETS)]
         self._next_call = FIRST_CALL
 
-    def ask(self, key: str, request_id: RequestId, now: float) -> list[Effect]:
-        """Queue a claim; `ClaimDecided` follows once it is committed or given up."""
+    def ask(
+        self, key: str, request_id: RequestId, token: str, now: float, *, reply_to: str = ""
+    ) -> list[Effect]:
+        """Queue a claim; its decision follows once it is committed or given up.
+
+        Parameters
+        ----------
+        key, request_id
+            The key, and the request that asks for it.
+        token
+            The request's name in the whole fleet.
+        now
+            Seconds, monotonic.
+        reply_to
+            Address of the daemon that asked; empty for this one.
+        """
         digest = key_digest(key)
-        bucket = self._bucket(digest)
-        token = f"{self._settings.vm}.{self._settings.incarnation}.{request_id}"
-        bucket.waiting.append(_Waiting(digest, request_id, token, now + GIVE_UP_S))
+        waiting = self._bucket(digest).waiting
+        if not any(known.token == token and not known.release for known in waiting):
+            waiting.append(_Waiting(digest, request_id, token, reply_to, now + GIVE_UP_S))
         return []
 
-    def ended(self, key: str, request_id: RequestId, ran: bool) -> list[Effect]:
+    def release(self, key: str, token: str) -> None:
         """Queue the release of a claim whose request provably did not run."""
         digest = key_digest(key)
         bucket = self._bucket(digest)
-        asked = [w for w in bucket.waiting if w.request_id == request_id and not w.release]
-        for waiting in asked:
-            bucket.waiting.remove(waiting)
-        if not ran:
-            token = f"{self._settings.vm}.{self._settings.incarnation}.{request_id}"
-            bucket.waiting.append(_Waiting(digest, request_id, token, float("inf"), release=True))
-        return []
+        bucket.waiting = [waiting for waiting in bucket.waiting if waiting.token != token]
+        released = _Waiting(digest, RequestId(""), token, "", float("inf"), release=True)
+        bucket.waiting.append(released)
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Handle an event."""
@@ -137,7 +154,7 @@
         return []
 
     def _bucket(self, digest: str) -> _Bucket:
-        return self._buckets[int(digest[:8], 16) % BUCKETS]
+        return self._buckets[bucket_of(digest)]
 
     def _turn(self, bucket: _Bucket, now: float) -> list[Effect]:
         effects = self._give_up(bucket, now)
@@ -169,7 +186,7 @@
                 continue
             first = holder == waiting.token
             verdict = ClaimVerdict.FIRST if first else ClaimVerdict.DUPLICATE
-            effects.append(Decide(ClaimDecided(waiting.request_id, verdict)))
+            effects.append(_tell(waiting, verdict))
         bucket.waiting = left
         self._drop_needless_releases(bucket)
         return effects
@@ -223,7 +240,7 @@
         if not late:
             return []
         bucket.waiting = [w for w in bucket.waiting if w.give_up_at > now]
-        return [Decide(ClaimDecided(w.request_id, ClaimVerdict.UNDECIDED)) for w in late]
+        return [_tell(waiting, ClaimVerdict.UNDECIDED) for waiting in late]
 
     def _read(self, bucket: _Bucket) -> StoreGet:
         bucket.call = self._call()
@@ -234,5 +251,16 @@
         return CallId(self._next_call)
 
 
+def bucket_of(digest: str) -> int:
+    """Return the number of the bucket that holds a digest."""
+    return int(digest[:8], 16) % BUCKETS
+
+
+def _tell(waiting: _Waiting, verdict: ClaimVerdict) -> Effect:
+    if waiting.reply_to:
+        return SendMessage(waiting.reply_to, ClaimReply(waiting.request_id, verdict))
+    return Decide(ClaimDecided(waiting.request_id, verdict))
+
+
 def _holder(value: BucketValue, digest: str) -> str | None:
     return value.current.get(digest) or value.previous.get(digest)
--- a/packages/gooseberryport-core/src/gooseberryport_core/_claims.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_claims.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from gooseberryport_core._claim_buckets import ClaimBuckets
+from gooseberryport_core._assignment import rendezvous_weight
+from gooseberryport_core._claim_buckets import ClaimBuckets, bucket_of, key_digest
 from gooseberryport_core._views import Peers
 from gooseberryport_core.config import Config
 from gooseberryport_core.effects import Decide, Effect, SendMessage
@@ -34,7 +35,10 @@
 """Time between two asks for the same request; seconds."""
 
 ASK_LIMIT_S = 0.5
-"""Time after which an ask without an answer is given up; seconds."""
+"""Time after which an ask about an issued key is given up; seconds."""
+
+HAND_OVER_LIMIT_S = 0.25
+"""Time after which a daemon claims a caller's own key itself; seconds."""
 
 SEPARATOR = "~"
 
@@ -72,13 +76,23 @@
 
 
 class _Ask(msgspec.Struct):
-    """A decision that this daemon waits for."""
+    """A decision that this daemon waits for.
+
+    Parameters
+    ----------
+    claimant
+        The request's name in the whole fleet.
+    issued
+        What the key says; None for a key of the caller's own making.
+    """
 
     key: str
     request_id: RequestId
-    vm: VmId
+    claimant: RequestId
+    issued: IssuedKey | None
+    asked_at: float
     next_at: float
-    give_up_at: float
+    peer: str = ""
 
 
 class Claims:
@@ -100,7 +114,8 @@
         self._claims: dict[str, _Claim] = {}
         self._order: deque[_Claim] = deque()
         self._asks: dict[RequestId, _Ask] = {}
-        self._buckets = ClaimBuckets(settings=settings, rng=rng)
+        self._held: dict[RequestId, str] = {}
+        self._buckets = ClaimBuckets(rng=rng)
 
     def configure(self, cfg: Config, now: float) -> list[Effect]:
         """Take a newer configuration."""
@@ -120,8 +135,7 @@
             return self._buckets.handle(event, now)
         message = event.message
         if isinstance(message, ClaimAsk):
-            verdict = self._decide(message.key, message.request_id, now)
-            return [SendMessage(event.address, ClaimReply(message.request_id, verdict))]
+            return self._asked(message, event.address, now)
         if isinstance(message, ClaimReply):
             return self._replied(message)
         if isinstance(message, ClaimEnd) and not message.ran:
@@ -131,29 +145,36 @@
     def ask(self, key: str, request_id: RequestId, now: float) -> list[Effect]:
         """Ask for a key's decision; `ClaimDecided` follows, at once or later."""
         issued = parse_key(key)
-        if issued is None:
-            return self._buckets.ask(key, request_id, now)
-        if issued.vm == self._settings.vm:
-            return _decided(request_id, self._decide(key, request_id, now))
-        ask = _Ask(key, request_id, issued.vm, now, now + ASK_LIMIT_S)
-        self._asks[request_id] = ask
-        return self._send_ask(ask, issued.incarnation, now)
+        claimant = self._claimant(request_id)
+        if issued is not None and issued.vm == self._settings.vm:
+            self._held[claimant] = ""
+            return _decided(request_id, self._decide(key, claimant, now))
+        ask = _Ask(key, request_id, claimant, issued, now, now)
+        self._asks[claimant] = ask
+        return self._send_ask(ask, now)
 
     def ended(self, key: str, request_id: RequestId, ran: bool, now: float) -> list[Effect]:
         """Tell the deciding daemon how a request ended that asked for a key."""
-        self._asks.pop(request_id, None)
-        issued = parse_key(key)
-        if issued is None:
-            return self._buckets.ended(key, request_id, ran)
-        if ran:
+        claimant = self._claimant(request_id)
+        ask = self._asks.pop(claimant, None)
+        decided_by = self._held.pop(claimant, ask.peer if ask else None)
+        if ran or decided_by is None:
             return []
-        if issued.vm == self._settings.vm:
-            self._release(key, request_id)
-            return []
-        peer = self._peers.peer(issued.vm)
-        if peer is None:
-            return []
-        return [SendMessage(peer.address, ClaimEnd(key, request_id, ran))]
+        if decided_by:
+            return [SendMessage(decided_by, ClaimEnd(key, claimant, ran))]
+        self._release(key, claimant)
+        return []
+
+    def _claimant(self, request_id: RequestId) -> RequestId:
+        me = self._settings
+        return RequestId(f"{me.vm}.{me.incarnation}.{request_id}")
+
+    def _asked(self, message: ClaimAsk, address: str, now: float) -> list[Effect]:
+        claimant = message.request_id
+        if parse_key(message.key) is None:
+            return self._buckets.ask(message.key, claimant, claimant, now, reply_to=address)
+        verdict = self._decide(message.key, claimant, now)
+        return [SendMessage(address, ClaimReply(claimant, verdict))]
 
     def _decide(self, key: str, request_id: RequestId, now: float) -> ClaimVerdict:
         held = self._claims.get(key)
@@ -172,38 +193,59 @@
         self._order.append(claim)
         return ClaimVerdict.FIRST
 
-    def _release(self, key: str, request_id: RequestId) -> None:
+    def _release(self, key: str, claimant: RequestId) -> None:
+        if parse_key(key) is None:
+            self._buckets.release(key, claimant)
+            return
         held = self._claims.get(key)
-        if held is not None and held.request_id == request_id:
+        if held is not None and held.request_id == claimant:
             del self._claims[key]
 
     def _replied(self, message: ClaimReply) -> list[Effect]:
-        if self._asks.pop(message.request_id, None) is None:
+        ask = self._asks.pop(message.request_id, None)
+        if ask is None:
             return []
-        return _decided(message.request_id, message.verdict)
+        if message.verdict == ClaimVerdict.FIRST:
+            self._held[ask.claimant] = ask.peer
+        return _decided(ask.request_id, message.verdict)
 
-    def _send_ask(self, ask: _Ask, incarnation: Incarnation, now: float) -> list[Effect]:
-        peer = self._peers.peer(ask.vm)
-        if peer is not None and peer.incarnation > incarnation:
-            del self._asks[ask.request_id]
-            return _decided(ask.request_id, ClaimVerdict.LOST)
+    def _send_ask(self, ask: _Ask, now: float) -> list[Effect]:
         ask.next_at = now + ASK_PERIOD_S
-        if peer is None:
-            return []
-        message = ClaimAsk(ask.key, ask.request_id, self._settings.vm)
-        return [SendMessage(peer.address, message)]
+        if ask.issued is None:
+            return self._hand_over(ask, now)
+        peer = self._peers.peer(ask.issued.vm)
+        if peer is not None and peer.incarnation > ask.issued.incarnation:
+            return self._settle(ask, ClaimVerdict.LOST)
+        if now >= ask.asked_at + ASK_LIMIT_S:
+            return self._settle(ask, ClaimVerdict.UNDECIDED)
+        return self._send(ask, peer.address) if peer else []
+
+    def _hand_over(self, ask: _Ask, now: float) -> list[Effect]:
+        """Hand a claim to the daemon that commits its bucket, or commit it here."""
+        writer = self._writer(bucket_of(key_digest(ask.key)), now)
+        if writer and now < ask.asked_at + HAND_OVER_LIMIT_S:
+            return self._send(ask, writer)
+        del self._asks[ask.claimant]
+        self._held[ask.claimant] = ""
+        return self._buckets.ask(ask.key, ask.request_id, ask.claimant, now)
+
+    def _writer(self, bucket: int, now: float) -> str:
+        """Return the address of the daemon that commits a bucket; empty for this one."""
+        addresses = {peer.vm: peer.address for peer in self._peers.live(now)}
+        addresses[self._settings.vm] = ""
+        return addresses[max(addresses, key=lambda vm: rendezvous_weight(vm, f"claims/{bucket}"))]
+
+    def _send(self, ask: _Ask, address: str) -> list[Effect]:
+        ask.peer = address
+        return [SendMessage(address, ClaimAsk(ask.key, ask.claimant, self._settings.vm))]
+
+    def _settle(self, ask: _Ask, verdict: ClaimVerdict) -> list[Effect]:
+        del self._asks[ask.claimant]
+        return _decided(ask.request_id, verdict)
 
     def _ask_again(self, now: float) -> list[Effect]:
-        effects: list[Effect] = []
-        for ask in [ask for ask in self._asks.values() if ask.next_at <= now]:
-            if now >= ask.give_up_at:
-                del self._asks[ask.request_id]
-                effects.extend(_decided(ask.request_id, ClaimVerdict.UNDECIDED))
-                continue
-            issued = parse_key(ask.key)
-            assert issued is not None
-            effects.extend(self._send_ask(ask, issued.incarnation, now))
-        return effects
+        due = [ask for ask in self._asks.values() if ask.next_at <= now]
+        return [effect for ask in due for effect in self._send_ask(ask, now)]
 
     def _forget(self, now: float) -> None:
         while self._order and self._order[0].claimed_at + CLAIM_KEPT_S < now:
--- a/packages/gooseberryport-core/tests/test_claims.py
+++ b/packages/gooseberryport-core/tests/test_claims.py
@@ -165,6 +165,19 @@
     }
 
 
+@pytest.mark.parametrize("own", [True, False])
+def test_requests_of_the_same_name_at_two_entries_are_two_requests(own: bool) -> None:
+    fleet = Fleet(random.Random(3), faults=False)
+    key = "own" if own else fleet.nodes["vm-3"].key_prefix(0.0) + "word"
+    verdicts = []
+    for vm in ("vm-1", "vm-2"):
+        fleet.verdicts.clear()
+        fleet.ask(vm, key, "r1")
+        fleet.advance(2.0)
+        verdicts.append(fleet.verdicts["r1"])
+    assert verdicts == [ClaimVerdict.FIRST, ClaimVerdict.DUPLICATE]
+
+
 def test_a_key_of_a_daemon_that_restarted_is_lost_and_never_runs() -> None:
     fleet = Fleet(random.Random(3), faults=False)
     fleet.peers["vm-2"] = make_peer(make_settings("vm-2"))
