Bound what callers hold, and let answers out before a stop

Cause: bodies were bounded one by one only, the answer of a request could still be on its way out when the HTTP server was stopped, and a failed store call with an unexpected error was never answered. Ruled out: counting in-flight work on the loop (the loop is done once the answer is handed over; the HTTP thread is not). Change: a place per caller with a budget of body bytes, held until the answer is written; a stop closes kept connections, refuses new requests as not run and waits for the places; a caller never waits for the loop beyond its deadline and 5 s; handing an answer to a slow reader ends at the deadline; faults of tasks are logged.

--- /dev/null
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_bodies.py
@@ -0,0 +1,91 @@
+"""Callers' bodies: read whole and within bounds, or refused."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from gooseberryport_core.types import RefusalReason
+from gooseberryport_daemon._places import Place
+from gooseberryport_daemon._problems import Problem, not_run
+
+READ_CHUNK_BYTES = 65_536
+
+
+class RefusedError(Exception):
+    """The request is refused at the door.
+
+    Parameters
+    ----------
+    problem
+        What its caller is told.
+    """
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+def read_body(environ: dict[str, Any], limit: int, place: Place) -> bytes:
+    """Return a request's whole body.
+
+    Parameters
+    ----------
+    environ
+        WSGI environment of the request.
+    limit
+        Longest body, in bytes.
+    place
+        The caller's place, in which the bytes are counted.
+
+    Raises
+    ------
+    RefusedError
+        The body is too long, not whole, or there is no room for it.
+    """
+    stream = environ["wsgi.input"]
+    if environ.get("wsgi.input_terminated"):
+        return _read_chunked(stream, limit, place)
+    length = _content_length(environ.get("CONTENT_LENGTH", "0"))
+    if length == 0:
+        return b""
+    if length > limit:
+        raise RefusedError(not_run(413, RefusalReason.TOO_LARGE))
+    _reserve(place, length)
+    body = _read(stream, length)
+    if len(body) != length:
+        detail = "The body is shorter than Content-Length says."
+        raise RefusedError(not_run(400, RefusalReason.BAD_REQUEST, detail))
+    return body
+
+
+def _read_chunked(stream: Any, limit: int, place: Place) -> bytes:
+    chunks: list[bytes] = []
+    size = 0
+    while chunk := _read(stream, min(READ_CHUNK_BYTES, limit + 1 - size)):
+        size += len(chunk)
+        if size > limit:
+            raise RefusedError(not_run(413, RefusalReason.TOO_LARGE))
+        _reserve(place, len(chunk))
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def _reserve(place: Place, count: int) -> None:
+    if not place.reserve(count):
+        raise RefusedError(not_run(503, RefusalReason.QUEUE_FULL, retry_after_s=1.0))
+
+
+def _content_length(text: str) -> int:
+    if not text.isascii() or not text.isdigit():
+        detail = "Content-Length must be a number of bytes."
+        raise RefusedError(not_run(400, RefusalReason.BAD_REQUEST, detail))
+    return int(text)
+
+
+def _read(stream: Any, count: int) -> bytes:
+    try:
+        data: bytes = stream.read(count)
+    except (OSError, ValueError) as exc:
+        detail = "The body could not be read to its end; send it again."
+        raise RefusedError(not_run(400, RefusalReason.BAD_REQUEST, detail)) from exc
+    return data
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -7,8 +7,10 @@
 import signal
 import sys
 import time
+import traceback
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractContextManager, AsyncExitStack, asynccontextmanager
+from typing import Any
 
 import msgspec
 from grpclib.server import Server
@@ -29,13 +31,18 @@
 from gooseberryport_daemon._pages import Pages
 from gooseberryport_daemon._peer_client import AnswerTaker, PeerClient
 from gooseberryport_daemon._peer_server import PeerServer
+from gooseberryport_daemon._places import Places
 from gooseberryport_daemon._platform_calls import open_platform_calls
 from gooseberryport_daemon._sockets import PeerSockets, bind_peer_port
 from gooseberryport_daemon._timers import Timers, open_timers
 from gooseberryport_daemon._upstreams import open_upstreams
 from gooseberryport_daemon._view import front_view
 from gooseberryport_daemon.settings import RESERVED_THREADS, DaemonSettings, parse_endpoint
-from gooseberryport_platform import ServiceError
+
+LAST_ANSWERS_S = 30.0
+"""Time that answers under way get to be written at a stop; seconds."""
+
+STOP_POLL_S = 0.02
 
 VIEW_PERIOD_S = 0.25
 """Time between two snapshots for look-ups; seconds."""
@@ -83,6 +90,7 @@
 async def open_daemon(settings: DaemonSettings, *, log: WriteLog) -> AsyncIterator[Running]:
     """Start a daemon on the running loop; raises `DaemonError` if it can't start."""
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_fault_logger(log))
     async with AsyncExitStack() as stack:
         metrics = stack.enter_context(open_metrics(address=settings.statsd, vm=settings.vm))
         listen = parse_endpoint(settings.peer_listen, field="peer_listen")
@@ -94,10 +102,39 @@
         driver.node = _node(settings, addresses)
         _open_inner_parts(stack, settings, loop, driver)
         await _open_peer_parts(stack, settings, sockets, driver)
-        _start_timers(stack.enter_context(open_timers(loop)), settings, driver, front, metrics)
+        timers = stack.enter_context(open_timers(loop))
+        _start_timers(timers, settings, driver, front, metrics)
         driver.tick()
         server.start()
-        yield Running(addresses, driver, driver.stop)
+        try:
+            yield Running(addresses, driver, driver.stop)
+        finally:
+            timers.stop()
+            driver.config_changed = lambda: None
+            front.view = msgspec.structs.replace(front.view, stopping=True, closed=True)
+            await _let_answers_out(front, log)
+
+
+def _fault_logger(log: WriteLog) -> Callable[[asyncio.AbstractEventLoop, dict[str, Any]], None]:
+    """Return the loop's handler of exceptions that nobody awaited."""
+
+    def fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        exc = context.get("exception")
+        text = "".join(traceback.format_exception(exc)) if exc else ""
+        fields = {"message": str(context.get("message", "")), "traceback": text}
+        log(LogEvent(LogNumber.TASK_FAILED, LogLevel.ERROR, "a task failed", fields))
+
+    return fault
+
+
+async def _let_answers_out(front: Front, log: WriteLog) -> None:
+    """Wait until the answers under way are written; callers that read too slowly are cut off."""
+    deadline = time.monotonic() + LAST_ANSWERS_S
+    while front.held and time.monotonic() < deadline:
+        await asyncio.sleep(STOP_POLL_S)
+    if front.held:
+        fields = {"callers": str(front.held)}
+        log(LogEvent(LogNumber.ANSWER_CUT, LogLevel.WARNING, "callers read too slowly", fields))
 
 
 def _node(settings: DaemonSettings, addresses: Addresses) -> Node:
@@ -127,7 +164,10 @@
         name=f"{settings.vm}-{time.time_ns() // 1_000_000:x}",
         view=FrontView(LookupSnapshot(entries=(), max_age_s=0.0)),
         loop=Loop(submit, gone),
-        most_waiting=settings.threads.http - RESERVED_THREADS,
+        places=Places(
+            callers=settings.threads.http - RESERVED_THREADS,
+            body_bytes=settings.body_budget_bytes,
+        ),
     )
 
 
@@ -154,9 +194,6 @@
     loop: asyncio.AbstractEventLoop,
     driver: Driver,
 ) -> None:
-    def failed(error: ServiceError) -> None:
-        driver.log(LogNumber.PLATFORM_CALL_FAILED, "platform call failed", {"error": str(error)})
-
     driver.callers = Callers(loop=loop)
     driver.upstreams = stack.enter_context(
         open_upstreams(
@@ -164,14 +201,16 @@
         )
     )
     driver.platform = stack.enter_context(
-        open_platform_calls(settings=settings, loop=loop, feed=driver.feed, failed=failed)
+        open_platform_calls(
+            settings=settings, loop=loop, feed=driver.feed, failed=driver.platform_failed
+        )
     )
 
 
 async def _open_peer_parts(
     stack: AsyncExitStack, settings: DaemonSettings, sockets: PeerSockets, driver: Driver
 ) -> None:
-    driver.peer_server = PeerServer(feed=driver.feed)
+    driver.peer_server = PeerServer(feed=driver.feed, refused=driver.frame_refused)
     driver.peer_client = PeerClient(
         vm=settings.vm,
         feed=driver.feed,
@@ -198,7 +237,8 @@
     timers: Timers, settings: DaemonSettings, driver: Driver, front: Front, metrics: Metrics
 ) -> None:
     def renew_view() -> None:
-        front.view = front_view(driver.node, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        front.view = front_view(driver.node, now, stopping=driver.stopping, closed=False)
 
     def read_loads() -> None:
         for upstream in driver.node.owned_upstreams(asyncio.get_running_loop().time()):
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_front.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_front.py
@@ -4,27 +4,28 @@
 
 import itertools
 import math
-import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
-from contextlib import contextmanager
 from typing import Any
 from urllib.parse import parse_qs
 
 import msgspec
 
 from gooseberryport_core.lookup import LookupSnapshot
-from gooseberryport_core.types import RefusalReason, RequestId, ServiceName
+from gooseberryport_core.types import Outcome, RefusalReason, RequestId, ServiceName
+from gooseberryport_daemon._bodies import RefusedError, read_body
 from gooseberryport_daemon._caller_conn import CallerConnection
-from gooseberryport_daemon._callers import Exchange, StreamedAnswer
+from gooseberryport_daemon._callers import CallerEnd, Exchange, StreamedAnswer
 from gooseberryport_daemon._parts import (
     Answer,
     AnswerHead,
     CallerRequest,
     Headers,
+    Refusal,
     RequestHead,
     end_to_end,
 )
+from gooseberryport_daemon._places import HeldBody, Place, Places
 from gooseberryport_daemon._problems import Problem, not_run, problem_headers, problem_of
 
 Environ = dict[str, Any]
@@ -33,7 +34,14 @@
 POLL_S = 0.1
 """Time between two looks at whether a waiting caller is still there; seconds."""
 
-READ_CHUNK_BYTES = 65_536
+MAX_SILENCE_S = 5.0
+"""Time past a request's deadline after which a caller no longer waits for the loop; seconds."""
+
+LEAST_WAIT_S = 0.2
+GOLDEN_RATIO = 0.618_033_988_749_895
+
+NO_WORD = Refusal(Outcome.UNKNOWN, None, 0.0)
+
 MAX_KEY_LENGTH = 256
 MAX_SERVICE_LENGTH = 128
 
@@ -46,6 +54,7 @@
     """What the door must know of a service."""
 
     max_body_bytes: int
+    default_timeout_s: float
     max_timeout_s: float
 
 
@@ -56,10 +65,16 @@
     ----------
     services
         The services in force, or None while there is no configuration.
+    stopping
+        Whether callers should not keep their connections.
+    closed
+        Whether no new request is taken.
     """
 
     lookup: LookupSnapshot
     services: dict[ServiceName, ServiceLimits] | None = None
+    stopping: bool = False
+    closed: bool = False
 
 
 class Loop(msgspec.Struct, frozen=True):
@@ -69,14 +84,6 @@
     gone: Callable[[RequestId], None]
 
 
-class RefusedError(Exception):
-    """The request is refused at the door."""
-
-    def __init__(self, problem: Problem) -> None:
-        super().__init__(problem.detail)
-        self.problem = problem
-
-
 class Front:
     """Serve callers.
 
@@ -88,34 +95,38 @@
         What is known at the start.
     loop
         How requests reach the loop.
-    most_waiting
-        Most callers that may wait at once.
+    places
+        Bounds on what callers hold.
     """
 
-    def __init__(self, *, name: str, view: FrontView, loop: Loop, most_waiting: int) -> None:
+    def __init__(self, *, name: str, view: FrontView, loop: Loop, places: Places) -> None:
         self.view = view
         self._name = name
         self._loop = loop
-        self._places = threading.BoundedSemaphore(most_waiting)
+        self._places = places
         self._serials = itertools.count(1)
 
+    @property
+    def held(self) -> int:
+        """How many callers wait or are being answered."""
+        return self._places.held
+
     def lookup(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer a look-up from the snapshot."""
-        snapshot = self.view.lookup
-        query = parse_qs(environ.get("QUERY_STRING", ""))
-        service = query.get("service", [""])[0]
-        client = query.get("client", [""])[0] or environ.get("REMOTE_ADDR", "")
+        view = self.view
         if environ["REQUEST_METHOD"] not in ("GET", "HEAD"):
             problem = not_run(405, RefusalReason.BAD_REQUEST, "Use GET.")
             return _send_problem(problem, start_response)
-        services = self.view.services
-        if services is not None and service not in services:
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        service = query.get("service", [""])[0]
+        client = query.get("client", [""])[0] or environ.get("REMOTE_ADDR", "")
+        if view.services is not None and service not in view.services:
             return _send_problem(not_run(404, RefusalReason.UNKNOWN_SERVICE), start_response)
-        body = _json.encode(snapshot.rank(service, client))
+        body = _json.encode(view.lookup.rank(service, client))
         headers = [
             ("Content-Type", JSON_TYPE),
             ("Content-Length", str(len(body))),
-            ("Cache-Control", f"max-age={int(snapshot.max_age_s)}"),
+            ("Cache-Control", f"max-age={int(view.lookup.max_age_s)}"),
         ]
         start_response("200 OK", headers)
         return [body]
@@ -123,33 +134,39 @@
     def request(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Carry a request to an upstream and return its whole answer or a problem."""
         conn = CallerConnection(environ)
+        if self.view.stopping:
+            conn.close_after_answer()
+        place = self._places.take()
+        if place is None or self.view.closed:
+            conn.close_after_answer()
+            return _send_problem(self._no_place(place), start_response)
         try:
-            with self._place():
-                return self._serve(environ, conn, start_response)
+            return HeldBody(self._serve(environ, conn, place, start_response), place)
         except RefusedError as exc:
             conn.close_after_answer()
-            return _send_problem(exc.problem, start_response)
+            return HeldBody(_send_problem(exc.problem, start_response), place)
+        except BaseException:
+            place.release()
+            raise
 
-    @contextmanager
-    def _place(self) -> Iterator[None]:
-        """Hold one of the places for waiting callers."""
-        if not self._places.acquire(blocking=False):
-            raise RefusedError(not_run(503, RefusalReason.QUEUE_FULL))
-        try:
-            yield
-        finally:
-            self._places.release()
+    def _no_place(self, place: Place | None) -> Problem:
+        if place is None:
+            return not_run(503, RefusalReason.QUEUE_FULL, retry_after_s=self._jitter_s())
+        place.release()
+        return not_run(503, RefusalReason.STOPPING, retry_after_s=self._jitter_s())
+
+    def _jitter_s(self) -> float:
+        """Return a waiting time that differs from caller to caller."""
+        return LEAST_WAIT_S + (next(self._serials) * GOLDEN_RATIO % 1.0)
 
     def _serve(
-        self, environ: Environ, conn: CallerConnection, start_response: StartResponse
+        self, environ: Environ, conn: CallerConnection, place: Place, start_response: StartResponse
     ) -> Iterable[bytes]:
-        exchange = Exchange(self._read_request(environ))
-        self._loop.submit(exchange)
-        while (end := exchange.wait(POLL_S)) is None:
-            if conn.gone():
-                self._loop.gone(exchange.request.request_id)
-                conn.close_after_answer()
-                return _send_nothing(start_response)
+        exchange = Exchange(self._read_request(environ, place))
+        end = self._await_end(exchange, conn)
+        if end is None:
+            conn.close_after_answer()
+            return _send_problem(problem_of(NO_WORD), start_response)
         if isinstance(end, Answer):
             start_response(_status_line(end.head), _with_length(end))
             return [end.body]
@@ -158,6 +175,17 @@
             return self._stream(exchange.request.request_id, end)
         return _send_problem(problem_of(end), start_response)
 
+    def _await_end(self, exchange: Exchange, conn: CallerConnection) -> CallerEnd | None:
+        """Return a request's end, or None if its caller has gone or the loop gives no word."""
+        self._loop.submit(exchange)
+        patience_s = exchange.request.timeout_s or MAX_SILENCE_S
+        deadline = time.monotonic() + patience_s + MAX_SILENCE_S
+        while (end := exchange.wait(POLL_S)) is None:
+            if conn.gone() or time.monotonic() > deadline:
+                self._loop.gone(exchange.request.request_id)
+                return None
+        return end
+
     def _stream(self, request_id: RequestId, answer: StreamedAnswer) -> Iterator[bytes]:
         whole = False
         try:
@@ -167,21 +195,16 @@
             if not whole:
                 self._loop.gone(request_id)
 
-    def _read_request(self, environ: Environ) -> CallerRequest:
+    def _read_request(self, environ: Environ, place: Place) -> CallerRequest:
         started = time.monotonic()
         service = _service_name(environ["PATH_INFO"])
         limits = self._limits(service)
-        timeout_s = _timeout_s(environ.get("HTTP_REQUEST_TIMEOUT"))
-        timeout_s = min(timeout_s, limits.max_timeout_s)
-        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
-        if len(key) > MAX_KEY_LENGTH:
-            detail = f"The Idempotency-Key is longer than {MAX_KEY_LENGTH} characters."
-            raise RefusedError(not_run(400, RefusalReason.BAD_REQUEST, detail))
-        body = _read_body(environ, limits.max_body_bytes)
-        if timeout_s:
-            timeout_s -= time.monotonic() - started
-            if timeout_s <= 0:
-                raise RefusedError(not_run(504, RefusalReason.DEADLINE))
+        timeout_s = _timeout_s(environ.get("HTTP_REQUEST_TIMEOUT"), limits)
+        key = _idempotency_key(environ)
+        body = read_body(environ, limits.max_body_bytes, place)
+        timeout_s -= time.monotonic() - started
+        if timeout_s <= 0:
+            raise RefusedError(not_run(504, RefusalReason.DEADLINE))
         request_id = RequestId(f"{self._name}-{next(self._serials)}")
         head = RequestHead(
             method=environ["REQUEST_METHOD"],
@@ -196,7 +219,8 @@
         services = self.view.services
         if services is None:
             detail = "This entry VM has no configuration yet; try again, or look up another one."
-            raise RefusedError(not_run(503, RefusalReason.NO_OWNER, detail))
+            wait_s = self._jitter_s()
+            raise RefusedError(not_run(503, RefusalReason.NO_OWNER, detail, retry_after_s=wait_s))
         limits = services.get(service)
         if limits is None:
             raise RefusedError(not_run(404, RefusalReason.UNKNOWN_SERVICE))
@@ -210,10 +234,10 @@
     return ServiceName(name)
 
 
-def _timeout_s(text: str | None) -> float:
-    """Return the time that a caller allows, 0 if it names none; raises `RefusedError`."""
+def _timeout_s(text: str | None, limits: ServiceLimits) -> float:
+    """Return the time that a caller allows, within the service's bounds."""
     if text is None:
-        return 0.0
+        return limits.default_timeout_s
     try:
         value = float(text)
     except ValueError:
@@ -221,49 +245,15 @@
     if not math.isfinite(value) or value <= 0:
         detail = "Request-Timeout must be seconds above 0, as a decimal number such as 2.5."
         raise RefusedError(not_run(400, RefusalReason.BAD_REQUEST, detail))
-    return value
-
-
-def _read_body(environ: Environ, limit: int) -> bytes:
-    """Return the whole body; raises `RefusedError` if it is too long or not whole."""
-    stream = environ["wsgi.input"]
-    if environ.get("wsgi.input_terminated"):
-        return _read_up_to(stream, limit)
-    length = _content_length(environ.get("CONTENT_LENGTH", "0"))
-    if length > limit:
-        raise RefusedError(not_run(413, RefusalReason.TOO_LARGE))
-    body = _read_up_to(stream, length) if length else b""
-    if len(body) != length:
-        detail = "The body is shorter than Content-Length says."
-        raise RefusedError(not_run(400, RefusalReason.BAD_REQUEST, detail))
-    return body
+    return min(value, limits.max_timeout_s)
 
 
-def _content_length(text: str) -> int:
-    if not text.isascii() or not text.isdigit():
-        detail = "Content-Length must be a number of bytes."
+def _idempotency_key(environ: Environ) -> str:
+    key: str = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    if len(key) > MAX_KEY_LENGTH or not key.isprintable():
+        detail = f"The Idempotency-Key must be at most {MAX_KEY_LENGTH} printable characters."
         raise RefusedError(not_run(400, RefusalReason.BAD_REQUEST, detail))
-    return int(text)
-
-
-def _read_up_to(stream: Any, limit: int) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    while chunk := _read_chunk(stream, limit - size):
-        size += len(chunk)
-        if size > limit:
-            raise RefusedError(not_run(413, RefusalReason.TOO_LARGE))
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
-def _read_chunk(stream: Any, left: int) -> bytes:
-    try:
-        chunk: bytes = stream.read(min(READ_CHUNK_BYTES, left + 1))
-    except (OSError, ValueError) as exc:
-        detail = "The body could not be read to its end; send it again."
-        raise RefusedError(not_run(400, RefusalReason.BAD_REQUEST, detail)) from exc
-    return chunk
+    return key
 
 
 def _headers(environ: Environ) -> Headers:
@@ -283,7 +273,7 @@
 
 def _with_length(answer: Answer) -> list[tuple[str, str]]:
     headers = list(answer.head.headers)
-    if not any(name.lower() == "content-length" for name, _ in headers) and answer.body:
+    if answer.body and not any(name.lower() == "content-length" for name, _ in headers):
         headers.append(("Content-Length", str(len(answer.body))))
     return headers
 
@@ -292,8 +282,3 @@
     body = _json.encode(problem)
     start_response(f"{problem.status} {problem.title}", problem_headers(problem, body))
     return [body]
-
-
-def _send_nothing(start_response: StartResponse) -> Iterable[bytes]:
-    start_response("503 Service Unavailable", [("Content-Length", "0")])
-    return []
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_loop.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_loop.py
@@ -48,10 +48,14 @@
 from gooseberryport_daemon._peer_server import PeerServer
 from gooseberryport_daemon._platform_calls import PlatformCalls
 from gooseberryport_daemon._upstreams import UpstreamRequest, Upstreams
+from gooseberryport_platform import ServiceError
 
 TICK_METRIC = "loop.tick"
 REQUEST_METRIC = "request"
 
+QUIET_S = 10.0
+"""Time between two log events of the same failing service; seconds."""
+
 
 class Driver:
     """Drive a node on the loop's thread.
@@ -83,6 +87,7 @@
         self._metrics = metrics
         self._pending: deque[Event] = deque()
         self._feeding = False
+        self._quiet_until: dict[str, float] = {}
         self._arrived_at: dict[RequestId, float] = {}
         self._carry: dict[type[Effect], Callable[[Any], None]] = {
             SendTicket: lambda effect: self._send_ticket(effect),
@@ -173,12 +178,26 @@
         self._metrics.count(CountMetric("datagrams.refused"))
         self.log(LogNumber.DATAGRAM_REFUSED, "datagram refused", {"sender": sender})
 
+    def frame_refused(self, fault: str) -> None:
+        """Note a peer's stream that is not of the agreed form."""
+        self._metrics.count(CountMetric("streams.refused"))
+        self.log(LogNumber.PEER_FRAME_REFUSED, "peer stream refused", {"fault": fault})
+
     def datagram_too_long(self, effect: SendMessage, length: int) -> None:
         """Note a message that could not be sent."""
         kind = type(effect.message).__name__
         fields = {"message": kind, "bytes": str(length), "peer": effect.address}
         self.log(LogNumber.DATAGRAM_TOO_LONG, "message too long", fields, LogLevel.ERROR)
 
+    def platform_failed(self, error: ServiceError) -> None:
+        """Note a failed read; of one service at most one log event in a while."""
+        self._metrics.count(CountMetric("platform.failed"))
+        now = self._loop.time()
+        if now < self._quiet_until.get(error.address, now):
+            return
+        self._quiet_until[error.address] = now + QUIET_S
+        self.log(LogNumber.PLATFORM_CALL_FAILED, "platform call failed", {"error": str(error)})
+
     def log(
         self,
         number: LogNumber,
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_parts.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_parts.py
@@ -11,6 +11,7 @@
 HOP_BY_HOP = frozenset(
     {
         "connection",
+        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
@@ -21,7 +22,7 @@
         "upgrade",
     }
 )
-"""Header fields that belong to one connection; lower case."""
+"""Header fields that one connection's two ends settle between them; lower case."""
 
 
 class RequestHead(msgspec.Struct, frozen=True):
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_server.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_server.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 
 from gooseberryport_core.events import (
     BodyArrived,
@@ -61,14 +63,24 @@
     ----------
     feed
         Hands an event to the node.
+    refused
+        Told why a stream was refused.
     """
 
-    def __init__(self, *, feed: Callable[[Event], None]) -> None:
+    def __init__(self, *, feed: Callable[[Event], None], refused: Callable[[str], None]) -> None:
         self._feed = feed
+        self._refused = refused
         self._inbound: dict[TicketId, _Inbound] = {}
 
     async def Forward(self, stream: PeerStream) -> None:  # noqa: N802
         """Serve one ticket from its offer to its end."""
+        try:
+            await self._take_ticket(stream)
+        except FrameInvalidError as exc:
+            self._refused(str(exc))
+            raise GRPCError(Status.INVALID_ARGUMENT, str(exc)) from exc
+
+    async def _take_ticket(self, stream: PeerStream) -> None:
         first = await stream.recv_message()
         if first is None:
             return
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_platform_calls.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_platform_calls.py
@@ -10,8 +10,8 @@
 from returns.result import Failure, Result
 
 from gooseberryport_core.config import Config
-from gooseberryport_core.effects import StoreWatch
-from gooseberryport_core.events import Event, ListedVm, LoadReported, VmListArrived
+from gooseberryport_core.effects import StoreSwap, StoreWatch
+from gooseberryport_core.events import Event, ListedVm, LoadReported, StoreFailed, VmListArrived
 from gooseberryport_core.types import UpstreamId
 from gooseberryport_daemon.settings import DaemonSettings
 from gooseberryport_platform import (
@@ -77,7 +77,7 @@
         """Carry out a store effect; its event follows."""
         executor = self._watchers if isinstance(effect, StoreWatch) else self._executor
         fut = self._loop.run_in_executor(executor, run_store_effect, self._store, effect)
-        fut.add_done_callback(lambda done: self._hand_on(done))
+        fut.add_done_callback(lambda done: self._hand_on(effect, done))
 
     def read_vm_list(self) -> None:
         """Read the VM list, unless a read is under way."""
@@ -98,9 +98,12 @@
         )
         fut.add_done_callback(lambda done: self._take_load(upstream, done))
 
-    def _hand_on(self, done: asyncio.Future[StoreEvent]) -> None:
-        if not done.cancelled():
-            self._feed(done.result())
+    def _hand_on(self, effect: StoreEffect, done: asyncio.Future[StoreEvent]) -> None:
+        if done.cancelled():
+            return
+        if done.exception() is not None:
+            self._feed(StoreFailed(effect.call_id, ambiguous=isinstance(effect, StoreSwap)))
+        self._feed(done.result())
 
     def _take_list(self, done: asyncio.Future[ListResult]) -> None:
         self._reading_list = False
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_problems.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_problems.py
@@ -87,10 +87,18 @@
 )
 
 
-def not_run(status: int, reason: RefusalReason, detail: str = "") -> Problem:
+def not_run(
+    status: int, reason: RefusalReason, detail: str = "", *, retry_after_s: float = 0.0
+) -> Problem:
     """Return the problem of a request that was refused at the door."""
-    text = detail or _DETAILS[reason]
-    return Problem(status, TITLES[status], Outcome.NOT_RUN.value, reason.value, text)
+    return Problem(
+        status=status,
+        title=TITLES[status],
+        outcome=Outcome.NOT_RUN.value,
+        reason=reason.value,
+        detail=detail or _DETAILS[reason],
+        retry_after_s=round(retry_after_s, 3),
+    )
 
 
 def problem_of(refusal: Refusal) -> Problem:
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_upstreams.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager, suppress
@@ -249,7 +250,12 @@
 
     def _pass_on(self, head: AnswerHead | None, chunks: list[bytes]) -> None:
         taken = self._request.sink.take(head, b"".join(chunks))
-        asyncio.run_coroutine_threadsafe(taken, self._loop).result()
+        fut = asyncio.run_coroutine_threadsafe(taken, self._loop)
+        try:
+            fut.result(max(self._attempt.left_s, 0.0))
+        except concurrent.futures.TimeoutError as exc:
+            fut.cancel()
+            raise AnswerNotWholeError from exc
 
 
 def _has_visible_end(resp: urllib3.BaseHTTPResponse, method: str) -> bool:
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_view.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_view.py
@@ -8,15 +8,22 @@
 from gooseberryport_daemon._front import FrontView, ServiceLimits
 
 
-def front_view(node: Node, now: float) -> FrontView:
+def front_view(node: Node, now: float, *, stopping: bool, closed: bool) -> FrontView:
     """Return the view of a moment."""
-    return FrontView(lookup=node.lookup_snapshot(now), services=_limits(node.cfg))
+    return FrontView(
+        lookup=node.lookup_snapshot(now),
+        services=_limits(node.cfg),
+        stopping=stopping,
+        closed=closed,
+    )
 
 
 def _limits(cfg: Config) -> dict[ServiceName, ServiceLimits] | None:
     if cfg.version == 0:
         return None
     return {
-        name: ServiceLimits(service.max_body_bytes, service.max_timeout_s)
+        name: ServiceLimits(
+            service.max_body_bytes, service.default_timeout_s, service.max_timeout_s
+        )
         for name, service in cfg.services.items()
     }
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/settings.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/settings.py
@@ -15,6 +15,7 @@
 
 MAX_THREADS = 1_024
 MAX_TICK_S = 1.0
+LEAST_BODY_BUDGET_BYTES = 1_048_576
 RESERVED_THREADS = 4
 """Threads of the HTTP server that requests leave free for look-ups and pages."""
 
@@ -52,6 +53,8 @@
         The platform's services.
     statsd
         ``IP:port`` of the statsd server; empty for none.
+    body_budget_bytes
+        Most bytes of callers' bodies that are held at once.
     peers
         Peer addresses to try at the start, while the VM list can't be read.
     seed
@@ -75,6 +78,7 @@
     peer_listen: str = "127.0.0.1:0"
     load_reports: LoadReportSettings = LoadReportSettings()
     statsd: str = ""
+    body_budget_bytes: int = 67_108_864
     peers: tuple[str, ...] = ()
     seed: int = 0
     threads: Threads = Threads()
@@ -139,6 +143,9 @@
         _check_remote(peer, "peers")
     if settings.statsd:
         _check_remote(settings.statsd, "statsd")
+    if settings.body_budget_bytes < LEAST_BODY_BUDGET_BYTES:
+        detail = f"it must be at least {LEAST_BODY_BUDGET_BYTES}"
+        raise SettingsInvalidError(subject="body_budget_bytes", detail=detail)
     _check_threads(settings.threads)
     _check_period(settings.tick_s, "tick_s", longest=MAX_TICK_S)
     _check_period(settings.vm_list_period_s, "vm_list_period_s")
--- a/packages/gooseberryport-daemon/tests/daemon_harness.py
+++ b/packages/gooseberryport-daemon/tests/daemon_harness.py
@@ -12,6 +12,7 @@
 from gooseberryport_daemon._daemon import Running, open_daemon
 from gooseberryport_daemon.settings import DaemonSettings, Threads
 from gooseberryport_platform import StoreSettings, VmListSettings, open_store
+from gooseberryport_standins.publish import publish_config
 from gooseberryport_standins.store import StoreStandin, open_store_standin
 from gooseberryport_standins.upstream import Fleet, UpstreamSpec, open_fleet
 from gooseberryport_standins.vm_list import VmLine, VmListStandin, open_vm_list_standin
@@ -130,9 +131,7 @@
 
     def publish(self, cfg: Config) -> None:
         with open_store(StoreSettings(self.store.door.address)) as store:
-            current = store.get("config/whole").unwrap()
-            done = store.swap("config/whole", msgspec.json.encode(cfg), current.revision)
-            assert done.unwrap().applied
+            publish_config(store, cfg)
 
     def settings(self, vm: str, zone: str = ZONES[0], **changes: object) -> DaemonSettings:
         settings = DaemonSettings(
