Keep the configuration version that a peer's heartbeat tells

Cause: status pages showed version 0 for every other daemon, so `apply` and `drain` waited in vain for a version to be in force (seen in the demo: version 2 "not in force" in 8 of 9 daemons after 30 s). Ruled out: the daemons not having it (their own pages showed version 2). Change: membership passes the heartbeat's version on.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_membership.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_membership.py
@@ -99,6 +99,7 @@
             beat.address,
             beat.http_address,
             now,
+            config_version=beat.config_version,
         )
         self._loads[beat.vm] = beat.pools
 
