Name key prefixes in look-ups, and refuse new requests after a planned stop's cache time

Cause: callers had no way to learn a key prefix; a daemon without a configuration was named in look-ups; a stopping daemon with steady callers would never have been idle, so never have ended; the names of local tickets that were cancelled or moved stayed in memory for good. Ruled out: closing the callers' port at the stop (callers hold the address for the cache time). Change: `key_prefix` in each entry of a look-up; only ready VMs are named; from the end of the cache time on a stopping daemon answers `not-run`, reason `stopping`.

--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -9,7 +9,7 @@
 from gooseberryport_core._config_sync import ConfigSync
 from gooseberryport_core._membership import Membership
 from gooseberryport_core._ownership import Ownership
-from gooseberryport_core._requests import Home, Requests
+from gooseberryport_core._requests import RETRY_AFTER_S, Home, Requests
 from gooseberryport_core._routing import Router
 from gooseberryport_core._shifts import moving_rule
 from gooseberryport_core._views import Component, HeartbeatFacts, Peer
@@ -20,6 +20,7 @@
     Decide,
     Effect,
     Exit,
+    FinishRequest,
     SendBody,
     SendTicket,
     SendTicketReply,
@@ -30,6 +31,7 @@
     BodyArrived,
     Event,
     PeerUnreachable,
+    RequestArrived,
     StopRequested,
     Tick,
     TicketArrived,
@@ -38,10 +40,19 @@
     UpstreamFinished,
 )
 from gooseberryport_core.lookup import BlockTable, LookupSnapshot, ZoneOrder, home_region
-from gooseberryport_core.messages import Refused
+from gooseberryport_core.messages import Moved, Refused
 from gooseberryport_core.settings import NodeSettings
 from gooseberryport_core.status import Explanation, StatusPage, build_status, explain_pools
-from gooseberryport_core.types import RequestId, ServiceName, TicketId, UpstreamId, VmId, VmState
+from gooseberryport_core.types import (
+    Outcome,
+    RefusalReason,
+    RequestId,
+    ServiceName,
+    TicketId,
+    UpstreamId,
+    VmId,
+    VmState,
+)
 
 
 class Node:
@@ -101,7 +112,7 @@
         if not self._stopping:
             peers.append(self._self_peer(now))
         return LookupSnapshot(
-            entries=tuple(peer for peer in peers if peer.http_address),
+            entries=tuple(p for p in peers if p.http_address and p.config_version > 0),
             max_age_s=self.cfg.limits.lookup_max_age_s,
             blocks=self._blocks,
             order=self._zone_order,
@@ -191,6 +202,8 @@
         list of Effect
             What to do now, in this order.
         """
+        if isinstance(event, RequestArrived) and now >= self._stop_at:
+            return [_refuse_stopping(event)]
         effects = self._configure(self._config.handle(event, now), now)
         if isinstance(event, StopRequested) and not self._stopping:
             self._stopping = True
@@ -237,13 +250,15 @@
             lost = PeerUnreachable(effect.vm, effect.ticket.ticket_id)
             return self._requests.handle(lost, now)
         if isinstance(effect, SendTicketReply) and effect.vm == me:
-            if isinstance(effect.reply, Refused):
+            if isinstance(effect.reply, Refused | Moved):
                 self._local.pop(effect.reply.ticket_id, None)
             return self._requests.handle(TicketReplied(me, effect.reply), now)
         if isinstance(effect, SendBody) and effect.ticket_id in self._local:
             self._local[effect.ticket_id] = effect.request_id
             return self._admission.handle(BodyArrived(effect.ticket_id), now)
         if isinstance(effect, CancelTicket) and effect.ticket_id in self._local:
+            if not self._local[effect.ticket_id]:
+                del self._local[effect.ticket_id]
             return self._admission.handle(TicketCancelled(effect.ticket_id), now)
         if isinstance(effect, StartUpstream) and not effect.request_id:
             return self._name_request(effect)
@@ -304,4 +319,11 @@
             me.http_address,
             now,
             config_version=self.cfg.version,
+            key_prefix=self._claims.key_prefix(now),
         )
+
+
+def _refuse_stopping(event: RequestArrived) -> FinishRequest:
+    return FinishRequest(
+        event.request_id, Outcome.NOT_RUN, TicketId(""), RefusalReason.STOPPING, RETRY_AFTER_S
+    )
--- a/packages/gooseberryport-core/src/gooseberryport_core/lookup.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/lookup.py
@@ -30,11 +30,20 @@
 
 
 class LookupEntry(msgspec.Struct, frozen=True):
-    """One entry VM of a look-up's answer."""
+    """One entry VM of a look-up's answer.
+
+    Parameters
+    ----------
+    http_address
+        ``IP:port`` for callers.
+    key_prefix
+        Prefix of idempotency keys that this VM decides; the caller adds a word of its own.
+    """
 
     vm: VmId
     zone: ZoneName
     http_address: str
+    key_prefix: str = ""
 
 
 class ZoneOrder:
@@ -138,7 +147,7 @@
     """An entry VM with the seed of its hash."""
 
     def __init__(self, peer: Peer) -> None:
-        self.entry = LookupEntry(peer.vm, peer.zone, peer.http_address)
+        self.entry = LookupEntry(peer.vm, peer.zone, peer.http_address, peer.key_prefix)
         self.seed = xxhash.xxh3_64_intdigest(peer.vm.encode())
 
 
