--- a/standins/src/gooseberryport_standins/_process.py
+++ b/standins/src/gooseberryport_standins/_process.py
@@ -50,11 +50,10 @@
 def started(module: str, *args: str) -> Iterator[Ready]:
     """Run a stand-in as a process until the context ends."""
     command = [sys.executable, "-m", f"gooseberryport_standins.{module}", *args]
-    with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+    with subprocess.Popen(command, stdout=subprocess.PIPE, start_new_session=True) as process:
         try:
             assert process.stdout is not None
-            line = process.stdout.readline()
-            yield msgspec.json.decode(line, type=Ready)
+            yield msgspec.json.decode(process.stdout.readline(), type=Ready)
         finally:
             end_process(process)
 
--- a/standins/src/gooseberryport_standins/_upstream.py
+++ b/standins/src/gooseberryport_standins/_upstream.py
@@ -91,8 +91,8 @@
         Requests shed by the fault.
     over_slots
         Requests shed because every slot was taken.
-    most_at_once
-        Most requests that ran at once.
+    running, most_at_once
+        Requests that run now, and most that ran at once.
     """
 
     name: str
@@ -102,6 +102,7 @@
     late: int = 0
     shed: int = 0
     over_slots: int = 0
+    running: int = 0
     most_at_once: int = 0
 
 
@@ -231,6 +232,7 @@
 
     def _note_load(self) -> None:
         load = len(self._running)
+        self._stats.running = load
         self._stats.most_at_once = max(self._stats.most_at_once, load)
         self._history.append((time.time(), load))
 
--- a/standins/src/gooseberryport_standins/caller.py
+++ b/standins/src/gooseberryport_standins/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import queue
 import random
 import threading
@@ -18,7 +19,16 @@
 
 from gooseberryport_standins._caller import Caller, CallPlan, CallResult, End, Lookups
 
-__all__ = ["CallPlan", "CallResult", "End", "LoadPlan", "LoadSummary", "Traffic", "run_load"]
+__all__ = [
+    "CallPlan",
+    "CallResult",
+    "End",
+    "LoadPlan",
+    "LoadSummary",
+    "Traffic",
+    "run_load",
+    "summarise",
+]
 
 LONGEST_US = 120_000_000
 DIGITS = 3
@@ -56,8 +66,8 @@
         Mean arrivals a second; they do not wait for answers.
     seconds
         Length of the run.
-    clients
-        Number of clients, each with an IP number of its own.
+    clients, blocks
+        Number of clients, each with an IP number of its own, and the CIDR blocks they are in.
     threads
         Most requests that are under way at once.
     """
@@ -66,6 +76,7 @@
     rate: float = 100.0
     seconds: float = 5.0
     clients: int = 200
+    blocks: tuple[str, ...] = ("10.0.0.0/16",)
     threads: int = 64
     seed: int = 1
 
@@ -147,17 +158,17 @@
 
 
 def _arrivals(plan: LoadPlan, rng: random.Random, name: str) -> Iterator[tuple[float, CallPlan]]:
+    clients = _clients(plan)
     weights = [traffic.weight for traffic in plan.traffic]
     offset_s = 0.0
     serial = 0
     while (offset_s := offset_s + rng.expovariate(plan.rate)) < plan.seconds:
         serial += 1
         traffic = rng.choices(plan.traffic, weights)[0]
-        client = rng.randrange(plan.clients)
         yield offset_s, CallPlan(
             request_id=f"{name}-{plan.seed}-{serial}",
             service=traffic.service,
-            client=f"10.{client >> 16 & 255}.{client >> 8 & 255}.{client & 255}",
+            client=rng.choice(clients),
             method=traffic.method,
             path=traffic.path,
             timeout_s=traffic.timeout_s,
@@ -166,6 +177,11 @@
         )
 
 
+def _clients(plan: LoadPlan) -> list[str]:
+    blocks = [ipaddress.ip_network(block) for block in plan.blocks]
+    return [str(blocks[n % len(blocks)][n // len(blocks)]) for n in range(plan.clients)]
+
+
 @dataclass
 class CallerCommand:
     """Make load through entry VMs and print what came of it.
--- a/standins/src/gooseberryport_standins/publish.py
+++ b/standins/src/gooseberryport_standins/publish.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from gooseberryport_core.config_files import check_files
+from gooseberryport_core.config import Config
 from gooseberryport_core.config_store import (
     HEAD_KEY,
     Draft,
@@ -41,14 +41,11 @@
         settled_swap(store, publication.past_key, publication.past, ABSENT).unwrap()
     head = encode_head(publication.head)
     settled_swap(store, HEAD_KEY, head, current.revision).unwrap()
-    _publish_whole(store, files, publication.head.version)
     return publication.head.version
 
 
-def _publish_whole(store: Store, files: Mapping[str, bytes | None], version: ConfigVersion) -> None:
-    """Write the key that daemons read as long as they do not read the head."""
-    known = {name: content for name, content in files.items() if content is not None}
-    cfg = check_files(known, version).cfg
-    current = store.get("config/whole").unwrap()
-    if cfg is not None:
-        store.swap("config/whole", msgspec.json.encode(cfg), current.revision).unwrap()
+def publish_config(store: Store, cfg: Config) -> ConfigVersion:
+    """Publish a configuration as one file, and return the version that it gets."""
+    plain = msgspec.to_builtins(cfg)
+    del plain["version"]
+    return publish_files(store, {"config.json": msgspec.json.encode(plain)})
