Distribute configurations from the head key, through few watchers and peers

Cause: every daemon read one whole key once a second, took whatever decoded, and had no way on while the service is down. Ruled out: a watch in every daemon (each waiting watch counts as a call, 420 of them); pieces of one merged value (a change of one file would send everything again). Change: two daemons of a region, chosen by rendezvous hash, watch the head; the others learn of a version from heartbeats and fetch head and parts from peers by digest, with retransmission; parts are read from the service by watchers when no peer has them, by others after a time. A watch that stays silent is given up for a read. A fresh daemon waits for the service's word or, while that is silent, a second for the highest version of its peers. What does not load is refused. The key config/whole is gone; the harness and the stand-ins publish through the head. Peers fetch parts by datagrams; files of many megabytes would go through the service after two seconds, which is not measured.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_config_sync.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_config_sync.py
@@ -1,20 +1,35 @@
-"""How the newest configuration reaches this daemon (thin form: one key read again and again)."""
+"""How the newest configuration reaches this daemon, from the key-value service or from peers."""
 
 from __future__ import annotations
 
 import random
 
-import msgspec
+from returns.result import Failure
 
+from gooseberryport_core._config_candidate import Candidate
+from gooseberryport_core._config_head import HeadWatch, is_watcher
+from gooseberryport_core._config_pieces import HEAD, ItemFetch, answer, digest_of
+from gooseberryport_core._config_sources import PartReads, VersionsHeard
+from gooseberryport_core._invariants import Invariant, check
+from gooseberryport_core._roster import heartbeats_in
 from gooseberryport_core._views import Peers
 from gooseberryport_core.config import Config
-from gooseberryport_core.effects import ConfigChanged, Effect, StoreGet
-from gooseberryport_core.events import Event, StoreFailed, StoreGot, Tick
+from gooseberryport_core.config_files import load_config
+from gooseberryport_core.effects import ConfigChanged, Effect, LogEvent, LogLevel
+from gooseberryport_core.events import Event, MessageArrived, Tick
+from gooseberryport_core.log_events import LogNumber
+from gooseberryport_core.messages import ConfigPiece, ConfigRequest
 from gooseberryport_core.settings import NodeSettings
-from gooseberryport_core.types import CallId
+from gooseberryport_core.types import ConfigVersion
 
-WHOLE_KEY = "config/whole"
-READ_PERIOD_S = 1.0
+PARALLEL_FETCHES = 8
+START_WINDOW_S = 1.0
+"""Time in which a fresh daemon looks for the highest version while the service is silent."""
+
+PEERS_FIRST_S = 2.0
+"""Time for which parts are sought at peers before a daemon that does not watch reads them."""
+
+SHOWN_PROBLEMS = 3
 
 
 class ConfigSync:
@@ -32,31 +47,156 @@
 
     def __init__(self, *, settings: NodeSettings, peers: Peers, rng: random.Random) -> None:
         self._settings = settings
+        self._rng = rng
         self._cfg = Config()
-        self._next_read = float("-inf")
-        self._call = CallId(-1)
+        self._head = b""
+        self._parts: dict[str, bytes] = {}
+        self._heard = VersionsHeard(
+            region=settings.region, timeout_s=settings.timing.peer_timeout_s, rng=rng
+        )
+        self._head_watch = HeadWatch(settings=settings, rng=rng)
+        self._part_reads = PartReads()
+        self._fetches: dict[str, ItemFetch] = {}
+        self._candidate: Candidate | None = None
+        self._refused = ConfigVersion(0)
+        self._started_at: float | None = None
 
     @property
     def cfg(self) -> Config:
-        """The newest configuration."""
+        """The configuration in force."""
         return self._cfg
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Handle an event; `ConfigChanged` among the effects tells of a newer configuration."""
-        if isinstance(event, Tick) and now >= self._next_read:
-            self._next_read = now + READ_PERIOD_S
-            return [StoreGet(self._call, WHOLE_KEY)]
-        if isinstance(event, StoreGot) and event.call_id == self._call:
-            return self._take(event)
-        if isinstance(event, StoreFailed) and event.call_id == self._call:
-            self._next_read = now + READ_PERIOD_S
+        if isinstance(event, Tick):
+            return self._tick(now)
+        if isinstance(event, MessageArrived):
+            return self._message(event, now)
+        value = self._head_watch.handle(event, now)
+        if value is not None:
+            return self._offer_head(value.value, now)
+        part = self._part_reads.handle(event)
+        return self._offer_part(part, now) if part else []
+
+    def _tick(self, now: float) -> list[Effect]:
+        if self._started_at is None:
+            self._started_at = now
+        watcher = is_watcher(self._settings, self._heard.region_vms(now))
+        effects = self._head_watch.tick(watcher=watcher, now=now)
+        highest = self._heard.highest(now)
+        if highest > max(self._newest_known, self._refused):
+            self._candidate = self._new_candidate(highest, now)
+        effects.extend(self._fetch(watcher, now))
+        effects.extend(self._try_to_load(now))
+        return effects
+
+    def _message(self, event: MessageArrived, now: float) -> list[Effect]:
+        message = event.message
+        self._heard.take(heartbeats_in(event), now)
+        if isinstance(message, ConfigRequest):
+            return answer(
+                message,
+                event.address,
+                version=self._cfg.version,
+                head=self._head,
+                parts=self._parts,
+            )
+        if isinstance(message, ConfigPiece):
+            return self._take_piece(message, event.address, now)
         return []
 
-    def _take(self, event: StoreGot) -> list[Effect]:
-        if not event.values or event.values[0].revision == 0:
+    @property
+    def _newest_known(self) -> ConfigVersion:
+        return self._candidate.version if self._candidate else self._cfg.version
+
+    def _new_candidate(self, version: ConfigVersion, now: float) -> Candidate:
+        self._fetches = {}
+        known = self._candidate.parts if self._candidate else self._parts
+        return Candidate(version=version, known=known, started_at=now)
+
+    def _fetch(self, watcher: bool, now: float) -> list[Effect]:
+        """Ask peers for what is missing; a watcher, or one that waited long, asks the service."""
+        candidate = self._candidate
+        if candidate is None:
+            return []
+        wanted = candidate.missing() if candidate.head else (HEAD,)
+        holders = self._heard.addresses(candidate.version, now)
+        effects: list[Effect] = []
+        for digest in wanted[:PARALLEL_FETCHES]:
+            fetch = self._fetches.setdefault(digest, ItemFetch(digest=digest))
+            effects.extend(fetch.tick(candidate.version, holders, self._rng, now))
+        patience_s = PEERS_FIRST_S * (1.0 + self._heard.jitter)
+        waited = now >= candidate.started_at + patience_s
+        if candidate.head is None and waited:
+            self._head_watch.hurry(now)
+        elif candidate.head is not None and (waited or (watcher and not holders)):
+            effects.extend(self._part_reads.read(wanted, now))
+        return effects
+
+    def _take_piece(self, piece: ConfigPiece, address: str, now: float) -> list[Effect]:
+        fetch = self._fetches.get(HEAD if piece.version else piece.digest)
+        if fetch is None:
             return []
-        cfg = msgspec.json.decode(event.values[0].value, type=Config)
-        if cfg.version <= self._cfg.version:
+        effects = fetch.add(piece, address, now)
+        value = fetch.value()
+        if value is None:
+            return effects
+        del self._fetches[fetch.digest]
+        if fetch.digest == HEAD:
+            effects.extend(self._offer_head(value, now))
+        else:
+            effects.extend(self._offer_part(value, now))
+        return effects
+
+    def _offer_head(self, value: bytes, now: float) -> list[Effect]:
+        """Take a head that the service or a peer has shown."""
+        candidate = self._candidate
+        if candidate is None or candidate.head is not None:
+            candidate = self._new_candidate(ConfigVersion(self._newest_known + 1), now)
+        if candidate.take_head(value) and candidate.version > self._refused:
+            self._candidate = candidate
+        return self._try_to_load(now)
+
+    def _offer_part(self, part: bytes, now: float) -> list[Effect]:
+        if self._candidate is None:
+            return []
+        self._candidate.parts[digest_of(part)] = part
+        return self._try_to_load(now)
+
+    def _try_to_load(self, now: float) -> list[Effect]:
+        candidate = self._candidate
+        if candidate is None or candidate.missing() or not self._may_load(candidate, now):
+            return []
+        files = candidate.files()
+        if files is None:
             return []
+        self._candidate = None
+        loaded = load_config(files, candidate.version)
+        if isinstance(loaded, Failure):
+            self._refused = candidate.version
+            problems = [str(problem) for problem in loaded.failure()]
+            return [_refusal(candidate.version, "; ".join(problems[:SHOWN_PROBLEMS]))]
+        return self._put_in_force(candidate, loaded.unwrap())
+
+    def _may_load(self, candidate: Candidate, now: float) -> bool:
+        """Whether a fresh daemon has looked for a higher version everywhere it can."""
+        if candidate.version <= self._cfg.version or candidate.head is None:
+            return False
+        started_at = now if self._started_at is None else self._started_at
+        waited = now >= started_at + START_WINDOW_S
+        return self._cfg.version > 0 or self._head_watch.answered or waited
+
+    def _put_in_force(self, candidate: Candidate, cfg: Config) -> list[Effect]:
+        rises = cfg.version > self._cfg.version
+        detail = f"version {cfg.version} after {self._cfg.version}"
+        effects = check(Invariant.CONFIG_VERSION, rises, detail)
         self._cfg = cfg
-        return [ConfigChanged(cfg.version)]
+        self._head = candidate.head_value()
+        self._parts = candidate.wanted_parts()
+        return [*effects, ConfigChanged(cfg.version)]
+
+
+def _refusal(version: ConfigVersion, detail: str) -> LogEvent:
+    fields = {"version": str(version), "problems": detail}
+    text = "a configuration is refused; the one before stays in force"
+    return LogEvent(LogNumber.CONFIG_REFUSED, LogLevel.ERROR, text, fields)
--- a/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
@@ -359,6 +359,8 @@
             self._lapses.restart()
             text = "the key-value service can't be reached"
             return [LogEvent(LogNumber.STORE_LOST, LogLevel.WARNING, text)]
+        if before == StoreReach.UNTRIED:
+            return []
         return [LogEvent(LogNumber.STORE_BACK, LogLevel.INFO, "the key-value service answers")]
 
     def _log_changes(self, before: dict[PoolId, Epoch]) -> list[Effect]:
--- a/packages/gooseberryport-core/src/gooseberryport_core/messages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/messages.py
@@ -130,10 +130,17 @@
 
 
 class PullReply(_Message, frozen=True):
-    """Answer a `Pull`: the ticket that will come, or an empty name for nothing."""
+    """Answer a `Pull`: the ticket that will come, or an empty name for nothing.
+
+    Parameters
+    ----------
+    queued
+        Requests that still wait in the pool that was asked.
+    """
 
     serial: int
     ticket_id: TicketId = TicketId("")
+    queued: int = 0
 
 
 class PoolLoad(_Message, frozen=True):
@@ -147,6 +154,8 @@
         Requests that wait.
     oldest_s
         Age of the longest wait; seconds.
+    service_s
+        Mean time that an upstream takes for a request; seconds, 0 if not measured yet.
     """
 
     pool: PoolId
@@ -155,6 +164,7 @@
     busy: int
     queued: int
     oldest_s: float
+    service_s: float = 0.0
 
 
 class Heartbeat(_Message, frozen=True):
@@ -315,14 +325,35 @@
 
 
 class ConfigRequest(_Message, frozen=True):
-    """Ask a peer for a piece of a configuration."""
+    """Ask a peer for pieces of a configuration's head, or of one of its parts.
+
+    Parameters
+    ----------
+    version
+        Version that is wanted; a newer head will do.
+    offset
+        Offset of the first piece that is missing.
+    digest
+        Digest of the part; empty for the head.
+    """
 
     version: ConfigVersion
     offset: int
+    digest: str = ""
 
 
 class ConfigPiece(_Message, frozen=True):
-    """Pass on a piece of a configuration; `total` is its whole length in bytes."""
+    """Pass on a piece of a configuration's head, or of one of its parts.
+
+    Parameters
+    ----------
+    version
+        Version of the head; 0 for a part.
+    digest
+        Digest of the whole head or part.
+    total
+        Length of the whole in bytes.
+    """
 
     version: ConfigVersion
     digest: str
--- a/standins/src/gooseberryport_standins/simulation.py
+++ b/standins/src/gooseberryport_standins/simulation.py
@@ -7,6 +7,7 @@
 
 import heapq
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -16,9 +17,17 @@
 from gooseberryport_core._ownership import Ownership
 from gooseberryport_core._views import HeartbeatFacts
 from gooseberryport_core.config import Config
+from gooseberryport_core.config_store import (
+    HEAD_KEY,
+    Draft,
+    decode_head,
+    encode_head,
+    plan_publication,
+)
 from gooseberryport_core.effects import (
     ConfigChanged,
     Effect,
+    LogEvent,
     SendMessage,
     StoreGet,
     StoreSwap,
@@ -39,6 +48,7 @@
 from gooseberryport_core.messages import MAX_DATAGRAM_BYTES, decode_message, encode_message
 from gooseberryport_core.settings import NodeSettings, Timing
 from gooseberryport_core.types import (
+    ConfigVersion,
     Incarnation,
     PoolId,
     RegionName,
@@ -182,7 +192,10 @@
         self.attempts: list[Attempt] = []
         self.epochs: dict[PoolId, int] = {}
         self.swap_fate: Callable[[], str] = lambda: APPLIED
+        self.silent_watches = False
         self.checked = 0
+        self.calls_by_key: Counter[str] = Counter()
+        self.logs: list[tuple[VmId, LogEvent]] = []
         self.datagram_bytes = 0
         self._incarnations: dict[str, int] = {}
         self._list: list[tuple[float, tuple[ListedVm, ...]]] = []
@@ -266,12 +279,13 @@
         return [d for d in self.running() if d.ownership.holding(pool, d.local(self.now))]
 
     def check(self) -> None:
-        """Check that no two daemons use one pool's slots."""
+        """Check that no two daemons use one pool's slots, and that no version falls."""
         self.checked += 1
         held: dict[PoolId, SimDaemon] = {}
         self.attempts = [a for a in self.attempts if a.ends_at > self.now]
         for daemon in self.running():
             local = daemon.local(self.now)
+            assert daemon.versions == sorted(set(daemon.versions)), daemon.versions
             for pool, holding in daemon.ownership.holdings(local).items():
                 first = held.setdefault(pool, daemon)
                 assert first is daemon, (
@@ -331,6 +345,8 @@
             self._send(daemon, effect)
         elif isinstance(effect, StoreGet | StoreSwap | StoreWatch):
             self._call(daemon, effect)
+        elif isinstance(effect, LogEvent):
+            self.logs.append((daemon.settings.vm, effect))
 
     def _is_cut(self, one: str, other: str) -> bool:
         return frozenset((one, other)) in self.cuts
@@ -356,6 +372,7 @@
 
     def _call(self, daemon: SimDaemon, effect: StoreGet | StoreSwap | StoreWatch) -> None:
         self.store.calls += 1
+        self.calls_by_key[effect.key] += 1
         delay = self.rng.uniform(0.001, 0.01)
         self.at(delay, lambda: self._serve(daemon, effect))
 
@@ -393,6 +410,8 @@
             self._fail(daemon, effect)
             return
         value = self.store.read(effect.key)
+        if self.silent_watches:
+            return
         if value.revision > effect.after or self.now >= ends_at:
             self._answer(daemon, StoreGot(effect.call_id, (value,)))
         else:
@@ -425,5 +444,26 @@
 
 
 def publish_whole(cfg: Config) -> Callable[[SimStore], None]:
-    """Return what puts a configuration under one key of a store."""
-    return lambda store: store.values.update({"config/whole": (msgspec.json.encode(cfg), 1)})
+    """Return what publishes a configuration, as the newest version, in a store."""
+    plain = msgspec.to_builtins(cfg)
+    del plain["version"]
+    content = msgspec.json.encode(plain)
+
+    def publish(store: SimStore) -> None:
+        publish_files(store, {"config.json": content}, version=cfg.version)
+
+    return publish
+
+
+def publish_files(
+    store: SimStore, files: dict[str, bytes | None], version: ConfigVersion | None = None
+) -> ConfigVersion:
+    """Publish changes of files, as an operator's tool does, and return the version."""
+    current = store.read(HEAD_KEY)
+    head = decode_head(current.value)
+    plan = plan_publication(head, Draft(files, "simulation", "", 0.0, "")).unwrap()
+    new_head = msgspec.structs.replace(plan.head, version=version or plan.head.version)
+    for key, value in plan.parts.items():
+        store.swap(key, value, 0)
+    assert store.swap(HEAD_KEY, encode_head(new_head), current.revision)
+    return new_head.version
