Let callers use the idempotency keys that the look-up issues

Cause: look-ups name a key prefix whose keys one daemon decides; callers of the demo made their own keys only, so the path without the store was not run. Ruled out: issued keys only (claims in the store would not be run either). Change: a request's key is none, issued or the caller's own; the demo sends all three kinds.

--- a/standins/src/gooseberryport_standins/_caller.py
+++ b/standins/src/gooseberryport_standins/_caller.py
@@ -39,6 +39,17 @@
     """The answer belongs to another request, or is not whole."""
 
 
+class KeyKind(Enum):
+    """Which idempotency key a request carries."""
+
+    NONE = "none"
+    ISSUED = "issued"
+    """One that starts with the prefix which the look-up gave."""
+
+    OWN = "own"
+    """One of the caller's own making."""
+
+
 class CallPlan(msgspec.Struct, frozen=True):
     """One request to be made.
 
@@ -46,8 +57,8 @@
     ----------
     client
         IP number that the look-up is asked for.
-    keyed
-        Whether it carries an idempotency key.
+    key
+        Its idempotency key.
     timeout_s
         Deadline, seconds from the start.
     """
@@ -58,7 +69,7 @@
     method: str
     path: str
     timeout_s: float
-    keyed: bool = False
+    key: KeyKind = KeyKind.NONE
     body: bytes = b""
 
 
@@ -90,20 +101,21 @@
     reason: str = ""
 
 
-class _Entry(msgspec.Struct):
+class Entry(msgspec.Struct):
     """What a caller reads of an entry VM in a look-up's answer."""
 
     http_address: str
+    key_prefix: str = ""
 
 
 class _Cached(msgspec.Struct, frozen=True):
     """A look-up's answer and when it ends; seconds, monotonic."""
 
-    addresses: tuple[str, ...]
+    entries: tuple[Entry, ...]
     until: float
 
 
-_entries_decoder = msgspec.json.Decoder(list[_Entry])
+_entries_decoder = msgspec.json.Decoder(list[Entry])
 
 
 class Lookups:
@@ -129,12 +141,12 @@
         self._cached: dict[tuple[str, str], _Cached] = {}
         self.asked = 0
 
-    def addresses(self, service: str, client: str) -> tuple[str, ...]:
+    def entries(self, service: str, client: str) -> tuple[Entry, ...]:
         """Return the entry VMs for a client, best first; empty if nobody answers."""
         with self._lock:
             cached = self._cached.get((service, client))
         if cached is not None and time.monotonic() < cached.until:
-            return cached.addresses
+            return cached.entries
         return self._ask(service, client)
 
     def forget(self, service: str, client: str) -> None:
@@ -142,15 +154,15 @@
         with self._lock:
             self._cached.pop((service, client), None)
 
-    def _ask(self, service: str, client: str) -> tuple[str, ...]:
+    def _ask(self, service: str, client: str) -> tuple[Entry, ...]:
         with self._lock:
             seeds = self._rng.sample(self._seeds, len(self._seeds))
         for seed in seeds:
             found = self._ask_one(seed, service, client)
-            if found is not None and found.addresses:
+            if found is not None and found.entries:
                 with self._lock:
                     self._cached[service, client] = found
-                return found.addresses
+                return found.entries
         return ()
 
     def _ask_one(self, address: str, service: str, client: str) -> _Cached | None:
@@ -169,7 +181,7 @@
         except (HTTPError, OSError, msgspec.MsgspecError):
             return None
         until = time.monotonic() + _max_age_s(resp.headers.get("Cache-Control", ""))
-        return _Cached(tuple(entry.http_address for entry in entries), until)
+        return _Cached(tuple(entries), until)
 
 
 class Caller:
@@ -205,27 +217,30 @@
         self._http = http
         self._copies = 0
         self._in_doubt = False
-        self._may_repeat = plan.keyed or plan.method in ("GET", "HEAD")
+        self._key = plan.request_id if plan.key == KeyKind.OWN else ""
+        self._may_repeat = plan.key != KeyKind.NONE or plan.method in ("GET", "HEAD")
 
     def run(self) -> CallResult:
         """Try the entry VMs until one gives an answer or a word, or the deadline passes."""
         plan = self._plan
         while (left_s := self._deadline - time.monotonic()) > 0:
-            for address in self._lookups.addresses(plan.service, plan.client):
-                result = self._attempt(address)
+            for entry in self._lookups.entries(plan.service, plan.client):
+                result = self._attempt(entry)
                 if result is not None:
                     return result
                 if time.monotonic() >= self._deadline:
                     break
             self._lookups.forget(plan.service, plan.client)
             time.sleep(min(PAUSE_S, max(left_s, 0.0)))
-        return self._result(End.UNKNOWN if self._in_doubt and plan.keyed else End.LOST)
+        return self._result(End.UNKNOWN if self._in_doubt and self._key else End.LOST)
 
-    def _attempt(self, address: str) -> CallResult | None:
+    def _attempt(self, entry: Entry) -> CallResult | None:
         """Send one copy; None if another entry VM may be tried."""
         self._copies += 1
+        if self._plan.key == KeyKind.ISSUED and not self._key:
+            self._key = f"{entry.key_prefix}{self._plan.request_id}"
         try:
-            resp = self._send(address)
+            resp = self._send(entry.http_address)
         except (NewConnectionError, ConnectTimeoutError):
             return None
         except (HTTPError, OSError):
@@ -239,8 +254,8 @@
         plan = self._plan
         left_s = max(self._deadline - time.monotonic(), 0.001)
         headers = {REQUEST_ID_HEADER: plan.request_id, TIMEOUT_HEADER: f"{left_s:.3f}"}
-        if plan.keyed:
-            headers[KEY_HEADER] = plan.request_id
+        if self._key:
+            headers[KEY_HEADER] = self._key
         return self._http.request(
             plan.method,
             f"http://{address}/{plan.service}/{plan.path}",
--- a/standins/src/gooseberryport_standins/caller.py
+++ b/standins/src/gooseberryport_standins/caller.py
@@ -17,12 +17,13 @@
 import urllib3
 from hdrh.histogram import HdrHistogram
 
-from gooseberryport_standins._caller import Caller, CallPlan, CallResult, End, Lookups
+from gooseberryport_standins._caller import Caller, CallPlan, CallResult, End, KeyKind, Lookups
 
 __all__ = [
     "CallPlan",
     "CallResult",
     "End",
+    "KeyKind",
     "LoadPlan",
     "LoadSummary",
     "Traffic",
@@ -42,8 +43,8 @@
     ----------
     weight
         Its share of the mixture.
-    keyed
-        Whether each carries an idempotency key.
+    key
+        The idempotency key that each carries.
     timeout_s
         Deadline; seconds.
     """
@@ -52,7 +53,7 @@
     method: str = "GET"
     path: str = "item"
     weight: float = 1.0
-    keyed: bool = False
+    key: KeyKind = KeyKind.NONE
     timeout_s: float = 2.0
     body_bytes: int = 0
 
@@ -172,7 +173,7 @@
             method=traffic.method,
             path=traffic.path,
             timeout_s=traffic.timeout_s,
-            keyed=traffic.keyed,
+            key=traffic.key,
             body=b"b" * traffic.body_bytes,
         )
 
--- a/standins/src/gooseberryport_standins/demo.py
+++ b/standins/src/gooseberryport_standins/demo.py
@@ -20,6 +20,7 @@
 from gooseberryport_standins._world import CommandFailedError, World, running_world
 from gooseberryport_standins.caller import (
     CallResult,
+    KeyKind,
     LoadPlan,
     LoadSummary,
     Traffic,
@@ -44,7 +45,8 @@
 
 TRAFFIC = (
     Traffic("dressing-registry", "GET", "profiles/d-117", weight=6.0),
-    Traffic("dressing-registry", "POST", "attestations", weight=2.0, keyed=True, body_bytes=600),
+    Traffic("dressing-registry", "POST", "attestations", 1.5, KeyKind.ISSUED, body_bytes=600),
+    Traffic("dressing-registry", "POST", "attestations", 0.5, KeyKind.OWN, body_bytes=600),
     Traffic("truing-archive-svc", "GET", "records/88", weight=2.0, timeout_s=5.0),
 )
 
--- a/standins/tests/test_caller.py
+++ b/standins/tests/test_caller.py
@@ -7,14 +7,14 @@
 import pytest
 import urllib3
 
-from gooseberryport_standins._caller import Caller, CallPlan, CallResult, End, Lookups
+from gooseberryport_standins._caller import Caller, CallPlan, CallResult, End, KeyKind, Lookups
 from gooseberryport_standins._server import Door, Exchange, open_door
 from gooseberryport_standins.caller import LoadPlan, Traffic, run_load, summarise
 from gooseberryport_standins.checks import find_violations
 from gooseberryport_standins.upstream import Run, RunEnd, UpstreamStats
 
 GET = CallPlan("r1", "registry", "10.0.0.1", "GET", "item", 1.0)
-KEYED = msgspec.structs.replace(GET, method="POST", keyed=True)
+KEYED = msgspec.structs.replace(GET, method="POST", key=KeyKind.OWN)
 ONCE = msgspec.structs.replace(GET, method="POST")
 
 
@@ -27,14 +27,18 @@
         self.max_age = 60
         self.lookups = 0
         self.requests = 0
+        self.keys: list[str | None] = []
 
     def serve(self, exchange: Exchange) -> None:
         if exchange.target == "/v1/lookup":
             self.lookups += 1
-            body = msgspec.json.encode([{"vm": a, "http_address": a} for a in self.listed])
+            body = msgspec.json.encode(
+                [{"vm": a, "http_address": a, "key_prefix": f"{a}~"} for a in self.listed]
+            )
             exchange.answer(200, body, {"Cache-Control": f"max-age={self.max_age}"})
             return
         self.requests += 1
+        self.keys.append(exchange.headers.get("Idempotency-Key"))
         request_id = exchange.headers["X-Request-Id"]
         if self.way == "answer":
             exchange.answer(200, f"{request_id} up ...".encode())
@@ -88,6 +92,13 @@
         assert [fake.requests for fake in fakes] == sent
 
 
+def test_issued_key_names_the_first_entry_and_is_kept_for_the_next() -> None:
+    plan = msgspec.structs.replace(KEYED, key=KeyKind.ISSUED)
+    with entries("cut", "answer") as (fakes, doors, caller):
+        assert caller.call(plan, time.monotonic()).end == End.ANSWERED
+        assert fakes[0].keys == fakes[1].keys == [f"{doors[0].address}~r1"]
+
+
 def test_lookup_is_cached_and_asked_anew_when_every_cached_vm_fails() -> None:
     with entries("answer", "answer") as (fakes, doors, caller):
         fakes[0].listed = [doors[1].address]
