Stop and replace every VM in turn without costing a caller an answer

Ruled out: retrying at the caller (the promise is ours); waiting for tables without a bound. Change: the cache time of a stop starts two peer timeouts after the word; a daemon announces its callers' address only when it knows an owner for every pool, or 3 s after its configuration.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_membership.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_membership.py
@@ -134,5 +134,5 @@
             config_version=facts.config_version,
             pools=facts.pools,
             address=me.address,
-            http_address=me.http_address,
+            http_address=me.http_address if facts.ready else "",
         )
--- a/packages/gooseberryport-core/src/gooseberryport_core/_views.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_views.py
@@ -119,7 +119,13 @@
 
 
 class HeartbeatFacts(msgspec.Struct, frozen=True):
-    """What a heartbeat tells besides membership's own facts."""
+    """What a heartbeat tells besides membership's own facts.
+
+    Parameters
+    ----------
+    ready
+        Whether the sender can serve callers; look-ups name it only then.
+    """
 
     state: VmState
     store: StoreReach
@@ -130,3 +136,4 @@
     pools: tuple[PoolLoad, ...]
     key_prefix: str = ""
     table_shape: int = 0
+    ready: bool = True
--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -54,6 +54,12 @@
     VmState,
 )
 
+LEAVING_TOLD_TIMEOUTS = 2
+"""Peer timeouts after which every peer has heard that a VM leaves, or hears it no more."""
+
+READY_WAIT_S = 3.0
+"""Longest wait of a new daemon for the owners of all pools; seconds."""
+
 
 class Node:
     """Take every decision of one daemon.
@@ -73,6 +79,8 @@
         self.settings = settings
         self._stop_at = float("inf")
         self._stopping = False
+        self._ready = False
+        self._configured_at = float("inf")
         self._local: dict[TicketId, RequestId] = {}
         self._blocks = BlockTable.from_texts({})
         self._zone_order = ZoneOrder(Config())
@@ -106,13 +114,18 @@
         """The configuration in force."""
         return self._config.cfg
 
+    @property
+    def ready(self) -> bool:
+        """Whether this daemon can serve callers: it knows where each service runs."""
+        return self._ready
+
     def lookup_snapshot(self, now: float) -> LookupSnapshot:
         """Return what look-ups are answered from until the next snapshot."""
         peers = [peer for peer in self._membership.live(now) if peer.state == VmState.LIVE]
-        if not self._stopping:
+        if not self._stopping and self.ready:
             peers.append(self._self_peer(now))
         return LookupSnapshot(
-            entries=tuple(p for p in peers if p.http_address and p.config_version > 0),
+            entries=tuple(peer for peer in peers if peer.http_address),
             max_age_s=self.cfg.limits.lookup_max_age_s,
             blocks=self._blocks,
             order=self._zone_order,
@@ -207,12 +220,15 @@
         effects = self._configure(self._config.handle(event, now), now)
         if isinstance(event, StopRequested) and not self._stopping:
             self._stopping = True
-            self._stop_at = now + self.cfg.limits.lookup_max_age_s
+            told_by = now + LEAVING_TOLD_TIMEOUTS * self.settings.timing.peer_timeout_s
+            self._stop_at = told_by + self.cfg.limits.lookup_max_age_s
         for component in self._components:
             effects.extend(component.handle(event, now))
         if isinstance(event, UpstreamFinished):
             effects.extend(self._end_local(event, now))
         effects = self._loop_back(effects, now)
+        if isinstance(event, Tick) and not self._ready:
+            self._ready = self._is_ready(now)
         if isinstance(event, Tick) and self._done(now):
             effects.append(Exit())
         return effects
@@ -286,6 +302,15 @@
         ended = AttemptEnded(event.ticket_id, event.outcome, event.status, event.answer_bytes)
         return self._requests.handle(ended, now)
 
+    def _is_ready(self, now: float) -> bool:
+        """Return whether every pool has a known owner, or the wait for that has ended."""
+        if self.cfg.version == 0:
+            return False
+        self._configured_at = min(self._configured_at, now)
+        if now - self._configured_at >= READY_WAIT_S:
+            return True
+        return all(self._ownership.owner_of(pool) for pool in pools_of(self.cfg))
+
     def _done(self, now: float) -> bool:
         idle = self._admission.idle and self._requests.idle and self._ownership.released
         return self._stopping and now >= self._stop_at and idle
@@ -301,6 +326,7 @@
             config_version=self.cfg.version,
             pools=self._admission.loads(now),
             key_prefix=self._claims.key_prefix(now),
+            ready=self._ready,
         )
 
     def _home_of(self, client: str) -> Home:
--- a/standins/src/gooseberryport_standins/traffic_soak.py
+++ b/standins/src/gooseberryport_standins/traffic_soak.py
@@ -68,6 +68,54 @@
         return word
 
 
+class SteadyCallers:
+    """Send requests at a steady rate, each to a VM that a cached look-up names first.
+
+    Parameters
+    ----------
+    sim
+        The simulation.
+    rate
+        Requests a second.
+    clients
+        Number of clients; each keeps its answer for as long as the look-up allows.
+    """
+
+    def __init__(self, sim: TrafficSimulation, *, rate: float, clients: int = 20) -> None:
+        self.sim = sim
+        self.rate = rate
+        self.clients = clients
+        self.running = True
+        self.sent: list[str] = []
+        self._cached: dict[int, tuple[float, str]] = {}
+        self._send()
+
+    def stop(self) -> None:
+        """Send no more."""
+        self.running = False
+
+    def _send(self) -> None:
+        if not self.running:
+            return
+        rng = self.sim.rng
+        vm = self._entry(rng.randrange(self.clients))
+        service = rng.choice(sorted(self.sim.cfg.services))
+        self.sent.append(self.sim.send_request(vm, service, method=rng.choice(("GET", "POST"))))
+        self.sim.at(rng.expovariate(self.rate), self._send)
+
+    def _entry(self, client: int) -> str:
+        """Return the VM that a client uses, asking again once its cached answer has ended."""
+        until, vm = self._cached.get(client, (0.0, ""))
+        if self.sim.now >= until or vm not in self.sim.daemons:
+            daemon = self.sim.daemons[self.sim.rng.choice(sorted(self.sim.daemons))]
+            assert isinstance(daemon, SimNode)
+            snapshot = daemon.node.lookup_snapshot(daemon.local(self.sim.now))
+            until = self.sim.now + snapshot.max_age_s
+            vm = snapshot.rank("", f"10.0.{client}.1")[0].vm
+            self._cached[client] = (until, vm)
+        return vm
+
+
 def run_traffic_soak(seed: int, steps: int) -> TrafficSimulation:
     """Break a serving fleet at random, then check every word that callers were told."""
     cfg = example_config()
--- a/standins/tests/test_traffic.py
+++ b/standins/tests/test_traffic.py
@@ -1,7 +1,10 @@
 import pytest
 
 from gooseberryport_core.types import Outcome
-from gooseberryport_standins.traffic_soak import run_traffic_soak
+from gooseberryport_standins.simulation import publish_whole
+from gooseberryport_standins.soak import PLACES, example_config
+from gooseberryport_standins.traffic import SimNode, TrafficSimulation
+from gooseberryport_standins.traffic_soak import SteadyCallers, run_traffic_soak
 
 
 @pytest.mark.parametrize("seed", [1, 2, 6])
@@ -10,3 +13,26 @@
     words = [end.outcome for end in sim.ends.values()]
     assert words.count(Outcome.ANSWERED) > 100
     assert max(sim.peak.values()) >= 2
+
+
+def test_planned_stops_of_all_vms_in_turn_cost_no_caller_an_answer() -> None:
+    cfg = example_config()
+    sim = TrafficSimulation(
+        cfg=cfg, seed=5, places=PLACES, publish=publish_whole(cfg), faulty_upstreams=0.0
+    )
+    sim.run(10.0)
+    callers = SteadyCallers(sim, rate=40.0)
+    for vm in PLACES:
+        daemon = sim.daemons[vm]
+        assert isinstance(daemon, SimNode)
+        sim.stop(vm)
+        sim.run_until(lambda daemon=daemon: daemon.exited, 20.0)
+        sim.kill(vm)
+        sim.run(1.0)
+        sim.start(vm)
+        sim.run(6.0)
+    callers.stop()
+    sim.run(5.0)
+    words = {request_id: sim.ends[request_id] for request_id in callers.sent}
+    assert [end for end in words.values() if end.outcome != Outcome.ANSWERED] == []
+    sim.check_words()
