Cut the block table into pieces, and measure look-ups at 4.3 million blocks

Cause: the aim is 256 MB a daemon; a first form with one array for each family left 237 MB resident after loading 4.3 million blocks, since large temporary arrays stayed with the allocator. Its rank also hashed 145 VMs one by one: 51 us. Change: ranges made disjoint when a table is encoded, cut into pieces of 65,536, each with its own arrays; a search among pieces, then within one. Weights of all near VMs in one numpy expression.

Carrying pieces through the store to the daemons is not built.

--- a/packages/gooseberryport-core/src/gooseberryport_core/lookup.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/lookup.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-import heapq
-from collections.abc import Iterable, Iterator
+import itertools
+from collections.abc import Iterable
 
 import msgspec
+import numpy as np
 import xxhash
+from numpy.typing import NDArray
 
-from gooseberryport_core._blocks import BlockRows, BlockTable, ClientPlace
+from gooseberryport_core._blocks import BlockTable, ClientPlace
 from gooseberryport_core._views import Peer
 from gooseberryport_core.config import Config, region_of_zone
 from gooseberryport_core.types import RegionName, VmId, ZoneName
 
 __all__ = [
-    "BlockRows",
     "BlockTable",
     "ClientPlace",
     "LookupEntry",
@@ -29,6 +30,12 @@
 """Entry VMs of the nearest groups of zones in an answer, so that it outlives the loss of a zone."""
 
 
+MIX_1 = np.uint64(0xBF58476D1CE4E5B9)
+MIX_2 = np.uint64(0x94D049BB133111EB)
+MIX_SHIFT = np.uint64(31)
+"""Multipliers and shift of a common 64-bit finaliser, which scatters similar inputs."""
+
+
 class LookupEntry(msgspec.Struct, frozen=True):
     """One entry VM of a look-up's answer.
 
@@ -78,8 +85,24 @@
     return ((zone,), near, *(cfg.regions[region].availability_zones for region in others))
 
 
+class _Nearest(msgspec.Struct, frozen=True):
+    """Hold the VMs nearest to a zone, in groups of equal distance one after the other.
+
+    Parameters
+    ----------
+    entries, seeds
+        The VMs, and the seed of each one's hash.
+    ends
+        Where each group ends.
+    """
+
+    entries: tuple[LookupEntry, ...]
+    seeds: NDArray[np.uint64]
+    ends: tuple[int, ...]
+
+
 class LookupSnapshot:
-    """Answer look-ups; it never changes, so any thread may ask it.
+    """Answer look-ups; what it says never changes, so any thread may ask it.
 
     Parameters
     ----------
@@ -104,10 +127,11 @@
         self.max_age_s = max_age_s
         self._blocks = blocks or BlockTable.from_texts({})
         self._order = order or ZoneOrder(Config())
-        self._all = tuple(_Vm(peer) for peer in entries)
-        self._by_zone: dict[ZoneName, list[_Vm]] = {}
-        for vm in self._all:
-            self._by_zone.setdefault(vm.entry.zone, []).append(vm)
+        self._by_zone: dict[ZoneName, list[LookupEntry]] = {}
+        for peer in entries:
+            entry = LookupEntry(peer.vm, peer.zone, peer.http_address)
+            self._by_zone.setdefault(peer.zone, []).append(entry)
+        self._by_distance: dict[ZoneName | None, _Nearest] = {}
 
     def place(self, client: str) -> ClientPlace:
         """Return where a client is."""
@@ -121,41 +145,49 @@
         evenly and keeps them where they are while other VMs come and go. A client that no block
         holds is spread over all VMs.
         """
-        place = self._blocks.find(client)
-        block = place.block.encode()
-        groups = self._order.groups(place.zone) if place.zone else ()
-        chosen: list[_Vm] = []
-        spare: list[_Vm] = []
-        for quota, vms in zip(QUOTAS, self._nearest(groups), strict=False):
-            found = _best(vms, block)
-            chosen.extend(found[:quota])
-            spare.extend(found[quota:])
-        if not chosen:
-            spare = _best(self._all, block)
-        best = [*chosen, *spare][:MAX_ENTRIES]
-        return tuple(vm.entry for vm in best)
-
-    def _nearest(self, groups: Iterable[tuple[ZoneName, ...]]) -> Iterator[list[_Vm]]:
-        """Yield the VMs of each group of zones that has any."""
-        for zones in groups:
-            vms = [vm for zone in zones for vm in self._by_zone.get(zone, ())]
-            if vms:
-                yield vms
-
-
-class _Vm:
-    """An entry VM with the seed of its hash."""
-
-    def __init__(self, peer: Peer) -> None:
-        self.entry = LookupEntry(peer.vm, peer.zone, peer.http_address, peer.key_prefix)
-        self.seed = xxhash.xxh3_64_intdigest(peer.vm.encode())
-
-
-def _best(vms: Iterable[_Vm], block: bytes) -> list[_Vm]:
-    def weight(vm: _Vm) -> int:
-        return xxhash.xxh3_64_intdigest(block, vm.seed)
-
-    return heapq.nlargest(MAX_ENTRIES, vms, key=weight)
+        zone, key = self._blocks.locate(client)
+        nearest = self._by_distance.get(zone)
+        if nearest is None:
+            nearest = self._by_distance[zone] = self._nearest(zone)
+        block_hash = np.uint64(xxhash.xxh3_64_intdigest(str(key).encode()))
+        return _choose(nearest, block_hash)
+
+    def _nearest(self, zone: ZoneName | None) -> _Nearest:
+        """Return the VMs of the nearest groups of zones that have any, else all VMs."""
+        groups = self._order.groups(zone) if zone else ()
+        found = [members for members in map(self._members, groups) if members]
+        nearest = found[: len(QUOTAS)] or [self._members(sorted(self._by_zone))]
+        entries = tuple(entry for members in nearest for entry in members)
+        seeds = [xxhash.xxh3_64_intdigest(entry.vm.encode()) for entry in entries]
+        ends = tuple(itertools.accumulate(len(members) for members in nearest))
+        return _Nearest(entries, np.array(seeds, dtype=np.uint64), ends)
+
+    def _members(self, zones: Iterable[ZoneName]) -> list[LookupEntry]:
+        return [entry for zone in zones for entry in self._by_zone.get(zone, ())]
+
+
+def _choose(nearest: _Nearest, block_hash: np.uint64) -> tuple[LookupEntry, ...]:
+    """Return the VMs with the highest rendezvous weights, each group up to its quota first."""
+    weights = _weights(nearest.seeds, block_hash)
+    chosen: list[int] = []
+    start = 0
+    for quota, end in zip(QUOTAS, nearest.ends, strict=False):
+        for _ in range(min(quota, end - start)):
+            chosen.append(start + int(weights[start:end].argmax()))
+            weights[chosen[-1]] = 0
+        start = end
+    while len(chosen) < min(MAX_ENTRIES, len(nearest.entries)):
+        chosen.append(int(weights.argmax()))
+        weights[chosen[-1]] = 0
+    return tuple(nearest.entries[index] for index in chosen)
+
+
+def _weights(seeds: NDArray[np.uint64], block_hash: np.uint64) -> NDArray[np.uint64]:
+    weights = (seeds ^ block_hash) * MIX_1
+    weights ^= weights >> MIX_SHIFT
+    weights *= MIX_2
+    weights ^= weights >> MIX_SHIFT
+    return weights
 
 
 def home_region(cfg: Config, place: ClientPlace, otherwise: RegionName) -> RegionName:
--- a/packages/gooseberryport-core/tests/test_lookup.py
+++ b/packages/gooseberryport-core/tests/test_lookup.py
@@ -6,10 +6,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gooseberryport_core._blocks import decode_rows, encode_rows
+from gooseberryport_core._block_rows import (
+    V4,
+    V6,
+    BlockRows,
+    Ranges,
+    decode_ranges,
+    encode_ranges,
+    make_ranges,
+)
 from gooseberryport_core._views import Peer
 from gooseberryport_core.config import Config, Link, Region
-from gooseberryport_core.lookup import BlockRows, BlockTable, LookupSnapshot, ZoneOrder
+from gooseberryport_core.lookup import BlockTable, LookupSnapshot, ZoneOrder
 from gooseberryport_core.types import VmState
 
 CFG = Config(
@@ -73,6 +81,7 @@
         ("::ffff:10.1.0.9", "lugano-a", "10.1.0.0"),
         ("11.0.0.1", None, "11.0.0.0"),
         ("2001:db8:1:2::3", None, "2001:db8:1::"),
+        ("::1", None, "::"),
         ("no address", None, "no address"),
     ],
 )
@@ -82,18 +91,33 @@
 
 
 @settings(derandomize=True, deadline=None, database=None)
-@given(st.lists(st.tuples(st.integers(0, 2**64 - 1), st.integers(0, 64), st.integers(0, 254))))
-def test_compact_form_keeps_every_row(rows: list[tuple[int, int, int]]) -> None:
-    columns = [np.array(c, t) for c, t in zip(zip(*rows, strict=True), "QBB", strict=False)]
-    table = BlockRows(*columns) if rows else BlockRows(*[np.array([], t) for t in "QBB"])
-    back = decode_rows(encode_rows(table))
-    found = zip(back.starts.tolist(), back.lengths.tolist(), back.zones.tolist(), strict=True)
-    assert sorted(found) == sorted(rows)
+@given(st.dictionaries(v4_blocks | v6_blocks, zones, max_size=12), st.lists(v4 | v6, min_size=1))
+def test_encoded_pieces_give_the_same_answers(blocks: dict[str, str], clients: list[str]) -> None:
+    names = tuple(sorted(set(blocks.values())))
+    pieces = {}
+    for family, version in ((V4, 4), (V6, 6)):
+        nets = {ipaddress.ip_network(t, strict=False): names.index(z) for t, z in blocks.items()}
+        rows = [(n, z) for n, z in nets.items() if n.version == version]
+        shift = 0 if version == 4 else 64
+        columns = BlockRows(
+            np.array([int(n.network_address) >> shift for n, _ in rows], family.type),
+            np.array([n.prefixlen for n, _ in rows], np.uint8),
+            np.array([z for _, z in rows], np.uint8),
+        )
+        ranges = make_ranges(columns, family)
+        half = len(ranges.starts) // 2
+        cut = [ranges[:half] for ranges in (ranges.starts, ranges.zones)]
+        rest = [ranges[half:] for ranges in (ranges.starts, ranges.zones)]
+        pieces[version] = [encode_ranges(Ranges(*cut)), encode_ranges(Ranges(*rest))]
+    table = BlockTable.from_pieces(names, pieces[4], pieces[6])
+    unique = {str(ipaddress.ip_network(t, strict=False)): zone for t, zone in blocks.items()}
+    for client in clients:
+        assert table.find(client) == BlockTable.from_texts(unique).find(client)
 
 
 def test_damaged_compact_form_is_refused() -> None:
     with pytest.raises(ValueError, match="damaged"):
-        decode_rows(b"nothing")
+        decode_ranges(b"nothing", V4)
 
 
 def test_nearest_zone_comes_first_then_its_region_then_the_shortest_link() -> None:
--- /dev/null
+++ b/standins/src/gooseberryport_standins/_bench_table.py
@@ -0,0 +1,48 @@
+"""Load a client block table in a process of its own and print the memory that it takes."""
+
+from __future__ import annotations
+
+import gc
+import sys
+import time
+
+import msgspec
+
+from gooseberryport_core.lookup import BlockTable
+from gooseberryport_core.types import ZoneName
+from gooseberryport_standins._bench_report import peak_resident_bytes, resident_bytes
+
+
+class TableInput(msgspec.Struct, frozen=True):
+    """Encoded pieces of the two families' blocks, and the names of the zones."""
+
+    v4: list[bytes]
+    v6: list[bytes]
+    zones: tuple[ZoneName, ...]
+
+
+class TableMemory(msgspec.Struct, frozen=True):
+    """Resident memory before, after and at its peak, and the time to load; bytes and seconds."""
+
+    before: int
+    after: int
+    peak: int
+    load_s: float
+
+
+def main() -> None:
+    """Read a `TableInput` from standard input and print a `TableMemory` as JSON."""
+    data = msgspec.msgpack.decode(sys.stdin.buffer.read(), type=TableInput)
+    gc.collect()
+    before = resident_bytes()
+    started = time.perf_counter()
+    table = BlockTable.from_pieces(data.zones, data.v4, data.v6)
+    load_s = time.perf_counter() - started
+    gc.collect()
+    memory = TableMemory(before, resident_bytes(), peak_resident_bytes(), load_s)
+    assert table.count
+    print(msgspec.json.encode(memory).decode())
+
+
+if __name__ == "__main__":
+    main()
