Tell callers of bad input, and test what upstreams and callers may do to a daemon

Cause: a caller that sent too long a body met a closed connection instead of the 413 (found by test_bad_input_is_told_and_not_run: BrokenPipeError in the caller).

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_bodies.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 from gooseberryport_core.types import RefusalReason
@@ -10,6 +11,10 @@
 
 READ_CHUNK_BYTES = 65_536
 
+DISCARD_BYTES = 16_777_216
+DISCARD_S = 2.0
+"""Most that is read of a refused body, in bytes and seconds."""
+
 
 class RefusedError(Exception):
     """The request is refused at the door.
@@ -49,6 +54,7 @@
     if length == 0:
         return b""
     if length > limit:
+        _discard(stream)
         raise RefusedError(not_run(413, RefusalReason.TOO_LARGE))
     _reserve(place, length)
     body = _read(stream, length)
@@ -64,12 +70,24 @@
     while chunk := _read(stream, min(READ_CHUNK_BYTES, limit + 1 - size)):
         size += len(chunk)
         if size > limit:
+            _discard(stream)
             raise RefusedError(not_run(413, RefusalReason.TOO_LARGE))
         _reserve(place, len(chunk))
         chunks.append(chunk)
     return b"".join(chunks)
 
 
+def _discard(stream: Any) -> None:
+    """Read on for a while, so that a caller that only sends hears the refusal."""
+    deadline = time.monotonic() + DISCARD_S
+    left = DISCARD_BYTES
+    while left > 0 and time.monotonic() < deadline:
+        chunk = _read(stream, min(READ_CHUNK_BYTES, left))
+        if not chunk:
+            return
+        left -= len(chunk)
+
+
 def _reserve(place: Place, count: int) -> None:
     if not place.reserve(count):
         raise RefusedError(not_run(503, RefusalReason.QUEUE_FULL, retry_after_s=1.0))
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_page_source.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_page_source.py
@@ -76,6 +76,8 @@
             waits_for.append(
                 f"a configuration, from the store at {self._store_address} or from a peer"
             )
+        elif not self._driver.node.ready:
+            waits_for.append("word of the daemon in charge of each service's upstreams")
         return Readiness(not waits_for, tuple(waits_for))
 
     def _status(self) -> StatusPage:
--- a/packages/gooseberryport-daemon/tests/conftest.py
+++ b/packages/gooseberryport-daemon/tests/conftest.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-from daemon_harness import Deployment, call, make_config, open_deployment, until
+from daemon_harness import Deployment, open_deployment
 
 from gooseberryport_standins.upstream import UpstreamSpec
 
@@ -19,9 +19,7 @@
 
 @pytest.fixture
 def single(deployment: Deployment) -> Deployment:
-    """One daemon with one upstream of four slots."""
+    """One daemon that owns one upstream of four slots."""
     deployment.start_upstreams(UpstreamSpec("up-1", service_time_s=0.01))
-    deployment.publish(make_config(deployment.fleet))
-    daemon = deployment.start_daemon(deployment.settings("vm-1"))
-    until(lambda: call(daemon.http, "/dressing-registry/x").status == 200)
+    deployment.start_with(deployment.fleet)
     return deployment
--- /dev/null
+++ b/packages/gooseberryport-daemon/tests/test_upstreams.py
@@ -0,0 +1,161 @@
+import http.client
+import socket
+from collections.abc import Callable
+
+import pytest
+from daemon_harness import PATIENCE_S, Deployment, call
+
+from gooseberryport_standins.faults import Outage, UpstreamFaults
+from gooseberryport_standins.upstream import UpstreamSpec
+
+PATH = "/dressing-registry/profiles/7?unit=mm"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"
+ENDLESS_CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+CHUNKS = ENDLESS_CHUNKS + b"0\r\n\r\n"
+WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nsome"
+SHED = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"
+
+
+def answering(data: bytes, *, then_close: bool = True) -> Callable[[socket.socket, bytes], None]:
+    def serve(conn: socket.socket, request: bytes) -> None:
+        conn.sendall(data)
+        if then_close:
+            conn.shutdown(socket.SHUT_RDWR)
+
+    return serve
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize(
+    ("answer", "status", "body"), [(OK, 200, b"ok"), (CHUNKS, 200, b"half"), (BUSY, 503, b"busy")]
+)
+def test_whole_answer_arrives(
+    deployment: Deployment, answer: bytes, status: int, body: bytes, method: str
+) -> None:
+    upstream = deployment.start_raw_upstream(answering(answer))
+    daemon = deployment.start_with(upstream)
+    reply = call(daemon.http, PATH, method, b"x" if method == "POST" else None)
+    assert (reply.status, reply.body) == (status, body)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        (HALF, "unknown"),
+        (ENDLESS_CHUNKS, "unknown"),
+        (WITHOUT_LENGTH, "unknown"),
+        (b"", "unknown"),
+        (b"HTTP/1.1 abc\r\n\r\n", "unknown"),
+        (SHED, "not-run"),
+    ],
+)
+def test_answer_that_is_not_whole_is_an_error(
+    deployment: Deployment, answer: bytes, outcome: str, method: str
+) -> None:
+    upstream = deployment.start_raw_upstream(answering(answer))
+    daemon = deployment.start_with(upstream, max_timeout_s=1.0, default_timeout_s=1.0)
+    reply = call(daemon.http, PATH, method, b"x" if method == "POST" else None)
+    assert reply.status in (502, 503, 504)
+    assert reply.problem["outcome"] == outcome
+    if method == "POST" and outcome == "unknown":
+        assert len(upstream.requests) == 1
+
+
+def test_refused_connection_is_not_run(single: Deployment) -> None:
+    single.fleet.upstreams["up-1"].set_faults(UpstreamFaults(outage=Outage.REFUSE))
+    reply = call(single.daemons[0].http, PATH, "POST", b"x", {"Request-Timeout": "0.5"})
+    assert (reply.status, reply.problem["outcome"]) in ((503, "not-run"), (504, "not-run"))
+    assert single.fleet.runs() == []
+
+
+def test_silence_ends_at_the_deadline_as_unknown(single: Deployment) -> None:
+    single.fleet.upstreams["up-1"].set_faults(UpstreamFaults(outage=Outage.HANG))
+    reply = call(single.daemons[0].http, PATH, "POST", b"x", {"Request-Timeout": "0.3"})
+    assert reply.problem["outcome"] == "unknown"
+    assert reply.status in (502, 504)
+
+
+def test_slow_answer_arrives(deployment: Deployment) -> None:
+    deployment.start_upstreams(UpstreamSpec("up-1", service_time_s=0.6, spread="fixed"))
+    daemon = deployment.start_with(deployment.fleet)
+    assert call(daemon.http, PATH).status == 200
+
+
+def test_upstream_sees_end_to_end_headers_only(deployment: Deployment) -> None:
+    upstream = deployment.start_raw_upstream(answering(OK))
+    daemon = deployment.start_with(upstream)
+    headers = {
+        "Request-Timeout": "1.5",
+        "Idempotency-Key": "k-1",
+        "X-Request-Id": "theirs",
+        "Connection": "close, X-Hop",
+        "X-Hop": "1",
+        "X-Tool": "diamond",
+        "TE": "trailers",
+        "Content-Type": "text/plain",
+    }
+    assert call(daemon.http, PATH, "POST", b"body", headers).status == 200
+    head, _, body = upstream.requests[0].partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    fields = {
+        name.lower(): value for name, _, value in (line.partition(": ") for line in lines[1:])
+    }
+    assert lines[0] == f"POST {PATH} HTTP/1.1"
+    assert body == b"body"
+    assert fields["x-request-id"] == "theirs"
+    assert fields["idempotency-key"] == "k-1"
+    assert fields["x-tool"] == "diamond"
+    assert fields["host"] == daemon.http
+    assert 0.5 < float(fields["request-timeout"]) <= 1.5
+    assert not {"x-hop", "te", "connection", "user-agent"} & set(fields)
+
+
+def test_what_may_not_be_repeated_gets_a_new_connection(deployment: Deployment) -> None:
+    upstream = deployment.start_raw_upstream(answering(OK, then_close=False))
+    daemon = deployment.start_with(upstream)
+    for method in ("GET", "GET"):
+        assert call(daemon.http, PATH, method).status == 200
+    assert upstream.connections == 1
+    assert call(daemon.http, PATH, "POST", b"x").status == 200
+    assert upstream.connections == 2
+
+
+def test_kept_connection_closed_meanwhile_costs_no_answer(deployment: Deployment) -> None:
+    upstream = deployment.start_raw_upstream(answering(OK))
+    daemon = deployment.start_with(upstream)
+    assert [call(daemon.http, PATH).status for _ in range(5)] == [200] * 5
+
+
+def test_surplus_bytes_do_not_reach_the_next_caller(deployment: Deployment) -> None:
+    surplus = OK + b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+    upstream = deployment.start_raw_upstream(answering(surplus, then_close=False))
+    daemon = deployment.start_with(upstream)
+    assert [call(daemon.http, PATH).body for _ in range(3)] == [b"ok"] * 3
+
+
+@pytest.mark.parametrize("size", [100_000, 3_000_000])
+def test_large_answer_arrives_whole(deployment: Deployment, size: int) -> None:
+    deployment.start_upstreams(UpstreamSpec("up-1", service_time_s=0.01, answer_bytes=size))
+    daemon = deployment.start_with(deployment.fleet)
+    reply = call(daemon.http, PATH)
+    assert (reply.status, len(reply.body)) == (200, size)
+
+
+def test_large_answer_that_breaks_off_shows(deployment: Deployment) -> None:
+    deployment.start_upstreams(UpstreamSpec("up-1", service_time_s=0.01, answer_bytes=6_000_000))
+    daemon = deployment.start_with(deployment.fleet)
+    deployment.fleet.upstreams["up-1"].set_faults(UpstreamFaults(half_answer=True))
+    conn = http.client.HTTPConnection(daemon.http, timeout=PATIENCE_S)
+    conn.request("GET", PATH)
+    with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        conn.getresponse().read()
+    conn.close()
+
+
+def test_answer_beyond_the_bound_is_refused(deployment: Deployment) -> None:
+    deployment.start_upstreams(UpstreamSpec("up-1", service_time_s=0.01, answer_bytes=50_000))
+    daemon = deployment.start_with(deployment.fleet, max_answer_bytes=40_000)
+    assert call(daemon.http, PATH, "POST", b"x").problem["outcome"] == "unknown"
