Let free slots ask for work that waits elsewhere, and rank pools by expected time

Cause: a request stayed in the queue of its first pool while other pools had free slots, and entries ranked pools by distance alone. Ruled out: keeping a slot strictly for an ask that nobody has answered: a lost datagram then held the only slot of a pool for 150 ms against a request at hand (the pull tests showed it), so an arriving request takes such a slot back; only a promised ticket keeps it. Change: Pulls (asks, reservations that expire, doubled and late datagrams), PoolBelief (expected wait from figures that age, own sends since, configured capacity without figures), Travel. PullReply tells what still waits, PoolLoad the mean service time.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
@@ -9,6 +9,7 @@
 
 from gooseberryport_core._invariants import Invariant, check
 from gooseberryport_core._pool import Pool
+from gooseberryport_core._pulls import RESERVATION_S, Pulls
 from gooseberryport_core._region_caps import region_shares
 from gooseberryport_core._tickets import Entry, TicketState
 from gooseberryport_core._timers import Timers
@@ -18,15 +19,17 @@
 from gooseberryport_core.events import (
     BodyArrived,
     Event,
+    MessageArrived,
     Tick,
     TicketArrived,
     TicketCancelled,
     UpstreamFinished,
 )
-from gooseberryport_core.messages import Granted, PoolLoad, Refused
+from gooseberryport_core.messages import Granted, Moved, PoolLoad, Pull, PullReply, Refused
 from gooseberryport_core.settings import NodeSettings
 from gooseberryport_core.types import (
     AttemptOutcome,
+    Epoch,
     PoolId,
     RefusalReason,
     RequestId,
@@ -43,6 +46,9 @@
 RETRY_AFTER_FLOOR_S = 0.05
 """Shortest time after which asking again makes sense; seconds."""
 
+FIGURES_PERIOD_S = 0.05
+"""Time between two looks at the other daemons' load figures; seconds."""
+
 _HARMLESS = (AttemptOutcome.ANSWERED, AttemptOutcome.SHED, AttemptOutcome.NOT_SENT)
 """Ends after which the upstream provably does not run the request."""
 
@@ -52,15 +58,17 @@
 
     GRANT = "grant"
     SLOT = "slot"
+    ASK = "ask"
 
 
 class _Timer(msgspec.Struct, frozen=True):
-    """Something to do later for a ticket, or for an upstream of a pool."""
+    """Something to do later for a ticket, an upstream of a pool or an ask."""
 
     kind: _TimerKind
-    ticket_id: TicketId
     pool_id: PoolId
     upstream: UpstreamId
+    ticket_id: TicketId = TicketId("")
+    serial: int = 0
 
 
 class Admission:
@@ -89,10 +97,13 @@
         self._pools: dict[PoolId, Pool] = {}
         self._entries: dict[TicketId, Entry] = {}
         self._timers: Timers[_Timer] = Timers()
+        self._pulls = Pulls(settings=settings, owners=owners, peers=peers, rng=rng)
+        self._figures_at = float("-inf")
 
     def configure(self, cfg: Config, now: float) -> list[Effect]:
         """Take a newer configuration; what runs goes on, also where slots were lowered."""
         self._cfg = cfg
+        self._pulls.configure(cfg)
         members = pools_of(cfg)
         shares = region_shares(cfg)
         for pool_id in members:
@@ -114,9 +125,13 @@
             effects.extend(self._cancel(event.ticket_id, now))
         elif isinstance(event, UpstreamFinished):
             effects.extend(self._finish(event, now))
+        elif isinstance(event, MessageArrived) and isinstance(event.message, Pull):
+            effects.extend(self._asked(event.message, now))
+        elif isinstance(event, MessageArrived) and isinstance(event.message, PullReply):
+            self._pulls.take_reply(event.message, now)
+            effects.extend(self._end_ask(event.message.serial, now))
         elif isinstance(event, Tick):
-            for pool in self._pools.values():
-                effects.extend(self._serve(pool, now))
+            effects.extend(self._tick(now))
         return effects
 
     def loads(self, now: float) -> tuple[PoolLoad, ...]:
@@ -133,6 +148,15 @@
         """Whether no ticket is held here."""
         return not self._entries
 
+    def _tick(self, now: float) -> list[Effect]:
+        if now >= self._figures_at + FIGURES_PERIOD_S:
+            self._figures_at = now
+            self._pulls.take_figures(now)
+        effects: list[Effect] = []
+        for pool in self._pools.values():
+            effects.extend(self._serve(pool, now))
+        return effects
+
     def _holding(self, pool: Pool, now: float) -> Holding | None:
         holding = self._owners.holding(pool.pool_id, now)
         if holding is None or now >= holding.valid_until:
@@ -148,6 +172,9 @@
         holding = self._holding(pool, now) if pool is not None else None
         if pool is None or holding is None or holding.epoch != ticket.epoch:
             return [_refusal(entry, RefusalReason.NOT_OWNER)]
+        if self._pulls.redeem(ticket.pool, ticket.reserved):
+            self._entries[ticket.ticket_id] = entry
+            return self._grant(pool, entry, ticket.reserved, now)
         refusal = self._refuse_early(pool, holding, entry, now)
         if refusal is not None:
             return [refusal]
@@ -187,7 +214,7 @@
 
     def _serve(self, pool: Pool, now: float) -> list[Effect]:
         """Grant free slots to the tickets that wait; refuse those that wait in vain."""
-        if not pool.queue:
+        if not pool.queue and pool.free_upstream() is None:
             return []
         holding = self._holding(pool, now)
         if holding is None:
@@ -200,22 +227,98 @@
         if now < holding.former_work_until:
             return effects
         while pool.queue:
-            upstream = pool.free_upstream()
+            upstream = self._free_upstream(pool)
             if upstream is None:
                 break
             entry = pool.queue.pop()
             if entry.ticket.epoch != holding.epoch:
                 effects.extend(self._refuse(entry, RefusalReason.NOT_OWNER, 0.0))
                 continue
+            pool.slots.take(upstream)
             effects.extend(self._grant(pool, entry, upstream, now))
+        if not pool.queue:
+            effects.extend(self._ask(pool, holding, now))
         return effects
 
+    def _free_upstream(self, pool: Pool) -> UpstreamId | None:
+        """Return a free upstream, taking a slot back that is kept for an unanswered ask."""
+        upstream = pool.free_upstream()
+        if upstream is not None:
+            return upstream
+        ask = self._pulls.pop_unanswered(pool.pool_id)
+        if ask is None:
+            return None
+        pool.slots.release(ask.upstream)
+        return pool.free_upstream()
+
+    def _ask(self, pool: Pool, holding: Holding, now: float) -> list[Effect]:
+        """Ask others for work, once for each free slot and request believed to wait."""
+        effects: list[Effect] = []
+        while (upstream := pool.free_upstream()) is not None:
+            own = self._own_behind(pool, now)
+            target = own.pool_id if own is not None else self._pulls.target(pool.pool_id, now)
+            if target is None:
+                break
+            pool.slots.take(upstream)
+            serial = self._pulls.keep(pool.pool_id, upstream, target, now)
+            timer = _Timer(_TimerKind.ASK, pool.pool_id, upstream, serial=serial)
+            self._timers.add(now + RESERVATION_S, timer)
+            if own is None:
+                effects.extend(self._pulls.send_ask(serial, holding.epoch))
+                continue
+            effects.append(self._move(own, own.queue.pop(), pool.pool_id, holding.epoch, upstream))
+        return effects
+
+    def _own_behind(self, pool: Pool, now: float) -> Pool | None:
+        """Return another pool of this daemon whose queue is the longest, or None."""
+        behind = [
+            other
+            for pool_id, other in self._pools.items()
+            if pool_id.service == pool.pool_id.service and other is not pool and other.queue
+        ]
+        return max(behind, key=lambda other: len(other.queue)) if behind else None
+
+    def _move(
+        self, pool: Pool, entry: Entry, offer: PoolId, epoch: Epoch, upstream: UpstreamId
+    ) -> Effect:
+        """Send a waiting ticket to a slot that is kept for it elsewhere."""
+        ticket_id = entry.ticket.ticket_id
+        del self._entries[ticket_id]
+        owner = self._owners.owner_of(offer)
+        assert owner is not None
+        moved = Moved(ticket_id, owner.vm, offer, epoch, upstream)
+        return SendTicketReply(entry.origin, moved)
+
+    def _asked(self, pull: Pull, now: float) -> list[Effect]:
+        """Answer an ask with the earliest ticket that gains from the move, or with nothing."""
+        pool = self._pools.get(pull.pool)
+        owner = self._owners.owner_of(pull.offer_pool)
+        known = owner is not None and owner.epoch == pull.offer_epoch
+        nothing = TicketId("")
+        if pool is None or not known or not self._pulls.is_new(pull):
+            return self._pulls.reply(pull, nothing, 0)
+        place = self._pulls.gain_rank(pull, pool.service_time.mean_s, pool.usable)
+        entry = pool.queue.peek(place)
+        if entry is None or entry.deadline <= now:
+            return self._pulls.reply(pull, nothing, 0)
+        ticket_id = entry.ticket.ticket_id
+        pool.queue.remove(ticket_id)
+        moved = self._move(pool, entry, pull.offer_pool, pull.offer_epoch, pull.upstream)
+        return [moved, *self._pulls.reply(pull, ticket_id, len(pool.queue))]
+
+    def _end_ask(self, serial: int, now: float) -> list[Effect]:
+        ask = self._pulls.pop_ended(serial, now)
+        if ask is None:
+            return []
+        pool = self._pools[ask.pool]
+        pool.slots.release(ask.upstream)
+        return self._serve(pool, now)
+
     def _grant(self, pool: Pool, entry: Entry, upstream: UpstreamId, now: float) -> list[Effect]:
         ticket_id = entry.ticket.ticket_id
         entry.state = TicketState.GRANTED
         entry.upstream = upstream
-        pool.slots.take(upstream)
-        timer = _Timer(_TimerKind.GRANT, ticket_id, pool.pool_id, upstream)
+        timer = _Timer(_TimerKind.GRANT, pool.pool_id, upstream, ticket_id)
         self._timers.add(min(now + GRANT_TIMEOUT_S, entry.deadline), timer)
         effects = self._check_slots(pool, upstream)
         effects.append(SendTicketReply(entry.origin, Granted(ticket_id, upstream)))
@@ -288,7 +391,7 @@
     def _linger(self, pool: Pool, entry: Entry, now: float) -> None:
         until = entry.expires_at + LINGER_GRACE_S
         pool.slots.linger(entry.upstream, min(now, entry.cancelled_at), until)
-        timer = _Timer(_TimerKind.SLOT, entry.ticket.ticket_id, pool.pool_id, entry.upstream)
+        timer = _Timer(_TimerKind.SLOT, pool.pool_id, entry.upstream)
         self._timers.add(until, timer)
 
     def _run_timers(self, now: float) -> list[Effect]:
@@ -299,6 +402,9 @@
                 pool.slots.settle(timer.upstream, now)
                 effects.extend(self._serve(pool, now))
                 continue
+            if timer.kind is _TimerKind.ASK:
+                effects.extend(self._end_ask(timer.serial, now))
+                continue
             entry = self._entries.get(timer.ticket_id)
             if entry is not None and entry.state is TicketState.GRANTED:
                 effects.extend(self._withdraw(pool, entry, RefusalReason.CANCELLED, now))
@@ -329,4 +435,5 @@
         busy=usable if now < holding.former_work_until else pool.slots.total,
         queued=len(pool.queue),
         oldest_s=now - head.arrived_at if head else 0.0,
+        service_s=pool.service_time.mean_s,
     )
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_pulls.py
@@ -0,0 +1,257 @@
+"""Free slots that ask for work which waits elsewhere."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from gooseberryport_core._travel import Travel
+from gooseberryport_core._views import Owners, Peers
+from gooseberryport_core.config import Config, pools_of
+from gooseberryport_core.effects import Effect, SendMessage
+from gooseberryport_core.messages import PoolLoad, Pull, PullReply
+from gooseberryport_core.settings import NodeSettings
+from gooseberryport_core.types import Epoch, PoolId, ServiceName, TicketId, UpstreamId
+
+RESERVATION_S = 0.15
+"""Time that a slot is kept for the answer to an ask, and again for the ticket; seconds."""
+
+BLIND_ASK_S = 0.05
+"""Shortest time between two asks without any figures; seconds."""
+
+LONGEST_BLIND_ASK_S = 1.0
+"""Longest time between two asks without any figures; seconds."""
+
+WORTHWHILE = 1.0
+"""Times that the expected wait must exceed the travel before work crosses regions."""
+
+
+class _Belief(msgspec.Struct):
+    """What is believed of another pool's queue.
+
+    Parameters
+    ----------
+    at
+        Time of the figure; seconds, monotonic.
+    queued
+        Requests that wait, less those asked for since.
+    wait_s
+        Expected wait of the last in the queue; seconds.
+    """
+
+    at: float
+    queued: int
+    wait_s: float
+
+
+class Ask(msgspec.Struct):
+    """A slot that is kept for work from elsewhere.
+
+    Parameters
+    ----------
+    pool, upstream
+        The slot.
+    asked
+        Pool that was asked.
+    until
+        End of the reservation; seconds, monotonic.
+    ticket_id
+        Ticket that was promised; empty before the answer.
+    """
+
+    pool: PoolId
+    upstream: UpstreamId
+    asked: PoolId
+    until: float
+    ticket_id: TicketId = TicketId("")
+
+
+class Pulls:
+    """Decide whom to ask for work, and keep the slots reserved for it.
+
+    Parameters
+    ----------
+    settings
+        Who this daemon is.
+    owners
+        What ownership knows.
+    peers
+        What membership knows.
+    rng
+        Source of random choices.
+    """
+
+    def __init__(
+        self, *, settings: NodeSettings, owners: Owners, peers: Peers, rng: random.Random
+    ) -> None:
+        self._settings = settings
+        self._owners = owners
+        self._peers = peers
+        self._rng = rng
+        self._travel = Travel(Config())
+        self._pools: dict[ServiceName, tuple[PoolId, ...]] = {}
+        self._asks: dict[int, Ask] = {}
+        self._beliefs: dict[PoolId, _Belief] = {}
+        self._blind_at: dict[PoolId, float] = {}
+        self._blind_wait_s: dict[PoolId, float] = {}
+        self._newest_asked: dict[PoolId, tuple[int, int]] = {}
+        self._serial = 0
+
+    def configure(self, cfg: Config) -> None:
+        """Take a newer configuration."""
+        self._travel = Travel(cfg)
+        by_service: dict[ServiceName, list[PoolId]] = {}
+        for pool in pools_of(cfg):
+            by_service.setdefault(pool.service, []).append(pool)
+        self._pools = {service: tuple(pools) for service, pools in by_service.items()}
+
+    def take_figures(self, now: float) -> None:
+        """Take the newest load figures of the other daemons."""
+        for remote in self._peers.loads(now):
+            self._believe(remote.load, now - remote.age_s)
+
+    def target(self, pool: PoolId, now: float) -> PoolId | None:
+        """Return the pool that a free slot of `pool` should ask, or None."""
+        best: PoolId | None = None
+        best_rank = (False, 0.0)
+        for other in self._pools.get(pool.service, ()):
+            belief = self._beliefs.get(other)
+            if other == pool or belief is None or belief.queued <= 0:
+                continue
+            if self._address(other) is None:
+                continue
+            near = self._travel.region_of(other.zone) == self._travel.region_of(pool.zone)
+            if not near and not self._worthwhile(belief, pool, other):
+                continue
+            rank = (near, belief.wait_s + now - belief.at)
+            if best is None or rank > best_rank:
+                best, best_rank = other, rank
+        return best or self._blind_target(pool, now)
+
+    def keep(self, pool: PoolId, upstream: UpstreamId, asked: PoolId, now: float) -> int:
+        """Keep a slot for work of another pool; return the serial of the reservation."""
+        self._serial += 1
+        self._asks[self._serial] = Ask(pool, upstream, asked, now + RESERVATION_S)
+        return self._serial
+
+    def send_ask(self, serial: int, epoch: Epoch) -> list[Effect]:
+        """Return the effects that ask for the work that a kept slot is for."""
+        ask = self._asks[serial]
+        asked = ask.asked
+        belief = self._beliefs.get(asked)
+        if belief is not None:
+            belief.queued -= 1
+        region = self._settings.region
+        return self._send(asked, Pull(asked, ask.pool, epoch, ask.upstream, serial, region))
+
+    def take_reply(self, reply: PullReply, now: float) -> None:
+        """Take an answer: keep the slot for the promised ticket, or for no longer than now."""
+        ask = self._asks.get(reply.serial)
+        if ask is None or ask.ticket_id:
+            return
+        belief = self._beliefs.get(ask.asked)
+        wait_s = belief.wait_s if belief is not None else 0.0
+        self._beliefs[ask.asked] = _Belief(now, reply.queued, wait_s)
+        if reply.ticket_id:
+            self._blind_wait_s.pop(ask.pool, None)
+            ask.ticket_id = reply.ticket_id
+            ask.until = now + RESERVATION_S
+        else:
+            ask.until = now
+
+    def pop_ended(self, serial: int, now: float) -> Ask | None:
+        """Take a reservation that is over; return None if it is still kept or was used."""
+        ask = self._asks.get(serial)
+        if ask is None or ask.until > now:
+            return None
+        belief = self._beliefs.get(ask.asked)
+        if belief is not None and not ask.ticket_id:
+            belief.queued = 0
+        return self._asks.pop(serial)
+
+    def pop_unanswered(self, pool: PoolId) -> Ask | None:
+        """Take a reservation of a pool for which nothing is promised yet, or return None."""
+        for serial, ask in self._asks.items():
+            if ask.pool == pool and not ask.ticket_id:
+                return self._asks.pop(serial)
+        return None
+
+    def redeem(self, pool: PoolId, upstream: UpstreamId) -> bool:
+        """Use up a reservation of an upstream's slot; return whether there was one."""
+        if not upstream:
+            return False
+        for serial, ask in self._asks.items():
+            if ask.pool == pool and ask.upstream == upstream:
+                del self._asks[serial]
+                return True
+        return False
+
+    def is_new(self, pull: Pull) -> bool:
+        """Return whether an ask was not seen before, and remember it."""
+        seen = self._newest_asked.get(pull.offer_pool, (-1, -1))
+        if (pull.offer_epoch, pull.serial) <= seen:
+            return False
+        self._newest_asked[pull.offer_pool] = (pull.offer_epoch, pull.serial)
+        return True
+
+    def gain_rank(self, pull: Pull, service_s: float, slots: int) -> int:
+        """Return the first place in the queue whose wait is longer than the way to the asker."""
+        if service_s == 0.0 or slots == 0:
+            return 0
+        way_s = 2 * self._travel.one_way_s(pull.pool.zone, pull.offer_pool.zone)
+        return int(way_s * slots / service_s)
+
+    def reply(self, pull: Pull, ticket_id: TicketId, queued: int) -> list[Effect]:
+        """Return the effects that answer an ask."""
+        return self._send(pull.offer_pool, PullReply(pull.serial, ticket_id, queued))
+
+    def _believe(self, load: PoolLoad, at: float) -> None:
+        belief = self._beliefs.get(load.pool)
+        if belief is not None and at <= belief.at + 1e-6:
+            return
+        wait_s = (load.queued + 1) * load.service_s / max(1, load.slots)
+        self._beliefs[load.pool] = _Belief(at, load.queued, wait_s)
+
+    def _worthwhile(self, belief: _Belief, pool: PoolId, other: PoolId) -> bool:
+        way_s = 2 * self._travel.one_way_s(other.zone, pool.zone)
+        return belief.wait_s > WORTHWHILE * way_s
+
+    def _blind_target(self, pool: PoolId, now: float) -> PoolId | None:
+        """Return a pool without figures to ask, now and then, or None."""
+        if now < self._blind_at.get(pool, 0.0):
+            return None
+        oldest = now - self._settings.timing.peer_timeout_s
+        unknown = [
+            other
+            for other in self._pools.get(pool.service, ())
+            if other != pool
+            and not self._known_since(other, oldest)
+            and self._address(other) is not None
+        ]
+        if not unknown:
+            return None
+        wait_s = self._blind_wait_s.get(pool, BLIND_ASK_S)
+        self._blind_wait_s[pool] = min(2 * wait_s, LONGEST_BLIND_ASK_S)
+        self._blind_at[pool] = now + wait_s * self._rng.uniform(0.5, 1.5)
+        near = [o for o in unknown if self._region(o) == self._region(pool)]
+        return self._rng.choice(near or unknown)
+
+    def _known_since(self, pool: PoolId, oldest: float) -> bool:
+        belief = self._beliefs.get(pool)
+        return belief is not None and belief.at > oldest
+
+    def _region(self, pool: PoolId) -> str | None:
+        return self._travel.region_of(pool.zone)
+
+    def _address(self, pool: PoolId) -> str | None:
+        """Return the address of the daemon, another than this, that owns a pool."""
+        owner = self._owners.owner_of(pool)
+        if owner is None or owner.vm == self._settings.vm:
+            return None
+        peer = self._peers.peer(owner.vm)
+        return peer.address if peer is not None else None
+
+    def _send(self, pool: PoolId, message: Pull | PullReply) -> list[Effect]:
+        address = self._address(pool)
+        return [SendMessage(address, message)] if address is not None else []
--- a/packages/gooseberryport-core/src/gooseberryport_core/_queue.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_queue.py
@@ -61,6 +61,10 @@
         self._entries[key] = entry
         self._key_of[entry.ticket.ticket_id] = key
 
+    def peek(self, place: int) -> Entry | None:
+        """Return the ticket that `place` others are served before, or None."""
+        return self._entries[self._keys[place]] if place < len(self._keys) else None
+
     def pop(self) -> Entry:
         """Take the ticket that is served next."""
         return self._take(0)
--- a/packages/gooseberryport-core/src/gooseberryport_core/_routing.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_routing.py
@@ -3,12 +3,28 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
+from gooseberryport_core._beliefs import PoolBelief
+from gooseberryport_core._travel import Travel
 from gooseberryport_core._views import Owners, Peers
-from gooseberryport_core.config import Config, pools_of, region_of_zone
+from gooseberryport_core.config import Config, pools_of, slots_of
+from gooseberryport_core.messages import PoolLoad
 from gooseberryport_core.settings import NodeSettings
 from gooseberryport_core.types import PoolId, RegionName, ServiceName
 
+REFRESH_S = 0.02
+"""Time between two looks at the figures; seconds."""
+
+FIGURES_TIMEOUT_S = 2.0
+"""Age at which a figure counts for nothing; seconds."""
+
+FAR_COST_S = 0.02
+"""Weight of leaving the region, for the link's load and a cold cache; seconds."""
+
+TRIPS = 2
+"""One-way trips of a request that finds a free slot."""
+
 
 class Router:
     """Rank the pools of a service for one request.
@@ -23,29 +39,46 @@
         What membership knows.
     rng
         Source of random choices.
+    own_loads
+        Returns the load of the pools that this daemon owns, at a time.
     """
 
     def __init__(
-        self, *, settings: NodeSettings, owners: Owners, peers: Peers, rng: random.Random
+        self,
+        *,
+        settings: NodeSettings,
+        owners: Owners,
+        peers: Peers,
+        rng: random.Random,
+        own_loads: Callable[[float], tuple[PoolLoad, ...]] = lambda _: (),
     ) -> None:
         self._settings = settings
         self._owners = owners
         self._peers = peers
         self._rng = rng
-        self._cfg = Config()
+        self._own_loads = own_loads
+        self._travel = Travel(Config())
         self._pools: dict[ServiceName, tuple[PoolId, ...]] = {}
+        self._beliefs: dict[PoolId, PoolBelief] = {}
+        self._refreshed_at = float("-inf")
 
     def configure(self, cfg: Config, now: float) -> None:
-        """Take a newer configuration."""
-        self._cfg = cfg
+        """Take a newer configuration; figures are taken anew."""
+        self._travel = Travel(cfg)
         by_service: dict[ServiceName, list[PoolId]] = {}
-        for pool in pools_of(cfg):
+        self._beliefs = {}
+        for pool, upstreams in pools_of(cfg).items():
             by_service.setdefault(pool.service, []).append(pool)
+            slots = sum(slots_of(cfg, upstream) for upstream in upstreams)
+            self._beliefs[pool] = PoolBelief(slots)
         self._pools = {service: tuple(pools) for service, pools in by_service.items()}
+        self._refreshed_at = float("-inf")
 
     def rank(self, service: ServiceName, region: RegionName, now: float) -> tuple[PoolId, ...]:
         """Return the pools of a service that have an owner, best first.
 
+        The first is counted as used, until a newer figure of it arrives.
+
         Parameters
         ----------
         service
@@ -55,10 +88,37 @@
         now
             Seconds, monotonic.
         """
+        self._refresh(now)
+        owned = [p for p in self._pools.get(service, ()) if self._owners.owner_of(p)]
+        ranked = sorted(owned, key=lambda pool: self._cost(pool, region, now))
+        if ranked:
+            self._beliefs[ranked[0]].add_sent(now)
+        return tuple(ranked)
 
-        def distance(pool: PoolId) -> tuple[bool, bool, float]:
-            far = region_of_zone(self._cfg, pool.zone) != region
-            return (far, pool.zone != self._settings.zone, self._rng.random())
+    def _cost(
+        self, pool: PoolId, region: RegionName, now: float
+    ) -> tuple[bool, float, bool, float]:
+        """Return the expected time of a request in a pool besides its service."""
+        wait_s = self._beliefs[pool].wait_s(now)
+        travel_s = TRIPS * self._travel.one_way_s(self._settings.zone, pool.zone)
+        far = self._travel.region_of(pool.zone) != region
+        cost_s = wait_s + travel_s + (FAR_COST_S if far else 0.0)
+        return (wait_s == float("inf"), cost_s, far, self._rng.random())
 
-        owned = [p for p in self._pools.get(service, ()) if self._owners.owner_of(p)]
-        return tuple(sorted(owned, key=distance))
+    def _refresh(self, now: float) -> None:
+        if now < self._refreshed_at + REFRESH_S:
+            return
+        self._refreshed_at = now
+        for remote in self._peers.loads(now):
+            if remote.age_s <= FIGURES_TIMEOUT_S:
+                self._take(remote.load, now - remote.age_s)
+        for load in self._own_loads(now):
+            self._take(load, now)
+        for belief in self._beliefs.values():
+            if belief.at < now - FIGURES_TIMEOUT_S:
+                belief.forget()
+
+    def _take(self, load: PoolLoad, at: float) -> None:
+        belief = self._beliefs.get(load.pool)
+        if belief is not None:
+            belief.take(load, at)
--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -91,7 +91,13 @@
             settings=settings, owners=self._ownership, peers=self._membership, rng=rng
         )
         self._claims = Claims(settings=settings, peers=self._membership, rng=rng)
-        router = Router(settings=settings, owners=self._ownership, peers=self._membership, rng=rng)
+        router = Router(
+            settings=settings,
+            owners=self._ownership,
+            peers=self._membership,
+            rng=rng,
+            own_loads=self._admission.loads,
+        )
         self._requests = Requests(
             settings=settings,
             owners=self._ownership,
