--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -106,6 +106,8 @@
         _start_timers(timers, settings, driver, front, metrics)
         driver.tick()
         server.start()
+        fields = {"http": addresses.http, "peer": addresses.peer}
+        driver.log(LogNumber.DAEMON_READY, "daemon listens", fields, LogLevel.INFO)
         try:
             yield Running(addresses, driver, driver.stop)
         finally:
@@ -157,13 +159,16 @@
     def submit(exchange: Exchange) -> None:
         loop.call_soon_threadsafe(driver.admit, exchange)
 
+    def refused(reason: str) -> None:
+        loop.call_soon_threadsafe(driver.refused_at_door, reason)
+
     def gone(request_id: RequestId) -> None:
         loop.call_soon_threadsafe(driver.caller_gone, request_id)
 
     return Front(
         name=f"{settings.vm}-{time.time_ns() // 1_000_000:x}",
         view=FrontView(LookupSnapshot(entries=(), max_age_s=0.0)),
-        loop=Loop(submit, gone),
+        loop=Loop(submit, gone, refused),
         places=Places(
             callers=settings.threads.http - RESERVED_THREADS,
             body_bytes=settings.body_budget_bytes,
@@ -214,7 +219,7 @@
     driver.peer_client = PeerClient(
         vm=settings.vm,
         feed=driver.feed,
-        answers=AnswerTaker(driver.callers.collect, driver.answer_broken),
+        answers=AnswerTaker(driver.callers.collect, driver.answer_broken, driver.stream_broken),
     )
     stack.push_async_callback(driver.peer_client.close)
     server = Server([driver.peer_server])
@@ -244,9 +249,14 @@
         for upstream in driver.node.owned_upstreams(asyncio.get_running_loop().time()):
             driver.platform.read_load(driver.node.cfg, upstream)
 
+    def flush() -> None:
+        driver.measure()
+        metrics.count("lookups", front.lookups.take())
+        metrics.flush()
+
     driver.config_changed = renew_view
     timers.every(settings.tick_s, driver.tick, first_s=settings.tick_s)
     timers.every(VIEW_PERIOD_S, renew_view)
-    timers.every(FLUSH_PERIOD_S, metrics.flush, first_s=FLUSH_PERIOD_S)
+    timers.every(FLUSH_PERIOD_S, flush, first_s=FLUSH_PERIOD_S)
     timers.every(settings.vm_list_period_s, driver.platform.read_vm_list)
     timers.every(settings.load_report_period_s, read_loads)
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_datagrams.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_datagrams.py
@@ -36,8 +36,8 @@
         self._refused = refused
         self._too_long = too_long
         self._transport: asyncio.DatagramTransport | None = None
-        self.sent_bytes = 0
-        self.sent = 0
+        self._sent_bytes = 0
+        self._sent = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the transport."""
@@ -63,10 +63,20 @@
             return
         endpoint = parse_endpoint(effect.address, field="address")
         if self._transport is not None and not self._transport.is_closing():
-            self.sent += 1
-            self.sent_bytes += len(data)
+            self._sent += 1
+            self._sent_bytes += len(data)
             self._transport.sendto(data, (endpoint.ip, endpoint.port))
 
+    def take_sent(self) -> int:
+        """Return the number of messages sent since the last call."""
+        count, self._sent = self._sent, 0
+        return count
+
+    def take_sent_bytes(self) -> int:
+        """Return the bytes of messages sent since the last call."""
+        count, self._sent_bytes = self._sent_bytes, 0
+        return count
+
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_front.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_front.py
@@ -16,6 +16,7 @@
 from gooseberryport_daemon._bodies import RefusedError, read_body
 from gooseberryport_daemon._caller_conn import CallerConnection
 from gooseberryport_daemon._callers import CallerEnd, Exchange, StreamedAnswer
+from gooseberryport_daemon._metrics import SharedCounter
 from gooseberryport_daemon._parts import (
     Answer,
     AnswerHead,
@@ -82,6 +83,7 @@
 
     submit: Callable[[Exchange], None]
     gone: Callable[[RequestId], None]
+    refused: Callable[[str], None]
 
 
 class Front:
@@ -101,6 +103,7 @@
 
     def __init__(self, *, name: str, view: FrontView, loop: Loop, places: Places) -> None:
         self.view = view
+        self.lookups = SharedCounter()
         self._name = name
         self._loop = loop
         self._places = places
@@ -114,6 +117,7 @@
     def lookup(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer a look-up from the snapshot."""
         view = self.view
+        self.lookups.add()
         if environ["REQUEST_METHOD"] not in ("GET", "HEAD"):
             problem = not_run(405, RefusalReason.BAD_REQUEST, "Use GET.")
             return _send_problem(problem, start_response)
@@ -139,16 +143,20 @@
         place = self._places.take()
         if place is None or self.view.closed:
             conn.close_after_answer()
-            return _send_problem(self._no_place(place), start_response)
+            return self._refuse(self._no_place(place), start_response)
         try:
             return HeldBody(self._serve(environ, conn, place, start_response), place)
         except RefusedError as exc:
             conn.close_after_answer()
-            return HeldBody(_send_problem(exc.problem, start_response), place)
+            return HeldBody(self._refuse(exc.problem, start_response), place)
         except BaseException:
             place.release()
             raise
 
+    def _refuse(self, problem: Problem, start_response: StartResponse) -> Iterable[bytes]:
+        self._loop.refused(problem.reason)
+        return _send_problem(problem, start_response)
+
     def _no_place(self, place: Place | None) -> Problem:
         if place is None:
             return not_run(503, RefusalReason.QUEUE_FULL, retry_after_s=self._jitter_s())
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_loop.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_loop.py
@@ -50,9 +50,6 @@
 from gooseberryport_daemon._upstreams import UpstreamRequest, Upstreams
 from gooseberryport_platform import ServiceError
 
-TICK_METRIC = "loop.tick"
-REQUEST_METRIC = "request"
-
 QUIET_S = 10.0
 """Time between two log events of the same failing service; seconds."""
 
@@ -103,8 +100,8 @@
             StoreSwap: lambda effect: self.platform.run(effect),
             StoreWatch: lambda effect: self.platform.run(effect),
             LogEvent: lambda effect: self._log(effect),
-            CountMetric: lambda effect: self._metrics.count(effect),
-            ConfigChanged: lambda effect: self.config_changed(),
+            CountMetric: lambda effect: self._metrics.count(effect.name, effect.value),
+            ConfigChanged: lambda effect: self._take_config(effect),
             Exit: lambda effect: self.done.set(),
         }
 
@@ -124,7 +121,7 @@
         """Let time pass in the node."""
         started = time.perf_counter()
         self.feed(Tick(wall=time.time()))
-        self._metrics.time(TICK_METRIC, time.perf_counter() - started)
+        self._metrics.time("loop.tick", time.perf_counter() - started)
 
     def admit(self, exchange: Exchange) -> None:
         """Take in a caller's request."""
@@ -155,11 +152,14 @@
         """Drop a caller that has closed its connection."""
         if self._arrived_at.pop(request_id, None) is None:
             return
+        self._metrics.count("callers.gone")
         self.feed(RequestCancelled(request_id))
         self.callers.drop(request_id)
 
     def upstream_finished(self, event: UpstreamFinished) -> None:
         """Take in the end of an attempt at an upstream."""
+        self._metrics.count(f"attempt.{event.outcome.value}")
+        self._metrics.time("attempt", event.duration_s)
         if event.outcome != AttemptOutcome.ANSWERED:
             self.answer_broken(event.ticket_id)
         self.peer_server.finish(event)
@@ -175,12 +175,28 @@
 
     def datagram_refused(self, sender: str) -> None:
         """Note a datagram that is not a message of ours."""
-        self._metrics.count(CountMetric("datagrams.refused"))
+        self._metrics.count("datagrams.refused")
         self.log(LogNumber.DATAGRAM_REFUSED, "datagram refused", {"sender": sender})
 
+    def refused_at_door(self, reason: str) -> None:
+        """Count a request that was refused before the node saw it."""
+        self._metrics.count(f"refused.{reason}")
+
+    def stream_broken(self, ticket_id: TicketId) -> None:
+        """Note a stream to an owner that broke, and its answer with it."""
+        self._metrics.count("streams.broken")
+        self.answer_broken(ticket_id)
+
+    def measure(self) -> None:
+        """Set the gauges."""
+        self._metrics.gauge("callers.waiting", self.callers.waiting())
+        self._metrics.gauge("attempts.running", self.upstreams.running())
+        self._metrics.count("control.messages", self.datagrams.take_sent())
+        self._metrics.count("control.bytes", self.datagrams.take_sent_bytes())
+
     def frame_refused(self, fault: str) -> None:
         """Note a peer's stream that is not of the agreed form."""
-        self._metrics.count(CountMetric("streams.refused"))
+        self._metrics.count("streams.refused")
         self.log(LogNumber.PEER_FRAME_REFUSED, "peer stream refused", {"fault": fault})
 
     def datagram_too_long(self, effect: SendMessage, length: int) -> None:
@@ -191,7 +207,7 @@
 
     def platform_failed(self, error: ServiceError) -> None:
         """Note a failed read; of one service at most one log event in a while."""
-        self._metrics.count(CountMetric("platform.failed"))
+        self._metrics.count("platform.failed")
         now = self._loop.time()
         if now < self._quiet_until.get(error.address, now):
             return
@@ -212,6 +228,11 @@
         for effect in self.node.handle(event, self._loop.time()):
             self._carry[type(effect)](effect)
 
+    def _take_config(self, effect: ConfigChanged) -> None:
+        fields = {"version": str(effect.version)}
+        self.log(LogNumber.CONFIG_IN_FORCE, "configuration in force", fields, LogLevel.INFO)
+        self.config_changed()
+
     def _send_ticket(self, effect: SendTicket) -> None:
         request = self.callers.request(effect.request_id) if effect.inline_body else None
         if effect.inline_body and request is None:
@@ -277,8 +298,10 @@
     def _finish(self, effect: FinishRequest) -> None:
         arrived_at = self._arrived_at.pop(effect.request_id, None)
         if arrived_at is not None:
-            name = f"{REQUEST_METRIC}.{effect.outcome.value}"
-            self._metrics.time(name, self._loop.time() - arrived_at)
+            duration_s = self._loop.time() - arrived_at
+            self._metrics.time(f"request.{effect.outcome.value}", duration_s)
+        if effect.reason is not None:
+            self._metrics.count(f"refused.{effect.reason.value}")
         self.callers.finish(effect)
 
 
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_metrics.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_metrics.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 from statsd import StatsClient
 
-from gooseberryport_core.effects import CountMetric
 from gooseberryport_daemon.settings import parse_endpoint
 
 PREFIX = "gooseberryport"
@@ -20,6 +20,25 @@
 MAX_UDP_BYTES = 1_200
 
 
+class SharedCounter:
+    """Count in any thread, for a metric that is read now and then."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._count = 0
+
+    def add(self) -> None:
+        """Count one."""
+        with self._lock:
+            self._count += 1
+
+    def take(self) -> int:
+        """Return the count since the last call."""
+        with self._lock:
+            count, self._count = self._count, 0
+        return count
+
+
 class Metrics:
     """Gather counts and times between two batches.
 
@@ -35,9 +54,9 @@
         self._times: dict[str, list[float]] = {}
         self._gauges: dict[str, float] = {}
 
-    def count(self, effect: CountMetric) -> None:
+    def count(self, name: str, value: int = 1) -> None:
         """Add to a counter."""
-        self._counts[effect.name] = self._counts.get(effect.name, 0) + effect.value
+        self._counts[name] = self._counts.get(name, 0) + value
 
     def time(self, name: str, duration_s: float) -> None:
         """Add a time, in seconds."""
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
@@ -47,10 +47,11 @@
 
 
 class AnswerTaker(msgspec.Struct, frozen=True):
-    """Where answers go, and who must know when one breaks off."""
+    """Where answers go, and who must know when one breaks off, or its stream."""
 
     collect: Callable[[TicketId, AnswerHead | None, bytes], Awaitable[None]]
     broken: Callable[[TicketId], None]
+    stream_broken: Callable[[TicketId], None]
 
 
 class _Outbound:
@@ -133,7 +134,7 @@
         if outbound.reported or self._outbound.get(ticket_id) is not outbound:
             return
         outbound.reported = True
-        self._answers.broken(ticket_id)
+        self._answers.stream_broken(ticket_id)
         if outbound.body_left:
             self._feed(AttemptEnded(ticket_id, AttemptOutcome.UNKNOWN, 0, 0))
         else:
--- a/packages/gooseberryport-daemon/tests/conftest.py
+++ b/packages/gooseberryport-daemon/tests/conftest.py
@@ -17,9 +17,20 @@
         yield opened
 
 
-@pytest.fixture
-def single(deployment: Deployment) -> Deployment:
-    """One daemon that owns one upstream of four slots."""
+def start_single(deployment: Deployment) -> Deployment:
+    """Start one daemon that owns one upstream of four slots."""
     deployment.start_upstreams(UpstreamSpec("up-1", service_time_s=0.01))
     deployment.start_with(deployment.fleet)
     return deployment
+
+
+@pytest.fixture
+def single(deployment: Deployment) -> Deployment:
+    return start_single(deployment)
+
+
+@pytest.fixture(scope="module")
+def shared() -> Iterator[Deployment]:
+    """The same for all tests of a module that leave it as it is."""
+    with open_deployment() as opened:
+        yield start_single(opened)
--- a/packages/gooseberryport-daemon/tests/test_front.py
+++ b/packages/gooseberryport-daemon/tests/test_front.py
@@ -42,15 +42,15 @@
     ],
 )
 def test_bad_input_is_told_and_not_run(
-    single: Deployment, path: str, headers: dict, body: bytes | None, status: int, reason: str
+    shared: Deployment, path: str, headers: dict, body: bytes | None, status: int, reason: str
 ) -> None:
-    ran = len(single.fleet.runs())
+    ran = len(shared.fleet.runs())
     method = "GET" if body is None else "POST"
-    reply = call(single.daemons[0].http, path, method, body, headers)
+    reply = call(shared.daemons[0].http, path, method, body, headers)
     assert reply.status == status
     assert (reply.problem["outcome"], reply.problem["reason"]) == ("not-run", reason)
     assert reply.problem["detail"]
-    assert len(single.fleet.runs()) == ran
+    assert len(shared.fleet.runs()) == ran
 
 
 @pytest.mark.parametrize(
@@ -70,17 +70,17 @@
     ],
     ids=["request-line", "length", "short-body", "header", "chunked-too-long"],
 )  # fmt: skip
-def test_malformed_request_is_refused(single: Deployment, data: bytes, status: bytes) -> None:
-    ran = len(single.fleet.runs())
-    answer = raw_call(single.daemons[0].http, data, then_close=True)
+def test_malformed_request_is_refused(shared: Deployment, data: bytes, status: bytes) -> None:
+    ran = len(shared.fleet.runs())
+    answer = raw_call(shared.daemons[0].http, data, then_close=True)
     assert answer.split(b" ", 2)[1] == status
-    assert len(single.fleet.runs()) == ran
+    assert len(shared.fleet.runs()) == ran
 
 
-def test_chunked_body_arrives(single: Deployment) -> None:
+def test_chunked_body_arrives(shared: Deployment) -> None:
     head = b"POST /dressing-registry/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
     data = head + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
-    assert raw_call(single.daemons[0].http, data).startswith(b"HTTP/1.1 200")
+    assert raw_call(shared.daemons[0].http, data).startswith(b"HTTP/1.1 200")
 
 
 def test_absurdly_long_deadline_is_cut_to_the_longest(deployment: Deployment) -> None:
@@ -102,8 +102,8 @@
     until(lambda: msgspec.json.decode(call(daemon.http, "/healthz").body)["callers"] == 0)
 
 
-def test_lookup_names_the_daemon_and_may_be_cached(single: Deployment) -> None:
-    daemon = single.daemons[0]
+def test_lookup_names_the_daemon_and_may_be_cached(shared: Deployment) -> None:
+    daemon = shared.daemons[0]
     path = "/v1/lookup?service=dressing-registry&client=10.0.0.1"
     until(lambda: call(daemon.http, path).body != b"[]")
     reply = call(daemon.http, path)
@@ -112,8 +112,8 @@
     assert [(entry["vm"], entry["http_address"]) for entry in entries] == [("vm-1", daemon.http)]
 
 
-def test_pages_tell_what_the_daemon_knows(single: Deployment) -> None:
-    http = single.daemons[0].http
+def test_pages_tell_what_the_daemon_knows(shared: Deployment) -> None:
+    http = shared.daemons[0].http
     status = msgspec.json.decode(call(http, "/status").body)
     assert (status["vm"], status["version"]) == ("vm-1", 1)
     explained = msgspec.json.decode(
--- /dev/null
+++ b/packages/gooseberryport-daemon/tests/test_peer_streams.py
@@ -0,0 +1,307 @@
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server, Stream
+
+from gooseberryport_core.effects import SendTicket
+from gooseberryport_core.events import (
+    AttemptEnded,
+    BodyArrived,
+    Event,
+    PeerUnreachable,
+    TicketArrived,
+    TicketCancelled,
+    TicketReplied,
+    UpstreamFinished,
+)
+from gooseberryport_core.messages import Granted, Refused, Ticket
+from gooseberryport_core.types import AttemptOutcome, PoolId, RefusalReason
+from gooseberryport_daemon import _peer_pb2 as pb
+from gooseberryport_daemon._parts import AnswerHead, CallerRequest, RequestHead
+from gooseberryport_daemon._peer_client import AnswerTaker, PeerClient
+from gooseberryport_daemon._peer_grpc import PeerBase, PeerStub
+from gooseberryport_daemon._peer_server import PeerServer
+from gooseberryport_daemon._peer_wire import (
+    AttemptEnd,
+    add_end,
+    answer_frames,
+    reply_frame,
+    request_frames,
+    ticket_frames,
+)
+
+PATIENCE_S = 10.0
+BODY = b"dress" * 30_000
+HEAD = RequestHead("POST", "/dressing-registry/x", (("X-Tool", "diamond"),), "r-1")
+REQUEST = CallerRequest("r-1", "dressing-registry", "10.0.0.1", HEAD, BODY, 2.0, "")
+GRANTED = reply_frame(Granted("t-1", "up-1"))
+UNKNOWN = AttemptEnded("t-1", AttemptOutcome.UNKNOWN, 0, 0)
+UNREACHABLE = PeerUnreachable("vm-2", "t-1")
+
+Play = Callable[[Stream], Awaitable[None]]
+
+
+def make_ticket(body_bytes: int = len(BODY)) -> Ticket:
+    pool = PoolId("dressing-registry", "bern-a")
+    return Ticket("t-1", pool, 1, 2.0, False, True, body_bytes, 4_096, "bern")
+
+
+class Owner(PeerBase):
+    """An owner that plays what a test wants."""
+
+    def __init__(self, play: Play) -> None:
+        self._play = play
+        self.cancelled = asyncio.Event()
+
+    async def Forward(self, stream: Stream) -> None:  # noqa: N802
+        try:
+            await self._play(stream)
+        except BaseException:
+            self.cancelled.set()
+            raise
+
+
+class Entry:
+    """An entry daemon's client with its events and answers."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+        self.answer = b""
+        self.broken = 0
+        self.inline = False
+        self.ended = asyncio.Event()
+        self.client = PeerClient(
+            vm="vm-1",
+            feed=self.feed,
+            answers=AnswerTaker(self.collect, self.on_broken, self.on_broken),
+        )
+
+    def feed(self, event: Event) -> None:
+        self.events.append(event)
+        if isinstance(event, TicketReplied) and isinstance(event.reply, Granted):
+            self.client.send_body(event.reply.ticket_id, REQUEST)
+            return
+        self.ended.set()
+
+    async def collect(self, ticket_id: str, head: AnswerHead | None, chunk: bytes) -> None:
+        self.answer += chunk
+
+    def on_broken(self, ticket_id: str) -> None:
+        self.broken += 1
+
+    async def offer(self, address: str, *, inline: bool = False) -> None:
+        effect = SendTicket("vm-2", address, make_ticket(), inline, "r-1")
+        self.client.send_ticket(effect, REQUEST if inline else None)
+        await asyncio.wait_for(self.ended.wait(), PATIENCE_S)
+
+
+@asynccontextmanager
+async def open_owner(owner: PeerBase) -> AsyncIterator[str]:
+    server = Server([owner])
+    await server.start("127.0.0.1", 0)
+    host, port = server._server.sockets[0].getsockname()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        server.close()
+        await server.wait_closed()
+
+
+async def break_at_once(stream: Stream) -> None:
+    await stream.recv_message()
+    await stream.cancel()
+
+
+async def end_without_reply(stream: Stream) -> None:
+    await stream.recv_message()
+
+
+async def grant_and_break(stream: Stream) -> None:
+    await stream.recv_message()
+    await stream.send_message(GRANTED)
+    await stream.recv_message()
+    await stream.cancel()
+
+
+async def grant_and_end(stream: Stream) -> None:
+    await stream.recv_message()
+    await stream.send_message(GRANTED)
+    await stream.recv_message()
+
+
+async def answer_half(stream: Stream) -> None:
+    await stream.recv_message()
+    await stream.send_message(GRANTED)
+    frame = next(answer_frames(AnswerHead(200, "OK", ()), b"half"))
+    add_end(frame, AttemptEnd(AttemptOutcome.ANSWERED, 200, 8))
+    await stream.send_message(frame)
+
+
+async def speak_nonsense(stream: Stream) -> None:
+    await stream.recv_message()
+    await stream.send_message(pb.OwnerFrame(reply=b"nonsense"))
+
+
+@pytest.mark.parametrize(
+    ("play", "inline", "last"),
+    [
+        (break_at_once, False, UNREACHABLE),
+        (break_at_once, True, UNKNOWN),
+        (end_without_reply, False, UNREACHABLE),
+        (end_without_reply, True, UNKNOWN),
+        (speak_nonsense, False, UNREACHABLE),
+        (speak_nonsense, True, UNKNOWN),
+        (grant_and_break, False, UNKNOWN),
+        (grant_and_end, False, UNKNOWN),
+        (answer_half, False, AttemptEnded("t-1", AttemptOutcome.UNKNOWN, 200, 8)),
+    ],
+)
+def test_broken_stream_is_not_run_only_if_nothing_left(
+    play: Play, inline: bool, last: Event
+) -> None:
+    async def run() -> None:
+        entry = Entry()
+        async with open_owner(Owner(play)) as address:
+            await entry.offer(address, inline=inline)
+            await entry.client.close()
+        ends = [event for event in entry.events if not isinstance(event, TicketReplied)]
+        assert ends == [last]
+        assert entry.broken == 1
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("inline", [False, True])
+def test_owner_that_is_not_there_is_unreachable(inline: bool) -> None:
+    async def run() -> None:
+        entry = Entry()
+        async with open_owner(Owner(break_at_once)) as address:
+            pass
+        await entry.offer(address, inline=inline)
+        assert entry.events == [UNREACHABLE]
+        await entry.client.close()
+
+    asyncio.run(run())
+
+
+def test_cancelled_ticket_resets_its_stream() -> None:
+    arrived = asyncio.Event()
+
+    async def wait(stream: Stream) -> None:
+        await stream.recv_message()
+        arrived.set()
+        await asyncio.Event().wait()
+
+    async def run() -> None:
+        entry = Entry()
+        owner = Owner(wait)
+        async with open_owner(owner) as address:
+            effect = SendTicket("vm-2", address, make_ticket(), False, "r-1")
+            entry.client.send_ticket(effect, None)
+            await asyncio.wait_for(arrived.wait(), PATIENCE_S)
+            entry.client.cancel("t-1")
+            await asyncio.wait_for(owner.cancelled.wait(), PATIENCE_S)
+            await entry.client.close()
+        assert entry.events == []
+
+    asyncio.run(run())
+
+
+class Served:
+    """The owner's side with a node that grants everything and answers at once."""
+
+    def __init__(self, reply: Granted | Refused | None) -> None:
+        self.events: list[Event] = []
+        self.faults: list[str] = []
+        self.changed = asyncio.Event()
+        self._reply = reply
+        self.server = PeerServer(feed=self.feed, refused=self.faults.append)
+
+    def feed(self, event: Event) -> None:
+        self.events.append(event)
+        self.changed.set()
+        if isinstance(event, TicketArrived) and self._reply is not None:
+            self.server.reply(self._reply)
+        if isinstance(event, BodyArrived):
+            asyncio.get_running_loop().create_task(self.answer())
+
+    async def answer(self) -> None:
+        await self.server.take("t-1", AnswerHead(200, "OK", ()), BODY)
+        finished = UpstreamFinished("t-1", AttemptOutcome.ANSWERED, 200, len(BODY), 0.1)
+        self.server.finish(finished)
+
+    async def heard(self, kind: type[Event]) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while not any(isinstance(event, kind) for event in self.events):
+                self.changed.clear()
+                await self.changed.wait()
+
+
+@pytest.mark.parametrize("inline", [False, True])
+def test_request_and_answer_cross_whole(inline: bool) -> None:
+    async def run() -> None:
+        entry = Entry()
+        served = Served(Granted("t-1", "up-1"))
+        async with open_owner(served.server) as address:
+            await entry.offer(address, inline=inline)
+            await entry.client.close()
+        assert entry.answer == BODY
+        assert entry.events[-1] == AttemptEnded("t-1", AttemptOutcome.ANSWERED, 200, len(BODY))
+        assert [type(event) for event in served.events] == [TicketArrived, BodyArrived]
+
+    asyncio.run(run())
+
+
+def test_refused_ticket_never_runs_though_its_body_came_along() -> None:
+    async def run() -> None:
+        entry = Entry()
+        refused = Refused("t-1", RefusalReason.QUEUE_FULL, 0.5)
+        served = Served(refused)
+        async with open_owner(served.server) as address:
+            await entry.offer(address, inline=True)
+            await entry.client.close()
+        assert entry.events == [TicketReplied("vm-2", refused)]
+        assert [type(event) for event in served.events] == [TicketArrived]
+
+    asyncio.run(run())
+
+
+def test_stream_that_breaks_before_the_body_is_whole_runs_nothing() -> None:
+    async def run() -> None:
+        served = Served(Granted("t-1", "up-1"))
+        async with open_owner(served.server) as address:
+            channel = Channel(*address.split(":"))
+            async with PeerStub(channel).Forward.open() as stream:
+                await stream.send_message(next(ticket_frames("vm-1", make_ticket())))
+                await stream.recv_message()
+                await stream.send_message(next(request_frames(HEAD, BODY)))
+                await stream.cancel()
+            await served.heard(TicketCancelled)
+            channel.close()
+        assert [type(event) for event in served.events] == [TicketArrived, TicketCancelled]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("announced", [len(BODY) - 1, len(BODY) + 1])
+def test_body_of_another_length_than_announced_runs_nothing(announced: int) -> None:
+    async def run() -> None:
+        served = Served(Granted("t-1", "up-1"))
+        async with open_owner(served.server) as address:
+            channel = Channel(*address.split(":"))
+            with pytest.raises(GRPCError):
+                async with PeerStub(channel).Forward.open() as stream:
+                    parts = (HEAD, BODY)
+                    for frame in ticket_frames("vm-1", make_ticket(announced), parts):
+                        await stream.send_message(frame)
+                    await stream.end()
+                    assert await stream.recv_message() is None
+            channel.close()
+        assert served.events == []
+        assert len(served.faults) == 1
+
+    asyncio.run(run())
