--- a/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
@@ -143,6 +143,11 @@
                 found.append(_load(pool, holding, now))
         return tuple(found)
 
+    def busy(self, pool_id: PoolId) -> bool:
+        """Return whether a pool's slots are taken here, or may still be by what was cut off."""
+        pool = self._pools.get(pool_id)
+        return pool is not None and pool.slots.total > 0
+
     @property
     def idle(self) -> bool:
         """Whether no ticket is held here."""
--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -45,6 +45,7 @@
 from gooseberryport_core.status import Explanation, StatusPage, build_status, explain_pools
 from gooseberryport_core.types import (
     Outcome,
+    PoolId,
     RefusalReason,
     RequestId,
     ServiceName,
@@ -85,7 +86,9 @@
         self._blocks = BlockTable.from_texts({})
         self._zone_order = ZoneOrder(Config())
         self._membership = Membership(settings=settings, rng=rng, facts=self._facts)
-        self._ownership = Ownership(settings=settings, peers=self._membership, rng=rng)
+        self._ownership = Ownership(
+            settings=settings, peers=self._membership, rng=rng, busy=self._busy
+        )
         self._config = ConfigSync(settings=settings, peers=self._membership, rng=rng)
         self._admission = Admission(
             settings=settings, owners=self._ownership, peers=self._membership, rng=rng
@@ -335,6 +338,9 @@
             ready=self._ready,
         )
 
+    def _busy(self, pool: PoolId) -> bool:
+        return self._admission.busy(pool)
+
     def _home_of(self, client: str) -> Home:
         place = self._blocks.find(client)
         return Home(home_region(self.cfg, place, self.settings.region), place.block)
--- a/standins/src/gooseberryport_standins/traffic.py
+++ b/standins/src/gooseberryport_standins/traffic.py
@@ -113,6 +113,8 @@
         As for `Simulation`.
     faulty_upstreams
         Share of attempts that shed, break off or run longer than their deadline.
+    zone_delay_s, region_delay_s
+        One-way delay of streams within a region and between regions; seconds.
     """
 
     def __init__(
@@ -123,7 +125,12 @@
         places: dict[str, tuple[str, str]],
         publish: Callable[[SimStore], None],
         faulty_upstreams: float = 0.1,
+        zone_delay_s: float = STREAM_DELAY_S,
+        region_delay_s: float = STREAM_DELAY_S,
     ) -> None:
+        self.zone_delay_s = zone_delay_s
+        self.region_delay_s = region_delay_s
+        self.lost_zones: set[str] = set()
         self.cfg = cfg
         self.pool_of = {name: pool for pool, names in pools_of(cfg).items() for name in names}
         self.faulty_upstreams = faulty_upstreams
@@ -136,7 +143,7 @@
         self.entry_of: dict[str, SimNode] = {}
         self.runs: Counter[str] = Counter()
         self.ends: dict[str, FinishRequest] = {}
-        self.latencies: list[float] = []
+        self.latency_of: dict[str, float] = {}
         super().__init__(seed=seed, places=places, publish=publish)
 
     def make_daemon(
@@ -166,6 +173,15 @@
         for stream in [s for s in self.streams.values() if daemon in (s.source, s.target)]:
             self.at(STREAM_DELAY_S, partial(self._break, stream))
 
+    def lose_zone(self, zone: str) -> None:
+        """Lose an availability zone: its daemons, its upstreams and what they run."""
+        self.lost_zones.add(zone)
+        for vm in [vm for vm, place in self.places.items() if place[0] == zone]:
+            self.kill(vm)
+        for running in list(self.attempts_now.values()):
+            if self.pool_of[running.upstream].zone == zone:
+                self._end_attempt(running.ticket_id, AttemptOutcome.UNKNOWN, 0.0)
+
     def check_words(self) -> None:
         """Check what callers were told against what ran."""
         for request_id, end in self.ends.items():
@@ -232,7 +248,11 @@
                 return
             self._feed(receiver, event)
 
-        self.at(STREAM_DELAY_S, arrive)
+        self.at(self._delay(stream), arrive)
+
+    def _delay(self, stream: Stream) -> float:
+        same = stream.source.settings.region == stream.target.settings.region
+        return self.zone_delay_s if same else self.region_delay_s
 
     def _break(self, stream: Stream) -> None:
         if not stream.open:
@@ -258,7 +278,7 @@
             if stream.inline:
                 self._feed(owner, BodyArrived(stream.ticket_id))
             return
-        self.at(2 * STREAM_DELAY_S, lambda: self._close(stream))
+        self.at(2 * self._delay(stream), lambda: self._close(stream))
 
     def _send_body(self, effect: SendBody) -> None:
         stream = self.streams.get(effect.ticket_id)
@@ -273,7 +293,7 @@
         target = stream.target
         cut = self._is_cut(stream.source.settings.vm, target.settings.vm)
         self._close(stream)
-        delay = KEEPALIVE_S if cut else STREAM_DELAY_S
+        delay = KEEPALIVE_S if cut else self._delay(stream)
         self.at(delay, lambda: self._feed(target, TicketCancelled(ticket_id)))
 
     def _start(self, owner: SimNode, effect: StartUpstream) -> None:
@@ -281,6 +301,10 @@
         request_id = effect.request_id or self.request_of[effect.ticket_id]
         running = Running(effect.ticket_id, effect.upstream, owner)
         self.attempts_now[effect.ticket_id] = running
+        if self.pool_of[effect.upstream].zone in self.lost_zones:
+            lost = AttemptOutcome.NOT_SENT
+            self.at(CONNECT_TIMEOUT_S, lambda: self._end_attempt(effect.ticket_id, lost, 0.0))
+            return
         fate = self.rng.random() / self.faulty_upstreams if self.faulty_upstreams else 1.0
         if fate < 0.3:
             shed = AttemptOutcome.SHED if fate < 0.15 else AttemptOutcome.NOT_SENT
@@ -340,11 +364,11 @@
         stream = self.streams.get(ticket_id)
         if stream is not None and self._owner_lives(running):
             self._pass_on(stream, stream.source, AttemptEnded(ticket_id, outcome, status, size))
-            self.at(2 * STREAM_DELAY_S, lambda: self._close(stream))
+            self.at(2 * self._delay(stream), lambda: self._close(stream))
 
     def _finish(self, effect: FinishRequest) -> None:
         assert effect.request_id not in self.ends, f"{effect.request_id} ends twice"
         self.ends[effect.request_id] = effect
-        self.latencies.append(self.now - self.callers[effect.request_id].sent_at)
+        self.latency_of[effect.request_id] = self.now - self.callers[effect.request_id].sent_at
         if effect.outcome == Outcome.NOT_RUN:
             assert not self.runs[effect.request_id], f"{effect.request_id}: not-run is false"
--- a/standins/src/gooseberryport_standins/traffic_soak.py
+++ b/standins/src/gooseberryport_standins/traffic_soak.py
@@ -11,6 +11,7 @@
 from collections import Counter
 
 from gooseberryport_core._invariants import raising
+from gooseberryport_core.config import slots_of
 from gooseberryport_core.types import Outcome
 from gooseberryport_standins.simulation import publish_whole
 from gooseberryport_standins.soak import PLACES, Faults, example_config
@@ -71,6 +72,8 @@
 class SteadyCallers:
     """Send requests at a steady rate, each to a VM that a cached look-up names first.
 
+    Services get their part of the rate by their slots.
+
     Parameters
     ----------
     sim
@@ -87,7 +90,12 @@
         self.clients = clients
         self.running = True
         self.sent: list[str] = []
-        self._cached: dict[int, tuple[float, str]] = {}
+        self._cached: dict[int, tuple[float, tuple[str, ...]]] = {}
+        slots = Counter[str]()
+        for name, upstream in sim.cfg.upstreams.items():
+            slots[upstream.service] += slots_of(sim.cfg, name)
+        self._services = sorted(slots)
+        self._weights = [slots[service] for service in self._services]
         self._send()
 
     def stop(self) -> None:
@@ -99,21 +107,25 @@
             return
         rng = self.sim.rng
         vm = self._entry(rng.randrange(self.clients))
-        service = rng.choice(sorted(self.sim.cfg.services))
+        (service,) = rng.choices(self._services, self._weights)
         self.sent.append(self.sim.send_request(vm, service, method=rng.choice(("GET", "POST"))))
         self.sim.at(rng.expovariate(self.rate), self._send)
 
     def _entry(self, client: int) -> str:
         """Return the VM that a client uses, asking again once its cached answer has ended."""
-        until, vm = self._cached.get(client, (0.0, ""))
-        if self.sim.now >= until or vm not in self.sim.daemons:
+        until, vms = self._cached.get(client, (0.0, ()))
+        if self.sim.now >= until or not self._running(vms):
             daemon = self.sim.daemons[self.sim.rng.choice(sorted(self.sim.daemons))]
             assert isinstance(daemon, SimNode)
             snapshot = daemon.node.lookup_snapshot(daemon.local(self.sim.now))
             until = self.sim.now + snapshot.max_age_s
-            vm = snapshot.rank("", f"10.0.{client}.1")[0].vm
-            self._cached[client] = (until, vm)
-        return vm
+            vms = tuple(entry.vm for entry in snapshot.rank("", f"10.0.{client}.1"))
+            self._cached[client] = (until, vms)
+        return (self._running(vms) or sorted(self.sim.daemons))[0]
+
+    def _running(self, vms: tuple[str, ...]) -> list[str]:
+        """Return the VMs whose daemon takes connections."""
+        return [vm for vm in vms if vm in self.sim.daemons]
 
 
 def run_traffic_soak(seed: int, steps: int) -> TrafficSimulation:
