Name the deciding daemon's key prefix in look-ups and heartbeats

Cause: look-ups gave an empty key prefix and heartbeats carried neither prefix nor table shape, so every idempotency key was decided in the store, and an outage of the store stopped all keyed requests. Ruled out: the claims themselves (they decide issued keys without the store once they get any). Change: heartbeats tell both, membership keeps them, look-ups name the prefix.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_membership.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_membership.py
@@ -99,7 +99,9 @@
             beat.address,
             beat.http_address,
             now,
-            config_version=beat.config_version,
+            beat.key_prefix,
+            beat.table_shape,
+            beat.config_version,
         )
         self._loads[beat.vm] = beat.pools
 
@@ -135,4 +137,6 @@
             pools=facts.pools,
             address=me.address,
             http_address=me.http_address if facts.ready else "",
+            key_prefix=facts.key_prefix,
+            table_shape=facts.table_shape,
         )
--- a/packages/gooseberryport-core/src/gooseberryport_core/lookup.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/lookup.py
@@ -129,7 +129,7 @@
         self._order = order or ZoneOrder(Config())
         self._by_zone: dict[ZoneName, list[LookupEntry]] = {}
         for peer in entries:
-            entry = LookupEntry(peer.vm, peer.zone, peer.http_address)
+            entry = LookupEntry(peer.vm, peer.zone, peer.http_address, peer.key_prefix)
             self._by_zone.setdefault(peer.zone, []).append(entry)
         self._by_distance: dict[ZoneName | None, _Nearest] = {}
 
