--- /dev/null
+++ b/standins/src/gooseberryport_standins/trial.py
@@ -0,0 +1,210 @@
+"""A small deployment for tests: stand-ins in this process, daemons as processes."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any
+
+import msgspec
+import urllib3
+
+from gooseberryport_core.config import Config, Limits, Region, Service, Upstream
+from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, ZoneName
+from gooseberryport_platform import StoreSettings, open_store
+from gooseberryport_standins._process import STOP_S
+from gooseberryport_standins.caller import CallResult, LoadPlan, run_load
+from gooseberryport_standins.checks import find_violations
+from gooseberryport_standins.daemons import (
+    Daemon,
+    DaemonPlan,
+    ServiceAt,
+    running_daemons,
+    start_daemon,
+)
+from gooseberryport_standins.publish import publish_files
+from gooseberryport_standins.store import StoreStandin, open_store_standin
+from gooseberryport_standins.upstream import Fleet, UpstreamSpec, open_fleet
+from gooseberryport_standins.vm_list import VmListStandin, open_vm_list_standin
+
+REGION = RegionName("mittelland")
+ZONES = (ZoneName("bern-a"), ZoneName("olten-b"))
+SERVICE = ServiceName("registry")
+UPSTREAMS = ("registry-1", "registry-2")
+
+LIMITS = Limits(lookup_max_age_s=1.0, lease_s=2.0)
+SERVICE_RULES = Service(slots=4, max_attempt_s=1.0, max_body_bytes=100_000, slow_start_s=1.0)
+
+OWNED_S = 20.0
+"""Time in which every pool must have found an owner; seconds."""
+
+
+class Trial:
+    """A running small deployment: one region of two zones, one service, an upstream in each zone.
+
+    Parameters
+    ----------
+    store, vms, fleet
+        The stand-ins; set their faults directly.
+    daemons
+        The daemons by name.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreStandin,
+        vms: VmListStandin,
+        fleet: Fleet,
+        daemons: dict[str, Daemon],
+    ) -> None:
+        self.store = store
+        self.vms = vms
+        self.fleet = fleet
+        self.daemons = daemons
+
+    @property
+    def first(self) -> Daemon:
+        """The first daemon."""
+        return next(iter(self.daemons.values()))
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """``IP:port`` of the callers' ports."""
+        return tuple(daemon.http for daemon in self.daemons.values())
+
+    def list_vms(self) -> None:
+        """List every daemon that runs, and no other."""
+        running = (d for d in self.daemons.values() if d.process.poll() is None)
+        self.vms.set_vms(tuple(daemon.line for daemon in running))
+
+    def plan(self, vm: str, **options: Any) -> DaemonPlan:
+        """Return the settings of a daemon; `options` are further fields of its settings file."""
+        return _plan(vm, self.store, self.vms, options)
+
+    def add(self, vm: str, *, listed: bool = True, **options: Any) -> Daemon:
+        """Start another daemon, which listens, and is listed if asked, when this returns."""
+        daemon = start_daemon(self.plan(vm, **options))
+        self.daemons[vm] = daemon
+        daemon.listen()
+        if listed:
+            self.list_vms()
+        return daemon
+
+    def wait_owned(self) -> None:
+        """Wait until every running daemon knows an owner that runs for every pool."""
+        running = [d for d in self.daemons.values() if d.process.poll() is None]
+        names = {daemon.plan.vm for daemon in running}
+
+        def owned(daemon: Daemon) -> bool:
+            pools = daemon.status().pools
+            return bool(pools) and all(pool.owner in names for pool in pools)
+
+        for daemon in running:
+            daemon.wait_until("every pool has an owner that runs", owned, seconds=OWNED_S)
+
+    def owner(self, number: int) -> Daemon:
+        """Return the owner of the pool in one of the zones."""
+        pools = self.first.status().pools
+        zone = ZONES[number]
+        return self.daemons[next(pool.owner for pool in pools if pool.zone == zone)]
+
+    def load(self, plan: LoadPlan, *, name: str = "trial") -> list[CallResult]:
+        """Make a load through every daemon and return how each request ended."""
+        return run_load(plan, self.addresses, name=f"{name}-{time.monotonic_ns()}")
+
+    def violations(self, results: list[CallResult]) -> list[str]:
+        """Return what broke."""
+        return find_violations(results, self.fleet.runs(), self.fleet.stats())
+
+    def ask(
+        self,
+        daemon: Daemon,
+        method: str = "GET",
+        path: str = f"/{SERVICE}/x",
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+        timeout_s: float = 10.0,
+    ) -> urllib3.BaseHTTPResponse:
+        """Make one request through one daemon."""
+        return urllib3.request(
+            method,
+            f"http://{daemon.http}{path}",
+            headers=headers,
+            body=body,
+            timeout=timeout_s,
+            retries=False,
+        )
+
+
+@contextmanager
+def open_trial(
+    *,
+    daemons: int = 2,
+    service_time_s: float = 0.02,
+    service: Service = SERVICE_RULES,
+    specs: tuple[UpstreamSpec, ...] = (),
+) -> Iterator[Trial]:
+    """Run a small deployment, whose pools have owners when the context begins.
+
+    Parameters
+    ----------
+    daemons
+        Number of daemons; the first lives in the first zone, the next in the second, and so on.
+    service_time_s
+        Mean time that an upstream takes; seconds.
+    service
+        Rules of the service.
+    specs
+        What the upstreams are like, if not as usual.
+    """
+    specs = specs or tuple(
+        UpstreamSpec(name, slots=service.slots, service_time_s=service_time_s, seed=seed)
+        for seed, name in enumerate(UPSTREAMS)
+    )
+    with ExitStack() as stack:
+        store = stack.enter_context(open_store_standin())
+        vms = stack.enter_context(open_vm_list_standin())
+        fleet = stack.enter_context(open_fleet(specs))
+        _publish(store, fleet, service)
+        plans = tuple(_plan(f"vm-{number}", store, vms, {}) for number in range(daemons))
+        running = stack.enter_context(running_daemons(plans))
+        trial = Trial(store=store, vms=vms, fleet=fleet, daemons=running)
+        trial.list_vms()
+        trial.wait_owned()
+        yield trial
+
+
+def _plan(vm: str, store: StoreStandin, vms: VmListStandin, options: dict[str, Any]) -> DaemonPlan:
+    assert store.door is not None
+    assert vms.door is not None
+    number = int(vm.rpartition("-")[2])
+    return DaemonPlan(
+        vm=vm,
+        availability_zone=ZONES[number % len(ZONES)],
+        region=REGION,
+        store=ServiceAt(store.door.address),
+        vm_list=ServiceAt(vms.door.address),
+        options={"vm_list_period_s": 0.2, "load_report_period_s": 0.2, **options},
+    )
+
+
+def _publish(store: StoreStandin, fleet: Fleet, service: Service) -> None:
+    upstreams = {
+        UpstreamId(name): Upstream(SERVICE, ZONES[number % len(ZONES)], address)
+        for number, (name, address) in enumerate(fleet.addresses.items())
+    }
+    cfg = Config(
+        regions={REGION: Region(ZONES)},
+        services={SERVICE: service},
+        upstreams=upstreams,
+        client_blocks={"10.0.0.0/9": ZONES[0], "10.128.0.0/9": ZONES[1]},
+        limits=LIMITS,
+    )
+    fields = msgspec.to_builtins(cfg)
+    del fields["version"]
+    assert store.door is not None
+    with open_store(StoreSettings(store.door.address, timeout_s=STOP_S)) as client:
+        publish_files(client, {"10-all.json": msgspec.json.encode(fields)})
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,23 @@
+from collections.abc import Iterator
+
+import pytest
+
+from gooseberryport_standins.faults import StoreFaults, UpstreamFaults, VmListFaults
+from gooseberryport_standins.trial import Trial, open_trial
+
+
+@pytest.fixture(scope="session")
+def shared_trial() -> Iterator[Trial]:
+    with open_trial(daemons=3) as trial:
+        yield trial
+
+
+@pytest.fixture
+def trial(shared_trial: Trial) -> Iterator[Trial]:
+    """A deployment that tests share: they may set faults, and must not end its daemons."""
+    yield shared_trial
+    shared_trial.store.set_faults(StoreFaults())
+    shared_trial.vms.set_faults(VmListFaults())
+    for upstream in shared_trial.fleet.upstreams.values():
+        upstream.set_faults(UpstreamFaults())
+    shared_trial.wait_owned()
--- /dev/null
+++ b/tests/test_upstream_faults.py
@@ -0,0 +1,60 @@
+import pytest
+
+from gooseberryport_standins.caller import End, KeyKind, LoadPlan, Traffic
+from gooseberryport_standins.faults import UpstreamFaults
+from gooseberryport_standins.trial import SERVICE, UPSTREAMS, Trial, open_trial
+from gooseberryport_standins.upstream import UpstreamSpec
+
+MIXED = (
+    Traffic(SERVICE, weight=3.0),
+    Traffic(SERVICE, "POST", weight=1.0, key=KeyKind.ISSUED, body_bytes=500),
+    Traffic(SERVICE, "POST", weight=1.0, key=KeyKind.OWN, body_bytes=500),
+    Traffic(SERVICE, "POST", weight=1.0, body_bytes=500),
+)
+PLAN = LoadPlan(MIXED, rate=60.0, seconds=2.0, threads=24, seed=3)
+
+ALL_SERVED = {End.ANSWERED}
+SOME_REFUSED = {End.ANSWERED, End.NOT_RUN}
+SOME_UNKNOWN = {End.ANSWERED, End.NOT_RUN, End.UNKNOWN}
+
+
+@pytest.mark.parametrize(
+    ("faults", "ends", "least_share"),
+    [
+        (UpstreamFaults(), ALL_SERVED, 1.0),
+        (UpstreamFaults(cut=True), SOME_UNKNOWN, 0.5),
+        (UpstreamFaults(cut_unread=True), SOME_UNKNOWN, 0.5),
+        (UpstreamFaults(half_answer=True), SOME_UNKNOWN, 0.5),
+        (UpstreamFaults(load_value=0, load_lag_s=30.0), ALL_SERVED, 1.0),
+        (UpstreamFaults(load_value=99), SOME_REFUSED, 0.9),
+        (UpstreamFaults(slowdown=5.0), ALL_SERVED, 1.0),
+    ],
+)
+def test_fault_of_one_upstream_breaks_no_promise(
+    trial: Trial, faults: UpstreamFaults, ends: set[End], least_share: float
+) -> None:
+    trial.fleet.upstreams[UPSTREAMS[0]].set_faults(faults)
+    results = trial.load(PLAN)
+    assert trial.violations(results) == []
+    assert {result.end for result in results} <= ends
+    served = sum(result.end == End.ANSWERED for result in results)
+    assert served >= least_share * len(results)
+
+
+def test_shedding_everywhere_is_told_as_not_run(trial: Trial) -> None:
+    for upstream in trial.fleet.upstreams.values():
+        upstream.set_faults(UpstreamFaults(shed=True))
+    results = trial.load(LoadPlan(MIXED, rate=30.0, seconds=1.0, threads=16, seed=4))
+    assert {result.end for result in results} == {End.NOT_RUN}
+    assert trial.violations(results) == []
+
+
+def test_cold_start_costs_no_answer() -> None:
+    specs = tuple(
+        UpstreamSpec(name, service_time_s=0.01, cold_runs=40, cold_factor=12.0)
+        for name in UPSTREAMS
+    )
+    with open_trial(daemons=2, specs=specs) as trial:
+        results = trial.load(PLAN)
+        assert trial.violations(results) == []
+        assert {result.end for result in results} == ALL_SERVED
