--- /dev/null
+++ b/standins/src/gooseberryport_standins/bench_admission.py
@@ -0,0 +1,123 @@
+"""Latency and work served in time of the admission policy, beside simpler policies.
+
+``python -m gooseberryport_standins.bench_admission --seed 7`` prints a row for each case. Nodes
+run as they stand, with their own heartbeats, leases and store; the network and the clock are
+simulated and cost nothing, so processing time is not in the figures. Cases run in several
+processes.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+
+import msgspec
+
+from gooseberryport_standins._bench_report import BenchReport, BenchRow
+from gooseberryport_standins._policy_baselines import IdealQueue, RoundRobin, TwoChoices
+from gooseberryport_standins._policy_model import Case, Figures, run_nodes
+
+LOADS = (0.6, 0.8, 0.9, 0.95, 1.1)
+LOAD_OF_FAILURE = {"bern-a": 0.6, "mittelland": 0.5, "figures": 0.8, "datagrams": 0.6}
+QUICK_SECONDS = 15.0
+PROCESSES = 5
+
+POLICIES: dict[str, Callable[[Case, int], Figures]] = {
+    "nodes": run_nodes,
+    "ideal queue": lambda case, seed: IdealQueue(case, seed).run(),
+    "round robin": lambda case, seed: RoundRobin(case, seed).run(),
+    "two choices": lambda case, seed: TwoChoices(case, seed).run(),
+}
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One policy's figures in one case."""
+
+    case: Case
+    policy: str
+    figures: Figures
+
+
+def all_cases(quick: bool) -> list[Case]:
+    """Return the cases of the benchmark; shorter ones if `quick`."""
+    cases = [Case(load, uneven) for uneven in (False, True) for load in LOADS]
+    cases += [Case(LOAD_OF_FAILURE[failure], failure=failure) for failure in LOAD_OF_FAILURE]
+    cases.append(Case(LOAD_OF_FAILURE["figures"], uneven=True, failure="figures"))
+    if not quick:
+        return cases
+    return [msgspec.structs.replace(case, seconds=QUICK_SECONDS) for case in cases]
+
+
+def run_line(case: Case, policy: str, seed: int) -> Line:
+    """Run one policy in one case."""
+    return Line(case, policy, POLICIES[policy](case, seed))
+
+
+def measure(seed: int, quick: bool = False) -> list[Line]:
+    """Run every policy in every case."""
+    jobs = [(case, policy) for case in all_cases(quick) for policy in POLICIES]
+    with ProcessPoolExecutor(PROCESSES) as executor:
+        futures = [executor.submit(run_line, case, policy, seed) for case, policy in jobs]
+        return [future.result() for future in futures]
+
+
+def run(seed: int, quick: bool = False) -> BenchReport:
+    """Return the figures as a report.
+
+    Parameters
+    ----------
+    seed
+        Seed of every random choice.
+    quick
+        Whether to run shorter cases.
+    """
+    rows: list[BenchRow] = []
+    for line in measure(seed, quick):
+        name = f"{line.policy}, {_title(line.case)}"
+        rows.append(BenchRow("p50", name, 1000 * line.figures.p50_s, "ms"))
+        rows.append(BenchRow("p99", name, 1000 * line.figures.p99_s, "ms"))
+        share = 100 * line.figures.in_time / line.figures.sent
+        rows.append(BenchRow("served in time", name, share, "%"))
+        rows.append(BenchRow("over slots", name, line.figures.over_slots, "requests"))
+    return BenchReport("admission", seed, tuple(rows))
+
+
+def _title(case: Case) -> str:
+    arrivals = "uneven" if case.uneven else "even"
+    failure = f", {case.failure} lost" if case.failure else ""
+    return f"{case.load} {arrivals}{failure}"
+
+
+def main() -> None:
+    """Print a row for each case."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=7)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--policy", choices=sorted(POLICIES), default="")
+    args = parser.parse_args()
+    if args.policy:
+        for case in all_cases(args.quick):
+            print(_title(case), run_line(case, args.policy, args.seed).figures, flush=True)
+        return
+    print("| case | " + " | ".join(f"{name} p50, p99, in time" for name in POLICIES), end="")
+    print(" | p99 to ideal | over slots |\n|" + "---|" * (len(POLICIES) + 3))
+    lines = measure(args.seed, args.quick)
+    width = len(POLICIES)
+    for first in range(0, len(lines), width):
+        print(_table_row(lines[first : first + width]), flush=True)
+
+
+def _table_row(lines: list[Line]) -> str:
+    cells = [
+        f"{1000 * line.figures.p50_s:.0f}, {1000 * line.figures.p99_s:.0f} ms, "
+        f"{100 * line.figures.in_time / line.figures.sent:.1f}%"
+        for line in lines
+    ]
+    ratio = lines[0].figures.p99_s / lines[1].figures.p99_s
+    over = lines[0].figures.over_slots
+    return f"| {_title(lines[0].case)} | " + " | ".join(cells) + f" | {ratio:.2f} | {over} |"
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/src/gooseberryport_standins/bench_hops.py
@@ -0,0 +1,168 @@
+"""Requests a second and latency added by each hop: upstream alone, one daemon, two daemons."""
+
+from __future__ import annotations
+
+import http.client
+import platform
+import random
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from gooseberryport_core.config import Service
+from gooseberryport_standins.trial import SERVICE, UPSTREAMS, Trial, open_trial
+from gooseberryport_standins.upstream import Spread, UpstreamSpec
+
+LONGEST_US = 10_000_000
+DIGITS = 3
+WARM_UP = 50
+BUSY_CLIENTS = 8
+SLOTS = 64
+RULES = Service(slots=SLOTS, max_timeout_s=30.0)
+
+
+class ClientResult(msgspec.Struct, frozen=True):
+    """What one client saw: latency of each request in microseconds, and failures."""
+
+    latencies_us: list[int]
+    failed: int
+
+
+class PathResult(msgspec.Struct, frozen=True):
+    """What a path costs.
+
+    Parameters
+    ----------
+    p50_ms, p99_ms
+        Latency with one client that sends one request after the other; milliseconds.
+    requests_s
+        Requests a second with `BUSY_CLIENTS` such clients.
+    failed
+        Requests without a whole answer of status 200, in both runs.
+    """
+
+    path: str
+    p50_ms: float
+    p99_ms: float
+    requests_s: float
+    failed: int
+
+
+def run_client(address: str, seconds: float, seed: int) -> ClientResult:
+    """Send one request after the other over one connection for some time."""
+    rng = random.Random(seed)
+    conn = http.client.HTTPConnection(address, timeout=10.0)
+    latencies: list[int] = []
+    failed = 0
+    deadline = time.monotonic() + seconds
+    sent = 0
+    while time.monotonic() < deadline:
+        started = time.perf_counter()
+        conn.request("GET", f"/{SERVICE}/item-{rng.randrange(1_000)}")
+        resp = conn.getresponse()
+        resp.read()
+        sent += 1
+        failed += resp.status != 200
+        if sent > WARM_UP:
+            latencies.append(int((time.perf_counter() - started) * 1e6))
+    conn.close()
+    return ClientResult(latencies, failed)
+
+
+def measure_path(path: str, address: str, *, seconds: float, seed: int) -> PathResult:
+    """Measure one path with one client, then with many."""
+    [alone] = _clients(address, 1, seconds, seed)
+    busy = _clients(address, BUSY_CLIENTS, seconds, seed + 1)
+    histogram = HdrHistogram(1, LONGEST_US, DIGITS)
+    for latency in alone.latencies_us:
+        histogram.record_value(max(latency, 1))
+    sent = sum(len(client.latencies_us) + WARM_UP for client in busy)
+    return PathResult(
+        path=path,
+        p50_ms=histogram.get_value_at_percentile(50.0) / 1_000,
+        p99_ms=histogram.get_value_at_percentile(99.0) / 1_000,
+        requests_s=sent / seconds,
+        failed=alone.failed + sum(client.failed for client in busy),
+    )
+
+
+def measure_hops(*, seconds: float, seed: int) -> list[PathResult]:
+    """Measure the three paths to one upstream whose pool is owned in its own zone."""
+    specs = (UpstreamSpec(UPSTREAMS[0], slots=SLOTS, service_time_s=0.0, spread=Spread.FIXED),)
+    with open_trial(daemons=2, service=RULES, specs=specs) as trial:
+        return [
+            measure_path(name, address, seconds=seconds, seed=seed)
+            for name, address in _addresses(trial).items()
+        ]
+
+
+def _addresses(trial: Trial) -> dict[str, str]:
+    owner = trial.owner(0)
+    [other] = [daemon for daemon in trial.daemons.values() if daemon is not owner]
+    return {
+        "upstream alone": trial.fleet.addresses[UPSTREAMS[0]],
+        "one daemon: entry and owner": owner.http,
+        "two daemons: entry, then owner": other.http,
+    }
+
+
+def _clients(address: str, count: int, seconds: float, seed: int) -> list[ClientResult]:
+    command = [sys.executable, "-m", "gooseberryport_standins.bench_hops", "--client", address]
+    started = [
+        subprocess.Popen(
+            [*command, "--seconds", str(seconds), "--seed", str(seed * BUSY_CLIENTS + number)],
+            stdout=subprocess.PIPE,
+        )
+        for number in range(count)
+    ]
+    outputs = [process.communicate()[0] for process in started]
+    return [msgspec.json.decode(output, type=ClientResult) for output in outputs]
+
+
+def _print_table(results: list[PathResult]) -> None:
+    base = results[0]
+    print("| path | p50 ms | p99 ms | added p50 ms | requests/s | failed |")
+    print("|---|---|---|---|---|---|")
+    for each in results:
+        added = each.p50_ms - base.p50_ms
+        print(
+            f"| {each.path} | {each.p50_ms:.2f} | {each.p99_ms:.2f} | {added:.2f} "
+            f"| {each.requests_s:.0f} | {each.failed} |"
+        )
+
+
+@dataclass
+class HopsCommand:
+    """Measure what each hop costs; prints a Markdown table.
+
+    Parameters
+    ----------
+    seconds
+        Length of each run.
+    client
+        For the bench's own use: be a client of this address.
+    """
+
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    seconds: Annotated[float, cappa.Arg(long=True)] = 5.0
+    client: Annotated[str, cappa.Arg(long=True)] = ""
+
+    def __call__(self) -> None:
+        """Run the bench, or one of its clients."""
+        if self.client:
+            result = run_client(self.client, self.seconds, self.seed)
+            print(msgspec.json.encode(result).decode())
+            return
+        results = measure_hops(seconds=self.seconds, seed=self.seed)
+        print(f"Python {platform.python_version()}, seed {self.seed}, {self.seconds:g} s a run\n")
+        _print_table(results)
+
+
+if __name__ == "__main__":
+    cappa.invoke(HopsCommand)
