--- a/standins/src/gooseberryport_standins/traffic.py
+++ b/standins/src/gooseberryport_standins/traffic.py
@@ -115,6 +115,8 @@
         Share of attempts that shed, break off or run longer than their deadline.
     zone_delay_s, region_delay_s
         One-way delay of streams within a region and between regions; seconds.
+    upstream_delay_s
+        One-way delay between an owner and its upstreams; seconds.
     """
 
     def __init__(
@@ -127,7 +129,9 @@
         faulty_upstreams: float = 0.1,
         zone_delay_s: float = STREAM_DELAY_S,
         region_delay_s: float = STREAM_DELAY_S,
+        upstream_delay_s: float = UPSTREAM_DELAY_S,
     ) -> None:
+        self.upstream_delay_s = upstream_delay_s
         self.zone_delay_s = zone_delay_s
         self.region_delay_s = region_delay_s
         self.lost_zones: set[str] = set()
@@ -308,14 +312,14 @@
         fate = self.rng.random() / self.faulty_upstreams if self.faulty_upstreams else 1.0
         if fate < 0.3:
             shed = AttemptOutcome.SHED if fate < 0.15 else AttemptOutcome.NOT_SENT
-            self.at(UPSTREAM_DELAY_S, lambda: self._end_attempt(effect.ticket_id, shed, 0.0))
+            self.at(self.upstream_delay_s, lambda: self._end_attempt(effect.ticket_id, shed, 0.0))
             return
         timeout = effect.timeout_s / (1.0 + owner.drift)
         service = self.rng.expovariate(1.0 / MEAN_SERVICE_S)
         duration = 10.0 if fate < 0.5 else service
         outcome = AttemptOutcome.UNKNOWN if fate < 0.7 else AttemptOutcome.ANSWERED
-        self.at(UPSTREAM_DELAY_S, lambda: self._arrive(running, request_id, timeout, duration))
-        end = duration + 2 * UPSTREAM_DELAY_S
+        self.at(self.upstream_delay_s, lambda: self._arrive(running, request_id, timeout, duration))
+        end = duration + 2 * self.upstream_delay_s
         if duration >= timeout:
             outcome, duration, end = AttemptOutcome.UNKNOWN, timeout, timeout
         self.at(end, lambda: self._end_attempt(effect.ticket_id, outcome, duration))
