--- a/packages/gooseberryport-core/src/gooseberryport_core/_holdings.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_holdings.py
@@ -28,8 +28,6 @@
         Then the former owner certainly had stopped starting work.
     stopped
         Whether admission has ended, because the pool is to be handed over.
-    swap_expected
-        Revision that the newest attempt to release it expected; -1 for none.
     """
 
     grant: Grant
@@ -38,7 +36,6 @@
     active_from: float
     former_end: float
     stopped: bool = False
-    swap_expected: int = -1
 
     @property
     def epoch(self) -> Epoch:
@@ -80,7 +77,11 @@
         return any(hold.active_from == FOREVER for hold in self._holds.values())
 
     def take(self, seen: SeenTable, now: float) -> None:
-        """Take a newer table of the region."""
+        """Take a newer table of the region.
+
+        A release that was sent before it can take effect no more, so a pool whose successor the
+        table has withdrawn is used again.
+        """
         holds: dict[PoolId, _Hold] = {}
         for grant in seen.table.grants_of(self._own):
             hold = self._holds.get(grant.pool)
@@ -88,7 +89,7 @@
                 start = now if grant.released else FOREVER
                 hold = _Hold(grant, seen.revision, now, start, NEVER)
             hold.grant = grant
-            if grant.successor == NO_MEMBER and seen.revision > hold.swap_expected:
+            if grant.successor == NO_MEMBER:
                 hold.stopped = False
             holds[grant.pool] = hold
         self._holds = holds
@@ -135,11 +136,6 @@
                 ready.append(Release(pool, hold.epoch, True))
         return ready
 
-    def release_sent(self, releases: list[Release], expected: int) -> None:
-        """Remember that a write which gives pools up was sent; it may take effect later."""
-        for release in releases:
-            self._holds[release.pool].swap_expected = expected
-
     def holding(
         self, pool: PoolId, valid_until: float, max_attempt_s: float, now: float
     ) -> Holding | None:
--- a/packages/gooseberryport-core/src/gooseberryport_core/_outage.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_outage.py
@@ -15,7 +15,7 @@
 from gooseberryport_core.events import MessageArrived
 from gooseberryport_core.messages import FenceAck, FenceAsk, LeaseAsk, LeaseYes
 from gooseberryport_core.settings import NodeSettings
-from gooseberryport_core.types import VmState
+from gooseberryport_core.types import RegionName, VmState
 
 ASK_FRACTION = 0.5
 """Part of the lease that may pass without a renewal before the witnesses are asked."""
@@ -44,6 +44,7 @@
         self._votes = ExtensionVotes()
         self._fences = FenceVotes()
         self._gone_since: dict[MemberId, float] = {}
+        self._seen: SeenTable | None = None
         self._former: tuple[Witness, ...] = ()
         self._former_since = 0
         self._next_ask = NEVER
@@ -75,9 +76,10 @@
         """Return when no holder goes on under a table older than `revision`."""
         return self._fences.clear_at(seen.table.witness_sets(), revision)
 
-    def saw(self, seen: SeenTable) -> None:
+    def saw(self, seen: SeenTable, now: float) -> None:
         """Learn of a newer table, as a witness does."""
-        self._book.raise_fence(seen.table.region, seen.revision)
+        self._raise_fence(seen.table.region, seen.revision, now)
+        self._seen = seen
         if seen.table.former_witnesses != self._former:
             self._former = seen.table.former_witnesses
             self._former_since = seen.revision
@@ -136,8 +138,7 @@
         if isinstance(message, LeaseYes):
             self._votes.add(MemberId(message.vm, message.incarnation), message.stamp)
         if isinstance(message, FenceAck) and message.region == self._settings.region:
-            left_s = message.yes_left_s
-            clear_at = now + left_s + self._margin_s if left_s > 0.0 else NEVER
+            clear_at = now + message.yes_left_s + self._margin_s
             witness = MemberId(message.vm, message.incarnation)
             self._fences.add(witness, message.revision, clear_at)
         return []
@@ -161,13 +162,13 @@
     def _answer_lease(self, ask: LeaseAsk, address: str, now: float) -> list[Effect]:
         if not self._book.allows(ask.region, ask.revision):
             return []
-        self._book.raise_fence(ask.region, ask.revision)
+        self._raise_fence(ask.region, ask.revision, now)
         self._book.record_yes(ask.region, now + ask.valid_s)
         yes = LeaseYes(ask.region, self._own.vm, self._own.incarnation, ask.stamp)
         return [SendMessage(address, yes)]
 
     def _answer_fence(self, ask: FenceAsk, address: str, now: float) -> list[Effect]:
-        self._book.raise_fence(ask.region, ask.revision)
+        self._raise_fence(ask.region, ask.revision, now)
         ack = FenceAck(
             region=ask.region,
             vm=self._own.vm,
@@ -178,8 +179,15 @@
         return [SendMessage(address, ack)]
 
     def _own_clear_at(self, seen: SeenTable, now: float) -> float:
-        left_s = self._book.yes_left(seen.table.region, now)
-        return now + left_s + self._margin_s if left_s > 0.0 else NEVER
+        return now + self._book.yes_left(seen.table.region, now) + self._margin_s
+
+    def _raise_fence(self, region: RegionName, revision: int, now: float) -> None:
+        """Promise as a witness; a vote for itself ends here, and counts as a yes until now."""
+        seen = self._seen
+        newer = seen is not None and region == seen.table.region and revision > seen.revision
+        if newer and seen is not None and self.lease_until(seen) < now < self.valid_until(seen):
+            self._book.record_yes(region, now)
+        self._book.raise_fence(region, revision)
 
     def _is_gone(self, witness: Witness, now: float) -> bool:
         """Whether the platform or a newer incarnation proves that a witness has ended."""
--- a/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
@@ -17,7 +17,7 @@
 from gooseberryport_core._views import Holding, Owner, Peers
 from gooseberryport_core.config import Config
 from gooseberryport_core.effects import Effect, LogEvent, LogLevel
-from gooseberryport_core.events import Event, MessageArrived, StopRequested, Tick
+from gooseberryport_core.events import Event, MessageArrived, StopRequested, StoreWritten, Tick
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.messages import TableNotice, TableRequest, TableStamps
 from gooseberryport_core.settings import NodeSettings
@@ -179,6 +179,8 @@
         reach = self._sync.reach
         former = self._sync.seen
         newer = self._sync.handle(event, now)
+        if newer and isinstance(event, StoreWritten) and not event.applied:
+            self._next_write = now
         effects = self._log_reach(reach)
         if newer:
             effects.extend(self._took(former, now, writer=self._writer_of_newest()))
@@ -235,7 +237,7 @@
         assert seen is not None
         self._spread.keep(seen)
         self._lapses.observe(seen.table, now)
-        self._outage.saw(seen)
+        self._outage.saw(seen, now)
         before = self._holdings.epochs
         self._holdings.take(seen, now)
         effects = self._log_changes(before)
@@ -304,7 +306,6 @@
         self._next_write = now + self._settings.timing.renew_s
         if following == seen.table:
             return []
-        self._holdings.release_sent(releases, seen.revision)
         return self._sync.swap(following, now)
 
     def _due(self, seen: SeenTable, known: Knowledge, now: float) -> bool:
--- a/packages/gooseberryport-core/src/gooseberryport_core/_witnesses.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_witnesses.py
@@ -47,8 +47,8 @@
         self._yes_until[region] = max(until, self._yes_until.get(region, NEVER))
 
     def yes_left(self, region: RegionName, now: float) -> float:
-        """Return for how long the last yes may still be counted; seconds."""
-        return max(0.0, self._yes_until.get(region, NEVER) - now)
+        """Return for how long the last yes may still be counted; negative once it has ended."""
+        return self._yes_until.get(region, NEVER) - now
 
 
 class ExtensionVotes:
@@ -109,10 +109,7 @@
         self._acks: dict[MemberId, _Ack] = {}
 
     def add(self, witness: MemberId, revision: int, clear_at: float) -> None:
-        """Take a witness's promise, whose last yes has ended by `clear_at`.
-
-        Minus infinity if it gave none that may still be counted.
-        """
+        """Take a witness's promise, whose last yes has ended by `clear_at`."""
         known = self._acks.get(witness)
         if known is None or revision > known.revision:
             self._acks[witness] = _Ack(revision, clear_at)
--- a/packages/gooseberryport-core/src/gooseberryport_core/messages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/messages.py
@@ -307,7 +307,8 @@
     vm, incarnation
         The witness.
     yes_left_s
-        Time for which the last yes that it gave may still be counted; seconds.
+        Time for which the last yes that it gave may still be counted; seconds, negative since it
+        has ended.
     """
 
     region: RegionName
@@ -387,6 +388,14 @@
     failed: int
 
 
+class CountNotice(_Message, frozen=True):
+    """Tell a writer of the region's burn record what one run of a daemon has counted."""
+
+    vm: VmId
+    incarnation: Incarnation
+    counts: tuple[ServiceCount, ...]
+
+
 class ClaimAsk(_Message, frozen=True):
     """Ask the daemon that decides an idempotency key whether a request may run under it.
 
@@ -444,6 +453,7 @@
     | ClaimAsk
     | ClaimReply
     | ClaimEnd
+    | CountNotice
 )
 TicketReply = Granted | Refused | Moved
 
--- a/standins/src/gooseberryport_standins/simulation.py
+++ b/standins/src/gooseberryport_standins/simulation.py
@@ -188,7 +188,7 @@
         self.store = SimStore()
         publish(self.store)
         self.daemons: dict[str, SimDaemon] = {}
-        self.cuts: set[frozenset[str]] = set()
+        self.cuts: set[tuple[str, str]] = set()
         self.attempts: list[Attempt] = []
         self.epochs: dict[PoolId, int] = {}
         self.swap_fate: Callable[[], str] = lambda: APPLIED
@@ -268,7 +268,11 @@
 
     def cut(self, one: str, other: str) -> None:
         """Cut two VMs, or a VM and the store, from each other."""
-        self.cuts.add(frozenset((one, other)))
+        self.cuts.update(((one, other), (other, one)))
+
+    def cut_one_way(self, source: str, target: str) -> None:
+        """Lose every datagram from one VM to another."""
+        self.cuts.add((source, target))
 
     def running(self) -> list[SimDaemon]:
         """Return the daemons that execute now."""
@@ -349,7 +353,7 @@
             self.logs.append((daemon.settings.vm, effect))
 
     def _is_cut(self, one: str, other: str) -> bool:
-        return frozenset((one, other)) in self.cuts
+        return (one, other) in self.cuts
 
     def _send(self, daemon: SimDaemon, effect: SendMessage) -> None:
         data = encode_message(effect.message)
--- a/standins/src/gooseberryport_standins/soak.py
+++ b/standins/src/gooseberryport_standins/soak.py
@@ -21,6 +21,7 @@
     STORE,
     Simulation,
     owners,
+    publish_files,
     publish_whole,
 )
 
@@ -32,6 +33,18 @@
     "vm-5": ("geneve-b", "romandie"),
     "vm-6": ("lugano-a", "ticino"),
 }
+ONE_LARGE_REGION = {
+    "vm-1": ("bern-a", "mittelland"),
+    "vm-2": ("olten-b", "mittelland"),
+    "vm-3": ("bern-a", "mittelland"),
+    "vm-4": ("olten-b", "mittelland"),
+    "vm-5": ("bern-a", "mittelland"),
+    "vm-6": ("lausanne-a", "romandie"),
+    "vm-7": ("geneve-b", "romandie"),
+    "vm-8": ("geneve-b", "romandie"),
+    "vm-9": ("lugano-a", "ticino"),
+}
+LAYOUTS = (PLACES, ONE_LARGE_REGION)
 ZONES = {
     "mittelland": ("bern-a", "olten-b"),
     "romandie": ("lausanne-a", "geneve-b"),
@@ -83,7 +96,12 @@
             self.restart,
             self.pause,
             self.cut,
+            self.cut_one_way,
             self.cut_store,
+            self.partition,
+            self.partition,
+            self.publish,
+            self.recover,
             self.heal,
             self.store_down,
             self.store_up,
@@ -128,6 +146,26 @@
         one, other = self.rng.sample(sorted(self.sim.places), 2)
         self.sim.cut(one, other)
 
+    def cut_one_way(self) -> None:
+        """Lose every datagram from one VM to another."""
+        source, target = self.rng.sample(sorted(self.sim.places), 2)
+        self.sim.cut_one_way(source, target)
+
+    def partition(self) -> None:
+        """Cut the VMs into two halves, the store with one of them, and let some time pass."""
+        names = [*sorted(self.sim.places), STORE]
+        side = {name: self.rng.random() < 0.5 for name in names}
+        for one in names:
+            for other in names:
+                if side[one] != side[other]:
+                    self.sim.cut_one_way(one, other)
+        self.sim.run(self.rng.uniform(2.0, 8.0))
+
+    def publish(self) -> None:
+        """Change the configuration, the length of leases with it."""
+        limits = {"limits": {"lease_s": self.rng.choice((1.5, 2.0, 3.0))}}
+        publish_files(self.sim.store, {"limits.json": msgspec.json.encode(limits)})
+
     def cut_store(self) -> None:
         """Cut a VM from the store."""
         self.sim.cut(self._any_vm(), STORE)
@@ -172,7 +210,8 @@
 def run_soak(seed: int, steps: int) -> Simulation:
     """Break a fleet at random, then check that it recovers; raises AssertionError."""
     cfg = example_config()
-    sim = Simulation(seed=seed, places=PLACES, publish=publish_whole(cfg))
+    places = LAYOUTS[seed % len(LAYOUTS)]
+    sim = Simulation(seed=seed, places=places, publish=publish_whole(cfg))
     faults = Faults(sim, random.Random(seed))
     for _ in range(steps):
         faults.step()
