Eject upstreams by own evidence, start them slowly, and heed drains and leaving

Cause: an upstream that failed at once drew every request of its pool; drains and the upstream's own word were not heeded by its owner. Change: PoolHealth (evidence, bounded ejection, probes, slow start), Drains (wall clock, ramp, a warning when a service has nothing left), leaving by a report younger than 10 s. A failure keeps its slot for the usual service time, so that it draws no more work than an answer. Conclusion: a report's in-flight count weighs nothing; only its word that the upstream leaves does.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from gooseberryport_core._drains import Drains
+from gooseberryport_core._health import Evidence
 from gooseberryport_core._invariants import Invariant, check
 from gooseberryport_core._pool import Pool
 from gooseberryport_core._pulls import RESERVATION_S, Pulls
@@ -15,16 +17,25 @@
 from gooseberryport_core._timers import Timers
 from gooseberryport_core._views import Holding, Owners, Peers
 from gooseberryport_core.config import Config, pools_of
-from gooseberryport_core.effects import CancelUpstream, Effect, SendTicketReply, StartUpstream
+from gooseberryport_core.effects import (
+    CancelUpstream,
+    Effect,
+    LogEvent,
+    LogLevel,
+    SendTicketReply,
+    StartUpstream,
+)
 from gooseberryport_core.events import (
     BodyArrived,
     Event,
+    LoadReported,
     MessageArrived,
     Tick,
     TicketArrived,
     TicketCancelled,
     UpstreamFinished,
 )
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.messages import Granted, Moved, PoolLoad, Pull, PullReply, Refused
 from gooseberryport_core.settings import NodeSettings
 from gooseberryport_core.types import (
@@ -33,6 +44,7 @@
     PoolId,
     RefusalReason,
     RequestId,
+    ServiceName,
     TicketId,
     UpstreamId,
 )
@@ -46,6 +58,15 @@
 RETRY_AFTER_FLOOR_S = 0.05
 """Shortest time after which asking again makes sense; seconds."""
 
+SERVER_ERROR = 500
+"""Lowest HTTP status that speaks against an upstream."""
+
+HASTY_FACTOR = 5.0
+"""Mean service times that an attempt must have had for its timeout to mean anything."""
+
+REPORT_TIMEOUT_S = 10.0
+"""Age at which an upstream's own report counts for nothing; seconds."""
+
 FIGURES_PERIOD_S = 0.05
 """Time between two looks at the other daemons' load figures; seconds."""
 
@@ -99,6 +120,9 @@
         self._timers: Timers[_Timer] = Timers()
         self._pulls = Pulls(settings=settings, owners=owners, peers=peers, rng=rng)
         self._figures_at = float("-inf")
+        self._wall_offset = 0.0
+        self._drains = Drains(Config())
+        self._warned: tuple[ServiceName, ...] = ()
 
     def configure(self, cfg: Config, now: float) -> list[Effect]:
         """Take a newer configuration; what runs goes on, also where slots were lowered."""
@@ -106,11 +130,12 @@
         self._pulls.configure(cfg)
         members = pools_of(cfg)
         shares = region_shares(cfg)
+        self._drains = Drains(cfg)
         for pool_id in members:
-            self._pools.setdefault(pool_id, Pool(pool_id=pool_id))
+            self._pools.setdefault(pool_id, Pool(pool_id=pool_id, rng=self._rng))
         effects: list[Effect] = []
         for pool_id, pool in self._pools.items():
-            pool.configure(cfg, members.get(pool_id, ()), shares.get(pool_id, 0))
+            pool.configure(cfg, members.get(pool_id, ()), shares.get(pool_id, 0), self._drains, now)
             effects.extend(self._serve(pool, now))
         return effects
 
@@ -130,7 +155,10 @@
         elif isinstance(event, MessageArrived) and isinstance(event.message, PullReply):
             self._pulls.take_reply(event.message, now)
             effects.extend(self._end_ask(event.message.serial, now))
+        elif isinstance(event, LoadReported):
+            effects.extend(self._take_report(event, now))
         elif isinstance(event, Tick):
+            self._wall_offset = event.wall - now
             effects.extend(self._tick(now))
         return effects
 
@@ -140,7 +168,7 @@
         for pool_id, holding in self._owners.holdings(now).items():
             pool = self._pools.get(pool_id)
             if pool is not None:
-                found.append(_load(pool, holding, now))
+                found.append(_load(pool, holding, now, self._wall(now)))
         return tuple(found)
 
     def busy(self, pool_id: PoolId) -> bool:
@@ -157,8 +185,42 @@
         if now >= self._figures_at + FIGURES_PERIOD_S:
             self._figures_at = now
             self._pulls.take_figures(now)
+        effects = self._warn_of_drains(now)
+        for pool in self._pools.values():
+            effects.extend(self._serve(pool, now))
+        return effects
+
+    def _wall(self, now: float) -> float:
+        return now + self._wall_offset
+
+    def _warn_of_drains(self, now: float) -> list[Effect]:
+        """Return a warning for each service whose last upstream has just been drained."""
+        drained = self._drains.services_without_upstreams(self._wall(now))
+        new = [service for service in drained if service not in self._warned]
+        self._warned = drained
+        return [
+            LogEvent(
+                LogNumber.SERVICE_DRAINED,
+                LogLevel.WARNING,
+                "drains leave a service no upstream",
+                {"service": service},
+            )
+            for service in new
+        ]
+
+    def _take_report(self, event: LoadReported, now: float) -> list[Effect]:
+        """Take an upstream's word that it leaves; the rest of a report weighs nothing here."""
+        upstream = self._cfg.upstreams.get(event.upstream)
+        if upstream is None or event.age_s > REPORT_TIMEOUT_S:
+            return []
         effects: list[Effect] = []
         for pool in self._pools.values():
+            if pool.address(event.upstream) is None:
+                continue
+            if event.leaving:
+                pool.leaving.add(event.upstream)
+            else:
+                pool.leaving.discard(event.upstream)
             effects.extend(self._serve(pool, now))
         return effects
 
@@ -193,11 +255,11 @@
         self, pool: Pool, holding: Holding, entry: Entry, now: float
     ) -> Effect | None:
         """Return the refusal of a ticket that would wait in vain, or None."""
-        usable = pool.usable
+        usable = pool.usable(now, self._wall(now))
         if usable == 0:
             return _refusal(entry, RefusalReason.NO_UPSTREAM)
         wait_s = max(0.0, holding.former_work_until - now)
-        if pool.queue or pool.free_upstream() is None:
+        if pool.queue or pool.free_upstream(now, self._wall(now)) is None:
             wait_s += pool.service_time.wait_s(pool.queue.rank(entry), usable)
         late_s = wait_s + pool.service_time.mean_s - (entry.deadline - now)
         if late_s >= 0:
@@ -219,12 +281,12 @@
 
     def _serve(self, pool: Pool, now: float) -> list[Effect]:
         """Grant free slots to the tickets that wait; refuse those that wait in vain."""
-        if not pool.queue and pool.free_upstream() is None:
+        if not pool.queue and pool.free_upstream(now, self._wall(now)) is None:
             return []
         holding = self._holding(pool, now)
         if holding is None:
             return self._refuse_all(pool, RefusalReason.LEASE_LAPSED)
-        if pool.usable == 0:
+        if pool.usable(now, self._wall(now)) == 0:
             return self._refuse_all(pool, RefusalReason.NO_UPSTREAM)
         effects: list[Effect] = []
         for entry in pool.queue.pop_expired(now):
@@ -232,7 +294,9 @@
         if now < holding.former_work_until:
             return effects
         while pool.queue:
-            upstream = self._free_upstream(pool)
+            head = pool.queue.head
+            assert head is not None
+            upstream = self._free_upstream(pool, head.ticket.avoid, now)
             if upstream is None:
                 break
             entry = pool.queue.pop()
@@ -245,22 +309,26 @@
             effects.extend(self._ask(pool, holding, now))
         return effects
 
-    def _free_upstream(self, pool: Pool) -> UpstreamId | None:
+    def _free_upstream(
+        self, pool: Pool, avoid: tuple[UpstreamId, ...], now: float
+    ) -> UpstreamId | None:
         """Return a free upstream, taking a slot back that is kept for an unanswered ask."""
-        upstream = pool.free_upstream()
+        upstream = pool.free_upstream(now, self._wall(now), avoid)
         if upstream is not None:
             return upstream
         ask = self._pulls.pop_unanswered(pool.pool_id)
         if ask is None:
             return None
         pool.slots.release(ask.upstream)
-        return pool.free_upstream()
+        return pool.free_upstream(now, self._wall(now))
 
     def _ask(self, pool: Pool, holding: Holding, now: float) -> list[Effect]:
         """Ask others for work, once for each free slot and request believed to wait."""
         effects: list[Effect] = []
-        while (upstream := pool.free_upstream()) is not None:
-            own = self._own_behind(pool, now)
+        while (upstream := pool.free_upstream(now, self._wall(now))) is not None:
+            if pool.health.looks_bad(upstream):
+                break
+            own = self._own_behind(pool)
             target = own.pool_id if own is not None else self._pulls.target(pool.pool_id, now)
             if target is None:
                 break
@@ -274,7 +342,7 @@
             effects.append(self._move(own, own.queue.pop(), pool.pool_id, holding.epoch, upstream))
         return effects
 
-    def _own_behind(self, pool: Pool, now: float) -> Pool | None:
+    def _own_behind(self, pool: Pool) -> Pool | None:
         """Return another pool of this daemon whose queue is the longest, or None."""
         behind = [
             other
@@ -302,7 +370,9 @@
         nothing = TicketId("")
         if pool is None or not known or not self._pulls.is_new(pull):
             return self._pulls.reply(pull, nothing, 0)
-        place = self._pulls.gain_rank(pull, pool.service_time.mean_s, pool.usable)
+        place = self._pulls.gain_rank(
+            pull, pool.service_time.mean_s, pool.usable(now, self._wall(now))
+        )
         entry = pool.queue.peek(place)
         if entry is None or entry.deadline <= now:
             return self._pulls.reply(pull, nothing, 0)
@@ -342,7 +412,7 @@
         pool = self._pools[entry.ticket.pool]
         service = self._cfg.services.get(entry.ticket.pool.service)
         address = pool.address(entry.upstream)
-        if service is None or address is None or not pool.fits(entry.upstream):
+        if service is None or address is None or not pool.fits(entry.upstream, self._wall(now)):
             return self._withdraw(pool, entry, RefusalReason.NO_UPSTREAM, now)
         timeout_s = min(entry.deadline - now, service.max_attempt_s)
         if timeout_s <= 0:
@@ -384,18 +454,45 @@
             return []
         del self._entries[event.ticket_id]
         pool = self._pools[entry.ticket.pool]
-        if event.outcome is AttemptOutcome.ANSWERED:
+        if event.outcome is AttemptOutcome.ANSWERED and event.status < SERVER_ERROR:
             pool.service_time.add(event.duration_s)
             pool.slots.prove(entry.upstream, entry.started_at)
-        if event.outcome in _HARMLESS:
+        evidence = self._evidence(pool, event, entry)
+        if evidence is not None:
+            pool.health.record(entry.upstream, evidence, now)
+        if event.outcome not in _HARMLESS:
+            since = min(now, entry.cancelled_at)
+            self._linger(pool, entry, since, entry.expires_at + LINGER_GRACE_S)
+            return self._serve(pool, now)
+        usual_end = entry.started_at + pool.service_time.mean_s
+        if evidence is Evidence.GOOD or usual_end <= now:
             pool.slots.release(entry.upstream)
         else:
-            self._linger(pool, entry, now)
+            self._linger(pool, entry, float("inf"), usual_end)
         return self._serve(pool, now)
 
-    def _linger(self, pool: Pool, entry: Entry, now: float) -> None:
-        until = entry.expires_at + LINGER_GRACE_S
-        pool.slots.linger(entry.upstream, min(now, entry.cancelled_at), until)
+    def _evidence(self, pool: Pool, event: UpstreamFinished, entry: Entry) -> Evidence | None:
+        """Return what an attempt's end tells of its upstream, or None for nothing."""
+        if not event.connected:
+            return Evidence.UNREACHABLE
+        if event.outcome is AttemptOutcome.ANSWERED:
+            return Evidence.FAILED if event.status >= SERVER_ERROR else Evidence.GOOD
+        if event.outcome is AttemptOutcome.SHED:
+            return Evidence.FAILED
+        allowed_s = entry.expires_at - entry.started_at
+        cancelled = entry.cancelled_at < entry.expires_at
+        hasty = allowed_s < HASTY_FACTOR * pool.service_time.mean_s
+        if event.outcome is AttemptOutcome.UNKNOWN and not cancelled and not hasty:
+            return Evidence.FAILED
+        return None
+
+    def _linger(self, pool: Pool, entry: Entry, since: float, until: float) -> None:
+        """Keep a slot taken for a while: the request may run on, or it failed too fast.
+
+        A failure that comes faster than an answer keeps its slot for the usual time, so that it
+        draws no more work than an answer does.
+        """
+        pool.slots.linger(entry.upstream, since, until)
         timer = _Timer(_TimerKind.SLOT, pool.pool_id, entry.upstream)
         self._timers.add(until, timer)
 
@@ -430,8 +527,8 @@
     return SendTicketReply(entry.origin, Refused(entry.ticket.ticket_id, reason, retry_after_s))
 
 
-def _load(pool: Pool, holding: Holding, now: float) -> PoolLoad:
-    usable = pool.usable
+def _load(pool: Pool, holding: Holding, now: float, wall: float) -> PoolLoad:
+    usable = pool.usable(now, wall)
     head = pool.queue.head
     return PoolLoad(
         pool=pool.pool_id,
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_drains.py
@@ -0,0 +1,60 @@
+"""Which upstreams operators have drained, and how far."""
+
+from __future__ import annotations
+
+from gooseberryport_core.config import Config, Drain, Upstream, region_of_zone
+from gooseberryport_core.types import ServiceName, UpstreamId
+
+
+class Drains:
+    """Know the drain rules that hold for each upstream.
+
+    Parameters
+    ----------
+    cfg
+        The configuration.
+    """
+
+    def __init__(self, cfg: Config) -> None:
+        self._cfg = cfg
+        self._rules: dict[UpstreamId, tuple[Drain, ...]] = {}
+        for name, upstream in cfg.upstreams.items():
+            rules = tuple(d for d in cfg.drains.values() if _concerns(cfg, d, name, upstream))
+            if rules:
+                self._rules[name] = rules
+
+    def drained_fraction(self, upstream: UpstreamId, wall: float) -> float:
+        """Return how much of an upstream's slots is drained, 0 to 1, at a wall-clock time."""
+        rules = self._rules.get(upstream)
+        if rules is None:
+            return 0.0
+        return max(_progress(rule, wall) for rule in rules)
+
+    def services_without_upstreams(self, wall: float) -> tuple[ServiceName, ...]:
+        """Return the services whose every upstream is drained."""
+        left = {
+            upstream.service
+            for name, upstream in self._cfg.upstreams.items()
+            if self.drained_fraction(name, wall) < 1.0
+        }
+        served = {upstream.service for upstream in self._cfg.upstreams.values()}
+        return tuple(sorted(served - left))
+
+
+def _concerns(cfg: Config, drain: Drain, name: UpstreamId, upstream: Upstream) -> bool:
+    if drain.service and drain.service != upstream.service:
+        return False
+    if drain.upstream:
+        return drain.upstream == name
+    if drain.availability_zone:
+        return drain.availability_zone == upstream.availability_zone
+    return drain.region == region_of_zone(cfg, upstream.availability_zone)
+
+
+def _progress(drain: Drain, wall: float) -> float:
+    passed_s = wall - drain.start
+    if passed_s < 0:
+        return 0.0
+    if passed_s >= drain.ramp_s:
+        return 1.0
+    return passed_s / drain.ramp_s
--- a/packages/gooseberryport-core/src/gooseberryport_core/_pool.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_pool.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import math
+import random
+
+from gooseberryport_core._drains import Drains
+from gooseberryport_core._health import PoolHealth
 from gooseberryport_core._queue import DeadlineQueue
 from gooseberryport_core._slots import Slots
 from gooseberryport_core._wait import ServiceTime
 from gooseberryport_core.config import Config, slots_of
 from gooseberryport_core.types import PoolId, UpstreamId
 
+AVOID = 1.0
+"""Weight of an upstream that is used only if no other is free."""
+
 
 class Pool:
     """Hold what an owner knows of a pool.
@@ -16,23 +24,30 @@
     ----------
     pool_id
         Its name.
+    rng
+        Source of jitter.
     """
 
-    def __init__(self, *, pool_id: PoolId) -> None:
+    def __init__(self, *, pool_id: PoolId, rng: random.Random) -> None:
         self.pool_id = pool_id
         self.queue = DeadlineQueue(limit=0)
         self.slots = Slots()
         self.service_time = ServiceTime()
+        self.health = PoolHealth(rng=rng)
+        self.leaving: set[UpstreamId] = set()
         self._limits: dict[UpstreamId, int] = {}
         self._addresses: dict[UpstreamId, str] = {}
         self._share = 0
+        self._drains = Drains(Config())
 
-    @property
-    def usable(self) -> int:
-        """Slots that may be taken now."""
-        return min(sum(self.allowed(name) for name in self._limits), self._share)
-
-    def configure(self, cfg: Config, upstreams: tuple[UpstreamId, ...], share: int) -> None:
+    def configure(
+        self,
+        cfg: Config,
+        upstreams: tuple[UpstreamId, ...],
+        share: int,
+        drains: Drains,
+        now: float,
+    ) -> None:
         """Take a newer configuration.
 
         Parameters
@@ -41,32 +56,68 @@
             Upstreams of the pool; empty if the configuration no longer names it.
         share
             Part of the region's cap that the pool may use.
+        drains
+            The operators' drains.
         """
         self._limits = {name: slots_of(cfg, name) for name in upstreams}
         self._addresses = {name: cfg.upstreams[name].address for name in upstreams}
         self._share = share
+        self._drains = drains
+        self.leaving &= set(upstreams)
         if upstreams:
-            self.queue.limit = cfg.services[self.pool_id.service].queue_limit
+            service = cfg.services[self.pool_id.service]
+            self.queue.limit = service.queue_limit
+            self.health.configure(upstreams, service.slow_start_s, now)
+
+    def usable(self, now: float, wall: float) -> int:
+        """Return how many slots may be taken now, over all upstreams."""
+        return min(sum(self.allowed(name, now, wall) for name in self._limits), self._share)
 
     def address(self, upstream: UpstreamId) -> str | None:
         """Return an upstream's address, or None if the configuration no longer names it."""
         return self._addresses.get(upstream)
 
-    def allowed(self, upstream: UpstreamId) -> int:
+    def allowed(self, upstream: UpstreamId, now: float, wall: float) -> int:
         """Return how many slots of an upstream may be taken now."""
-        return self._limits.get(upstream, 0)
+        if self.closed(upstream, wall):
+            return 0
+        limit = self.limit(upstream)
+        drained = self._drains.drained_fraction(upstream, wall)
+        left = math.ceil((1.0 - drained) * limit)
+        return min(left, self.health.allowed(upstream, limit, now))
+
+    def closed(self, upstream: UpstreamId, wall: float) -> bool:
+        """Return whether an upstream gets no new work at all: it leaves or is drained."""
+        return upstream in self.leaving or self._drains.drained_fraction(upstream, wall) >= 1.0
 
     def limit(self, upstream: UpstreamId) -> int:
         """Return how many slots an upstream has by the configuration."""
         return self._limits.get(upstream, 0)
 
-    def fits(self, upstream: UpstreamId) -> bool:
-        """Return whether what is taken of an upstream is within its slots and the pool's share."""
+    def fits(self, upstream: UpstreamId, wall: float) -> bool:
+        """Return whether what is taken of an upstream may run there."""
         within_slots = self.slots.taken(upstream) <= self.limit(upstream)
-        return within_slots and self.slots.total <= self._share
+        within_share = self.slots.total <= self._share
+        return within_slots and within_share and not self.closed(upstream, wall)
+
+    def free_upstream(
+        self, now: float, wall: float, avoid: tuple[UpstreamId, ...] = ()
+    ) -> UpstreamId | None:
+        """Return the upstream that should run the next request, or None if no slot is free.
 
-    def free_upstream(self) -> UpstreamId | None:
-        """Return the upstream that should run the next request, or None if no slot is free."""
+        Parameters
+        ----------
+        avoid
+            Upstreams that are chosen last.
+        """
         if self.slots.total >= self._share:
             return None
-        return self.slots.choose(tuple(self._limits), self.allowed, lambda _: 0.0)
+
+        def weight(upstream: UpstreamId) -> float:
+            bad = self.health.looks_bad(upstream)
+            return AVOID if bad or upstream in avoid else 0.0
+
+        def allowed(upstream: UpstreamId) -> int:
+            return self.allowed(upstream, now, wall)
+
+        return self.slots.choose(tuple(self._limits), allowed, weight)
--- a/packages/gooseberryport-core/src/gooseberryport_core/log_events.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/log_events.py
@@ -32,3 +32,4 @@
     POOL_GIVEN_UP = 2101
     STORE_LOST = 2102
     STORE_BACK = 2103
+    SERVICE_DRAINED = 2200
--- a/packages/gooseberryport-core/tests/test_admission.py
+++ b/packages/gooseberryport-core/tests/test_admission.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterator
 
+import msgspec
 import pytest
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -11,16 +12,24 @@
 from gooseberryport_core._admission import GRANT_TIMEOUT_S, LINGER_GRACE_S, Admission
 from gooseberryport_core._invariants import raising
 from gooseberryport_core._views import Holding, Owner, Peer, RemoteLoad
-from gooseberryport_core.config import Config, Region, Service, Upstream
-from gooseberryport_core.effects import CancelUpstream, Effect, SendTicketReply, StartUpstream
+from gooseberryport_core.config import Config, Drain, Region, Service, Upstream
+from gooseberryport_core.effects import (
+    CancelUpstream,
+    Effect,
+    LogEvent,
+    SendTicketReply,
+    StartUpstream,
+)
 from gooseberryport_core.events import (
     BodyArrived,
     Event,
+    LoadReported,
     Tick,
     TicketArrived,
     TicketCancelled,
     UpstreamFinished,
 )
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.messages import Granted, Moved, Refused, Ticket
 from gooseberryport_core.settings import NodeSettings
 from gooseberryport_core.types import AttemptOutcome, PoolId, RefusalReason
@@ -30,17 +39,19 @@
 ENTRY = "vm-2"
 
 
-def make_cfg(slots: int = 1, cap: int = 0, per_pool: int = 2, **service: object) -> Config:
-    upstreams = {
+def make_cfg(
+    slots: int = 1, cap: int = 0, per_pool: int = 2, upstreams: int = 0, **service: object
+) -> Config:
+    members = {
         f"{pool.zone}-{i}": Upstream(SERVICE, pool.zone, f"127.0.0.1:{i + 1}")
         for pool in POOLS[:per_pool]
-        for i in range(per_pool)
+        for i in range(upstreams or per_pool)
     }
     return Config(
         version=1,
         regions={"mittelland": Region(("bern-a", "olten-b"), cap)},
         services={SERVICE: Service(slots=slots, max_attempt_s=1.0, **service)},
-        upstreams=upstreams,
+        upstreams=members,
     )
 
 
@@ -88,6 +99,7 @@
         )
         self.now = 0.0
         self.serial = 0
+        self.started: set[str] = set()
         self.effects: list[Effect] = []
         self.configure(cfg)
 
@@ -378,6 +390,77 @@
 TestAdmissionMachine = AdmissionMachine.TestCase
 
 
+def run_all(owner: Owner1, seconds: float, outcome: AttemptOutcome, status: int) -> dict[str, int]:
+    """Offer all the time; let one upstream fail at once and the others answer in 100 ms."""
+    starts: dict[str, int] = {}
+    ends: list[tuple[float, str, bool]] = []
+    until = owner.now + seconds
+    while owner.now < until:
+        owner.advance(0.01)
+        owner.offer(0.5)
+        for at, name, fails in [end for end in ends if end[0] <= owner.now]:
+            ends.remove((at, name, fails))
+            if fails:
+                connected = outcome is not AttemptOutcome.NOT_SENT
+                owner.feed(UpstreamFinished(name, outcome, status, 0, 0.001, connected))
+            else:
+                owner.finish(name, duration_s=0.1)
+        for name in set(owner.granted()) - owner.started:
+            owner.started.add(name)
+            for effect in owner.start(name):
+                if isinstance(effect, StartUpstream):
+                    fails = effect.upstream == "bern-a-0"
+                    starts[effect.upstream] = starts.get(effect.upstream, 0) + 1
+                    ends.append((owner.now + (0.001 if fails else 0.1), name, fails))
+    return starts
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status"),
+    [(AttemptOutcome.SHED, 503), (AttemptOutcome.NOT_SENT, 0), (AttemptOutcome.ANSWERED, 500)],
+)
+def test_fast_errors_draw_no_more_work_than_answers(outcome: AttemptOutcome, status: int) -> None:
+    owner = Owner1(make_cfg(slots=1, per_pool=1, upstreams=4))
+    starts = run_all(owner, 10.0, outcome, status)
+    assert starts["bern-a-0"] < 0.3 * starts["bern-a-1"]
+
+
+@pytest.mark.parametrize("mark", ["leaving", "drained"])
+def test_no_new_work_goes_to_an_upstream_that_leaves(mark: str) -> None:
+    cfg = make_cfg(slots=4, per_pool=1, upstreams=2)
+    owner = Owner1(cfg)
+    owner.advance(1.0)
+    running, _, reserved = owner.offer(), owner.offer(), owner.offer()
+    owner.start(running)
+    if mark == "leaving":
+        owner.feed(LoadReported("bern-a-0", 0, True, 0.5))
+        owner.feed(LoadReported("bern-a-1", 0, True, 60.0))
+    else:
+        drains = {"one": Drain(upstream="bern-a-0", start=1.2, ramp_s=0.1)}
+        owner.configure(msgspec.structs.replace(cfg, drains=drains))
+        owner.advance(0.4)
+    starts = run_all(owner, 2.0, AttemptOutcome.SHED, 503)
+    assert "bern-a-0" not in starts and starts["bern-a-1"] > 0
+    assert not any(isinstance(e, CancelUpstream) for e in owner.effects)
+    assert owner.refusals()[reserved] is RefusalReason.NO_UPSTREAM
+
+
+def test_two_drains_that_leave_nothing_end_new_work_and_warn_once() -> None:
+    cfg = make_cfg(per_pool=2)
+    owner = Owner1(cfg)
+    running = owner.offer()
+    owner.start(running)
+    zones = {pool.zone: Drain(availability_zone=pool.zone, start=5.0) for pool in POOLS}
+    owner.configure(msgspec.structs.replace(cfg, drains=zones))
+    owner.advance(6.0)
+    owner.advance(0.1)
+    late = owner.offer()
+    assert owner.refusals() == {late: RefusalReason.NO_UPSTREAM}
+    warnings = [e for e in owner.effects if isinstance(e, LogEvent)]
+    assert [w.number for w in warnings] == [LogNumber.SERVICE_DRAINED]
+    assert not any(isinstance(e, CancelUpstream) for e in owner.effects)
+
+
 def test_grant_whose_body_never_comes_is_taken_back() -> None:
     owner = Owner1(make_cfg(per_pool=1))
     first, second = owner.offer(), owner.offer()
