Keep each direction of a link within its limit by shares that follow the pools

Cause: nothing counted bytes between regions. Ruled out: equal shares of a region's known daemons (differing views add up to more than the limit); shares traded in messages (a lost decrease breaks the sum). An ownership is exclusive already, so a pool's part of a direction is too. Conclusion: the daemon does not pace its answers by it yet; inline bodies are not reserved.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
@@ -10,6 +10,7 @@
 from gooseberryport_core._drains import Drains
 from gooseberryport_core._health import Evidence
 from gooseberryport_core._invariants import Invariant, check
+from gooseberryport_core._links import Links
 from gooseberryport_core._pool import Pool
 from gooseberryport_core._pulls import RESERVATION_S, Pulls
 from gooseberryport_core._region_caps import region_shares
@@ -36,13 +37,14 @@
     UpstreamFinished,
 )
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.messages import Granted, Moved, PoolLoad, Pull, PullReply, Refused
+from gooseberryport_core.messages import Granted, Moved, PoolLoad, Pull, PullReply, Refused, Ticket
 from gooseberryport_core.settings import NodeSettings
 from gooseberryport_core.types import (
     AttemptOutcome,
     Epoch,
     PoolId,
     RefusalReason,
+    RegionName,
     RequestId,
     ServiceName,
     TicketId,
@@ -119,6 +121,8 @@
         self._entries: dict[TicketId, Entry] = {}
         self._timers: Timers[_Timer] = Timers()
         self._pulls = Pulls(settings=settings, owners=owners, peers=peers, rng=rng)
+        self._links = Links()
+        self._epochs: dict[PoolId, Epoch] = {}
         self._figures_at = float("-inf")
         self._wall_offset = 0.0
         self._drains = Drains(Config())
@@ -128,6 +132,7 @@
         """Take a newer configuration; what runs goes on, also where slots were lowered."""
         self._cfg = cfg
         self._pulls.configure(cfg)
+        self._links.configure(cfg, now)
         members = pools_of(cfg)
         shares = region_shares(cfg)
         self._drains = Drains(cfg)
@@ -162,6 +167,29 @@
             effects.extend(self._tick(now))
         return effects
 
+    def reserve_link(
+        self, pool: PoolId, destination: RegionName, num_bytes: int, now: float
+    ) -> float | None:
+        """Reserve room for a piece of an answer that leaves the pool's region.
+
+        Parameters
+        ----------
+        pool
+            Pool that the answer comes from.
+        destination
+            Region of the entry daemon.
+        num_bytes
+            Length of the piece.
+        now
+            Seconds, monotonic.
+
+        Returns
+        -------
+        float or None
+            Seconds to wait before the piece is sent; None if there is no room in time.
+        """
+        return self._links.reserve(pool, destination, num_bytes, now)
+
     def loads(self, now: float) -> tuple[PoolLoad, ...]:
         """Return the load of each pool that this daemon owns."""
         found: list[PoolLoad] = []
@@ -185,6 +213,10 @@
         if now >= self._figures_at + FIGURES_PERIOD_S:
             self._figures_at = now
             self._pulls.take_figures(now)
+        for pool_id, holding in self._owners.holdings(now).items():
+            if self._epochs.get(pool_id) != holding.epoch:
+                self._epochs[pool_id] = holding.epoch
+                self._links.open_pool(pool_id, now)
         effects = self._warn_of_drains(now)
         for pool in self._pools.values():
             effects.extend(self._serve(pool, now))
@@ -239,18 +271,35 @@
         holding = self._holding(pool, now) if pool is not None else None
         if pool is None or holding is None or holding.epoch != ticket.epoch:
             return [_refusal(entry, RefusalReason.NOT_OWNER)]
+        if not self._promise(ticket, now):
+            return [_refusal(entry, RefusalReason.LINK_FULL, self._retry_after_s(0.0))]
         if self._pulls.redeem(ticket.pool, ticket.reserved):
             self._entries[ticket.ticket_id] = entry
             return self._grant(pool, entry, ticket.reserved, now)
         refusal = self._refuse_early(pool, holding, entry, now)
         if refusal is not None:
+            self._settle(ticket, now)
             return [refusal]
-        effects = self._make_room(pool)
+        effects = self._make_room(pool, now)
         self._entries[ticket.ticket_id] = entry
         pool.queue.push(entry)
         effects.extend(self._serve(pool, now))
         return effects
 
+    def _promise(self, ticket: Ticket, now: float) -> bool:
+        """Count a ticket's bytes on the links; return whether there is room for them."""
+        sizes = (ticket.body_bytes, ticket.answer_bytes)
+        return self._links.promise(ticket.pool, ticket.source, *sizes, now)
+
+    def _settle(self, ticket: Ticket, now: float) -> None:
+        sizes = (ticket.body_bytes, ticket.answer_bytes)
+        self._links.settle(ticket.pool, ticket.source, *sizes, now)
+
+    def _forget(self, entry: Entry, now: float) -> None:
+        """Let a ticket go that has ended here."""
+        del self._entries[entry.ticket.ticket_id]
+        self._settle(entry.ticket, now)
+
     def _refuse_early(
         self, pool: Pool, holding: Holding, entry: Entry, now: float
     ) -> Effect | None:
@@ -269,12 +318,12 @@
             return _refusal(entry, RefusalReason.QUEUE_FULL, self._retry_after_s(wait_s))
         return None
 
-    def _make_room(self, pool: Pool) -> list[Effect]:
+    def _make_room(self, pool: Pool, now: float) -> list[Effect]:
         if not pool.queue.full:
             return []
         retry = pool.queue.pop_retry()
         assert retry is not None
-        return self._refuse(retry, RefusalReason.QUEUE_FULL, pool.service_time.mean_s)
+        return self._refuse(retry, RefusalReason.QUEUE_FULL, pool.service_time.mean_s, now)
 
     def _retry_after_s(self, wait_s: float) -> float:
         return max(RETRY_AFTER_FLOOR_S, wait_s) * self._rng.uniform(1.0, 1.5)
@@ -285,12 +334,12 @@
             return []
         holding = self._holding(pool, now)
         if holding is None:
-            return self._refuse_all(pool, RefusalReason.LEASE_LAPSED)
+            return self._refuse_all(pool, RefusalReason.LEASE_LAPSED, now)
         if pool.usable(now, self._wall(now)) == 0:
-            return self._refuse_all(pool, RefusalReason.NO_UPSTREAM)
+            return self._refuse_all(pool, RefusalReason.NO_UPSTREAM, now)
         effects: list[Effect] = []
         for entry in pool.queue.pop_expired(now):
-            effects.extend(self._refuse(entry, RefusalReason.DEADLINE, 0.0))
+            effects.extend(self._refuse(entry, RefusalReason.DEADLINE, 0.0, now))
         if now < holding.former_work_until:
             return effects
         while pool.queue:
@@ -301,7 +350,7 @@
                 break
             entry = pool.queue.pop()
             if entry.ticket.epoch != holding.epoch:
-                effects.extend(self._refuse(entry, RefusalReason.NOT_OWNER, 0.0))
+                effects.extend(self._refuse(entry, RefusalReason.NOT_OWNER, 0.0, now))
                 continue
             pool.slots.take(upstream)
             effects.extend(self._grant(pool, entry, upstream, now))
@@ -339,7 +388,7 @@
             if own is None:
                 effects.extend(self._pulls.send_ask(serial, holding.epoch))
                 continue
-            effects.append(self._move(own, own.queue.pop(), pool.pool_id, holding.epoch, upstream))
+            effects.append(self._move(own.queue.pop(), pool.pool_id, holding.epoch, upstream, now))
         return effects
 
     def _own_behind(self, pool: Pool) -> Pool | None:
@@ -352,11 +401,11 @@
         return max(behind, key=lambda other: len(other.queue)) if behind else None
 
     def _move(
-        self, pool: Pool, entry: Entry, offer: PoolId, epoch: Epoch, upstream: UpstreamId
+        self, entry: Entry, offer: PoolId, epoch: Epoch, upstream: UpstreamId, now: float
     ) -> Effect:
         """Send a waiting ticket to a slot that is kept for it elsewhere."""
         ticket_id = entry.ticket.ticket_id
-        del self._entries[ticket_id]
+        self._forget(entry, now)
         owner = self._owners.owner_of(offer)
         assert owner is not None
         moved = Moved(ticket_id, owner.vm, offer, epoch, upstream)
@@ -378,7 +427,7 @@
             return self._pulls.reply(pull, nothing, 0)
         ticket_id = entry.ticket.ticket_id
         pool.queue.remove(ticket_id)
-        moved = self._move(pool, entry, pull.offer_pool, pull.offer_epoch, pull.upstream)
+        moved = self._move(entry, pull.offer_pool, pull.offer_epoch, pull.upstream, now)
         return [moved, *self._pulls.reply(pull, ticket_id, len(pool.queue))]
 
     def _end_ask(self, serial: int, now: float) -> list[Effect]:
@@ -431,7 +480,7 @@
     ) -> list[Effect]:
         """Take a grant back before anything ran."""
         pool.slots.release(entry.upstream)
-        return self._refuse(entry, reason, 0.0) + self._serve(pool, now)
+        return self._refuse(entry, reason, 0.0, now) + self._serve(pool, now)
 
     def _cancel(self, ticket_id: TicketId, now: float) -> list[Effect]:
         entry = self._entries.get(ticket_id)
@@ -441,7 +490,7 @@
         if entry.state is TicketState.RUNNING:
             entry.cancelled_at = min(now, entry.cancelled_at)
             return [CancelUpstream(ticket_id)]
-        del self._entries[ticket_id]
+        self._forget(entry, now)
         if entry.state is TicketState.WAITING:
             pool.queue.remove(ticket_id)
             return []
@@ -452,7 +501,7 @@
         entry = self._entries.get(event.ticket_id)
         if entry is None or entry.state is not TicketState.RUNNING:
             return []
-        del self._entries[event.ticket_id]
+        self._forget(entry, now)
         pool = self._pools[entry.ticket.pool]
         if event.outcome is AttemptOutcome.ANSWERED and event.status < SERVER_ERROR:
             pool.service_time.add(event.duration_s)
@@ -512,14 +561,16 @@
                 effects.extend(self._withdraw(pool, entry, RefusalReason.CANCELLED, now))
         return effects
 
-    def _refuse(self, entry: Entry, reason: RefusalReason, wait_s: float) -> list[Effect]:
-        del self._entries[entry.ticket.ticket_id]
+    def _refuse(
+        self, entry: Entry, reason: RefusalReason, wait_s: float, now: float
+    ) -> list[Effect]:
+        self._forget(entry, now)
         return [_refusal(entry, reason, self._retry_after_s(wait_s))]
 
-    def _refuse_all(self, pool: Pool, reason: RefusalReason) -> list[Effect]:
+    def _refuse_all(self, pool: Pool, reason: RefusalReason, now: float) -> list[Effect]:
         effects: list[Effect] = []
         for entry in pool.queue.pop_all():
-            effects.extend(self._refuse(entry, reason, 0.0))
+            effects.extend(self._refuse(entry, reason, 0.0, now))
         return effects
 
 
