Part the serving of pools from the events of admission

Change: Serving holds the pools, tickets, grants, asks and timers; Admission handles the events. No behaviour changes; the tests of pulls, queue, admission, health and links pass as before.

--- a/packages/gooseberryport-core/tests/test_admission.py
+++ b/packages/gooseberryport-core/tests/test_admission.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from gooseberryport_core._admission import GRANT_TIMEOUT_S, LINGER_GRACE_S, Admission
+from gooseberryport_core._admission import LINGER_GRACE_S, Admission
 from gooseberryport_core._invariants import raising
+from gooseberryport_core._serving import GRANT_TIMEOUT_S
 from gooseberryport_core._views import Holding, Owner, Peer, RemoteLoad
 from gooseberryport_core.config import Config, Drain, Region, Service, Upstream
 from gooseberryport_core.effects import (
