Count a failover once a request, and test service without datagrams

Ruled out: the cap (it was 1.0); the slots (none over). Change: the first far offer counts, later ones of the same request do not. Conclusion: the test runs the Amt's fleet without any datagram; all pools keep a holder.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -92,6 +92,7 @@
     owner_heard: bool = False
     upstream: UpstreamId = UpstreamId("")
     avoid: tuple[UpstreamId, ...] = ()
+    failed_over: bool = False
     body_sent: bool = False
     ran_before: bool = False
     offers: int = 0
@@ -260,10 +261,11 @@
         """Return whether a request may go to a pool, counting it if that is a failover."""
         placement = req.placement
         assert placement is not None
-        if self._regions.get(pool.zone) == placement.region:
+        if req.failed_over or self._regions.get(pool.zone) == placement.region:
             return True, []
         wall = now + self._wall_offset
-        return self._shifts.fail_over(req.event.service, placement.home, wall)
+        req.failed_over, reports = self._shifts.fail_over(req.event.service, placement.home, wall)
+        return req.failed_over, reports
 
     def _offer(
         self, req: _Request, pool: PoolId, owner: Owner, reserved: UpstreamId, now: float
--- a/packages/gooseberryport-core/tests/test_requests.py
+++ b/packages/gooseberryport-core/tests/test_requests.py
@@ -35,6 +35,14 @@
     services={"registry": Service(retry_fraction=0.1)},
     upstreams={f"up-{z}": Upstream("registry", z, "127.0.0.1:9") for z in ("bern-a", "olten-b")},
 )
+FAR_CFG = Config(
+    version=2,
+    regions={"mittelland": Region(("bern-a",)), "ticino": Region(("lugano-a", "bellinzona-b"))},
+    services={"registry": Service()},
+    upstreams={
+        f"up-{z}": Upstream("registry", z, "127.0.0.1:9") for z in ("lugano-a", "bellinzona-b")
+    },
+)
 POOLS = [PoolId("registry", "bern-a"), PoolId("registry", "olten-b")]
 
 
@@ -216,11 +224,11 @@
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_requests_come_back_from_an_owner_that_fell_silent(method: str) -> None:
     world = World(random.Random(1))
-    world.owners.owners[POOLS[1]] = Owner("vm-3", 1)
     world.peers.peers["vm-2"] = make_peer(make_settings("vm-2"), heard_at=0.0)
     world.peers.peers["vm-3"] = make_peer(make_settings("vm-3"))
     world.arrive("waiting", "POST", 0.0)
     world.arrive("sent", method, 0.0)
+    world.owners.owners.update({pool: Owner("vm-3", 2) for pool in POOLS})
     ticket_id, _ = world.open[-1]
     world.feed(TicketReplied("vm-2", Granted(ticket_id, "up-bern-a")), 0.0)
     effects = world.requests.handle(Tick(1.1), 1.1)
@@ -245,3 +253,16 @@
     world.requests.configure(Config(), 0.0)
     world.arrive("r1", "GET", 0.0)
     assert world.ends["r1"][0].reason == RefusalReason.NOT_READY
+
+
+def test_a_request_that_asks_several_far_owners_counts_as_one_failover() -> None:
+    world = World(random.Random(1))
+    world.requests.configure(FAR_CFG, 0.0)
+    world.owners.owners.clear()
+    far = [PoolId("registry", zone) for zone in FAR_CFG.regions["ticino"].availability_zones]
+    world.owners.owners.update({pool: Owner("vm-2", 1) for pool in far})
+    world.arrive("r1", "POST", 0.0)
+    for _ in far[1:]:
+        ticket_id, _ = world.open.pop()
+        world.feed(TicketReplied("vm-2", Refused(ticket_id, RefusalReason.QUEUE_FULL)), 0.0)
+    assert [stage for _, stage in world.open] == ["ticket"]
--- a/standins/tests/test_traffic.py
+++ b/standins/tests/test_traffic.py
@@ -1,6 +1,9 @@
 import pytest
 
+from gooseberryport_core.config import pools_of
 from gooseberryport_core.types import Outcome
+from gooseberryport_standins.bench_failures import USERS, places_of
+from gooseberryport_standins.deployment import read_deployment
 from gooseberryport_standins.simulation import publish_whole
 from gooseberryport_standins.soak import PLACES, example_config
 from gooseberryport_standins.traffic import SimNode, TrafficSimulation
@@ -36,3 +39,23 @@
     words = {request_id: sim.ends[request_id] for request_id in callers.sent}
     assert [end for end in words.values() if end.outcome != Outcome.ANSWERED] == []
     sim.check_words()
+
+
+def test_service_goes_on_while_every_datagram_is_lost() -> None:
+    user = USERS["amt"]
+    cfg = read_deployment(user.folder).cfg
+    sim = TrafficSimulation(
+        cfg=cfg,
+        seed=1,
+        places=places_of(user, cfg),
+        publish=publish_whole(cfg),
+        faulty_upstreams=0.0,
+    )
+    sim.run(10.0)
+    sim.loss = 1.0
+    callers = SteadyCallers(sim, rate=40.0)
+    sim.run(10.0)
+    callers.stop()
+    sim.run(5.0)
+    assert {len(sim.holders(pool)) for pool in pools_of(cfg)} == {1}
+    assert {sim.ends[request_id].outcome for request_id in callers.sent} == {Outcome.ANSWERED}
