Count requests for service-level burn in one record a region that outlives the daemons

Cause: the burn report needs counters that survive replaced VMs, without writes that grow with requests and without doubles when two daemons report. Ruled out: a key for each daemon (writes grow with the fleet); one writer (its cut from the store hides the region). Change: BurnCounters in Node: cumulative counts by VM and incarnation, told to two writers of the region every 10 s, merged by the larger figure, written once a minute by the first writer, by the second if the record is older than 150 s. Silent runs are folded into sums after an hour and unfolded if they turn out to live. History in two rings; windows of 5 min to 3 days, burn rates 14.4, 6 and 1. A request counts as failed if its caller got no upstream's answer; statuses of upstreams are not looked at. Guards, each taken out on a scratch copy, then a test fails: larger figure instead of sums, older runs, unfolding (test_runs_count_once..., test_late_word...), second writer and its age check (test_the_other_writer..., test_record_holds...), counts that arrive during a write. Conclusion: a killed daemon's last 10 s are not counted.

--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_burn_report.py
@@ -0,0 +1,186 @@
+"""Service-level burn over several windows, from the history of the regions' counters."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import Enum
+
+import msgspec
+
+from gooseberryport_core._burn_counts import Count
+from gooseberryport_core._history import History
+from gooseberryport_core.config import Config
+from gooseberryport_core.types import RegionName, ServiceName
+
+MINUTE_S = 60
+HOUR_S = 3_600
+DAY_S = 86_400
+
+ALL_REGIONS = RegionName("all")
+
+
+class Severity(Enum):
+    """What a burn rate asks for."""
+
+    PAGE = "page"
+    TICKET = "ticket"
+    NONE = "none"
+
+
+class _Rule(msgspec.Struct, frozen=True):
+    """Ask for something when both windows burn at a rate; seconds."""
+
+    long_s: int
+    short_s: int
+    rate: float
+    severity: Severity
+
+
+RULES = (
+    _Rule(HOUR_S, 5 * MINUTE_S, 14.4, Severity.PAGE),
+    _Rule(6 * HOUR_S, 30 * MINUTE_S, 6.0, Severity.PAGE),
+    _Rule(3 * DAY_S, 6 * HOUR_S, 1.0, Severity.TICKET),
+)
+"""Rates at which 2% of a month's budget burns in an hour, 5% in six hours, 10% in three days."""
+
+WINDOWS_S = tuple(sorted({rule.long_s for rule in RULES} | {rule.short_s for rule in RULES}))
+
+
+class Objective(Enum):
+    """What is promised of a service."""
+
+    LATENCY = "latency"
+    SUCCESS = "success"
+
+
+class BurnWindow(msgspec.Struct, frozen=True):
+    """Tell how fast the error budget burnt in one window.
+
+    Parameters
+    ----------
+    window_s
+        Length of the window; seconds.
+    covered_s
+        Part of it that the history covers; seconds.
+    total, bad
+        Requests in it, and those that missed the objective.
+    rate
+        Times as fast as the objective allows; 1 spends the budget exactly.
+    """
+
+    window_s: int
+    covered_s: int
+    total: int
+    bad: int
+    rate: float
+
+
+class BurnLine(msgspec.Struct, frozen=True):
+    """Tell how a service does in a region against one objective.
+
+    Parameters
+    ----------
+    target
+        Share of requests that must be good.
+    severity
+        What the burn asks for.
+    age_s
+        Age of the newest figures; seconds.
+    """
+
+    service: ServiceName
+    region: RegionName
+    objective: Objective
+    target: float
+    windows: tuple[BurnWindow, ...]
+    severity: Severity
+    age_s: float
+
+
+def burn_lines(
+    cfg: Config, histories: Mapping[RegionName, History], wall: float
+) -> tuple[BurnLine, ...]:
+    """Return the burn of each service and objective, in each region and over all of them.
+
+    Parameters
+    ----------
+    cfg
+        Configuration with the objectives.
+    histories
+        History of each region's counters.
+    wall
+        Wall clock, seconds since 1970-01-01 UTC.
+    """
+    lines = []
+    for service in sorted(cfg.services):
+        names = [name for name in sorted(histories) if service in histories[name].services()]
+        places = [(name, [name]) for name in names]
+        if len(names) > 1:
+            places.append((ALL_REGIONS, names))
+        for place, members in places:
+            chosen = [histories[name] for name in members]
+            for objective in Objective:
+                lines.append(_line(cfg, service, place, chosen, objective, wall))
+    return tuple(lines)
+
+
+def _line(
+    cfg: Config,
+    service: ServiceName,
+    region: RegionName,
+    histories: list[History],
+    objective: Objective,
+    wall: float,
+) -> BurnLine:
+    target = target_of(cfg, service, objective)
+    windows = tuple(
+        burn_window(histories, service, objective, target, wall, window_s) for window_s in WINDOWS_S
+    )
+    oldest = min(history.last_at for history in histories)
+    return BurnLine(
+        service, region, objective, target, windows, _severity(windows), max(wall - oldest, 0.0)
+    )
+
+
+def target_of(cfg: Config, service: ServiceName, objective: Objective) -> float:
+    """Return the share of requests that must meet an objective."""
+    entry = cfg.services[service]
+    if objective == Objective.LATENCY:
+        return entry.latency_objective_fraction
+    return entry.success_objective_fraction
+
+
+def burn_window(
+    histories: list[History],
+    service: ServiceName,
+    objective: Objective,
+    target: float,
+    wall: float,
+    window_s: int,
+) -> BurnWindow:
+    """Return the burn in the window that ends at `wall`, summed over some histories."""
+    total, bad, covered_s = 0, 0, 0
+    for history in histories:
+        end = history.at(service, wall)
+        start = history.at(service, wall - window_s) or history.first(service)
+        if end is None or start is None:
+            continue
+        grown = end.count.less(start.count)
+        total += max(grown.total, 0)
+        bad += max(bad_of(grown, objective), 0)
+        covered_s = max(covered_s, min(end.at - start.at, window_s))
+    share = bad / total if total else 0.0
+    return BurnWindow(window_s, covered_s, total, bad, share / (1.0 - target))
+
+
+def bad_of(count: Count, objective: Objective) -> int:
+    """Return how many requests missed an objective."""
+    return count.slow if objective == Objective.LATENCY else count.failed
+
+
+def _severity(windows: tuple[BurnWindow, ...]) -> Severity:
+    rates = {window.window_s: window.rate for window in windows}
+    for rule in RULES:
+        if rates[rule.long_s] >= rule.rate and rates[rule.short_s] >= rule.rate:
+            return rule.severity
+    return Severity.NONE
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_history.py
@@ -0,0 +1,173 @@
+"""Samples of a region's counters over time, fine for hours and coarse for days."""
+
+from __future__ import annotations
+
+import zlib
+from bisect import bisect_right
+
+import msgspec
+import numpy as np
+from numpy.typing import NDArray
+
+from gooseberryport_core._burn_counts import Count
+from gooseberryport_core.types import ServiceName
+
+FINE_STEP_S = 60
+FINE_SAMPLES = 420
+"""Seven hours, for windows of up to six."""
+
+COARSE_STEP_S = 1_800
+COARSE_SAMPLES = 168
+"""Three and a half days, for windows of up to three."""
+
+FIGURES = 3
+"""Total, slow and failed."""
+
+COMPRESSION_LEVEL = 6
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """The counters of a service at one time; seconds since 1970-01-01 UTC."""
+
+    at: int
+    count: Count
+
+
+class _Ring(msgspec.Struct):
+    """The newest samples at one step.
+
+    Parameters
+    ----------
+    step_s
+        Least time between two samples; seconds.
+    size
+        Most samples kept.
+    times
+        When each was taken; ascending.
+    figures
+        For each service a row for each sample.
+    """
+
+    step_s: int
+    size: int
+    times: list[int] = msgspec.field(default_factory=list)
+    figures: dict[ServiceName, list[tuple[int, int, int]]] = msgspec.field(default_factory=dict)
+
+    def add(self, at: int, totals: dict[ServiceName, Count]) -> None:
+        if self.times and at - self.times[-1] < self.step_s:
+            return
+        before = len(self.times)
+        self.times.append(at)
+        for service in totals:
+            self.figures.setdefault(service, [(0, 0, 0)] * before)
+        for service, rows in self.figures.items():
+            count = totals.get(service, Count())
+            rows.append((count.total, count.slow, count.failed))
+        if len(self.times) > self.size:
+            del self.times[0]
+            for rows in self.figures.values():
+                del rows[0]
+
+
+class History:
+    """Keep what a region's counters were, for the windows of the burn report."""
+
+    def __init__(self) -> None:
+        self._fine = _Ring(FINE_STEP_S, FINE_SAMPLES)
+        self._coarse = _Ring(COARSE_STEP_S, COARSE_SAMPLES)
+
+    def add(self, wall: float, totals: dict[ServiceName, Count]) -> None:
+        """Keep the counters of a moment; moments closer than a step are left out."""
+        self._fine.add(int(wall), totals)
+        self._coarse.add(int(wall), totals)
+
+    @property
+    def last_at(self) -> int:
+        """Time of the newest sample; seconds since 1970-01-01 UTC, 0 for none."""
+        return self._fine.times[-1] if self._fine.times else 0
+
+    def services(self) -> tuple[ServiceName, ...]:
+        """Return the services that were counted."""
+        return tuple(sorted({*self._fine.figures, *self._coarse.figures}))
+
+    def at(self, service: ServiceName, wall: float) -> Sample | None:
+        """Return the newest sample of a service taken at `wall` or before, or None."""
+        for ring in (self._fine, self._coarse):
+            index = bisect_right(ring.times, wall) - 1
+            if index >= 0 and service in ring.figures:
+                return Sample(ring.times[index], Count(*ring.figures[service][index]))
+        return None
+
+    def first(self, service: ServiceName) -> Sample | None:
+        """Return the oldest sample of a service, or None."""
+        rings = [ring for ring in (self._coarse, self._fine) if service in ring.figures]
+        found = [Sample(ring.times[0], Count(*ring.figures[service][0])) for ring in rings]
+        return min(found, key=lambda sample: sample.at) if found else None
+
+    def fine_samples(self, service: ServiceName) -> list[Sample]:
+        """Return the samples of the last hours, oldest first."""
+        rows = self._fine.figures.get(service, [])
+        times = self._fine.times
+        return [Sample(at, Count(*row)) for at, row in zip(times, rows, strict=bool(rows))]
+
+    def encode(self) -> bytes:
+        """Return the history in the form in which the key-value service keeps it."""
+        return msgspec.msgpack.encode([_encode_ring(self._fine), _encode_ring(self._coarse)])
+
+    @classmethod
+    def decode(cls, data: bytes) -> History:
+        """Return the history that `encode` gave; raises `ValueError` if it is damaged."""
+        history = cls()
+        if not data:
+            return history
+        try:
+            fine, coarse = msgspec.msgpack.decode(data, type=tuple[_RingForm, _RingForm])
+            history._fine = _decode_ring(fine, FINE_SAMPLES)
+            history._coarse = _decode_ring(coarse, COARSE_SAMPLES)
+        except (msgspec.MsgspecError, zlib.error) as exc:
+            raise ValueError(f"damaged history: {exc}") from exc
+        return history
+
+
+class _RingForm(msgspec.Struct, frozen=True):
+    """A ring with its columns as differences, compressed."""
+
+    step_s: int
+    services: tuple[ServiceName, ...]
+    columns: bytes
+
+
+def _encode_ring(ring: _Ring) -> _RingForm:
+    services = tuple(sorted(ring.figures))
+    rows = [ring.times]
+    for service in services:
+        rows.extend(list(column) for column in zip(*ring.figures[service], strict=True))
+    if not ring.times:
+        return _RingForm(ring.step_s, (), b"")
+    return _RingForm(ring.step_s, services, pack_columns(np.array(rows, dtype=np.int64)))
+
+
+def _decode_ring(form: _RingForm, size: int) -> _Ring:
+    if not form.columns:
+        return _Ring(form.step_s, size)
+    rows = unpack_columns(form.columns, 1 + FIGURES * len(form.services))
+    figures = {}
+    for number, service in enumerate(form.services):
+        first = 1 + FIGURES * number
+        columns = rows[first : first + FIGURES].tolist()
+        figures[service] = [tuple(row) for row in zip(*columns, strict=True)]
+    return _Ring(form.step_s, size, rows[0].tolist(), figures)
+
+
+def pack_columns(rows: NDArray[np.int64]) -> bytes:
+    """Return counters, one row each, as compressed differences."""
+    steps = np.diff(rows, axis=1, prepend=np.int64(0)).astype("<i8")
+    planes = steps.view(np.uint8).reshape(-1, 8).T
+    return zlib.compress(planes.tobytes(), COMPRESSION_LEVEL)
+
+
+def unpack_columns(data: bytes, rows: int) -> NDArray[np.int64]:
+    """Return the counters that `pack_columns` packed; raises `ValueError` or `zlib.error`."""
+    planes = np.frombuffer(zlib.decompress(data), dtype=np.uint8).reshape(8, -1)
+    steps = np.ascontiguousarray(planes.T).view("<i8").reshape(rows, -1)
+    return np.cumsum(steps, axis=1, dtype=np.int64)
--- a/packages/gooseberryport-core/src/gooseberryport_core/_store_calls.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_store_calls.py
@@ -16,6 +16,7 @@
     OWNERSHIP = 1
     CONFIG = 2
     CONFIG_WATCH = 3
+    BURN = 4
 
 
 class StoreCall:
--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -13,6 +13,7 @@
 from gooseberryport_core._routing import Router
 from gooseberryport_core._shifts import moving_rule
 from gooseberryport_core._views import Component, HeartbeatFacts, Peer
+from gooseberryport_core.burn import BurnCounters
 from gooseberryport_core.config import Config, pools_of
 from gooseberryport_core.effects import (
     CancelTicket,
@@ -47,6 +48,7 @@
     Outcome,
     PoolId,
     RefusalReason,
+    RegionName,
     RequestId,
     ServiceName,
     TicketId,
@@ -110,11 +112,14 @@
             home_of=self._home_of,
             rng=rng,
         )
+        burn_rng = random.Random(f"{settings.vm}.{settings.incarnation}")
+        self._burn = BurnCounters(settings=settings, peers=self._membership, rng=burn_rng)
         self._components: tuple[Component, ...] = (
             self._membership,
             self._ownership,
             self._admission,
             self._claims,
+            self._burn,
             self._requests,
         )
 
@@ -128,6 +133,29 @@
         """Whether this daemon can serve callers: it knows where each service runs."""
         return self._ready
 
+    def reserve_link(
+        self, pool: PoolId, destination: RegionName, num_bytes: int, now: float
+    ) -> float | None:
+        """Reserve room for a piece of an answer on the link to another region.
+
+        Parameters
+        ----------
+        pool
+            Pool that the answer comes from.
+        destination
+            Region of the entry daemon.
+        num_bytes
+            Length of the piece.
+        now
+            Seconds, monotonic.
+
+        Returns
+        -------
+        float or None
+            Seconds to wait before the piece is sent; None if there is no room in time.
+        """
+        return self._admission.reserve_link(pool, destination, num_bytes, now)
+
     def lookup_snapshot(self, now: float) -> LookupSnapshot:
         """Return what look-ups are answered from until the next snapshot."""
         peers = [peer for peer in self._membership.live(now) if peer.state == VmState.LIVE]
@@ -236,6 +264,7 @@
         if isinstance(event, UpstreamFinished):
             effects.extend(self._end_local(event, now))
         effects = self._loop_back(effects, now)
+        self._burn.note_ends(effects, now)
         if isinstance(event, Tick) and not self._ready:
             self._ready = self._is_ready(now)
         if isinstance(event, Tick) and self._done(now):
--- a/packages/gooseberryport-core/src/gooseberryport_core/messages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/messages.py
@@ -179,7 +179,7 @@
     serial
         Number of the heartbeat at its sender.
     heard
-        Members of the sender's region that it has heard within the heartbeat timeout.
+        Not used any more; empty.
     store
         Whether the sender reaches the key-value service.
     store_witness
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_burn.py
@@ -0,0 +1,284 @@
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gooseberryport_core._burn_counts import FOLD_AFTER_S
+from gooseberryport_core._views import Peer
+from gooseberryport_core.burn import (
+    BurnCounters,
+    BurnRecord,
+    Count,
+    History,
+    RegionCounts,
+    Severity,
+    burn_lines,
+    decode_record,
+    record_key,
+)
+from gooseberryport_core.config import Config, Service
+from gooseberryport_core.effects import SendMessage, StoreGet, StoreSwap
+from gooseberryport_core.events import (
+    MessageArrived,
+    StoreFailed,
+    StoreGot,
+    StoreValue,
+    StoreWritten,
+    Tick,
+)
+from gooseberryport_core.messages import CountNotice, ServiceCount, encode_message
+from gooseberryport_core.settings import NodeSettings
+from gooseberryport_core.types import VmState
+
+CFG = Config(version=1, services={"registry": Service(latency_objective_fraction=0.99)})
+KEY = record_key("mittelland")
+
+
+def notice(vm: str, incarnation: int, total: int) -> CountNotice:
+    return CountNotice(vm, incarnation, (ServiceCount("registry", total, total // 2, 0),))
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["a", "b"]),
+        st.integers(1, 3),
+        st.integers(0, 50),
+        st.sampled_from([0.0, 10.0, FOLD_AFTER_S]),
+    ),
+    max_size=25,
+)
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=300)
+@given(steps, st.randoms(use_true_random=False))
+def test_runs_count_once_in_any_order_and_outlive_their_vm(steps, rng):
+    """Against a naive sum of each run's largest figure; older runs of a VM end before newer."""
+    largest: dict[tuple[str, int], int] = {}
+    counts, wall, newest = RegionCounts(), 0.0, {"a": 0, "b": 0}
+    sent: list[CountNotice] = []
+    for vm, incarnation, grown, passed in steps:
+        wall += passed
+        newest[vm] = max(newest[vm], incarnation)
+        run = (vm, newest[vm])
+        largest[run] = largest.get(run, 0) + grown
+        sent.append(notice(*run, largest[run]))
+        counts.take(sent[-1], wall)
+        counts.take(rng.choice(sent[-3:]), wall)
+        if rng.random() < 0.5:
+            counts.fold(wall)
+        copied = counts.copy()
+        for each in copied.runs:
+            counts.merge_run(each)
+    assert counts.totals().get("registry", Count()).total == sum(largest.values())
+
+
+def test_late_word_of_an_older_run_is_not_counted_again():
+    counts = RegionCounts()
+    counts.take(notice("a", 1, 10), 0.0)
+    counts.take(notice("a", 2, 5), 0.0)
+    counts.fold(FOLD_AFTER_S)
+    counts.take(notice("a", 1, 10), FOLD_AFTER_S)
+    assert counts.totals()["registry"].total == 15
+
+
+class View:
+    """What membership of one daemon knows."""
+
+    def __init__(self, region: "Region", me: str) -> None:
+        self.region = region
+        self.me = me
+
+    def live(self, now: float) -> tuple[Peer, ...]:
+        return tuple(self.peer(vm) for vm in sorted(self.region.parts) if vm != self.me)
+
+    def peer(self, vm: str) -> Peer:
+        return Peer(vm, 1, "bern-a", "mittelland", VmState.LIVE, f"{vm}:1", "", 0.0)
+
+
+class Region:
+    """Daemons of one region with their burn counters, and the store that they write to."""
+
+    def __init__(self, *vms: str) -> None:
+        self.now = 0.0
+        self.value = StoreValue(KEY, b"", 0)
+        self.store_up = True
+        self.cut_off: set[str] = set()
+        self.writes = 0
+        self.parts = {vm: self.start(vm, 1) for vm in vms}
+
+    def start(self, vm: str, incarnation: int) -> BurnCounters:
+        me = NodeSettings(vm, incarnation, "bern-a", "mittelland", f"{vm}:1", "")
+        part = BurnCounters(settings=me, peers=View(self, vm), rng=random.Random(incarnation))
+        part.configure(CFG, self.now)
+        return part
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds)):
+            self.now += 1.0
+            for part in list(self.parts.values()):
+                self.carry(part, part.handle(Tick(1e9 + self.now), self.now))
+
+    def carry(self, part: BurnCounters, effects: list) -> None:
+        for effect in effects:
+            if isinstance(effect, SendMessage):
+                assert len(encode_message(effect.message)) < 1_200
+                target = self.parts.get(effect.address.partition(":")[0])
+                if target:
+                    target.handle(MessageArrived(effect.message, ""), self.now)
+            elif not self.store_up or part._settings.vm in self.cut_off:
+                part.handle(StoreFailed(effect.call_id, True), self.now)
+            elif isinstance(effect, StoreGet):
+                got = StoreGot(effect.call_id, (self.value,))
+                self.carry(part, part.handle(got, self.now))
+            elif isinstance(effect, StoreSwap):
+                applied = effect.expected == self.value.revision
+                if applied:
+                    self.writes += 1
+                    self.value = StoreValue(KEY, effect.value, self.value.revision + 1)
+                part.handle(StoreWritten(effect.call_id, applied, self.value), self.now)
+
+    def serve(self, vm: str, requests: int, failed: bool = False) -> None:
+        for _ in range(requests):
+            self.parts[vm].record("registry", duration_s=0.1, failed=failed)
+
+    @property
+    def total(self) -> int:
+        record = decode_record(self.value.value) if self.value.value else BurnRecord("mittelland")
+        return record.counts.totals().get("registry", Count()).total
+
+
+def test_record_holds_every_request_once_and_writes_do_not_grow_with_them():
+    quiet, busy = Region("a", "b", "c"), Region("a", "b", "c")
+    for _ in range(30):
+        for vm in busy.parts:
+            busy.serve(vm, 7)
+        busy.run(20)
+        quiet.run(20)
+    busy.run(120)
+    quiet.run(120)
+    assert busy.total == 30 * 7 * 3
+    assert busy.writes <= quiet.writes + 1
+    assert busy.writes <= 720 / 57
+
+
+def test_counts_outlive_replaced_vms_and_a_dead_writer():
+    region = Region("a", "b", "c")
+    served = 0
+    for vm in ("a", "b", "c", "a", "b", "c"):
+        for each in region.parts:
+            region.serve(each, 5)
+        served += 15
+        region.run(90)
+        region.parts.pop(vm)
+        region.run(200)
+        region.parts[vm] = region.start(vm, round(region.now) + 2)
+    region.run(300)
+    assert region.total == served
+
+
+def test_store_outage_loses_no_count():
+    region = Region("a", "b")
+    region.serve("a", 5)
+    region.run(100)
+    region.store_up = False
+    region.serve("a", 6)
+    region.serve("b", 7)
+    region.run(500)
+    region.store_up = True
+    region.run(200)
+    assert region.total == 18
+
+
+@pytest.mark.parametrize("cut_off", ["a", "b"])
+def test_the_other_writer_steps_in_for_one_that_cannot_reach_the_store(cut_off):
+    region = Region("a", "b")
+    region.cut_off.add(cut_off)
+    region.serve("a", 5)
+    region.serve("b", 6)
+    region.run(400)
+    assert region.total == 11
+
+
+def test_count_that_arrives_during_a_write_is_kept():
+    region = Region("a")
+    part = region.parts["a"]
+    region.serve("a", 1)
+    region.run(100)
+    writes = []
+    while not writes:
+        region.now += 1.0
+        effects = part.handle(Tick(1e9 + region.now), region.now)
+        part.handle(MessageArrived(notice("b", 1, 4), ""), region.now)
+        for get in [effect for effect in effects if isinstance(effect, StoreGet)]:
+            writes = part.handle(StoreGot(get.call_id, (region.value,)), region.now)
+    part.handle(MessageArrived(notice("b", 1, 9), ""), region.now)
+    region.carry(part, writes)
+    region.run(100)
+    assert region.total == 1 + 9
+
+
+def test_two_that_both_write_do_not_double():
+    region = Region("a", "b")
+    alone = dict(region.parts)
+    region.serve("a", 5)
+    region.run(30)
+    for vm, part in alone.items():
+        region.parts = {vm: part}
+        region.run(400)
+    region.parts = alone
+    region.run(200)
+    assert region.total == 5
+
+
+@pytest.mark.parametrize("samples", [0, 1, 500])
+def test_history_keeps_its_windows_through_the_store_form(samples):
+    history = History()
+    for n in range(samples):
+        history.add(1e9 + 60 * n, {"registry": Count(100 * n, 3 * n, n)})
+    back = History.decode(history.encode())
+    assert back.encode() == history.encode()
+    assert len(back.fine_samples("registry")) == min(samples, 420)
+    if samples == 500:
+        now = 1e9 + 60 * 499
+        assert back.at("registry", now - 3600).count.total == 100 * (499 - 60)
+        assert back.first("registry").count.total == 0
+    with pytest.raises(ValueError, match="damaged"):
+        History.decode(b"nonsense")
+
+
+def burnt(bad_per_minute: list[int]) -> History:
+    history, total, bad = History(), 0, 0
+    for n, each in enumerate(bad_per_minute):
+        total, bad = total + 100, bad + each
+        history.add(1e9 + 60 * n, {"registry": Count(total, bad, 0)})
+    return history
+
+
+@pytest.mark.parametrize(
+    ("bad_per_minute", "severity"),
+    [
+        ([0] * 400, Severity.NONE),
+        ([0] * 340 + [20] * 60, Severity.PAGE),
+        ([20] * 340 + [0] * 60, Severity.TICKET),
+        ([7] * 400, Severity.PAGE),
+        ([2] * 400, Severity.TICKET),
+    ],
+)
+def test_severity_needs_both_windows_of_a_rule(bad_per_minute, severity):
+    wall = 1e9 + 60 * (len(bad_per_minute) - 1)
+    lines = burn_lines(CFG, {"mittelland": burnt(bad_per_minute)}, wall)
+    latency, success = lines
+    assert (latency.severity, success.severity) == (severity, Severity.NONE)
+    assert latency.windows[0].total == 500
+
+
+def test_regions_add_up():
+    histories = {"mittelland": burnt([1] * 10), "ticino": burnt([3] * 10)}
+    found = burn_lines(CFG, histories, 1e9 + 540)
+    lines = {line.region: line for line in found if line.target == 0.99}
+    window = lines["all"].windows[0]
+    assert (window.total, window.bad) == (1000, 20)
+    assert window.rate == pytest.approx(2.0)
+    assert msgspec.json.encode(lines["all"])
