Test the ranking of pools, and make the admission machine reach full slots

Cause: with the slot guards taken out the state machine still passed: it seldom filled a pool. A pool whose only upstream fails at once had no test, and drew work without bound until an answer had been measured. Change: bursts in the machine, and moves followed to the reserved slot; the usual service time is assumed before the first answer; test_routing.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
@@ -4,6 +4,7 @@
 
 import random
 
+from gooseberryport_core._beliefs import UNMEASURED_SERVICE_S
 from gooseberryport_core._drains import Drains
 from gooseberryport_core._health import Evidence
 from gooseberryport_core._pool import Pool
@@ -321,7 +322,8 @@
             since = min(now, entry.cancelled_at)
             self._linger(pool, entry, since, entry.expires_at + LINGER_GRACE_S)
             return self._serving.serve(pool, now)
-        usual_end = entry.started_at + pool.service_time.mean_s
+        usual_s = pool.service_time.mean_s or UNMEASURED_SERVICE_S
+        usual_end = entry.started_at + usual_s
         if evidence is Evidence.GOOD or usual_end <= now:
             pool.slots.release(entry.upstream)
         else:
--- a/packages/gooseberryport-core/tests/test_admission.py
+++ b/packages/gooseberryport-core/tests/test_admission.py
@@ -10,6 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from gooseberryport_core._admission import LINGER_GRACE_S, Admission
+from gooseberryport_core._beliefs import UNMEASURED_SERVICE_S
 from gooseberryport_core._invariants import raising
 from gooseberryport_core._serving import GRANT_TIMEOUT_S
 from gooseberryport_core._views import Holding, Owner, Peer, RemoteLoad
@@ -268,6 +269,9 @@
     assert patient not in owner.refusals()
 
 
+NO_CAP = 1_000
+
+
 class AdmissionMachine(RuleBasedStateMachine):
     """Any order of events; a naive count of what each upstream runs is kept beside."""
 
@@ -275,7 +279,7 @@
     def begin(self, cap: int) -> None:
         self.owner = Owner1(make_cfg(slots=2, cap=cap))
         self.slots = 2
-        self.cap = cap or 8
+        self.cap = cap or NO_CAP
         self.seen = 0
         self.offered: set[str] = set()
         self.ended: set[str] = set()
@@ -295,6 +299,15 @@
         self.offered.add(name)
         self.absorb()
 
+    @rule(pool=st.sampled_from(POOLS), count=st.integers(2, 8))
+    def burst(self, pool: PoolId, count: int) -> None:
+        """Offer many requests at once, and let every granted one run."""
+        for _ in range(count):
+            self.offer(2.0, pool, first_try=True, stale=0)
+        for name in self.waiting_for_body():
+            self.owner.start(name)
+            self.absorb()
+
     def waiting_for_body(self) -> list[str]:
         return [name for name in self.owner.granted() if name not in self.ended | set(self.running)]
 
@@ -332,7 +345,7 @@
     @rule(slots=st.sampled_from([1, 2, 3]))
     def configure(self, slots: int) -> None:
         self.slots = slots
-        cap = 0 if self.cap == 8 else self.cap
+        cap = 0 if self.cap == NO_CAP else self.cap
         self.owner.configure(make_cfg(slots=slots, cap=cap))
         self.absorb()
 
@@ -344,6 +357,7 @@
     def absorb(self) -> None:
         """Take the new effects into the naive count."""
         owner = self.owner
+        moves: list[Moved] = []
         for effect in owner.effects[self.seen :]:
             if isinstance(effect, StartUpstream):
                 self.check_start(effect)
@@ -354,7 +368,13 @@
                 name = effect.reply.ticket_id
                 assert name not in self.ended and name not in self.running
                 self.ended.add(name)
+                if isinstance(effect.reply, Moved):
+                    moves.append(effect.reply)
         self.seen = len(owner.effects)
+        for move in moves:
+            self.offered.add(owner.offer(2.0, move.pool, reserved=move.upstream, epoch=move.epoch))
+        if moves:
+            self.absorb()
 
     @property
     def upstream_of(self) -> dict[str, str]:
@@ -426,6 +446,12 @@
     assert starts["bern-a-0"] < 0.3 * starts["bern-a-1"]
 
 
+def test_pool_whose_only_upstream_fails_fast_draws_no_more_work_than_answers() -> None:
+    owner = Owner1(make_cfg(slots=1, per_pool=1))
+    starts = run_all(owner, 10.0, AttemptOutcome.SHED, 503)
+    assert 50 < starts["bern-a-0"] <= 10.0 / UNMEASURED_SERVICE_S
+
+
 @pytest.mark.parametrize("mark", ["leaving", "drained"])
 def test_no_new_work_goes_to_an_upstream_that_leaves(mark: str) -> None:
     cfg = make_cfg(slots=4, per_pool=1, upstreams=2)
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_routing.py
@@ -0,0 +1,110 @@
+import random
+from collections import Counter
+
+import pytest
+
+from gooseberryport_core._beliefs import PoolBelief
+from gooseberryport_core._routing import FIGURES_TIMEOUT_S, Router
+from gooseberryport_core._views import Holding, Owner, Peer, RemoteLoad
+from gooseberryport_core.config import Config, Region, Service, Upstream
+from gooseberryport_core.messages import PoolLoad
+from gooseberryport_core.settings import NodeSettings
+from gooseberryport_core.types import PoolId
+
+SERVICE = "proofroom"
+ZONES = {"kgn-a": "kingston", "kgn-b": "kingston", "mbj-a": "montego"}
+POOLS = {zone: PoolId(SERVICE, zone) for zone in ZONES}
+CFG = Config(
+    version=1,
+    regions={"kingston": Region(("kgn-a", "kgn-b")), "montego": Region(("mbj-a",))},
+    services={SERVICE: Service(slots=3)},
+    upstreams={
+        f"{zone}-{i}": Upstream(SERVICE, zone, "10.0.0.1:80") for zone in ZONES for i in range(4)
+    },
+)
+
+
+class FakeView:
+    """Every pool is owned; loads are what a test sets."""
+
+    def __init__(self) -> None:
+        self.remote: tuple[RemoteLoad, ...] = ()
+
+    def owner_of(self, pool: PoolId) -> Owner | None:
+        return Owner(f"vm-{pool.zone}", 1)
+
+    def holding(self, pool: PoolId, now: float) -> Holding | None:
+        return None
+
+    def holdings(self, now: float) -> dict[PoolId, Holding]:
+        return {}
+
+    def live(self, now: float) -> tuple[Peer, ...]:
+        return ()
+
+    def peer(self, vm: str) -> Peer | None:
+        return None
+
+    def loads(self, now: float) -> tuple[RemoteLoad, ...]:
+        return self.remote
+
+
+def make_router(**loads: PoolLoad) -> tuple[Router, FakeView]:
+    view = FakeView()
+    node = NodeSettings("vm-1", 1, "kgn-a", "kingston", "127.0.0.1:1", "127.0.0.1:2")
+    router = Router(settings=node, owners=view, peers=view, rng=random.Random(2))
+    router.configure(CFG, 0.0)
+    return router, view
+
+
+def tell(view: FakeView, age_s: float = 0.0, **figures: tuple[int, int, int]) -> None:
+    view.remote = tuple(
+        RemoteLoad("vm", PoolLoad(POOLS[zone.replace("_", "-")], 1, *figure, 0.0, 0.1), age_s)
+        for zone, figure in figures.items()
+    )
+
+
+def first(router: Router, now: float) -> str:
+    return router.rank(SERVICE, "kingston", now)[0].zone
+
+
+def test_near_pool_with_free_slots_comes_first_and_the_far_region_last() -> None:
+    router, view = make_router()
+    tell(view, kgn_a=(12, 2, 0), kgn_b=(12, 2, 0), mbj_a=(12, 0, 0))
+    assert [p.zone for p in router.rank(SERVICE, "kingston", 1.0)] == list(ZONES)
+
+
+def test_full_pools_give_way_to_free_ones_and_drained_ones_come_last() -> None:
+    router, view = make_router()
+    tell(view, kgn_a=(12, 12, 20), kgn_b=(12, 3, 0), mbj_a=(0, 0, 0))
+    assert [p.zone for p in router.rank(SERVICE, "kingston", 1.0)] == ["kgn-b", "kgn-a", "mbj-a"]
+    tell(view, kgn_a=(12, 12, 20), kgn_b=(12, 12, 20), mbj_a=(12, 3, 0))
+    assert first(router, 2.0) == "mbj-a"
+
+
+@pytest.mark.parametrize("figure", [(0, 0, 0), (12, 0, 0), (12, 12, 999)])
+def test_old_figures_mean_configured_capacity_neither_empty_nor_endless(
+    figure: tuple[int, int, int],
+) -> None:
+    router, view = make_router()
+    tell(view, FIGURES_TIMEOUT_S + 0.1, kgn_a=figure, kgn_b=figure, mbj_a=figure)
+    chosen = Counter(first(router, 5.0 + i / 1_000) for i in range(60))
+    assert set(chosen) == set(ZONES)
+    assert chosen["kgn-a"] >= chosen["kgn-b"] >= chosen["mbj-a"]
+
+
+def test_what_was_sent_since_the_figure_counts() -> None:
+    router, view = make_router()
+    tell(view, kgn_a=(12, 10, 0), kgn_b=(12, 2, 0), mbj_a=(12, 0, 0))
+    chosen = [first(router, 1.0) for _ in range(5)]
+    assert chosen == ["kgn-a", "kgn-a", "kgn-a", "kgn-b", "kgn-b"]
+
+
+def test_wait_grows_with_the_age_of_a_good_figure_and_falls_with_that_of_a_bad_one() -> None:
+    waits = []
+    for busy, queued in ((0, 0), (12, 30)):
+        belief = PoolBelief(12)
+        belief.take(PoolLoad(POOLS["kgn-a"], 1, 12, busy, queued, 0.0, 0.1), 10.0)
+        waits.append([belief.wait_s(10.0 + age) for age in (0.0, 0.3, 1.0)])
+    assert waits[0] == sorted(waits[0])
+    assert waits[1] == sorted(waits[1], reverse=True)
