Report service-level burn as table, JSON and a page with plots

Change: gooseberryport report burn [--json] [--html FILE]; the page is one file with inline SVG. No browser is on this machine, so the page was not looked at as rendered.

--- /dev/null
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/_report_commands.py
@@ -0,0 +1,99 @@
+"""Reports for operators."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import msgspec
+from rich.table import Table
+from rich.text import Text
+
+from gooseberryport_cli.burn_page import render_page, show_window
+from gooseberryport_cli.context import Context
+from gooseberryport_cli.errors import StoreDamagedError
+from gooseberryport_cli.tables import make_table
+from gooseberryport_cli.times import show_age
+from gooseberryport_core.burn import (
+    BURN_PREFIX,
+    BurnLine,
+    BurnWindow,
+    History,
+    burn_lines,
+    decode_record,
+)
+from gooseberryport_core.types import RegionName
+
+
+@dataclass
+class Burn:
+    """Show how fast each service spends its error budget, by region and window."""
+
+    html: Annotated[
+        str, cappa.Arg(long=True, value_name="FILE", help="Also write a page with plots")
+    ] = ""
+
+    def run(self, ctx: Context) -> None:
+        """Run the command."""
+        with ctx.publisher() as publisher:
+            head = publisher.head()
+            cfg = publisher.config(head)
+            values = publisher.values(BURN_PREFIX)
+        wall = ctx.world.wall()
+        histories = _histories(values)
+        lines = burn_lines(cfg, histories, wall)
+        if self.html:
+            ctx.world.write_file(self.html, render_page(cfg, lines, histories, wall))
+        note = [] if lines else [Text("nothing was counted yet")]
+        ctx.show(lines, _burn_table(lines), *note)
+
+
+@dataclass
+class Report:
+    """Make a report."""
+
+    command: cappa.Subcommands[Burn]
+
+    def run(self, ctx: Context) -> None:
+        """Run the report that was asked for."""
+        self.command.run(ctx)
+
+
+def _histories(values: Mapping[str, bytes]) -> dict[RegionName, History]:
+    histories = {}
+    for key, value in values.items():
+        try:
+            record = decode_record(value)
+            histories[record.region] = History.decode(record.history)
+        except (msgspec.MsgspecError, ValueError) as exc:
+            raise StoreDamagedError(key=key, detail=str(exc)) from exc
+    return histories
+
+
+def _burn_table(lines: tuple[BurnLine, ...]) -> Table:
+    windows = [show_window(window.window_s) for window in lines[0].windows] if lines else []
+    columns = ("SERVICE", "REGION", "OBJECTIVE", "TARGET", *windows, "AGE", "ASKS FOR")
+    table = make_table("Burn rate (1 spends the budget exactly)", *columns)
+    for line in lines:
+        rates = [_show_rate(window) for window in line.windows]
+        target = f"{line.target:.2%}"
+        asks = line.severity.value
+        table.add_row(
+            line.service,
+            line.region,
+            line.objective.value,
+            target,
+            *rates,
+            show_age(line.age_s),
+            asks,
+        )
+    return table
+
+
+def _show_rate(window: BurnWindow) -> str:
+    if not window.total:
+        return "-"
+    short = "" if window.covered_s >= 0.9 * window.window_s else "*"
+    return f"{window.rate:.2f}{short}"
--- a/packages/gooseberryport-cli/src/gooseberryport_cli/_rule_commands.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/_rule_commands.py
@@ -12,11 +12,8 @@
 from gooseberryport_cli._publish_options import PublishOptions, publish_draft
 from gooseberryport_cli.context import Context
 from gooseberryport_cli.errors import UsageError
-from gooseberryport_cli.publishing import Publisher
 from gooseberryport_cli.times import parse_time
 from gooseberryport_core.config import Config, Drain, Shift
-from gooseberryport_core.config_files import check_files
-from gooseberryport_core.config_store import Head
 from gooseberryport_core.types import RegionName, RuleName, ServiceName, UpstreamId, ZoneName
 
 DRAIN_FILE = "90-drain-{}.json"
@@ -43,7 +40,7 @@
         start = parse_time(self.at, ctx.world.wall())
         with ctx.publisher() as publisher:
             head = publisher.head()
-            cfg = _config(publisher, head)
+            cfg = publisher.config(head)
             drain = Drain(
                 upstream=UpstreamId(self.name if self.name in cfg.upstreams else ""),
                 availability_zone=ZoneName(self.name if self.name in _zones(cfg) else ""),
@@ -114,14 +111,6 @@
         _remove_rule(ctx, self, "shifts", self.name, f"unshift {self.name}")
 
 
-def _config(publisher: Publisher, head: Head) -> Config:
-    cfg = check_files(publisher.files(head.files), head.version).cfg
-    if cfg is None or not head.version:
-        remedy = "publish a folder with `apply` first"
-        raise UsageError(message="no configuration is published", remedy=remedy)
-    return cfg
-
-
 def _zones(cfg: Config) -> set[ZoneName]:
     return {zone for region in cfg.regions.values() for zone in region.availability_zones}
 
--- a/packages/gooseberryport-cli/src/gooseberryport_cli/main.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/main.py
@@ -19,6 +19,7 @@
     Schema,
     Show,
 )
+from gooseberryport_cli._report_commands import Report
 from gooseberryport_cli._rule_commands import DrainCommand, ShiftCommand, Undrain, Unshift
 from gooseberryport_cli._view_commands import PROGRAM, Completion, Explain, Status
 from gooseberryport_cli.context import Context, Options
@@ -49,6 +50,7 @@
         | Unshift
         | Status
         | Explain
+        | Report
         | Schema
         | Completion
     ]
--- a/packages/gooseberryport-cli/src/gooseberryport_cli/publishing.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/publishing.py
@@ -16,6 +16,7 @@
     StoreError,
     UsageError,
 )
+from gooseberryport_core.config import Config
 from gooseberryport_core.config_files import CheckedConfig, check_files
 from gooseberryport_core.config_store import (
     HEAD_KEY,
@@ -95,6 +96,18 @@
         """Return the content of files."""
         return {name: self.content(entry) for name, entry in entries.items()}
 
+    def config(self, head: Head) -> Config:
+        """Return the merged configuration; raises `UsageError` if none is published."""
+        cfg = check_files(self.files(head.files), head.version).cfg
+        if cfg is None or not head.version:
+            remedy = "publish a folder with `apply` first"
+            raise UsageError(message="no configuration is published", remedy=remedy)
+        return cfg
+
+    def values(self, prefix: str) -> dict[str, bytes]:
+        """Return the values of all keys that start with a prefix."""
+        return {each.key: each.value for each in _unwrap(self._store.list_prefix(prefix))}
+
     def content(self, entry: FileEntry) -> bytes:
         """Return the content of one file."""
         for digest in entry.parts:
--- a/packages/gooseberryport-cli/tests/test_commands.py
+++ b/packages/gooseberryport-cli/tests/test_commands.py
@@ -1,10 +1,14 @@
 import json
+import re
+from xml.etree import ElementTree
 
 import msgspec
 import pytest
 
 from gooseberryport_cli.times import parse_time
+from gooseberryport_core.burn import BurnRecord, Count, History, RegionCounts, record_key
 from gooseberryport_core.config_store import HEAD_KEY
+from gooseberryport_core.events import StoreValue
 from gooseberryport_core.status import (
     Candidate,
     Explanation,
@@ -215,6 +219,31 @@
     assert json.loads(runner.run(*words, "--json"))["rule"] == "away"
 
 
+def test_burn_report_as_table_json_and_page(runner):
+    runner.add_folder("ops")
+    runner.run("report", "burn", code=2)
+    runner.run("apply", "ops")
+    assert "nothing was counted yet" in runner.run("report", "burn")
+    for region, slow in (("mittelland", 20), ("ticino", 0)):
+        history = History()
+        for n in range(120):
+            counts = {"dressing-registry": Count(100 * n, slow * n, 0)}
+            history.add(runner.now - 60 * (119 - n), counts)
+        record = BurnRecord(region, runner.now, RegionCounts(), history.encode())
+        value = msgspec.msgpack.encode(record)
+        runner.fake_store.swap(record_key(region), value, 0)
+    out = runner.run("report", "burn", "--html", "burn.html")
+    assert re.search(r"dressing-registry +mittelland +latency +99.00% +20.00 .* page", out)
+    lines = json.loads(runner.run("report", "burn", "--json"))
+    assert {line["region"] for line in lines} == {"mittelland", "ticino", "all"}
+    page = runner.written["burn.html"]
+    assert page.count("<polyline") == 4
+    assert "http" not in page
+    ElementTree.fromstring(re.search(r"<svg.*?</svg>", page)[0])
+    runner.fake_store.values[record_key("ticino")] = StoreValue(record_key("ticino"), b"x", 9)
+    runner.run("report", "burn", code=1)
+
+
 def test_wrong_use_exits_with_2_and_help_with_0(runner):
     runner.run("aply", code=2)
     runner.run("apply", code=2)
--- a/packages/gooseberryport-core/src/gooseberryport_core/_burn_report.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_burn_report.py
@@ -173,6 +173,22 @@
     return BurnWindow(window_s, covered_s, total, bad, share / (1.0 - target))
 
 
+def burn_series(
+    cfg: Config,
+    history: History,
+    service: ServiceName,
+    objective: Objective,
+    window_s: int,
+) -> list[tuple[int, float]]:
+    """Return the burn rate over a window, at each fine sample; for plots."""
+    target = target_of(cfg, service, objective)
+    samples = history.fine_samples(service)
+    return [
+        (each.at, burn_window([history], service, objective, target, each.at, window_s).rate)
+        for each in samples
+    ]
+
+
 def bad_of(count: Count, objective: Objective) -> int:
     """Return how many requests missed an objective."""
     return count.slow if objective == Objective.LATENCY else count.failed
--- a/packages/gooseberryport-core/src/gooseberryport_core/burn.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/burn.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from gooseberryport_core._burn_counts import Count, RegionCounts, RunCounts, service_counts
-from gooseberryport_core._burn_report import BurnLine, BurnWindow, Severity, burn_lines
+from gooseberryport_core._burn_report import BurnLine, BurnWindow, Severity, burn_lines, burn_series
 from gooseberryport_core._history import History, Sample
 from gooseberryport_core._store_calls import StoreCall, StoreUser
 from gooseberryport_core._views import Peers
@@ -52,6 +52,7 @@
     "Sample",
     "Severity",
     "burn_lines",
+    "burn_series",
     "decode_record",
     "record_key",
 ]
