--- a/standins/src/gooseberryport_standins/bench.py
+++ b/standins/src/gooseberryport_standins/bench.py
@@ -15,6 +15,7 @@
 BENCHES = {
     "lookup": "gooseberryport_standins.bench_lookup",
     "control": "gooseberryport_standins.bench_control",
+    "burn": "gooseberryport_standins.bench_burn",
     "process": "gooseberryport_standins.bench_process",
 }
 """Module of each benchmark; its function ``run(seed)`` returns a `BenchReport`."""
