Go on through an outage that begins during a handover, and read the VM list with care

A holder whose table was one revision behind its witnesses' got no yes and no table either, and stopped 2 s into an outage. A pool whose handover had begun stayed stopped for the whole outage. The VM list was read once per VM. Change: a witness that must refuse sends its newer table. A pool whose release was not sent yet is used on while the service is down; one whose release was sent stays stopped, as the write may have taken effect. A VM counts as gone only after 10 s of absence from every reading and of silence; duplicates, older incarnations and regions not known yet are handled. Heartbeats name ten pools at most, in turn, so that each fits into a datagram. A pool whose release was on its way when an outage begins is lost for the outage.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_holdings.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_holdings.py
@@ -28,6 +28,8 @@
         Then the former owner certainly had stopped starting work.
     stopped
         Whether admission has ended, because the pool is to be handed over.
+    release_sent
+        Whether a write that gives the pool up was sent, and may take effect yet.
     """
 
     grant: Grant
@@ -36,6 +38,7 @@
     active_from: float
     former_end: float
     stopped: bool = False
+    release_sent: bool = False
 
     @property
     def epoch(self) -> Epoch:
@@ -79,8 +82,7 @@
     def take(self, seen: SeenTable, now: float) -> None:
         """Take a newer table of the region.
 
-        A release that was sent before it can take effect no more, so a pool whose successor the
-        table has withdrawn is used again.
+        A release that was sent before it can take effect no more.
         """
         holds: dict[PoolId, _Hold] = {}
         for grant in seen.table.grants_of(self._own):
@@ -89,8 +91,7 @@
                 start = now if grant.released else FOREVER
                 hold = _Hold(grant, seen.revision, now, start, NEVER)
             hold.grant = grant
-            if grant.successor == NO_MEMBER:
-                hold.stopped = False
+            hold.release_sent = False
             holds[grant.pool] = hold
         self._holds = holds
 
@@ -109,11 +110,25 @@
             hold.active_from = clear_at(hold.revision)
             hold.former_end = max(hold.active_from, lease_end)
 
-    def stop(self, pools: Callable[[PoolId], bool]) -> None:
-        """End admission of the pools that have a successor, or for which `pools` is true."""
+    def stop(self, must: Callable[[PoolId], bool], *, reachable: bool) -> None:
+        """End admission of the pools that are to be handed over.
+
+        Parameters
+        ----------
+        must
+            Whether a pool is given up even if nobody takes it.
+        reachable
+            Whether the key-value service answers. If not, a pool with a successor is used on,
+            unless a write that gives it up was sent already.
+        """
         for pool, hold in self._holds.items():
-            if hold.grant.successor != NO_MEMBER or pools(pool):
-                hold.stopped = True
+            handing_over = reachable and hold.grant.successor != NO_MEMBER
+            hold.stopped = hold.release_sent or handing_over or must(pool)
+
+    def release_was_sent(self, releases: list[Release]) -> None:
+        """Remember that a write which gives pools up was sent."""
+        for release in releases:
+            self._holds[release.pool].release_sent = True
 
     def releases(self, max_attempt_s: Callable[[PoolId], float], now: float) -> list[Release]:
         """Return the pools that may be given up now.
--- a/packages/gooseberryport-core/src/gooseberryport_core/_membership.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_membership.py
@@ -5,7 +5,10 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from gooseberryport_core._views import HeartbeatFacts, Peer, RemoteLoad
+from gooseberryport_core._vm_list import VmListing
 from gooseberryport_core.config import Config, region_of_zone
 from gooseberryport_core.effects import Effect, SendMessage
 from gooseberryport_core.events import Event, MessageArrived, Tick, VmListArrived
@@ -14,6 +17,8 @@
 from gooseberryport_core.types import RegionName, VmId, VmState
 
 NEVER = float("-inf")
+MOST_POOLS = 10
+"""Most pools whose load one heartbeat tells, so that it fits into a datagram."""
 
 
 class Membership:
@@ -41,21 +46,27 @@
         self._facts = facts
         self._cfg = Config()
         self._peers: dict[VmId, Peer] = {}
+        self._listing = VmListing()
         self._loads: dict[VmId, tuple[PoolLoad, ...]] = {}
+        self._heard_states: dict[VmId, VmState] = {}
         self._serial = 0
         self._next_send = NEVER
 
     def configure(self, cfg: Config, now: float) -> list[Effect]:
-        """Take a newer configuration."""
+        """Take a newer configuration, by which listed VMs get their regions."""
         self._cfg = cfg
+        self._place_listed()
         return []
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Handle an event."""
         if isinstance(event, Tick):
+            self._set_states(now)
             return self._send_heartbeats(now)
         if isinstance(event, VmListArrived):
-            self._take_list(event)
+            self._listing.take(event.vms, now)
+            self._place_listed()
+            self._set_states(now)
         if isinstance(event, MessageArrived) and isinstance(event.message, Heartbeat):
             self._take_heartbeat(event.message, now)
         return []
@@ -77,15 +88,25 @@
             for load in self._loads.get(peer.vm, ())
         )
 
-    def _take_list(self, event: VmListArrived) -> None:
-        for line in event.vms:
-            if line.vm == self._settings.vm or line.vm in self._peers:
+    def _place_listed(self) -> None:
+        """Know the VMs that are listed and were never heard."""
+        for line in self._listing.lines():
+            known = self._peers.get(line.vm)
+            if line.vm == self._settings.vm or (known and known.heard_at > NEVER):
                 continue
             region = region_of_zone(self._cfg, line.zone) or RegionName("")
             self._peers[line.vm] = Peer(
                 line.vm, line.incarnation, line.zone, region, line.state, line.address, "", NEVER
             )
 
+    def _set_states(self, now: float) -> None:
+        """Set what each peer's own word and the list together say."""
+        for vm, peer in list(self._peers.items()):
+            heard = self._heard_states.get(vm, VmState.LIVE)
+            state = self._listing.state(vm, peer.incarnation, heard, peer.heard_at, now)
+            if state != peer.state:
+                self._peers[vm] = msgspec.structs.replace(peer, state=state)
+
     def _take_heartbeat(self, beat: Heartbeat, now: float) -> None:
         known = self._peers.get(beat.vm)
         if beat.vm == self._settings.vm or (known and known.incarnation > beat.incarnation):
@@ -95,7 +116,7 @@
             beat.incarnation,
             beat.zone,
             beat.region,
-            beat.state,
+            self._listing.state(beat.vm, beat.incarnation, beat.state, now, now),
             beat.address,
             beat.http_address,
             now,
@@ -103,6 +124,7 @@
             beat.table_shape,
             beat.config_version,
         )
+        self._heard_states[beat.vm] = beat.state
         self._loads[beat.vm] = beat.pools
 
     def _send_heartbeats(self, now: float) -> list[Effect]:
@@ -120,7 +142,7 @@
     def _heartbeat(self, now: float) -> Heartbeat:
         me = self._settings
         facts = self._facts(now)
-        heard = tuple(peer.vm for peer in self.live(now) if peer.region == me.region)
+        pools = _some_pools(facts.pools, self._serial)
         return Heartbeat(
             vm=me.vm,
             incarnation=me.incarnation,
@@ -128,15 +150,23 @@
             region=me.region,
             state=facts.state,
             serial=self._serial,
-            heard=heard,
+            heard=(),
             store=facts.store,
             store_witness=facts.store_witness,
             lease_stamp=facts.lease_stamp,
             table_revision=facts.table_revision,
             config_version=facts.config_version,
-            pools=facts.pools,
+            pools=pools,
             address=me.address,
             http_address=me.http_address if facts.ready else "",
             key_prefix=facts.key_prefix,
             table_shape=facts.table_shape,
         )
+
+
+def _some_pools(pools: tuple[PoolLoad, ...], serial: int) -> tuple[PoolLoad, ...]:
+    """Return as many pools as a datagram holds, others with each heartbeat."""
+    if len(pools) <= MOST_POOLS:
+        return pools
+    first = serial * MOST_POOLS % len(pools)
+    return (*pools[first:], *pools[:first])[:MOST_POOLS]
--- a/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
@@ -19,7 +19,7 @@
 from gooseberryport_core.effects import Effect, LogEvent, LogLevel
 from gooseberryport_core.events import Event, MessageArrived, StopRequested, StoreWritten, Tick
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.messages import TableNotice, TableRequest, TableStamps
+from gooseberryport_core.messages import LeaseAsk, TableNotice, TableRequest, TableStamps
 from gooseberryport_core.settings import NodeSettings
 from gooseberryport_core.types import Epoch, PoolId, RegionName, StoreReach, VmId, VmState
 
@@ -209,6 +209,9 @@
         else:
             effects.extend(self._outage.message(event, now))
             self._activate()
+            if isinstance(message, LeaseAsk):
+                newer = TableRequest(message.region, message.revision)
+                effects.extend(self._spread.answer(newer, event.address))
         return effects
 
     def _take_stamps(self, message: TableStamps, address: str, now: float) -> list[Effect]:
@@ -282,7 +285,9 @@
         if self._stop_at is not None:
             deserted = now >= self._stop_at + self._cfg.limits.lookup_max_age_s
             self._gave_up = now >= self._stop_at + STOP_GRACE_S
-        self._holdings.stop(lambda pool: deserted or self._dropped(pool))
+        self._holdings.stop(
+            lambda pool: deserted or self._dropped(pool), reachable=not self._sync.silent(now)
+        )
 
     def _dropped(self, pool: PoolId) -> bool:
         return bool(self._pools) and pool not in self._pools
@@ -306,6 +311,7 @@
         self._next_write = now + self._settings.timing.renew_s
         if following == seen.table:
             return []
+        self._holdings.release_was_sent(releases)
         return self._sync.swap(following, now)
 
     def _due(self, seen: SeenTable, known: Knowledge, now: float) -> bool:
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_vm_list.py
@@ -0,0 +1,70 @@
+"""What the platform's VM list says of each VM, though it lags.
+
+A line that is missing proves nothing by itself: the list may have been read from a copy that is
+old. A VM counts as gone only once it was listed, and has then been absent from every reading for
+a while, and has not been heard either.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gooseberryport_core.events import ListedVm
+from gooseberryport_core.types import Incarnation, VmId, VmState
+
+GONE_AFTER_S = 10.0
+"""Time for which a VM must be absent from every reading, and silent, to count as gone; seconds."""
+
+
+class VmListing:
+    """Keep the newest line of each VM."""
+
+    def __init__(self) -> None:
+        self._lines: dict[VmId, ListedVm] = {}
+        self._absent_since: dict[VmId, float] = {}
+
+    def take(self, lines: Iterable[ListedVm], now: float) -> None:
+        """Take a reading of the list; of two lines for a VM the newer incarnation counts."""
+        found: dict[VmId, ListedVm] = {}
+        for line in lines:
+            other = found.get(line.vm)
+            if other is None or _rank(line) > _rank(other):
+                found[line.vm] = line
+        for vm in self._lines:
+            if vm not in found:
+                self._absent_since.setdefault(vm, now)
+        for vm in found:
+            self._absent_since.pop(vm, None)
+        self._lines.update(found)
+
+    def lines(self) -> tuple[ListedVm, ...]:
+        """Return the lines of the newest reading, by name."""
+        present = sorted(vm for vm in self._lines if vm not in self._absent_since)
+        return tuple(self._lines[vm] for vm in present)
+
+    def state(
+        self, vm: VmId, incarnation: Incarnation, heard: VmState, heard_at: float, now: float
+    ) -> VmState:
+        """Return a VM's state by its own word and the list's.
+
+        Parameters
+        ----------
+        incarnation, heard, heard_at
+            What its newest heartbeat said, and when it came; seconds, monotonic.
+        """
+        line = self._lines.get(vm)
+        if line is None:
+            return heard
+        absent_since = self._absent_since.get(vm)
+        if absent_since is not None:
+            gone = now >= max(absent_since, heard_at) + GONE_AFTER_S
+            return VmState.GONE if gone else heard
+        if line.incarnation and line.incarnation < incarnation:
+            return heard
+        if line.state == VmState.GONE:
+            return VmState.GONE if now >= heard_at + GONE_AFTER_S else VmState.LEAVING
+        return VmState.LEAVING if line.state == VmState.LEAVING else heard
+
+
+def _rank(line: ListedVm) -> tuple[int, bool]:
+    return (line.incarnation, line.state == VmState.LIVE)
