End a test's daemons at once

Cause: each small deployment took 3.2 s to close, as its daemons were asked to stop one after another. Ruled out: stopping them all at once (a graceful stop has a test of its own). Change: the harness kills what still runs when its context ends.

--- a/standins/src/gooseberryport_standins/daemons.py
+++ b/standins/src/gooseberryport_standins/daemons.py
@@ -17,7 +17,6 @@
 import urllib3
 
 from gooseberryport_core.status import StatusPage
-from gooseberryport_standins._process import end_process
 from gooseberryport_standins.vm_list import VmLine
 
 BINARY = "gooseberryportd"
@@ -176,9 +175,9 @@
         return DaemonFailedError(vm=self.plan.vm, detail=detail, log=self.log)
 
     def close(self) -> None:
-        """End it if it still runs, and its connections."""
+        """Kill it if it still runs, and end its connections."""
         self._pages.clear()
-        end_process(self.process, patience_s=1.0)
+        self.kill()
         self._reader.join(1.0)
         for stream in (self.process.stdout, self.process.stderr):
             if stream is not None:
@@ -208,7 +207,7 @@
 
 @contextmanager
 def running_daemons(plans: tuple[DaemonPlan, ...]) -> Iterator[dict[str, Daemon]]:
-    """Run daemons until the context ends; they listen when it begins."""
+    """Run daemons until the context ends, which kills those that run; they listen at its begin."""
     daemons: dict[str, Daemon] = {}
     try:
         for plan in plans:
@@ -217,8 +216,5 @@
             daemon.listen()
         yield daemons
     finally:
-        for daemon in daemons.values():
-            if daemon.process.poll() is None:
-                daemon.process.terminate()
         for daemon in daemons.values():
             daemon.close()
