Let callers drop an issued key under which nothing was sent

Ruled out: letting another daemon decide it (a first copy could have run at the dead one); the retry budget (no retry was made).

--- a/standins/src/gooseberryport_standins/_caller.py
+++ b/standins/src/gooseberryport_standins/_caller.py
@@ -242,6 +242,7 @@
         try:
             resp = self._send(entry.http_address)
         except (NewConnectionError, ConnectTimeoutError):
+            self._drop_unsent_key()
             return None
         except (HTTPError, OSError):
             self._in_doubt = True
@@ -250,6 +251,11 @@
             return self._problem(resp)
         return self._answered(resp)
 
+    def _drop_unsent_key(self) -> None:
+        """Take another issued key next, if no copy has left under this one."""
+        if self._plan.key == KeyKind.ISSUED and not self._in_doubt:
+            self._key = ""
+
     def _send(self, address: str) -> urllib3.BaseHTTPResponse:
         plan = self._plan
         left_s = max(self._deadline - time.monotonic(), 0.001)
