Leave the answer's way out of the time that an owner has

Cause: at 110% load answers arrived up to 10 ms after the caller's deadline: the owner took the time left at the sending of the ticket as its own. Change: the owner's deadline, and so the upstream's, is earlier by the ticket's and the answer's travel.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
@@ -11,6 +11,7 @@
 from gooseberryport_core._region_caps import region_shares
 from gooseberryport_core._serving import Serving, Timer, TimerKind, refusal
 from gooseberryport_core._tickets import Entry, TicketState
+from gooseberryport_core._travel import Travel
 from gooseberryport_core._views import Holding, Owners, Peers
 from gooseberryport_core.config import Config, pools_of
 from gooseberryport_core.effects import (
@@ -42,6 +43,7 @@
     RequestId,
     ServiceName,
     TicketId,
+    VmId,
 )
 
 LINGER_GRACE_S = 0.05
@@ -86,6 +88,7 @@
         self._peers = peers
         self._rng = rng
         self._cfg = Config()
+        self._travel = Travel(Config())
         self._serving = Serving(settings=settings, owners=owners, peers=peers, rng=rng)
         self._epochs: dict[PoolId, Epoch] = {}
         self._figures_at = float("-inf")
@@ -95,6 +98,7 @@
     def configure(self, cfg: Config, now: float) -> list[Effect]:
         """Take a newer configuration; what runs goes on, also where slots were lowered."""
         self._cfg = cfg
+        self._travel = Travel(cfg)
         self._serving.pulls.configure(cfg)
         self._serving.links.configure(cfg, now)
         members = pools_of(cfg)
@@ -221,7 +225,8 @@
         ticket = event.ticket
         if ticket.ticket_id in self._serving.entries:
             return []
-        entry = Entry(ticket, event.vm, now, now + ticket.remaining_s)
+        deadline = now + ticket.remaining_s - self._travel_s(event.vm, ticket.pool)
+        entry = Entry(ticket, event.vm, now, deadline)
         pool = self._serving.pools.get(ticket.pool)
         holding = self._serving.holding(pool, now) if pool is not None else None
         if pool is None or holding is None or holding.epoch != ticket.epoch:
@@ -241,6 +246,12 @@
         effects.extend(self._serving.serve(pool, now))
         return effects
 
+    def _travel_s(self, vm: VmId, pool: PoolId) -> float:
+        """Return the time that a ticket has travelled and its answer will travel; seconds."""
+        peer = self._peers.peer(vm)
+        zone = peer.zone if peer is not None else self._settings.zone
+        return 2 * self._travel.one_way_s(zone, pool.zone)
+
     def _refuse_early(
         self, pool: Pool, holding: Holding, entry: Entry, now: float
     ) -> Effect | None:
