--- a/packages/gooseberryport-platform/src/gooseberryport_platform/_consul.py
+++ b/packages/gooseberryport-platform/src/gooseberryport_platform/_consul.py
@@ -91,20 +91,12 @@
         return self._http.call(call).bind(self._applied).bind(lambda a: self._after(key, a))
 
     def watch(self, key: str, after: Revision, wait_s: float) -> Result[StoreValue, ServiceError]:
-        """Wait until a key's revision differs from `after`, then read it."""
+        """Wait until a key's revision differs from `after`, then read it.
+
+        The service may wake for other keys, so it is asked again until this key has changed.
+        """
         deadline = time.monotonic() + wait_s
         index = int(after)
-        if not index:
-            first = self._read(CallKind.GET, key)
-            if isinstance(first, Failure) or first.unwrap().values:
-                return first.map(lambda read: _single(key, read))
-            index = first.unwrap().index
-        return self._wait(key, after, index, deadline)
-
-    def _wait(
-        self, key: str, after: Revision, index: int, deadline: float
-    ) -> Result[StoreValue, ServiceError]:
-        """Ask again and again until the key has changed: the service may wake for other keys."""
         while True:
             left_s = max(deadline - time.monotonic(), 0.001)
             query = f"index={max(index, 1)}&wait={int(left_s * 1000) or 1}ms"
