Show a daemon's own pools in explain, and test status and explain

Cause: run against real processes, explain left out the load of the pool that the asked daemon owns. Change: explain_pools takes the daemon's own loads; a test of both queries that also shows that they change nothing.

--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -232,6 +232,7 @@
                 ranked=router.rank(service, region, now),
                 owners=self._ownership,
                 peers=self._membership,
+                own_loads=self._admission.loads(now),
                 now=now,
                 wall=wall,
             ),
--- a/packages/gooseberryport-core/src/gooseberryport_core/status.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/status.py
@@ -244,6 +244,7 @@
     ranked: Iterable[PoolId],
     owners: Owners,
     peers: Peers,
+    own_loads: Iterable[PoolLoad],
     now: float,
     wall: float,
 ) -> tuple[Candidate, ...]:
@@ -255,9 +256,12 @@
         Region that the request should be served in.
     ranked
         Pools in the order in which they would be tried.
+    own_loads
+        Loads of the pools that the daemon owns.
     """
     order = list(ranked)
     loads = {remote.load.pool: remote.load for remote in peers.loads(now)}
+    loads.update({load.pool: load for load in own_loads})
     found = []
     for pool, upstreams in pools_of(cfg).items():
         if pool.service != service:
--- a/packages/gooseberryport-core/tests/test_node.py
+++ b/packages/gooseberryport-core/tests/test_node.py
@@ -76,3 +76,18 @@
     done = UpstreamFinished(start.ticket_id, AttemptOutcome.ANSWERED, 200, 10, 0.1)
     effects = node.handle(done, 1.1)
     assert [e.request_id for e in effects if isinstance(e, StartUpstream)] == ["r2"]
+
+
+def test_status_and_explain_tell_what_the_node_knows_and_change_nothing() -> None:
+    node = make_node()
+    (start,) = node.handle(RequestArrived("r1", "dressing-registry", "10.0.0.1", "GET"), 1.0)
+    page = node.status(1.0, 100.0)
+    assert (page.version, page.regions[0].busy, page.regions[0].headroom) == (1, 1, 0)
+    assert [(pool.owner, pool.slots, pool.busy) for pool in page.pools] == [("vm-1", 1, 1)]
+    assert [(vm.vm, vm.config_version) for vm in page.vms] == [("vm-1", 1)]
+    found = node.explain("dressing-registry", "10.0.0.1", 1.0, 100.0)
+    assert (found.entries, found.region, found.block) == (("vm-1",), "mittelland", "10.0.0.0")
+    (candidate,) = found.candidates
+    assert candidate.rank == 1
+    assert "0 of 1 slots free" in candidate.reason
+    assert node.explain("dressing-registry", "10.0.0.1", 1.0, 100.0) == found
