Ask the pool whose work gains most, not the nearest that waits

Cause: a free slot asked its own region first, also for the single request of a short queue, while another region was far behind. Change: the target is the greatest expected wait less the way there and back.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_pulls.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_pulls.py
@@ -23,9 +23,6 @@
 LONGEST_BLIND_ASK_S = 1.0
 """Longest time between two asks without any figures; seconds."""
 
-WORTHWHILE = 1.0
-"""Times that the expected wait must exceed the travel before work crosses regions."""
-
 
 class _Belief(msgspec.Struct):
     """What is believed of another pool's queue.
@@ -112,21 +109,20 @@
             self._believe(remote.load, now - remote.age_s)
 
     def target(self, pool: PoolId, now: float) -> PoolId | None:
-        """Return the pool that a free slot of `pool` should ask, or None."""
+        """Return the pool whose work gains most from a free slot of `pool`, or None."""
         best: PoolId | None = None
-        best_rank = (False, 0.0)
+        best_gain_s = float("-inf")
         for other in self._pools.get(pool.service, ()):
             belief = self._beliefs.get(other)
             if other == pool or belief is None or belief.queued <= 0:
                 continue
             if self._address(other) is None:
                 continue
-            near = self._travel.region_of(other.zone) == self._travel.region_of(pool.zone)
-            if not near and not self._worthwhile(belief, pool, other):
+            gain_s = belief.wait_s - 2 * self._travel.one_way_s(other.zone, pool.zone)
+            if gain_s <= 0.0 and self._region(other) != self._region(pool):
                 continue
-            rank = (near, belief.wait_s + now - belief.at)
-            if best is None or rank > best_rank:
-                best, best_rank = other, rank
+            if gain_s > best_gain_s:
+                best, best_gain_s = other, gain_s
         return best or self._blind_target(pool, now)
 
     def keep(self, pool: PoolId, upstream: UpstreamId, asked: PoolId, now: float) -> int:
@@ -213,10 +209,6 @@
         wait_s = (load.queued + 1) * load.service_s / max(1, load.slots)
         self._beliefs[load.pool] = _Belief(at, load.queued, wait_s)
 
-    def _worthwhile(self, belief: _Belief, pool: PoolId, other: PoolId) -> bool:
-        way_s = 2 * self._travel.one_way_s(other.zone, pool.zone)
-        return belief.wait_s > WORTHWHILE * way_s
-
     def _blind_target(self, pool: PoolId, now: float) -> PoolId | None:
         """Return a pool without figures to ask, now and then, or None."""
         if now < self._blind_at.get(pool, 0.0):
