--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_status_queries.py
@@ -0,0 +1,238 @@
+"""Build the operators' pages from what the parts of a node know."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from gooseberryport_core._views import Owner, Owners, Peer, Peers
+from gooseberryport_core.config import Config, Drain, pools_of, region_of_zone, slots_of
+from gooseberryport_core.messages import PoolLoad
+from gooseberryport_core.status import (
+    UNKNOWN_AGE_S,
+    Candidate,
+    DrainStatus,
+    LinkStatus,
+    PoolStatus,
+    RegionStatus,
+    StatusPage,
+    VmStatus,
+)
+from gooseberryport_core.types import (
+    Epoch,
+    PoolId,
+    RegionName,
+    RuleName,
+    ServiceName,
+    UpstreamId,
+    VmId,
+)
+
+
+def build_status(
+    *,
+    me: Peer,
+    cfg: Config,
+    peers: Peers,
+    listed: Iterable[Peer],
+    owners: Owners,
+    own_loads: Iterable[PoolLoad],
+    now: float,
+    wall: float,
+) -> StatusPage:
+    """Return what a daemon knows.
+
+    Parameters
+    ----------
+    me
+        The daemon itself.
+    cfg
+        Configuration in force.
+    peers, owners
+        Queries of membership and ownership.
+    listed
+        Every other daemon known, heard in time or not.
+    own_loads
+        Loads of the pools that the daemon owns.
+    now, wall
+        Seconds, monotonic, and seconds since 1970-01-01 UTC.
+    """
+    loads = {remote.load.pool: (remote.load, remote.age_s) for remote in peers.loads(now)}
+    loads.update({load.pool: (load, 0.0) for load in own_loads})
+    pools = tuple(
+        _pool_status(cfg, pool, upstreams, owners.owner_of(pool), loads.get(pool))
+        for pool, upstreams in pools_of(cfg).items()
+    )
+    vms = [_vm_status(peer, now) for peer in (me, *listed)]
+    return StatusPage(
+        vm=me.vm,
+        version=cfg.version,
+        regions=tuple(_region_status(cfg, name, pools) for name in sorted(cfg.regions)),
+        links=tuple(_link_status(cfg, name) for name in sorted(cfg.links)),
+        pools=tuple(sorted(pools, key=lambda pool: (pool.service, pool.region, pool.zone))),
+        vms=tuple(sorted(vms, key=lambda vm: vm.vm)),
+        drains=tuple(_drain_status(cfg, name, wall) for name in sorted(cfg.drains)),
+    )
+
+
+def explain_pools(
+    *,
+    cfg: Config,
+    service: ServiceName,
+    region: RegionName,
+    ranked: Iterable[PoolId],
+    owners: Owners,
+    peers: Peers,
+    own_loads: Iterable[PoolLoad],
+    now: float,
+    wall: float,
+) -> tuple[Candidate, ...]:
+    """Return every pool of a service with the reason for its place in the order of trial.
+
+    Parameters
+    ----------
+    region
+        Region that the request should be served in.
+    ranked
+        Pools in the order in which they would be tried.
+    own_loads
+        Loads of the pools that the daemon owns.
+    """
+    order = list(ranked)
+    loads = {remote.load.pool: remote.load for remote in peers.loads(now)}
+    loads.update({load.pool: load for load in own_loads})
+    found = []
+    for pool, upstreams in pools_of(cfg).items():
+        if pool.service != service:
+            continue
+        owner = owners.owner_of(pool)
+        home = region_of_zone(cfg, pool.zone) or RegionName("")
+        rank = order.index(pool) + 1 if pool in order else 0
+        reason = _reason(cfg, pool, upstreams, rank, home == region, loads.get(pool), wall)
+        if owner is None:
+            reason = "has no owner that is known here"
+        vm = owner.vm if owner else VmId("")
+        found.append(Candidate(service, pool.zone, pool.shard, home, vm, rank, reason))
+    return tuple(sorted(found, key=lambda each: (each.rank == 0, each.rank, each.zone)))
+
+
+def drained_share(drain: Drain, wall: float) -> float:
+    """Return the part of new work that a drain takes away at `wall`, 0 to 1."""
+    if wall < drain.start:
+        return 0.0
+    if drain.ramp_s <= 0.0 or drain.start <= 0.0:
+        return 1.0
+    return min((wall - drain.start) / drain.ramp_s, 1.0)
+
+
+def _reason(
+    cfg: Config,
+    pool: PoolId,
+    upstreams: tuple[UpstreamId, ...],
+    rank: int,
+    near: bool,
+    load: PoolLoad | None,
+    wall: float,
+) -> str:
+    left = [name for name in upstreams if not _is_drained(cfg, name, wall)]
+    if not left:
+        return "every upstream is drained"
+    words = ["in the region that serves the client" if near else "in another region"]
+    if len(left) < len(upstreams):
+        words.append(f"{len(upstreams) - len(left)} of {len(upstreams)} upstreams drained")
+    if load is not None:
+        words.append(f"{max(load.slots - load.busy, 0)} of {load.slots} slots free")
+        words.append(f"{load.queued} waiting")
+    if rank == 0:
+        words.append("not among the pools that would be tried")
+    return ", ".join(words)
+
+
+def _is_drained(cfg: Config, name: UpstreamId, wall: float) -> bool:
+    upstream = cfg.upstreams[name]
+    region = region_of_zone(cfg, upstream.availability_zone)
+    for drain in cfg.drains.values():
+        if drain.service and drain.service != upstream.service:
+            continue
+        places = (drain.upstream, drain.availability_zone, drain.region)
+        hit = places in (
+            (name, "", ""),
+            ("", upstream.availability_zone, ""),
+            ("", "", region),
+        )
+        if hit and drained_share(drain, wall) >= 1.0:
+            return True
+    return False
+
+
+def _vm_status(peer: Peer, now: float) -> VmStatus:
+    heard = peer.heard_at > float("-inf")
+    return VmStatus(
+        vm=peer.vm,
+        zone=peer.zone,
+        region=peer.region,
+        state=peer.state,
+        http_address=peer.http_address,
+        config_version=peer.config_version,
+        age_s=now - peer.heard_at if heard else UNKNOWN_AGE_S,
+    )
+
+
+def _pool_status(
+    cfg: Config,
+    pool: PoolId,
+    upstreams: tuple[UpstreamId, ...],
+    owner: Owner | None,
+    told: tuple[PoolLoad, float] | None,
+) -> PoolStatus:
+    status = PoolStatus(
+        service=pool.service,
+        zone=pool.zone,
+        shard=pool.shard,
+        region=region_of_zone(cfg, pool.zone) or RegionName(""),
+        owner=owner.vm if owner else VmId(""),
+        epoch=owner.epoch if owner else Epoch(0),
+        configured_slots=sum(slots_of(cfg, name) for name in upstreams),
+    )
+    if told is None:
+        return status
+    load, age_s = told
+    return msgspec.structs.replace(
+        status, slots=load.slots, busy=load.busy, queued=load.queued, age_s=age_s
+    )
+
+
+def _region_status(cfg: Config, name: RegionName, pools: tuple[PoolStatus, ...]) -> RegionStatus:
+    own = [pool for pool in pools if pool.region == name]
+    slots = sum(pool.slots for pool in own)
+    busy = sum(pool.busy for pool in own)
+    cap = cfg.regions[name].max_requests or sum(pool.configured_slots for pool in own)
+    ages = [pool.age_s for pool in own]
+    return RegionStatus(
+        region=name,
+        cap=cap,
+        slots=slots,
+        busy=busy,
+        queued=sum(pool.queued for pool in own),
+        headroom=max(min(slots, cap) - busy, 0),
+        age_s=UNKNOWN_AGE_S if not ages or min(ages) < 0 else max(ages),
+    )
+
+
+def _link_status(cfg: Config, name: str) -> LinkStatus:
+    link = cfg.links[name]
+    return LinkStatus(
+        name=name,
+        source=link.source,
+        destination=link.destination,
+        limit_mbit_s=link.limit_mbit_s,
+        usable_mbit_s=link.limit_mbit_s * (1 - link.headroom_fraction),
+    )
+
+
+def _drain_status(cfg: Config, name: RuleName, wall: float) -> DrainStatus:
+    drain = cfg.drains[name]
+    what = drain.upstream or drain.availability_zone or drain.region
+    share = drained_share(drain, wall)
+    return DrainStatus(name, what, drain.service, drain.start, drain.ramp_s, share)
--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -12,6 +12,7 @@
 from gooseberryport_core._requests import RETRY_AFTER_S, Home, Requests
 from gooseberryport_core._routing import Router
 from gooseberryport_core._shifts import moving_rule
+from gooseberryport_core._status_queries import build_status, explain_pools
 from gooseberryport_core._views import Component, HeartbeatFacts, Peer
 from gooseberryport_core.burn import BurnCounters
 from gooseberryport_core.config import Config, pools_of
@@ -43,7 +44,7 @@
 from gooseberryport_core.lookup import BlockTable, LookupSnapshot, ZoneOrder, home_region
 from gooseberryport_core.messages import Moved, Refused
 from gooseberryport_core.settings import NodeSettings
-from gooseberryport_core.status import Explanation, StatusPage, build_status, explain_pools
+from gooseberryport_core.status import Explanation, StatusPage
 from gooseberryport_core.types import (
     Outcome,
     PoolId,
--- a/packages/gooseberryport-core/tests/test_node.py
+++ b/packages/gooseberryport-core/tests/test_node.py
@@ -81,6 +81,7 @@
 def test_status_and_explain_tell_what_the_node_knows_and_change_nothing() -> None:
     node = make_node()
     (start,) = node.handle(RequestArrived("r1", "dressing-registry", "10.0.0.1", "GET"), 1.0)
+    assert isinstance(start, StartUpstream)
     page = node.status(1.0, 100.0)
     assert (page.version, page.regions[0].busy, page.regions[0].headroom) == (1, 1, 0)
     assert [(pool.owner, pool.slots, pool.busy) for pool in page.pools] == [("vm-1", 1, 1)]
