--- a/packages/gooseberryport-platform/src/gooseberryport_platform/_consul.py
+++ b/packages/gooseberryport-platform/src/gooseberryport_platform/_consul.py
@@ -25,6 +25,9 @@
 WAIT_JITTER_FRACTION = 1 / 16
 """Part of the wait that the service adds to a blocking query."""
 
+NEXT_WAIT_S = 0.05
+"""Pause after a wait that ended for another key, so that a busy service is not asked in a rush."""
+
 MAX_ANSWER_BYTES = 64 * MAX_VALUE_BYTES
 """Longest answer to a listing."""
 
@@ -108,6 +111,7 @@
             if value.revision != after or time.monotonic() >= deadline:
                 return Success(value)
             index = read.index if read.index >= index else 0
+            time.sleep(min(NEXT_WAIT_S, left_s))
 
     def _read(
         self, kind: CallKind, key: str, query: str = "", wait_s: float = 0.0
