Test bad input through a daemon's process

Cause: malformed headers, oversized bodies, unknown services and absurd deadlines were tested in the daemon's own process only. Ruled out: repeating each of the daemon's tests; one of each kind shows that the program holds them. Change: each is told as not run, runs nothing, and leaves the daemon serving.

--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,57 @@
+import json
+import socket
+
+import pytest
+
+from gooseberryport_standins.trial import SERVICE, SERVICE_RULES, Trial
+
+HERE = f"/{SERVICE}/x"
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "body", "status", "reason"),
+    [
+        ("/nobody/x", {}, b"", 404, "unknown-service"),
+        ("/", {}, b"", 404, "unknown-service"),
+        (HERE, {}, b"x" * (SERVICE_RULES.max_body_bytes + 1), 413, "too-large"),
+        (HERE, {"Request-Timeout": "soon"}, b"", 400, "bad-request"),
+        (HERE, {"Request-Timeout": "-1"}, b"", 400, "bad-request"),
+        (HERE, {"Request-Timeout": "nan"}, b"", 400, "bad-request"),
+        (HERE, {"Idempotency-Key": "k" * 1_000}, b"", 400, "bad-request"),
+    ],
+)
+def test_bad_input_is_told_and_does_not_run(
+    trial: Trial, path: str, headers: dict[str, str], body: bytes, status: int, reason: str
+) -> None:
+    ran = len(trial.fleet.runs())
+    resp = trial.ask(trial.first, "POST", path, headers=headers, body=body)
+    problem = json.loads(resp.data)
+    assert (resp.status, problem["outcome"], problem["reason"]) == (status, "not-run", reason)
+    assert problem["detail"]
+    assert len(trial.fleet.runs()) == ran
+    assert trial.ask(trial.first).status == 200
+
+
+def test_absurdly_long_deadline_is_served(trial: Trial) -> None:
+    assert trial.ask(trial.first, headers={"Request-Timeout": "1e300"}).status == 200
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"POST /registry/x HTTP/1.1\r\nHost: a\r\nno colon here\r\n\r\n",
+        b"POST /registry/x HTTP/1.1\r\nHost: a\r\nContent-Length: ten\r\n\r\n",
+        b"POST /registry/x HTTP/9.9\r\nHost: a\r\n\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    ],
+)
+def test_malformed_request_costs_its_own_connection_alone(trial: Trial, data: bytes) -> None:
+    ran = len(trial.fleet.runs())
+    host, _, port = trial.first.http.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=10.0) as conn:
+        conn.sendall(data)
+        conn.shutdown(socket.SHUT_WR)
+        answer = conn.makefile("rb").read()
+    assert answer.split(b" ", 2)[1][:1] in (b"4", b"5")
+    assert len(trial.fleet.runs()) == ran
+    assert trial.ask(trial.first).status == 200
