End the process at once when its work is done

Cause: a graceful stop ended 3.9 to 4.0 s after SIGTERM where its look-ups may be cached for 1 s; the interpreter waits at its end for threads that still watch the key-value service. Ruled out: closing the client's connections under the watch (urllib3 closes idle ones only). Change: after the last answer and the last log line the process ends without waiting for threads.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/main.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/main.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import cappa
 
@@ -41,6 +42,13 @@
         return EXIT_FAILED
 
 
+def _end_at_once(code: int) -> NoReturn:
+    """End the process without waiting for threads that still watch the key-value service."""
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
+
+
 def _run(arguments: Arguments) -> int:
     settings = load_settings(arguments.settings)
     if arguments.check:
@@ -48,7 +56,7 @@
     from gooseberryport_daemon._daemon import run_daemon
 
     run_daemon(settings)
-    return EXIT_DONE
+    _end_at_once(EXIT_DONE)
 
 
 if __name__ == "__main__":
--- a/standins/src/gooseberryport_standins/bench_process.py
+++ b/standins/src/gooseberryport_standins/bench_process.py
@@ -20,6 +20,9 @@
 IDLE_S = 10.0
 SETTLE_S = 2.0
 
+USUAL_PERIODS = {"vm_list_period_s": 2.0, "load_report_period_s": 1.0}
+"""Periods of the settings' defaults; trials for tests read more often."""
+
 PATH = f"/{SERVICE}/x"
 LOOKUP_PATH = f"/v1/lookup?service={SERVICE}&client=10.0.0.1"
 UPSTREAM = UpstreamSpec("registry-1", slots=CALLERS, service_time_s=0.0, spread=Spread.FIXED)
@@ -31,14 +34,15 @@
         owner = trial.owner(0)
         entry = next(daemon for daemon in trial.daemons.values() if daemon is not owner)
         rows = [
-            *_idle_rows(entry, "two daemons, entry"),
+            *_idle_rows(trial.add("vm-2", **USUAL_PERIODS)),
             *_lookup_rows(entry),
             *_request_rows(owner, entry),
         ]
     return BenchReport("process", seed, tuple(rows))
 
 
-def _idle_rows(daemon: Daemon, size: str) -> list[BenchRow]:
+def _idle_rows(daemon: Daemon) -> list[BenchRow]:
+    size = "three daemons, no pool"
     time.sleep(SETTLE_S)
     before = cpu_s(daemon)
     time.sleep(IDLE_S)
