Ask one place which upstreams a drain concerns and how far it is

Cause: the admission, the checks and the status page each had a copy of the rule. Change: concerns and progress of _drains.py are used by all three.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_config_checks.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_config_checks.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from gooseberryport_core._config_schema import BOUNDS, SECTIONS
+from gooseberryport_core._drains import concerns
 from gooseberryport_core.config import Config, Drain, region_of_zone, slots_of
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, ZoneName
 
@@ -283,22 +284,11 @@
         home = region_of_zone(cfg, upstream.availability_zone)
         if upstream.service != service or (region is not None and home != region):
             continue
-        if not any(_is_drained(cfg, name, drain) for drain in drains):
+        if not any(concerns(cfg, drain, name, upstream) for drain in drains):
             total += slots_of(cfg, name)
     return total
 
 
-def _is_drained(cfg: Config, name: UpstreamId, drain: Drain) -> bool:
-    upstream = cfg.upstreams[name]
-    if drain.service and drain.service != upstream.service:
-        return False
-    if drain.upstream:
-        return drain.upstream == name
-    if drain.availability_zone:
-        return drain.availability_zone == upstream.availability_zone
-    return bool(drain.region) and drain.region == region_of_zone(cfg, upstream.availability_zone)
-
-
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
 
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/_drains.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_drains.py
@@ -19,7 +19,7 @@
         self._cfg = cfg
         self._rules: dict[UpstreamId, tuple[Drain, ...]] = {}
         for name, upstream in cfg.upstreams.items():
-            rules = tuple(d for d in cfg.drains.values() if _concerns(cfg, d, name, upstream))
+            rules = tuple(d for d in cfg.drains.values() if concerns(cfg, d, name, upstream))
             if rules:
                 self._rules[name] = rules
 
@@ -28,7 +28,7 @@
         rules = self._rules.get(upstream)
         if rules is None:
             return 0.0
-        return max(_progress(rule, wall) for rule in rules)
+        return max(progress(rule, wall) for rule in rules)
 
     def services_without_upstreams(self, wall: float) -> tuple[ServiceName, ...]:
         """Return the services whose every upstream is drained."""
@@ -41,7 +41,8 @@
         return tuple(sorted(served - left))
 
 
-def _concerns(cfg: Config, drain: Drain, name: UpstreamId, upstream: Upstream) -> bool:
+def concerns(cfg: Config, drain: Drain, name: UpstreamId, upstream: Upstream) -> bool:
+    """Return whether a drain takes an upstream out of service, sooner or later."""
     if drain.service and drain.service != upstream.service:
         return False
     if drain.upstream:
@@ -51,7 +52,8 @@
     return drain.region == region_of_zone(cfg, upstream.availability_zone)
 
 
-def _progress(drain: Drain, wall: float) -> float:
+def progress(drain: Drain, wall: float) -> float:
+    """Return how much of new work a drain takes away at a wall-clock time, 0 to 1."""
     passed_s = wall - drain.start
     if passed_s < 0:
         return 0.0
--- a/packages/gooseberryport-core/src/gooseberryport_core/_status_queries.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_status_queries.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
+from gooseberryport_core._drains import Drains, progress
 from gooseberryport_core._views import Owner, Owners, Peer, Peers
-from gooseberryport_core.config import Config, Drain, pools_of, region_of_zone, slots_of
+from gooseberryport_core.config import Config, pools_of, region_of_zone, slots_of
 from gooseberryport_core.messages import PoolLoad
 from gooseberryport_core.status import (
     UNKNOWN_AGE_S,
@@ -117,15 +118,6 @@
     return tuple(sorted(found, key=lambda each: (each.rank == 0, each.rank, each.zone)))
 
 
-def drained_share(drain: Drain, wall: float) -> float:
-    """Return the part of new work that a drain takes away at `wall`, 0 to 1."""
-    if wall < drain.start:
-        return 0.0
-    if drain.ramp_s <= 0.0 or drain.start <= 0.0:
-        return 1.0
-    return min((wall - drain.start) / drain.ramp_s, 1.0)
-
-
 def _reason(
     cfg: Config,
     pool: PoolId,
@@ -135,7 +127,8 @@
     load: PoolLoad | None,
     wall: float,
 ) -> str:
-    left = [name for name in upstreams if not _is_drained(cfg, name, wall)]
+    drains = Drains(cfg)
+    left = [name for name in upstreams if drains.drained_fraction(name, wall) < 1.0]
     if not left:
         return "every upstream is drained"
     words = ["in the region that serves the client" if near else "in another region"]
@@ -149,23 +142,6 @@
     return ", ".join(words)
 
 
-def _is_drained(cfg: Config, name: UpstreamId, wall: float) -> bool:
-    upstream = cfg.upstreams[name]
-    region = region_of_zone(cfg, upstream.availability_zone)
-    for drain in cfg.drains.values():
-        if drain.service and drain.service != upstream.service:
-            continue
-        places = (drain.upstream, drain.availability_zone, drain.region)
-        hit = places in (
-            (name, "", ""),
-            ("", upstream.availability_zone, ""),
-            ("", "", region),
-        )
-        if hit and drained_share(drain, wall) >= 1.0:
-            return True
-    return False
-
-
 def _vm_status(peer: Peer, now: float) -> VmStatus:
     heard = peer.heard_at > float("-inf")
     return VmStatus(
@@ -234,5 +210,5 @@
 def _drain_status(cfg: Config, name: RuleName, wall: float) -> DrainStatus:
     drain = cfg.drains[name]
     what = drain.upstream or drain.availability_zone or drain.region
-    share = drained_share(drain, wall)
+    share = progress(drain, wall)
     return DrainStatus(name, what, drain.service, drain.start, drain.ramp_s, share)
