--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -88,6 +88,7 @@
         self._local: dict[TicketId, RequestId] = {}
         self._blocks = BlockTable.from_texts({})
         self._zone_order = ZoneOrder(Config())
+        self._pools: dict[PoolId, tuple[UpstreamId, ...]] = {}
         self._membership = Membership(settings=settings, rng=rng, facts=self._facts)
         self._ownership = Ownership(
             settings=settings, peers=self._membership, rng=rng, busy=self._busy
@@ -171,8 +172,8 @@
 
     def owned_upstreams(self, now: float) -> tuple[UpstreamId, ...]:
         """Return the upstreams of the pools that this daemon owns."""
-        pools = pools_of(self.cfg)
-        return tuple(name for pool in self._ownership.holdings(now) for name in pools.get(pool, ()))
+        held = self._ownership.holdings(now)
+        return tuple(name for pool in held for name in self._pools.get(pool, ()))
 
     def status(self, now: float, wall: float) -> StatusPage:
         """Return what this daemon knows of the system, for operators.
@@ -280,6 +281,7 @@
             if isinstance(effect, ConfigChanged):
                 self._blocks = BlockTable.from_texts(self.cfg.client_blocks)
                 self._zone_order = ZoneOrder(self.cfg)
+                self._pools = pools_of(self.cfg)
                 for component in self._components:
                     done.extend(component.configure(self.cfg, now))
         return done
@@ -349,7 +351,7 @@
         self._configured_at = min(self._configured_at, now)
         if now - self._configured_at >= READY_WAIT_S:
             return True
-        return all(self._ownership.owner_of(pool) for pool in pools_of(self.cfg))
+        return all(self._ownership.owner_of(pool) for pool in self._pools)
 
     def _done(self, now: float) -> bool:
         idle = self._admission.idle and self._requests.idle and self._ownership.released
--- a/standins/src/gooseberryport_standins/bench_process.py
+++ b/standins/src/gooseberryport_standins/bench_process.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import Any
 
 from gooseberryport_standins._bench_report import BenchReport, BenchRow
 from gooseberryport_standins.daemons import Daemon
@@ -20,7 +21,7 @@
 IDLE_S = 10.0
 SETTLE_S = 2.0
 
-USUAL_PERIODS = {"vm_list_period_s": 2.0, "load_report_period_s": 1.0}
+USUAL_PERIODS: dict[str, Any] = {"vm_list_period_s": 2.0, "load_report_period_s": 1.0}
 """Periods of the settings' defaults; trials for tests read more often."""
 
 PATH = f"/{SERVICE}/x"
