Walk ownership through every order of failures with a state machine

Change: a hypothesis machine over a region of three daemons: time, pauses, kills, starts, planned stops, cuts and their mending, outages, lost, late and unanswered writes; after each run everything is mended and each pool must have its owner again within 40 s simulated.

--- a/packages/gooseberryport-core/tests/test_ownership.py
+++ b/packages/gooseberryport-core/tests/test_ownership.py
@@ -1,4 +1,7 @@
 import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from gooseberryport_core import _witnesses
 from gooseberryport_core._assignment import NO_MEMBER
@@ -11,12 +14,23 @@
 from gooseberryport_core._witnesses import FenceVotes, WitnessBook
 from gooseberryport_core.config import pools_of
 from gooseberryport_core.types import PoolId
-from gooseberryport_standins.simulation import STORE, Simulation, owners, publish_whole
-from gooseberryport_standins.soak import PLACES, example_config, run_soak
+from gooseberryport_standins.simulation import (
+    APPLIED,
+    LATE,
+    LOST,
+    STORE,
+    Simulation,
+    owners,
+    publish_whole,
+)
+from gooseberryport_standins.soak import PLACES, Faults, example_config, run_soak
 
 CFG = example_config()
 MOST_SEEDS = 10
+SMALL_FLEET = {vm: place for vm, place in PLACES.items() if place[1] == "mittelland"}
+ENDS = [*sorted(SMALL_FLEET), STORE]
 POOLS = sorted(pools_of(CFG))
+HERE = [pool for pool in POOLS if pool.zone in ("bern-a", "olten-b")]
 
 
 def settled(seed: int, loss: float = 0.02) -> Simulation:
@@ -212,3 +226,66 @@
         if any(word in text for text in broken for word in ("two owners", "fell", "has work")):
             return
     pytest.fail(f"no invariant broke: {broken}")
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Every order of failures; each step of the simulation checks the invariants."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sim = Simulation(seed=9, places=SMALL_FLEET, publish=publish_whole(CFG))
+        self.sim.run(4.0)
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.0, 5.0]))
+    def let_time_pass(self, seconds: float) -> None:
+        self.sim.run(seconds)
+
+    @rule(vm=st.sampled_from(sorted(SMALL_FLEET)), seconds=st.sampled_from([0.3, 2.5, 6.0]))
+    def pause(self, vm: str, seconds: float) -> None:
+        if vm in self.sim.daemons:
+            self.sim.pause(vm, seconds)
+
+    @rule(vm=st.sampled_from(sorted(SMALL_FLEET)))
+    def kill(self, vm: str) -> None:
+        self.sim.kill(vm)
+
+    @rule(vm=st.sampled_from(sorted(SMALL_FLEET)))
+    def start(self, vm: str) -> None:
+        self.sim.kill(vm)
+        self.sim.start(vm)
+
+    @rule(vm=st.sampled_from(sorted(SMALL_FLEET)))
+    def stop(self, vm: str) -> None:
+        if vm in self.sim.daemons:
+            self.sim.stop(vm)
+
+    @rule(one=st.sampled_from(ENDS), other=st.sampled_from(ENDS))
+    def cut(self, one: str, other: str) -> None:
+        self.sim.cut(one, other)
+
+    @rule(one=st.sampled_from(ENDS), other=st.sampled_from(ENDS))
+    def mend(self, one: str, other: str) -> None:
+        self.sim.cuts -= {(one, other), (other, one)}
+
+    @rule(up=st.booleans())
+    def store(self, up: bool) -> None:
+        self.sim.store.up = up
+
+    @rule(fate=st.sampled_from([APPLIED, LATE, LOST, "unanswered"]))
+    def writes(self, fate: str) -> None:
+        self.sim.swap_fate = lambda: fate
+
+    def teardown(self) -> None:
+        Faults(self.sim, self.sim.rng).recover()
+        self.sim.run_until(lambda: all(len(self.sim.holders(pool)) == 1 for pool in HERE), 40.0)
+
+
+TestOwnershipMachine = OwnershipMachine.TestCase
+TestOwnershipMachine.settings = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=5,
+    stateful_step_count=15,
+    phases=[Phase.generate],
+)
