Test that a node's served request reaches the burn record of its region

Change: a test through Node from arrival to the stored record. Guard: without note_ends in Node.handle it fails (shown on a scratch copy).

--- a/packages/gooseberryport-core/tests/test_node.py
+++ b/packages/gooseberryport-core/tests/test_node.py
@@ -1,6 +1,7 @@
 import random
 
 from gooseberryport_core import Config, Node, NodeSettings
+from gooseberryport_core.burn import Count, decode_record, record_key
 from gooseberryport_core.config import Region, Service, Upstream
 from gooseberryport_core.effects import Effect, FinishRequest, StartUpstream, StoreGet, StoreSwap
 from gooseberryport_core.events import (
@@ -92,3 +93,16 @@
     assert candidate.rank == 1
     assert "0 of 1 slots free" in candidate.reason
     assert node.explain("dressing-registry", "10.0.0.1", 1.0, 100.0) == found
+
+
+def test_served_request_reaches_the_burn_record_of_the_region() -> None:
+    node, store = make_node(), SimStore()
+    (start,) = node.handle(RequestArrived("r1", "dressing-registry", "10.0.0.1", "GET"), 1.0)
+    assert isinstance(start, StartUpstream)
+    node.handle(UpstreamFinished(start.ticket_id, AttemptOutcome.ANSWERED, 200, 10, 0.7), 1.7)
+    node.handle(RequestArrived("r2", "nowhere", "10.0.0.1", "GET"), 1.7)
+    for step in range(800):
+        now = 2.0 + step * 0.1
+        drive(node, store, node.handle(Tick(wall=1e9 + now), now), now)
+    record = decode_record(store.read(record_key("mittelland")).value)
+    assert record.counts.totals() == {"dressing-registry": Count(total=1, slow=1, failed=0)}
