--- a/standins/src/gooseberryport_standins/bench.py
+++ b/standins/src/gooseberryport_standins/bench.py
@@ -13,6 +13,7 @@
 from gooseberryport_standins._bench_report import BenchReport, render
 
 BENCHES = {
+    "admission": "gooseberryport_standins.bench_admission",
     "lookup": "gooseberryport_standins.bench_lookup",
     "control": "gooseberryport_standins.bench_control",
     "burn": "gooseberryport_standins.bench_burn",
