Notice every silence of a connection between daemons

Cause: grpclib asks for a sign of life at most twice without data and not twice within 300 s, so a peer that vanished without a word after a first answered ping was noticed only at each ticket's deadline. Ruled out: heartbeats alone (they tell of the daemon, not of the connection).

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -31,6 +31,7 @@
 from gooseberryport_daemon._pages import Pages
 from gooseberryport_daemon._peer_client import AnswerTaker, PeerClient
 from gooseberryport_daemon._peer_server import PeerServer
+from gooseberryport_daemon._peer_wire import KEEPALIVE
 from gooseberryport_daemon._places import Places
 from gooseberryport_daemon._platform_calls import open_platform_calls
 from gooseberryport_daemon._sockets import PeerSockets, bind_peer_port
@@ -222,7 +223,7 @@
         answers=AnswerTaker(driver.callers.collect, driver.answer_broken, driver.stream_broken),
     )
     stack.push_async_callback(driver.peer_client.close)
-    server = Server([driver.peer_server])
+    server = Server([driver.peer_server], config=KEEPALIVE)
     await server.start(sock=sockets.stream)
     stack.push_async_callback(_close_server, server)
     driver.datagrams = Datagrams(
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
@@ -7,7 +7,6 @@
 
 import msgspec
 from grpclib.client import Channel, Stream
-from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from gooseberryport_core.effects import SendTicket
@@ -18,6 +17,7 @@
 from gooseberryport_daemon._parts import AnswerHead, CallerRequest
 from gooseberryport_daemon._peer_grpc import PeerStub
 from gooseberryport_daemon._peer_wire import (
+    KEEPALIVE,
     AttemptEnd,
     FrameInvalidError,
     read_answer_head,
@@ -31,9 +31,6 @@
 CONNECT_TIMEOUT_S = 0.5
 """Time in which a ticket must have been written to its owner; seconds."""
 
-KEEPALIVE_S = 1.0
-"""Silence on a connection with open streams after which the peer is asked for a sign of life."""
-
 PeerStream = Stream[pb.EntryFrame, pb.OwnerFrame]
 
 StreamFault = (
@@ -197,8 +194,7 @@
         channel = self._channels.get(address)
         if channel is None:
             endpoint = parse_endpoint(address, field="address")
-            config = Configuration(_keepalive_time=KEEPALIVE_S, _keepalive_timeout=KEEPALIVE_S)
-            channel = Channel(endpoint.ip, endpoint.port, config=config)
+            channel = Channel(endpoint.ip, endpoint.port, config=KEEPALIVE)
             self._channels[address] = channel
         return channel
 
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_wire.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_wire.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator
 
 import msgspec
+from grpclib.config import Configuration
 
 from gooseberryport_core.messages import Ticket, TicketReply
 from gooseberryport_core.types import AttemptOutcome
@@ -14,6 +15,16 @@
 CHUNK_BYTES = 65_536
 """Bytes of a body in one frame."""
 
+KEEPALIVE_S = 1.0
+"""Silence on a connection with open streams after which the peer is asked for a sign of life."""
+
+KEEPALIVE = Configuration(
+    _keepalive_time=KEEPALIVE_S,
+    _keepalive_timeout=KEEPALIVE_S,
+    _http2_max_pings_without_data=0,
+    _http2_min_sent_ping_interval_without_data=KEEPALIVE_S / 2,
+)
+
 _encoder = msgspec.msgpack.Encoder()
 _ticket_decoder = msgspec.msgpack.Decoder(Ticket)
 _reply_decoder: msgspec.msgpack.Decoder[TicketReply] = msgspec.msgpack.Decoder(TicketReply)
--- a/packages/gooseberryport-daemon/tests/test_peer_streams.py
+++ b/packages/gooseberryport-daemon/tests/test_peer_streams.py
@@ -211,6 +211,55 @@
     asyncio.run(run())
 
 
+PING_ANSWER = b"\x00\x00\x08\x06\x01"
+"""Start of an HTTP/2 frame that answers a ping."""
+
+
+@asynccontextmanager
+async def open_relay(address: str) -> AsyncIterator[str]:
+    """Relay to an owner until the first answered ping; from then on swallow everything."""
+    host, _, port = address.rpartition(":")
+    frozen = asyncio.Event()
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(65_536):
+            if not frozen.is_set():
+                writer.write(data)
+            if PING_ANSWER in data:
+                frozen.set()
+
+    async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        owner_reader, owner_writer = await asyncio.open_connection(host, int(port))
+        tasks.add(asyncio.create_task(pump(reader, owner_writer)))
+        tasks.add(asyncio.create_task(pump(owner_reader, writer)))
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    try:
+        relay_host, relay_port = server.sockets[0].getsockname()
+        yield f"{relay_host}:{relay_port}"
+    finally:
+        server.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def test_owner_that_falls_silent_is_given_up() -> None:
+    async def wait(stream: Stream) -> None:
+        await stream.recv_message()
+        await asyncio.Event().wait()
+
+    async def run() -> None:
+        entry = Entry()
+        async with open_owner(Owner(wait)) as address, open_relay(address) as relay:
+            await entry.offer(relay)
+            await entry.client.close()
+        assert entry.events == [UNREACHABLE]
+
+    asyncio.run(run())
+
+
 class Served:
     """The owner's side with a node that grants everything and answers at once."""
 
