--- a/packages/gooseberryport-core/tests/test_ownership.py
+++ b/packages/gooseberryport-core/tests/test_ownership.py
@@ -285,7 +285,7 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=5,
-    stateful_step_count=15,
+    max_examples=12,
+    stateful_step_count=20,
     phases=[Phase.generate],
 )
