Count a ticket that another region asked for as a failover

Cause: work moved across regions by a pull was not counted under the failover cap, only offers were. Ruled out: forbidding pulls across regions (they carry a lost zone's work). Before: with a cap of 0 a moved ticket left its region. Conclusion: every way out of a region is under the cap.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -308,14 +308,23 @@
         if req is None:
             return [CancelTicket(reply.ticket_id)] if isinstance(reply, Granted) else []
         if isinstance(reply, Moved):
-            self._forget_attempt(req, ran=False)
-            return self._offer(req, reply.pool, Owner(reply.vm, reply.epoch), reply.upstream, now)
+            return self._moved(req, reply, now)
         once = req.repeatable or not req.ran_before
         reports = check(Invariant.AT_MOST_ONCE, once, f"{req.event.request_id} is sent again")
         req.body_sent = True
         req.upstream = reply.upstream
         return [*reports, SendBody(req.event.request_id, reply.ticket_id)]
 
+    def _moved(self, req: _Request, reply: Moved, now: float) -> list[Effect]:
+        """Follow a ticket to the owner that asked for it, if the failover cap allows that."""
+        self._forget_attempt(req, ran=False)
+        allowed, reports = self._may_leave(req, reply.pool, now)
+        if not allowed:
+            req.reason = RefusalReason.SHIFT_CAP
+            return reports + self._offer_next(req, now)
+        owner = Owner(reply.vm, reply.epoch)
+        return reports + self._offer(req, reply.pool, owner, reply.upstream, now)
+
     def _refused(self, reply: Refused, now: float) -> list[Effect]:
         """Go on after an attempt that its owner says did not run."""
         req = self._request(reply.ticket_id)
