Let answers to other regions leave only as their link has room

Cause: the owner's shares of the links were kept in the core and asked by nobody: the daemon sent answers to other regions as fast as they came. Ruled out: refusing a request whose answer is long (its length is known only once it has run); cutting at the first lack of room (the window opens again within a second). Change: each frame of an answer to another daemon reserves its bytes, headers counted, and waits; without room until the ticket's deadline the stream breaks off and the entry hears unknown. Before: no reservation was made by the daemon. Conclusion: the hard limit reaches the wire for answers; inline bodies and control messages live in the headroom, and no link with a real limit was measured.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -216,7 +216,9 @@
 async def _open_peer_parts(
     stack: AsyncExitStack, settings: DaemonSettings, sockets: PeerSockets, driver: Driver
 ) -> None:
-    driver.peer_server = PeerServer(feed=driver.feed, refused=driver.frame_refused)
+    driver.peer_server = PeerServer(
+        feed=driver.feed, refused=driver.frame_refused, reserve=driver.reserve_link
+    )
     driver.peer_client = PeerClient(
         vm=settings.vm,
         feed=driver.feed,
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_loop.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_loop.py
@@ -38,6 +38,7 @@
     UpstreamFinished,
 )
 from gooseberryport_core.log_events import LogNumber
+from gooseberryport_core.messages import Ticket
 from gooseberryport_core.types import AttemptOutcome, RequestId, TicketId
 from gooseberryport_daemon._callers import Callers, Exchange
 from gooseberryport_daemon._datagrams import Datagrams
@@ -199,6 +200,10 @@
         self._metrics.count("streams.refused")
         self.log(LogNumber.PEER_FRAME_REFUSED, "peer stream refused", {"fault": fault})
 
+    def reserve_link(self, ticket: Ticket, num_bytes: int) -> float | None:
+        """Reserve room for bytes of an answer on the link to its entry daemon's region."""
+        return self.node.reserve_link(ticket.pool, ticket.source, num_bytes, self._loop.time())
+
     def datagram_too_long(self, effect: SendMessage, length: int) -> None:
         """Note a message that could not be sent."""
         kind = type(effect.message).__name__
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_server.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_server.py
@@ -20,6 +20,7 @@
 from gooseberryport_core.types import TicketId, VmId
 from gooseberryport_daemon import _peer_pb2 as pb
 from gooseberryport_daemon._outbox import Outbox
+from gooseberryport_daemon._pacing import Pacer, Reserve, unlimited
 from gooseberryport_daemon._parts import AnswerHead, RequestHead
 from gooseberryport_daemon._peer_grpc import PeerBase
 from gooseberryport_daemon._peer_wire import (
@@ -65,11 +66,20 @@
         Hands an event to the node.
     refused
         Told why a stream was refused.
+    reserve
+        Reserves room on the link to the entry daemon's region.
     """
 
-    def __init__(self, *, feed: Callable[[Event], None], refused: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        *,
+        feed: Callable[[Event], None],
+        refused: Callable[[str], None],
+        reserve: Reserve = unlimited,
+    ) -> None:
         self._feed = feed
         self._refused = refused
+        self._reserve = reserve
         self._inbound: dict[TicketId, _Inbound] = {}
 
     async def Forward(self, stream: PeerStream) -> None:  # noqa: N802
@@ -148,13 +158,17 @@
             inbound.request = await _receive_request(stream, inbound.ticket, None)
         if inbound.request is None:
             return False
+        pacer = Pacer(reserve=self._reserve, ticket=inbound.ticket)
         self._feed(BodyArrived(inbound.ticket.ticket_id))
-        return await _send_answer(stream, inbound.outbox)
+        return await _send_answer(stream, inbound.outbox, pacer)
 
 
-async def _send_answer(stream: PeerStream, outbox: Outbox) -> bool:
+async def _send_answer(stream: PeerStream, outbox: Outbox, pacer: Pacer) -> bool:
+    """Return whether the answer left whole; one without room on its link breaks off."""
     while True:
         frame = await outbox.next()
+        if not await pacer.room(frame.ByteSize()):
+            return False
         await stream.send_message(frame)
         if _is_last(frame):
             return True
--- a/packages/gooseberryport-daemon/tests/test_peer_streams.py
+++ b/packages/gooseberryport-daemon/tests/test_peer_streams.py
@@ -21,6 +21,7 @@
 from gooseberryport_core.messages import Granted, Refused, Ticket
 from gooseberryport_core.types import AttemptOutcome, PoolId, RefusalReason
 from gooseberryport_daemon import _peer_pb2 as pb
+from gooseberryport_daemon._pacing import Reserve, unlimited
 from gooseberryport_daemon._parts import AnswerHead, CallerRequest, RequestHead
 from gooseberryport_daemon._peer_client import AnswerTaker, PeerClient
 from gooseberryport_daemon._peer_grpc import PeerBase, PeerStub
@@ -263,12 +264,12 @@
 class Served:
     """The owner's side with a node that grants everything and answers at once."""
 
-    def __init__(self, reply: Granted | Refused | None) -> None:
+    def __init__(self, reply: Granted | Refused | None, reserve: Reserve = unlimited) -> None:
         self.events: list[Event] = []
         self.faults: list[str] = []
         self.changed = asyncio.Event()
         self._reply = reply
-        self.server = PeerServer(feed=self.feed, refused=self.faults.append)
+        self.server = PeerServer(feed=self.feed, refused=self.faults.append, reserve=reserve)
 
     def feed(self, event: Event) -> None:
         self.events.append(event)
@@ -354,3 +355,34 @@
         assert len(served.faults) == 1
 
     asyncio.run(run())
+
+
+def test_answer_waits_for_room_on_its_link_and_every_byte_is_counted() -> None:
+    asked: list[int] = []
+
+    def reserve(ticket: Ticket, num_bytes: int) -> float | None:
+        asked.append(num_bytes)
+        return None if len(asked) % 3 else 0.01
+
+    async def run() -> None:
+        entry = Entry()
+        served = Served(Granted("t-1", "up-1"), reserve)
+        async with open_owner(served.server) as address:
+            await entry.offer(address, inline=True)
+            await entry.client.close()
+        assert entry.events[-1] == AttemptEnded("t-1", AttemptOutcome.ANSWERED, 200, len(BODY))
+        assert sum(asked[2::3]) > len(BODY)
+
+    asyncio.run(run())
+
+
+def test_answer_without_room_until_its_deadline_breaks_off_as_unknown() -> None:
+    async def run() -> None:
+        entry = Entry()
+        served = Served(Granted("t-1", "up-1"), lambda ticket, num_bytes: None)
+        async with open_owner(served.server) as address:
+            await entry.offer(address, inline=True)
+            await entry.client.close()
+        assert entry.events[-1] == AttemptEnded("t-1", AttemptOutcome.UNKNOWN, 0, 0)
+
+    asyncio.run(run())
