Give a request's state a module of its own, and refuse names that a daemon's pages use

Ruled out: splitting the decisions themselves, which belong together. Conclusion: smaller modules, one silent fault of configurations less.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_config_checks.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_config_checks.py
@@ -16,6 +16,9 @@
 FRACTION_ROUNDING = 1e-9
 """Sum of fractions above 1 that is put down to rounding."""
 
+RESERVED_PATHS = frozenset({"v1", "healthz", "readyz", "status", "explain"})
+"""First parts of paths that a daemon serves itself."""
+
 MAX_PORT = 65_535
 MAX_V6_PREFIX = 64
 
@@ -165,6 +168,9 @@
     served = {upstream.service for upstream in cfg.upstreams.values()}
     for name, service in cfg.services.items():
         path = ("services", name)
+        if name in RESERVED_PATHS or "/" in name:
+            message = "not a name for a service: a daemon's own pages use it, or it holds a slash"
+            yield Finding(path, name, message, "choose another name")
         if service.default_timeout_s > service.max_timeout_s:
             field = (*path, "default_timeout_s")
             message = f"longer than max_timeout_s ({service.max_timeout_s:g} s)"
--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -5,15 +5,14 @@
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from gooseberryport_core._claims import Claims
 from gooseberryport_core._invariants import Invariant, check
+from gooseberryport_core._request import EntryRequest, Home, not_run, timeout_of
 from gooseberryport_core._retries import RetryBudget
 from gooseberryport_core._routing import Router
-from gooseberryport_core._shifts import Placement, Shifts
+from gooseberryport_core._shifts import Shifts
 from gooseberryport_core._views import Owner, Owners, Peers
-from gooseberryport_core.config import Config, Service, region_of_zone
+from gooseberryport_core.config import Config, region_of_zone
 from gooseberryport_core.effects import (
     CancelTicket,
     CountMetric,
@@ -62,50 +61,6 @@
 """Time that a caller is told to wait if an owner named none; seconds."""
 
 
-class Home(msgspec.Struct, frozen=True):
-    """Where a client is.
-
-    Parameters
-    ----------
-    region
-        Region nearest to the client.
-    block
-        Block of the client, for the hash of the shift rules.
-    """
-
-    region: RegionName
-    block: str
-
-
-class _Request(msgspec.Struct):
-    """One caller's request at its entry."""
-
-    event: RequestArrived
-    deadline: float
-    repeatable: bool
-    home: Home
-    claimed: bool = False
-    placement: Placement | None = None
-    pools: list[PoolId] = msgspec.field(default_factory=list)
-    ticket_id: TicketId = TicketId("")
-    owner: VmId = VmId("")
-    owner_heard: bool = False
-    upstream: UpstreamId = UpstreamId("")
-    avoid: tuple[UpstreamId, ...] = ()
-    failed_over: bool = False
-    body_sent: bool = False
-    ran_before: bool = False
-    offers: int = 0
-    retries: int = 0
-    reason: RefusalReason = RefusalReason.NO_OWNER
-    retry_after_s: float = 0.0
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether the attempt under way, or an earlier one, may have run."""
-        return self.body_sent or self.ran_before
-
-
 class Requests:
     """Carry each caller's request to an owner and its end back to the caller.
 
@@ -149,7 +104,7 @@
         self._cfg = Config()
         self._regions: dict[ZoneName, RegionName] = {}
         self._budgets: dict[ServiceName, RetryBudget] = {}
-        self._requests: dict[RequestId, _Request] = {}
+        self._requests: dict[RequestId, EntryRequest] = {}
         self._tickets: dict[TicketId, RequestId] = {}
         self._serial = 0
         self._wall_offset = 0.0
@@ -192,14 +147,14 @@
     def _arrive(self, event: RequestArrived, now: float) -> list[Effect]:
         service = self._cfg.services.get(event.service)
         if self._cfg.version == 0:
-            return [_not_run(event.request_id, RefusalReason.NOT_READY)]
+            return [not_run(event.request_id, RefusalReason.NOT_READY)]
         if service is None:
-            return [_not_run(event.request_id, RefusalReason.UNKNOWN_SERVICE)]
+            return [not_run(event.request_id, RefusalReason.UNKNOWN_SERVICE)]
         if event.body_bytes > service.max_body_bytes:
-            return [_not_run(event.request_id, RefusalReason.TOO_LARGE)]
-        req = _Request(
+            return [not_run(event.request_id, RefusalReason.TOO_LARGE)]
+        req = EntryRequest(
             event=event,
-            deadline=now + _timeout(event, service),
+            deadline=now + timeout_of(event, service),
             repeatable=event.method in service.idempotent_methods,
             home=self._home_of(event.client),
         )
@@ -220,7 +175,7 @@
         reason = RefusalReason.CLAIM_UNDECIDED if undecided else RefusalReason.DUPLICATE
         return self._finish(req, Outcome.UNKNOWN, reason, now)
 
-    def _place(self, req: _Request, now: float) -> list[Effect]:
+    def _place(self, req: EntryRequest, now: float) -> list[Effect]:
         service = req.event.service
         wall = now + self._wall_offset
         placement, effects = self._shifts.place(service, req.home.region, req.home.block, wall)
@@ -228,7 +183,7 @@
         req.pools = list(self._router.rank(service, placement.region, now))
         return effects + self._offer_next(req, now)
 
-    def _offer_next(self, req: _Request, now: float) -> list[Effect]:
+    def _offer_next(self, req: EntryRequest, now: float) -> list[Effect]:
         effects: list[Effect] = []
         while req.pools and req.offers < MAX_OFFERS:
             pool = self._take_pool(req, now)
@@ -242,7 +197,7 @@
             req.reason = RefusalReason.SHIFT_CAP
         return effects + self._finish(req, self._refusal_outcome(req), req.reason, now)
 
-    def _take_pool(self, req: _Request, now: float) -> PoolId:
+    def _take_pool(self, req: EntryRequest, now: float) -> PoolId:
         """Take the best pool whose owner is heard; the best of all if none is."""
         for pool in req.pools:
             owner = self._owners.owner_of(pool)
@@ -257,7 +212,7 @@
         peer = self._peers.peer(vm)
         return peer is not None and now - peer.heard_at <= self._settings.timing.peer_timeout_s
 
-    def _may_leave(self, req: _Request, pool: PoolId, now: float) -> tuple[bool, list[Effect]]:
+    def _may_leave(self, req: EntryRequest, pool: PoolId, now: float) -> tuple[bool, list[Effect]]:
         """Return whether a request may go to a pool, counting it if that is a failover."""
         placement = req.placement
         assert placement is not None
@@ -268,7 +223,7 @@
         return req.failed_over, reports
 
     def _offer(
-        self, req: _Request, pool: PoolId, owner: Owner, reserved: UpstreamId, now: float
+        self, req: EntryRequest, pool: PoolId, owner: Owner, reserved: UpstreamId, now: float
     ) -> list[Effect]:
         self._serial += 1
         req.offers += 1
@@ -315,7 +270,7 @@
         req.upstream = reply.upstream
         return [*reports, SendBody(req.event.request_id, reply.ticket_id)]
 
-    def _moved(self, req: _Request, reply: Moved, now: float) -> list[Effect]:
+    def _moved(self, req: EntryRequest, reply: Moved, now: float) -> list[Effect]:
         """Follow a ticket to the owner that asked for it, if the failover cap allows that."""
         self._forget_attempt(req, ran=False)
         allowed, reports = self._may_leave(req, reply.pool, now)
@@ -353,14 +308,14 @@
             return self._finish(req, self._refusal_outcome(req), RefusalReason.RETRY_BUDGET, now)
         return self._retry(req, now)
 
-    def _retry(self, req: _Request, now: float) -> list[Effect]:
+    def _retry(self, req: EntryRequest, now: float) -> list[Effect]:
         assert req.placement is not None
         req.retries += 1
         req.reason = RefusalReason.NO_UPSTREAM
         req.pools = list(self._router.rank(req.event.service, req.placement.region, now))
         return [CountMetric("retries"), *self._offer_next(req, now)]
 
-    def _forget_attempt(self, req: _Request, *, ran: bool) -> None:
+    def _forget_attempt(self, req: EntryRequest, *, ran: bool) -> None:
         self._tickets.pop(req.ticket_id, None)
         req.owner = VmId("")
         req.owner_heard = False
@@ -409,13 +364,13 @@
                 effects.extend(self._refused(refused, now))
         return effects
 
-    def _refusal_outcome(self, req: _Request) -> Outcome:
+    def _refusal_outcome(self, req: EntryRequest) -> Outcome:
         """Return what a caller is told of a request that goes no further."""
         undecided = bool(req.event.key) and not req.repeatable and not req.claimed
         return Outcome.UNKNOWN if req.may_have_run or undecided else Outcome.NOT_RUN
 
     def _finish(
-        self, req: _Request, outcome: Outcome, reason: RefusalReason | None, now: float
+        self, req: EntryRequest, outcome: Outcome, reason: RefusalReason | None, now: float
     ) -> list[Effect]:
         request_id = req.event.request_id
         true_word = outcome != Outcome.NOT_RUN or not req.may_have_run
@@ -431,21 +386,12 @@
         effects.append(FinishRequest(request_id, outcome, req.ticket_id, reason, retry_after_s))
         return effects + self._end_claim(req, ran=outcome != Outcome.NOT_RUN, now=now)
 
-    def _end_claim(self, req: _Request, *, ran: bool, now: float) -> list[Effect]:
+    def _end_claim(self, req: EntryRequest, *, ran: bool, now: float) -> list[Effect]:
         if not req.event.key or req.repeatable:
             return []
         ran = ran and req.claimed
         return self._claims.ended(req.event.key, req.event.request_id, ran, now)
 
-    def _request(self, ticket_id: TicketId) -> _Request | None:
+    def _request(self, ticket_id: TicketId) -> EntryRequest | None:
         request_id = self._tickets.get(ticket_id)
         return self._requests.get(request_id) if request_id is not None else None
-
-
-def _timeout(event: RequestArrived, service: Service) -> float:
-    wanted = event.timeout_s or service.default_timeout_s
-    return min(wanted, service.max_timeout_s)
-
-
-def _not_run(request_id: RequestId, reason: RefusalReason) -> FinishRequest:
-    return FinishRequest(request_id, Outcome.NOT_RUN, TicketId(""), reason)
--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -9,7 +9,8 @@
 from gooseberryport_core._config_sync import ConfigSync
 from gooseberryport_core._membership import Membership
 from gooseberryport_core._ownership import Ownership
-from gooseberryport_core._requests import RETRY_AFTER_S, Home, Requests
+from gooseberryport_core._request import Home
+from gooseberryport_core._requests import RETRY_AFTER_S, Requests
 from gooseberryport_core._routing import Router
 from gooseberryport_core._shifts import moving_rule
 from gooseberryport_core._status_queries import build_status, explain_pools
--- a/packages/gooseberryport-core/src/gooseberryport_core/messages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/messages.py
@@ -370,15 +370,6 @@
     heartbeats: tuple[Heartbeat, ...]
 
 
-class LinkUse(_Message, frozen=True):
-    """Tell a region's daemons how much of a link's limit the sender wants and holds."""
-
-    source: RegionName
-    destination: RegionName
-    wanted_bytes_s: float
-    held_bytes_s: float
-
-
 class ServiceCount(_Message, frozen=True):
     """Count a service's requests at one daemon since its start."""
 
@@ -449,7 +440,6 @@
     | ConfigRequest
     | ConfigPiece
     | ZoneSummary
-    | LinkUse
     | ClaimAsk
     | ClaimReply
     | ClaimEnd
--- a/packages/gooseberryport-core/tests/test_config_files.py
+++ b/packages/gooseberryport-core/tests/test_config_files.py
@@ -82,6 +82,7 @@
             "shifts.b.fraction",
             "sum to 1.2",
         ),
+        ({"services": {"healthz": {}}}, "services.healthz", "choose another name"),
         ({"drains": {"d": {}}}, "drains.d", "exactly one"),
         ({"drains": {"d": {"upstream": "x"}}}, "drains.d.upstream", "unknown upstream"),
         (
--- a/packages/gooseberryport-core/tests/test_requests.py
+++ b/packages/gooseberryport-core/tests/test_requests.py
@@ -6,7 +6,8 @@
 from msgspec import structs
 
 from gooseberryport_core._claims import Claims
-from gooseberryport_core._requests import Home, Requests, _Request
+from gooseberryport_core._request import EntryRequest, Home
+from gooseberryport_core._requests import Requests
 from gooseberryport_core._routing import Router
 from gooseberryport_core._views import Owner
 from gooseberryport_core.config import Config, Limits, Region, Service, Upstream
@@ -218,7 +219,7 @@
 @pytest.mark.parametrize(("sent", "ran_before"), [(True, False), (False, True), (True, True)])
 def test_a_request_that_may_have_run_is_never_called_not_run(sent: bool, ran_before: bool) -> None:
     event = RequestArrived("r1", "registry", "10.0.0.1", "POST")
-    req = _Request(event, 1.0, False, Home("mittelland", ""))
+    req = EntryRequest(event, 1.0, False, Home("mittelland", ""))
     req.body_sent, req.ran_before = sent, ran_before
     assert World(random.Random(1)).requests._refusal_outcome(req) == Outcome.UNKNOWN
 
