End with 0 whatever signals come at the very end

Ruled out: blocking the signals (the HTTP library's threads could still take them). Change: the signals are ignored once the stop is done. Conclusion: a supervisor that asks twice sees a planned stop as one.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -62,6 +62,10 @@
     ready: Addresses
 
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+"""Signals that ask for a planned stop; one that comes at the very end changes nothing."""
+
+
 class Running(msgspec.Struct, frozen=True):
     """A running daemon: where it listens, and how it is asked to stop."""
 
@@ -79,11 +83,14 @@
     loop = asyncio.get_running_loop()
     log = log_writer(vm=settings.vm)
     async with open_daemon(settings, log=log) as running:
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, running.stop)
         sys.stdout.write(msgspec.json.encode(Ready(running.addresses)).decode() + "\n")
         sys.stdout.flush()
         await running.driver.done.wait()
+    for number in STOP_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
     log(LogEvent(LogNumber.DAEMON_STOPPED, LogLevel.INFO, "daemon stopped"))
 
 
--- a/tests/test_daemon_ends.py
+++ b/tests/test_daemon_ends.py
@@ -1,5 +1,7 @@
 import signal
+import subprocess
 import threading
+from contextlib import suppress
 
 import pytest
 import urllib3
@@ -10,6 +12,8 @@
 from gooseberryport_standins.trial import LIMITS, SERVICE, Trial, open_trial
 from gooseberryport_standins.upstream import RunEnd
 
+SIGNAL_PERIOD_S = 0.005
+
 MIXED = (
     Traffic(SERVICE, weight=2.0),
     Traffic(SERVICE, "POST", weight=1.0, key=KeyKind.ISSUED),
@@ -70,6 +74,16 @@
         assert {result.end for result in results} == {End.ANSWERED}
 
 
+def test_signals_up_to_the_very_end_change_nothing() -> None:
+    with open_trial(daemons=1) as trial:
+        process = trial.first.process
+        while process.poll() is None:
+            trial.first.ask_to_stop()
+            with suppress(subprocess.TimeoutExpired):
+                process.wait(SIGNAL_PERIOD_S)
+        assert process.returncode == 0
+
+
 def test_paused_owner_wakes_up_fenced() -> None:
     with open_trial(daemons=3, service_time_s=0.05) as trial:
         sleeper = trial.owner(0)
