Try other pools first when one fails whole, and when an attempt failed

Cause: a pool whose only upstream sheds is never ejected (the last upstream of a pool is not), and entries went on sending it first tries; each cost a retry, so the budget ran out beside idle pools. Change: owners tell that a pool is failing; entries rank it behind others but for 2% of requests, which notice its return; a retry tries pools where an attempt failed after the others of the region. Conclusion: fast errors of a whole pool no longer cost callers their answers.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
@@ -380,4 +380,5 @@
         queued=len(pool.queue),
         oldest_s=now - head.arrived_at if head else 0.0,
         service_s=pool.service_time.mean_s,
+        failing=pool.health.failing,
     )
--- a/packages/gooseberryport-core/src/gooseberryport_core/_beliefs.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_beliefs.py
@@ -44,6 +44,11 @@
         measured = self.load.service_s if self.load is not None else 0.0
         return measured or UNMEASURED_SERVICE_S
 
+    @property
+    def failing(self) -> bool:
+        """Whether the newest figure says that each upstream fails."""
+        return self.load is not None and self.load.failing
+
     def take(self, load: PoolLoad, at: float) -> None:
         """Take a figure of the time `at`, if it is newer than the last."""
         if at <= self.at + 1e-6:
--- a/packages/gooseberryport-core/src/gooseberryport_core/_health.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_health.py
@@ -110,6 +110,11 @@
         record = self._records.get(upstream)
         return record is not None and (record.bad or record.state is not _State.IN_USE)
 
+    @property
+    def failing(self) -> bool:
+        """Whether each upstream looks bad."""
+        return bool(self._records) and all(self.looks_bad(name) for name in self._records)
+
     def record(self, upstream: UpstreamId, evidence: Evidence, now: float) -> None:
         """Take what an attempt told."""
         record = self._records.get(upstream)
--- a/packages/gooseberryport-core/src/gooseberryport_core/_request.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_request.py
@@ -52,6 +52,9 @@
         Region that should serve it, and whether it was counted as served elsewhere.
     pools
         Pools that are still to be asked, best first.
+    pool, failed_pools
+        Pool of the newest attempt, and those where an attempt failed; a retry tries these
+        after the others of their region.
     ticket_id, owner, owner_heard, upstream, body_sent
         The attempt under way: its owner, whether heartbeats of that owner arrived when it was
         offered, the upstream that was granted, and whether it may run.
@@ -70,6 +73,8 @@
     claimed: bool = False
     placement: Placement | None = None
     pools: list[PoolId] = msgspec.field(default_factory=list)
+    pool: PoolId | None = None
+    failed_pools: tuple[PoolId | None, ...] = ()
     ticket_id: TicketId = TicketId("")
     owner: VmId = VmId("")
     owner_heard: bool = False
--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -230,6 +230,7 @@
         me = self._settings
         ticket_id = TicketId(f"{me.vm}.{me.incarnation}.{self._serial}")
         req.ticket_id = ticket_id
+        req.pool = pool
         req.owner = owner.vm
         req.owner_heard = self._is_heard(owner.vm, now)
         req.upstream = UpstreamId("")
@@ -300,6 +301,7 @@
             return self._finish(req, Outcome.ANSWERED, None, now)
         ran = event.outcome == AttemptOutcome.UNKNOWN
         self._forget_attempt(req, ran=ran)
+        req.failed_pools = (*req.failed_pools, req.pool)
         if ran and not req.repeatable:
             return self._finish(req, Outcome.UNKNOWN, None, now)
         if now >= req.deadline:
@@ -312,9 +314,16 @@
         assert req.placement is not None
         req.retries += 1
         req.reason = RefusalReason.NO_UPSTREAM
-        req.pools = list(self._router.rank(req.event.service, req.placement.region, now))
+        ranked = self._router.rank(req.event.service, req.placement.region, now)
+        req.pools = sorted(ranked, key=lambda pool: self._retry_order(req, pool))
         return [CountMetric("retries"), *self._offer_next(req, now)]
 
+    def _retry_order(self, req: EntryRequest, pool: PoolId) -> tuple[bool, bool]:
+        """Put pools where an attempt failed behind the others of their region."""
+        assert req.placement is not None
+        far = self._regions.get(pool.zone) != req.placement.region
+        return far, pool in req.failed_pools
+
     def _forget_attempt(self, req: EntryRequest, *, ran: bool) -> None:
         self._tickets.pop(req.ticket_id, None)
         req.owner = VmId("")
--- a/packages/gooseberryport-core/src/gooseberryport_core/_routing.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_routing.py
@@ -25,6 +25,9 @@
 TRIPS = 2
 """One-way trips of a request that finds a free slot."""
 
+PROBE_SHARE = 0.02
+"""Share of requests for which a failing pool counts like any other."""
+
 
 class Router:
     """Rank the pools of a service for one request.
@@ -97,13 +100,17 @@
 
     def _cost(
         self, pool: PoolId, region: RegionName, now: float
-    ) -> tuple[bool, float, bool, float]:
-        """Return the expected time of a request in a pool besides its service."""
+    ) -> tuple[bool, bool, float, bool, float]:
+        """Return what speaks against a pool: nothing usable, failing, then the expected time.
+
+        A failing pool still gets a few requests, so that it is seen when it is well again.
+        """
         wait_s = self._beliefs[pool].wait_s(now)
         travel_s = TRIPS * self._travel.one_way_s(self._settings.zone, pool.zone)
         far = self._travel.region_of(pool.zone) != region
         cost_s = wait_s + travel_s + (FAR_COST_S if far else 0.0)
-        return (wait_s == float("inf"), cost_s, far, self._rng.random())
+        failing = self._beliefs[pool].failing and self._rng.random() >= PROBE_SHARE
+        return (wait_s == float("inf"), failing, cost_s, far, self._rng.random())
 
     def _refresh(self, now: float) -> None:
         if now < self._refreshed_at + REFRESH_S:
--- a/packages/gooseberryport-core/src/gooseberryport_core/messages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/messages.py
@@ -156,6 +156,8 @@
         Age of the longest wait; seconds.
     service_s
         Mean time that an upstream takes for a request; seconds, 0 if not measured yet.
+    failing
+        Whether each of its upstreams fails or sheds what it gets.
     """
 
     pool: PoolId
@@ -165,6 +167,7 @@
     queued: int
     oldest_s: float
     service_s: float = 0.0
+    failing: bool = False
 
 
 class Heartbeat(_Message, frozen=True):
--- a/packages/gooseberryport-core/tests/test_requests.py
+++ b/packages/gooseberryport-core/tests/test_requests.py
@@ -46,6 +46,7 @@
         for z in ("bern-a", "lugano-a", "bellinzona-b")
     },
 )
+GET = RequestArrived("r1", "registry", "10.0.0.1", "GET", 2.0)
 POOLS = [PoolId("registry", "bern-a"), PoolId("registry", "olten-b")]
 
 
@@ -205,14 +206,19 @@
     assert 0 < retries <= 5 + 0.1 * 200
 
 
-def test_a_retry_avoids_the_upstream_that_has_just_failed() -> None:
-    world = World(random.Random(1))
-    world.arrive("r1", "GET", 0.0)
+@pytest.mark.parametrize("seed", range(4))
+def test_a_retry_avoids_the_pool_and_the_upstream_that_have_just_failed(seed: int) -> None:
+    world = World(random.Random(seed))
+    (sent,) = [e for e in world.requests.handle(GET, 0.0) if isinstance(e, SendTicket)]
+    failed = sent.ticket.pool
+    world.current = "r1"
+    world.carry_out(sent)
     ticket_id, _ = world.open.pop()
     world.feed(TicketReplied("vm-2", Granted(ticket_id, "up-bern-a")), 0.0)
     effects = world.requests.handle(AttemptEnded(ticket_id, AttemptOutcome.SHED, 503, 0), 0.1)
     (ticket,) = [e.ticket for e in effects if isinstance(e, SendTicket)]
     assert ticket.avoid == ("up-bern-a",)
+    assert ticket.pool != failed
     assert not ticket.first_try
 
 
--- a/packages/gooseberryport-core/tests/test_routing.py
+++ b/packages/gooseberryport-core/tests/test_routing.py
@@ -2,6 +2,7 @@
 from collections import Counter
 
 import pytest
+from msgspec import structs
 
 from gooseberryport_core._beliefs import PoolBelief
 from gooseberryport_core._routing import FIGURES_TIMEOUT_S, Router
@@ -108,3 +109,15 @@
         waits.append([belief.wait_s(10.0 + age) for age in (0.0, 0.3, 1.0)])
     assert waits[0] == sorted(waits[0])
     assert waits[1] == sorted(waits[1], reverse=True)
+
+
+def test_failing_pool_gets_few_requests_and_all_of_them_if_every_pool_fails() -> None:
+    router, view = make_router()
+    loads = [PoolLoad(POOLS[zone], 1, 12, 0, 0, 0.0, 0.1, zone == "kgn-a") for zone in ZONES]
+    view.remote = tuple(RemoteLoad("vm", load, 0.0) for load in loads)
+    to_failing = sum(first(router, 1.0 + n) == "kgn-a" for n in range(500))
+    assert 0 < to_failing < 50
+    failing = [structs.replace(load, failing=True) for load in loads]
+    view.remote = tuple(RemoteLoad("vm", load, 0.0) for load in failing)
+    served = [first(router, 1000.0 + n) for n in range(100)]
+    assert served.count("kgn-a") > 80
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -16,6 +16,15 @@
 )
 
 
+def test_pool_whose_only_upstream_sheds_gives_way_to_others() -> None:
+    with open_trial(daemons=3) as trial:
+        trial.fleet.upstreams["registry-1"].set_faults(UpstreamFaults(shed=True))
+        results = trial.load(PLAN)
+        assert trial.violations(results) == []
+        served = sum(result.end == End.ANSWERED for result in results)
+        assert served >= 0.95 * len(results)
+
+
 def test_upstream_that_sheds_draws_no_traffic() -> None:
     specs = tuple(UpstreamSpec(f"registry-{n}", service_time_s=0.02, seed=n) for n in range(4))
     with open_trial(daemons=3, specs=specs) as trial:
