Wait out a handover at the entry, and count failovers in the window where they happen

Every owner of a small deployment refuses within milliseconds while a pool is handed over, and the entry gave up at once, with seconds of deadline left. Ruled out: a longer deadline in the test; more offers (all owners refuse); raising the cap. Change: when the last refusal is one that a handover brings, the request is offered anew each 0.1 s for 1.5 s at most, never past its deadline; a placement remembers its window.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_request.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_request.py
@@ -42,8 +42,8 @@
     ----------
     event, home
         What the caller asked for, and where the caller is.
-    deadline
-        When the caller no longer wants the answer; seconds, monotonic.
+    arrived_at, deadline
+        When it came, and when the caller no longer wants the answer; seconds, monotonic.
     repeatable
         Whether it may run twice.
     claimed
@@ -62,11 +62,14 @@
         Whether an earlier attempt may have run.
     avoid, offers, retries
         Upstreams that failed, owners asked and retries made.
+    resume_at
+        When it is offered anew after every owner has refused it; seconds, monotonic.
     reason, retry_after_s
         Newest refusal.
     """
 
     event: RequestArrived
+    arrived_at: float
     deadline: float
     repeatable: bool
     home: Home
@@ -84,6 +87,7 @@
     body_sent: bool = False
     ran_before: bool = False
     offers: int = 0
+    resume_at: float = float("inf")
     retries: int = 0
     reason: RefusalReason = RefusalReason.NO_OWNER
     retry_after_s: float = 0.0
--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -57,6 +57,15 @@
 INLINE_BODY_BYTES = 16_384
 """Longest body of a repeatable request that travels with its ticket, to save a round trip."""
 
+HANDOVER_REASONS = frozenset({RefusalReason.NOT_OWNER, RefusalReason.LEASE_LAPSED})
+"""Refusals that a pool's handover brings; its next owner is soon known."""
+
+HANDOVER_PAUSE_S = 0.1
+"""Time between two rounds of offers while pools are handed over; seconds."""
+
+HANDOVER_LIMIT_S = 1.5
+"""Longest time that a request waits for handovers; seconds."""
+
 RETRY_AFTER_S = 0.2
 """Time that a caller is told to wait if an owner named none; seconds."""
 
@@ -136,7 +145,7 @@
             return self._ended(event, now)
         if isinstance(event, Tick):
             self._wall_offset = event.wall - now
-            return self._expire(now) + self._leave_silent_owners(now)
+            return self._expire(now) + self._leave_silent_owners(now) + self._resume(now)
         return []
 
     @property
@@ -154,6 +163,7 @@
             return [not_run(event.request_id, RefusalReason.TOO_LARGE)]
         req = EntryRequest(
             event=event,
+            arrived_at=now,
             deadline=now + timeout_of(event, service),
             repeatable=event.method in service.idempotent_methods,
             home=self._home_of(event.client),
@@ -195,8 +205,27 @@
             if allowed:
                 return effects + self._offer(req, pool, owner, UpstreamId(""), now)
             req.reason = RefusalReason.SHIFT_CAP
+        if self._may_wait(req, now):
+            req.resume_at = now + HANDOVER_PAUSE_S
+            return effects
         return effects + self._finish(req, self._refusal_outcome(req), req.reason, now)
 
+    def _may_wait(self, req: EntryRequest, now: float) -> bool:
+        """Return whether a request that every owner refused should wait for handovers."""
+        limit = min(req.deadline, req.arrived_at + HANDOVER_LIMIT_S)
+        return req.reason in HANDOVER_REASONS and now + HANDOVER_PAUSE_S < limit
+
+    def _resume(self, now: float) -> list[Effect]:
+        """Offer requests anew that waited for handovers."""
+        effects: list[Effect] = []
+        for req in [req for req in self._requests.values() if req.resume_at <= now]:
+            assert req.placement is not None
+            req.resume_at = float("inf")
+            req.offers = 0
+            req.pools = list(self._router.rank(req.event.service, req.placement.region, now))
+            effects.extend(self._offer_next(req, now))
+        return effects
+
     def _take_pool(self, req: EntryRequest, now: float) -> PoolId:
         """Take the best pool whose owner is heard; the best of all if none is."""
         for pool in req.pools:
@@ -219,7 +248,7 @@
         if req.failed_over or self._regions.get(pool.zone) == placement.region:
             return True, []
         wall = now + self._wall_offset
-        req.failed_over, reports = self._shifts.fail_over(req.event.service, placement.home, wall)
+        req.failed_over, reports = self._shifts.fail_over(req.event.service, placement, wall)
         return req.failed_over, reports
 
     def _offer(
--- a/packages/gooseberryport-core/src/gooseberryport_core/_shifts.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_shifts.py
@@ -47,12 +47,15 @@
         Region of the client.
     region
         Region after any shift.
+    window
+        Window that it was counted in.
     rule
         Rule that moved it; empty for none.
     """
 
     home: RegionName
     region: RegionName
+    window: int
     rule: RuleName = RuleName("")
 
 
@@ -107,39 +110,41 @@
             share.total += 1
         moving = moving_rule(self._cfg, names, block, wall)
         if not moving:
-            return Placement(home, home), []
+            return Placement(home, home, window), []
         rule = self._cfg.shifts[moving]
         share = self._shares[moving]
         if not share.allows(rule.cap_fraction):
-            return Placement(home, home), []
+            return Placement(home, home, window), []
         share.moved += 1
         held = share.moved <= rule.cap_fraction * share.total
         effects = check(Invariant.SHIFT_CAP, held, f"{moving}: {share}")
-        return Placement(home, rule.destination, moving), effects
+        return Placement(home, rule.destination, window, moving), effects
 
     def fail_over(
-        self, service: ServiceName, home: RegionName, wall: float
+        self, service: ServiceName, placement: Placement, wall: float
     ) -> tuple[bool, list[Effect]]:
         """Count a request that no longer fits into its region; False if the cap forbids it.
 
         Parameters
         ----------
-        service, home
-            Service, and region of the client.
+        service, placement
+            Service, and where the request was placed; if that was in an earlier window, it counts
+            as this window's traffic too.
         wall
             Wall clock, seconds since 1970-01-01 UTC.
         """
         cap = self._cfg.limits.failover_fraction
-        share = self._failover.setdefault((service, home), WindowShare())
+        share = self._failover.setdefault((service, placement.home), WindowShare())
         window = int(wall // self._cfg.limits.window_s)
-        if window != share.window:
-            share.enter(window)
+        share.enter(window)
+        if placement.window != window:
             share.total += 1
         if not share.allows(cap):
             return False, []
         share.moved += 1
         held = share.moved <= cap * share.total
-        return True, check(Invariant.FAILOVER_CAP, held, f"{service} from {home}: {share}")
+        detail = f"{service} from {placement.home}: {share}"
+        return True, check(Invariant.FAILOVER_CAP, held, detail)
 
 
 def moving_rule(cfg: Config, names: Iterable[RuleName], block: str, wall: float) -> RuleName:
--- a/packages/gooseberryport-core/tests/test_requests.py
+++ b/packages/gooseberryport-core/tests/test_requests.py
@@ -225,7 +225,7 @@
 @pytest.mark.parametrize(("sent", "ran_before"), [(True, False), (False, True), (True, True)])
 def test_a_request_that_may_have_run_is_never_called_not_run(sent: bool, ran_before: bool) -> None:
     event = RequestArrived("r1", "registry", "10.0.0.1", "POST")
-    req = EntryRequest(event, 1.0, False, Home("mittelland", ""))
+    req = EntryRequest(event, 0.0, 1.0, False, Home("mittelland", ""))
     req.body_sent, req.ran_before = sent, ran_before
     assert World(random.Random(1)).requests._refusal_outcome(req) == Outcome.UNKNOWN
 
@@ -287,3 +287,26 @@
     ticket_id, _ = world.open.pop()
     world.feed(TicketReplied("vm-2", Moved(ticket_id, "vm-2", far, 1, "up-lugano-a")), 0.0)
     assert world.ends["r1"][0].reason == RefusalReason.SHIFT_CAP
+
+
+@pytest.mark.parametrize("reason", [RefusalReason.NOT_OWNER, RefusalReason.LEASE_LAPSED])
+def test_a_request_waits_out_a_handover(reason: RefusalReason) -> None:
+    world = World(random.Random(1))
+    world.arrive("r1", "POST", 0.0)
+
+    def refuse_all(now: float) -> int:
+        rounds = len(world.open)
+        while world.open:
+            ticket_id, _ = world.open.pop()
+            world.feed(TicketReplied("vm-2", Refused(ticket_id, reason)), now)
+        return rounds
+
+    refuse_all(0.1)
+    assert not world.ends
+    world.feed(Tick(0.3), 0.3)
+    assert refuse_all(0.3) == 1
+    for step in range(4, 20):
+        world.feed(Tick(step / 10), step / 10)
+        refuse_all(step / 10)
+    assert world.ends["r1"][0].outcome == Outcome.NOT_RUN
+    assert world.ends["r1"][0].reason == reason
