Let the stand-ins with one door share their command

Ruled out: merging the upstreams' command too; it listens at many ports. Change: `StandinCommand`. Conclusion: one place for what a stand-in prints and when it ends.

--- a/standins/src/gooseberryport_standins/store.py
+++ b/standins/src/gooseberryport_standins/store.py
@@ -6,15 +6,14 @@
 import threading
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass
-from typing import Annotated
 from urllib.parse import unquote
 
 import cappa
 import msgspec
 
-from gooseberryport_standins._process import Ready, announce, wait_for_stop
+from gooseberryport_standins._command import Standin, StandinCommand
 from gooseberryport_standins._server import Door, Exchange, open_door
 from gooseberryport_standins.faults import FAULTS_PATH, STATS_PATH, Outage, StoreFaults
 
@@ -221,27 +220,12 @@
 
 
 @dataclass
-class StoreCommand:
-    """Run the stand-in of the key-value service.
+class StoreCommand(StandinCommand):
+    """Run the stand-in of the key-value service."""
 
-    Parameters
-    ----------
-    host, port
-        Where it listens.
-    """
-
-    host: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
-    port: Annotated[int, cappa.Arg(long=True)] = 0
-
-    def __call__(self) -> None:
-        """Run until SIGTERM."""
-        with (
-            open_store_standin(host=self.host, port=self.port) as standin,
-            open_door(standin, host=self.host) as control,
-        ):
-            assert standin.door is not None
-            announce(Ready(standin.door.address, control.address))
-            wait_for_stop()
+    def open(self) -> AbstractContextManager[Standin]:
+        """Return the stand-in's context."""
+        return open_store_standin(host=self.host, port=self.port)
 
 
 if __name__ == "__main__":
--- a/standins/src/gooseberryport_standins/vm_list.py
+++ b/standins/src/gooseberryport_standins/vm_list.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass
-from typing import Annotated
 
 import cappa
 import msgspec
 
-from gooseberryport_standins._process import Ready, announce, wait_for_stop
+from gooseberryport_standins._command import Standin, StandinCommand
 from gooseberryport_standins._server import Door, Exchange, open_door
 from gooseberryport_standins.faults import FAULTS_PATH, Outage, VmListFaults
 
@@ -116,27 +115,12 @@
 
 
 @dataclass
-class VmListCommand:
-    """Run the stand-in of the VM list.
-
-    Parameters
-    ----------
-    host, port
-        Where it listens.
-    """
-
-    host: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
-    port: Annotated[int, cappa.Arg(long=True)] = 0
-
-    def __call__(self) -> None:
-        """Run until SIGTERM."""
-        with (
-            open_vm_list_standin(host=self.host, port=self.port) as standin,
-            open_door(standin, host=self.host) as control,
-        ):
-            assert standin.door is not None
-            announce(Ready(standin.door.address, control.address))
-            wait_for_stop()
+class VmListCommand(StandinCommand):
+    """Run the stand-in of the VM list."""
+
+    def open(self) -> AbstractContextManager[Standin]:
+        """Return the stand-in's context."""
+        return open_vm_list_standin(host=self.host, port=self.port)
 
 
 if __name__ == "__main__":
