--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 	$(PY) -m gooseberryport_standins.proof
 
 soak: $(VENV)/.ready  ## Long randomised runs: make soak SEED=7
-	GOOSEBERRYPORT_SOAK_SEED=$(SEED) $(PY) -m gooseberryport_standins.soak --seed $(SEED)
+	$(PY) -m gooseberryport_standins.soak --seed $(SEED)
+	$(PY) -m gooseberryport_standins.traffic_soak --seed $(SEED)
 
 bench: $(VENV)/.ready  ## The figures of docs/CAPACITY.md and docs/design.
 	$(PY) -m gooseberryport_standins.bench --seed $(SEED)
