Show the use of links

Cause: headroom on each link is what both users measure, and `status` showed a dash for it. Ruled out: telling the use in heartbeats (bytes of control are short already). Change: each owner's page tells the answers that left it in the last second, `status` sums over the daemons that answer, the demo prints what is left on each link. Before: no figure. Conclusion: seen at last; a busy link was only tested on the shares.

--- a/packages/gooseberryport-cli/src/gooseberryport_cli/daemons.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/daemons.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from contextlib import suppress
 from typing import Protocol, TypeVar
 from urllib.parse import urlencode
 
@@ -25,6 +27,9 @@
     def explain(self, service: str, client: str) -> Explanation:
         """Return how a daemon would steer a client's request; raises `DaemonError`."""
 
+    def status_pages(self, addresses: Iterable[str]) -> tuple[StatusPage, ...]:
+        """Return the status pages of those daemons that answer."""
+
 
 class HttpDaemons:
     """Pages of the daemons at some addresses, asked one after the other.
@@ -50,6 +55,14 @@
         query = urlencode({"service": service, "client": client})
         return self._get(f"/explain?{query}", Explanation)
 
+    def status_pages(self, addresses: Iterable[str]) -> tuple[StatusPage, ...]:
+        """Return the status pages of those daemons that answer."""
+        found: list[StatusPage] = []
+        for address in addresses:
+            with suppress(DaemonError):
+                found.append(HttpDaemons((address,)).status())
+        return tuple(found)
+
     def _get(self, path: str, page_type: type[Page]) -> Page:
         failures: dict[str, str] = {}
         for address in self._addresses:
@@ -61,3 +74,16 @@
             except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as exc:
                 failures[address] = str(exc)
         raise DaemonError(failures=failures)
+
+
+def with_link_use(page: StatusPage, pages: Iterable[StatusPage]) -> StatusPage:
+    """Return a page whose links tell the use summed over the pages of all daemons."""
+    used: dict[str, float] = {}
+    for each in pages:
+        for link in each.links:
+            used[link.name] = used.get(link.name, 0.0) + max(link.used_mbit_s, 0.0)
+    links = tuple(
+        msgspec.structs.replace(link, used_mbit_s=used[link.name]) if link.name in used else link
+        for link in page.links
+    )
+    return msgspec.structs.replace(page, links=links)
--- a/packages/gooseberryport-cli/tests/conftest.py
+++ b/packages/gooseberryport-cli/tests/conftest.py
@@ -1,7 +1,7 @@
 import io
 import json
 from collections import deque
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -86,6 +86,10 @@
     def __init__(self) -> None:
         self.pages: deque[StatusPage] = deque()
         self.found: Explanation | None = None
+        self.others: tuple[StatusPage, ...] = ()
+
+    def status_pages(self, addresses: Iterable[str]) -> tuple[StatusPage, ...]:
+        return self.others
 
     def status(self) -> StatusPage:
         if not self.pages:
--- a/packages/gooseberryport-cli/tests/test_commands.py
+++ b/packages/gooseberryport-cli/tests/test_commands.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+from msgspec import structs
 
 from gooseberryport_cli.times import parse_time
 from gooseberryport_core.burn import BurnRecord, Count, History, RegionCounts, record_key
@@ -12,6 +13,7 @@
 from gooseberryport_core.status import (
     Candidate,
     Explanation,
+    LinkStatus,
     PoolStatus,
     RegionStatus,
     StatusPage,
@@ -204,6 +206,17 @@
     assert runner.head.version == 1
 
 
+def test_status_sums_the_use_of_a_link_over_the_daemons_that_answer(runner):
+    def told(used: float) -> StatusPage:
+        link = LinkStatus("east", "mittelland", "ticino", 280.0, 252.0, used, 0.0)
+        return structs.replace(page(4, 4), links=(link,))
+
+    runner.fake_daemons.pages.append(told(1.5))
+    runner.fake_daemons.others = (told(1.5), told(2.25))
+    status = json.loads(runner.run("status", "--json", "--daemon=127.0.0.1:2"))
+    assert status["links"][0]["used_mbit_s"] == 3.75
+
+
 def test_status_and_explain_show_tables_and_json(runner):
     runner.fake_daemons.pages.append(page(4, 4))
     assert "0.4 s" in runner.run("status", "--daemon=127.0.0.1:2")
--- a/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_admission.py
@@ -167,6 +167,10 @@
                 found.append(_load(pool, holding, now, self._serving.wall(now)))
         return tuple(found)
 
+    def link_bytes(self, source: RegionName, destination: RegionName, now: float) -> int:
+        """Return the bytes of answers that left here over a link in the last second."""
+        return self._serving.links.used_bytes(source, destination, now)
+
     def busy(self, pool_id: PoolId) -> bool:
         """Return whether a pool's slots are taken here, or may still be by what was cut off."""
         pool = self._serving.pools.get(pool_id)
--- a/packages/gooseberryport-core/src/gooseberryport_core/_links.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_links.py
@@ -118,6 +118,10 @@
         self._sent_bytes += num_bytes
         return at - now
 
+    def used_bytes(self, now: float) -> int:
+        """Return the bytes that left in the window that ends now."""
+        return sum(sent for at, sent in self._sent if now - WINDOW_S < at <= now)
+
     def _waiting_bytes(self, now: float) -> int:
         return sum(sent for at, sent in self._sent if at > now)
 
@@ -191,6 +195,14 @@
         share = self._share(pool, self._region(pool), destination, now)
         return 0.0 if share is None else share.reserve(num_bytes, now)
 
+    def used_bytes(self, source: RegionName, destination: RegionName, now: float) -> int:
+        """Return the bytes of answers that left here for a region in the window that ends now."""
+        return sum(
+            share.used_bytes(now)
+            for key, share in self._shares.items()
+            if key.source == source and key.destination == destination
+        )
+
     def _region(self, pool: PoolId) -> RegionName:
         return self._regions.get(pool, RegionName(""))
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/_status_queries.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_status_queries.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from gooseberryport_core._drains import Drains, progress
+from gooseberryport_core._links import BYTES_PER_MBIT
 from gooseberryport_core._views import Owner, Owners, Peer, Peers
 from gooseberryport_core.config import Config, pools_of, region_of_zone, slots_of
 from gooseberryport_core.messages import PoolLoad
@@ -39,6 +40,7 @@
     listed: Iterable[Peer],
     owners: Owners,
     own_loads: Iterable[PoolLoad],
+    link_bytes: Callable[[RegionName, RegionName, float], int],
     now: float,
     wall: float,
 ) -> StatusPage:
@@ -56,6 +58,8 @@
         Every other daemon known, heard in time or not.
     own_loads
         Loads of the pools that the daemon owns.
+    link_bytes
+        Bytes that left the daemon for another region in the last second.
     now, wall
         Seconds, monotonic, and seconds since 1970-01-01 UTC.
     """
@@ -70,7 +74,7 @@
         vm=me.vm,
         version=cfg.version,
         regions=tuple(_region_status(cfg, name, pools) for name in sorted(cfg.regions)),
-        links=tuple(_link_status(cfg, name) for name in sorted(cfg.links)),
+        links=tuple(_link_status(cfg, name, link_bytes, now) for name in sorted(cfg.links)),
         pools=tuple(sorted(pools, key=lambda pool: (pool.service, pool.region, pool.zone))),
         vms=tuple(sorted(vms, key=lambda vm: vm.vm)),
         drains=tuple(_drain_status(cfg, name, wall) for name in sorted(cfg.drains)),
@@ -196,14 +200,22 @@
     )
 
 
-def _link_status(cfg: Config, name: str) -> LinkStatus:
+def _link_status(
+    cfg: Config,
+    name: str,
+    link_bytes: Callable[[RegionName, RegionName, float], int],
+    now: float,
+) -> LinkStatus:
     link = cfg.links[name]
+    used_bytes = link_bytes(link.source, link.destination, now)
     return LinkStatus(
         name=name,
         source=link.source,
         destination=link.destination,
         limit_mbit_s=link.limit_mbit_s,
         usable_mbit_s=link.limit_mbit_s * (1 - link.headroom_fraction),
+        used_mbit_s=used_bytes / BYTES_PER_MBIT,
+        age_s=0.0,
     )
 
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/core.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/core.py
@@ -191,6 +191,7 @@
             listed=self._membership.live(now),
             owners=self._ownership,
             own_loads=self._admission.loads(now),
+            link_bytes=self._admission.link_bytes,
             now=now,
             wall=wall,
         )
--- a/packages/gooseberryport-core/src/gooseberryport_core/status.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/status.py
@@ -98,7 +98,8 @@
     usable_mbit_s
         Limit less headroom.
     used_mbit_s
-        Use that this daemon knows of; -1 if it knows none.
+        Answers that left this daemon over it in the last second; the link's use is the sum over
+        daemons. -1 if unknown.
     age_s
         Age of that figure; seconds, -1 if none came.
     """
--- a/packages/gooseberryport-core/tests/test_links.py
+++ b/packages/gooseberryport-core/tests/test_links.py
@@ -94,3 +94,18 @@
     links.settle(POOL, "montego", 100, answer, 5.0)
     assert links.promise(POOL, "montego", 100, answer, 5.0)
     assert links.promise(POOL, "kingston", 10**9, 10**9, 5.0)
+
+
+def test_use_is_what_left_in_the_last_window_and_nothing_that_waits() -> None:
+    links = Links()
+    links.configure(CFG, 0.0)
+    assert links.reserve(POOL, "montego", 1_000, 5.0) is None
+    for now in (7.0, 7.5):
+        assert links.reserve(POOL, "montego", 1_000, now) == 0.0
+    assert [links.used_bytes("kingston", "montego", now) for now in (7.4, 7.6, 8.2, 8.6)] == [
+        1_000,
+        2_000,
+        1_000,
+        0,
+    ]
+    assert links.used_bytes("montego", "kingston", 7.6) == 0
--- a/standins/src/gooseberryport_standins/demo.py
+++ b/standins/src/gooseberryport_standins/demo.py
@@ -15,8 +15,9 @@
 import cappa
 import msgspec
 
+from gooseberryport_cli.daemons import with_link_use
 from gooseberryport_core.config import Config
-from gooseberryport_core.status import RegionStatus
+from gooseberryport_core.status import StatusPage
 from gooseberryport_standins._drain_watch import DrainTimes, DrainWatch
 from gooseberryport_standins._world import CommandFailedError, World, running_world
 from gooseberryport_standins.caller import (
@@ -51,6 +52,8 @@
 
     Parameters
     ----------
+    page
+        One daemon's page under load, its links with the use that all daemons told.
     drain_in_force_s, stop_s
         Time until every daemon had the drain, and until every daemon had ended; seconds.
     broken
@@ -58,7 +61,7 @@
     """
 
     summary: LoadSummary
-    regions: tuple[RegionStatus, ...]
+    page: StatusPage
     drain: DrainTimes
     drain_in_force_s: float
     killed: str
@@ -133,7 +136,7 @@
     _say(f"drain of {drained} in force everywhere after {in_force_s:.1f} s")
     load.wait_until(KILL_AT_S)
     killed = _kill_one(world, seed)
-    regions = world.running[0].status().regions
+    page = _page_of_all(world)
     results = load.end()
     drain = watch.end()
     broken = find_violations(results, world.upstreams.runs(), world.upstreams.stats())
@@ -143,7 +146,13 @@
     broken += _stop_all(world)
     stop_s = time.monotonic() - asked
     summary = summarise(results)
-    return DemoResult(summary, regions, drain, in_force_s, killed, stop_s, tuple(broken))
+    return DemoResult(summary, page, drain, in_force_s, killed, stop_s, tuple(broken))
+
+
+def _page_of_all(world: World) -> StatusPage:
+    """Return one daemon's page, its links with the use that all daemons tell."""
+    pages = [daemon.status() for daemon in world.running]
+    return with_link_use(pages[0], pages)
 
 
 def _region_owned(daemon: Daemon) -> bool:
@@ -197,8 +206,11 @@
     print(f"unknown               {ends.get('unknown', 0)}")
     print(f"upstream errors       {ends.get('failed', 0)}")
     print(f"lost                  {ends.get('lost', 0)}")
-    for region in result.regions:
+    for region in result.page.regions:
         print(f"headroom {region.region:12} {region.headroom} of {region.cap}")
+    for link in result.page.links:
+        left = link.usable_mbit_s - link.used_mbit_s
+        print(f"headroom {link.name:23} {left:.2f} of {link.usable_mbit_s:.0f} Mbit/s")
     print(f"drain in force after  {result.drain_in_force_s:.2f} s")
     print(f"drained: last new     {result.drain.last_new_s:.2f} s, last work ended by")
     print(f"                      {result.drain.last_work_s:.2f} s after the order")
