--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 PACKAGES := packages/gooseberryport-core packages/gooseberryport-platform \
-            packages/gooseberryport-daemon packages/gooseberryport-cli standins
-SOURCES := packages standins tests
+            packages/gooseberryport-daemon packages/gooseberryport-gateway packages/gooseberryport-cli standins
+SOURCES := packages standins tests platform
 SEED ?= 1
 
 .PHONY: demo test lint format proof soak bench proto clean
@@ -19,7 +19,7 @@
 lint: $(VENV)/.ready  ## Formatter, linter and type checker.
 	$(VENV)/bin/black -q --check $(SOURCES)
 	$(VENV)/bin/ruff check -q --no-cache $(SOURCES)
-	$(VENV)/bin/mypy --no-error-summary $(wildcard packages/*/src standins/src)
+	$(VENV)/bin/mypy --no-error-summary $(wildcard packages/*/src standins/src) platform/gooseberryport_site
 
 test: lint  ## Everything that CI runs.
 	$(PY) -m pytest
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -0,0 +1,130 @@
+"""Which gateways there are, and which of them a client is told of.
+
+Failure pattern: gateways die, are cut off, or lose their leases because the store is away. Members
+of the store's list and members that are heard count; one that is listed but silent is not named
+while others can be.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from gooseberryport_core.gateway.model import Member
+from gooseberryport_core.types import RegionName, VmId, ZoneName
+
+HEARD_S = 1.5
+"""How long a gateway counts as alive after its last datagram; six of its usual pauses; seconds."""
+
+NEW_MEMBER_S = 2.0
+"""How long a listed gateway counts as alive before its first datagram; seconds."""
+
+REMEMBER_S = 10.0
+"""How long a gateway that is gone still counts when bounds are shared; the budget's window."""
+
+
+class _Known(msgspec.Struct):
+    member: Member
+    listed: bool = False
+    listed_at: float = 0.0
+    heard_at: float = float("-inf")
+    seen_at: float = 0.0
+    leaving: bool = False
+
+
+class Fleet:
+    """Keep the members that are listed or heard.
+
+    Parameters
+    ----------
+    me
+        This gateway; it always counts.
+    """
+
+    def __init__(self, *, me: Member) -> None:
+        self._me = me
+        self._known: dict[VmId, _Known] = {}
+
+    def set_listed(self, members: Iterable[Member], *, now: float) -> None:
+        """Replace the members that the store lists."""
+        listed = {member.vm: member for member in members if member.vm != self._me.vm}
+        for vm, old in self._known.items():
+            if vm not in listed:
+                old.listed = False
+        for vm, member in listed.items():
+            known = self._known.get(vm)
+            if known is None or known.member.incarnation < member.incarnation:
+                self._known[vm] = _Known(member=member, listed=True, listed_at=now, seen_at=now)
+            elif known.member.incarnation == member.incarnation:
+                known.listed = True
+                known.seen_at = now
+
+    def note_heard(self, vm: VmId, *, incarnation: int, leaving: bool, now: float) -> None:
+        """Count a datagram of a gateway; those that were never listed are ignored."""
+        known = self._known.get(vm)
+        if known is None or known.member.incarnation > incarnation:
+            return
+        if known.member.incarnation < incarnation:
+            known.member = msgspec.structs.replace(known.member, incarnation=incarnation)
+            known.leaving = False
+        known.heard_at = known.seen_at = now
+        known.leaving = known.leaving or leaving
+
+    def peers(self, *, now: float) -> list[Member]:
+        """Return the other gateways to which datagrams are sent."""
+        return [
+            known.member
+            for known in self._known.values()
+            if known.listed or now - known.seen_at < REMEMBER_S
+        ]
+
+    def sharing(self, *, now: float) -> frozenset[VmId]:
+        """Return the gateways that bounds are shared with, this one included."""
+        return frozenset(
+            [
+                self._me.vm,
+                *(
+                    vm
+                    for vm, known in self._known.items()
+                    if known.listed or now - known.seen_at < REMEMBER_S
+                ),
+            ]
+        )
+
+    def alive(self, *, now: float) -> list[Member]:
+        """Return the other gateways that take clients, as far as known."""
+        return [
+            known.member
+            for known in self._known.values()
+            if not known.leaving and self._is_alive(known, now=now)
+        ]
+
+    def entry_points(
+        self, *, zone: ZoneName, region: RegionName, leaving: bool, now: float
+    ) -> list[str]:
+        """Return the addresses that a client in a place should use.
+
+        Gateways of the client's availability zone come alone; else those of its region, else all.
+
+        Parameters
+        ----------
+        zone, region
+            Place of the client.
+        leaving
+            Whether this gateway is about to stop.
+        now
+            Monotonic time; seconds.
+        """
+        members = self.alive(now=now)
+        if not leaving:
+            members.append(self._me)
+        near = [each for each in members if each.zone == zone]
+        near = near or [each for each in members if each.region == region]
+        return sorted(each.front for each in near or members or [self._me])
+
+    @staticmethod
+    def _is_alive(known: _Known, *, now: float) -> bool:
+        if now - known.heard_at < HEARD_S:
+            return True
+        return known.listed and now - known.listed_at < NEW_MEMBER_S
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/limits.py
@@ -0,0 +1,156 @@
+"""Limits whose sum over all gateways is bounded: retries, and requests to cold upstreams.
+
+Load pattern: a failure that all gateways meet at once. Each keeps to a share of the bound that
+follows from the number of gateways it knows, so the sum holds with no message on a request's way.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+import xxhash
+
+from gooseberryport_core.types import ServiceName, UpstreamId, VmId
+
+COLD_SAFETY = 0.8
+"""Part of a cold upstream's bound that is used; gateways may count each other differently."""
+
+BUDGET_SAFETY = 0.7
+"""Part of the retry budget that is used; the bound is judged over windows that slide."""
+
+COLD_WINDOW_S = 1.0
+"""Window of the bound on requests to a cold upstream; seconds."""
+
+
+class _Window:
+    """Count events of the last seconds."""
+
+    def __init__(self, *, length_s: float) -> None:
+        self._length_s = length_s
+        self._times: deque[float] = deque()
+
+    def count(self, now: float) -> int:
+        """Return how many events lie in the window."""
+        while self._times and self._times[0] <= now - self._length_s:
+            self._times.popleft()
+        return len(self._times)
+
+    def add(self, now: float) -> None:
+        """Count an event at `now`."""
+        self._times.append(now)
+
+
+class RetryShare:
+    """Allow this gateway's share of a service's retries.
+
+    Parameters
+    ----------
+    ratio
+        Retries allowed for each request of a window.
+    slack
+        Retries allowed in a window besides, summed over all gateways.
+    window_s
+        Length of the window; seconds.
+    """
+
+    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+        self._requests: dict[ServiceName, _Window] = {}
+        self._retries: dict[ServiceName, _Window] = {}
+
+    def note_request(self, *, service: ServiceName, now: float) -> None:
+        """Count a client's request."""
+        self._window(self._requests, service).add(now)
+
+    def take(self, *, service: ServiceName, gateways: int, now: float) -> bool:
+        """Take one retry; False if this gateway's share is used up.
+
+        Parameters
+        ----------
+        service
+            Service of the request.
+        gateways
+            Gateways that share the budget.
+        now
+            Monotonic time; seconds.
+        """
+        requests = self._window(self._requests, service).count(now)
+        retries = self._window(self._retries, service)
+        share = self._ratio * requests + self._slack / max(gateways, 1)
+        if retries.count(now) + 1 > share * BUDGET_SAFETY:
+            return False
+        retries.add(now)
+        return True
+
+    def _window(self, windows: dict[ServiceName, _Window], service: ServiceName) -> _Window:
+        window = windows.get(service)
+        if window is None:
+            window = windows[service] = _Window(length_s=self._window_s)
+        return window
+
+
+class ColdShare:
+    """Allow this gateway's share of the requests that a cold upstream bears.
+
+    Parameters
+    ----------
+    vm
+        This gateway.
+    overage, slack
+        The bound is the upstream's cold rate times `overage`, plus `slack`; requests a second.
+    """
+
+    def __init__(self, *, vm: VmId, overage: float, slack: float) -> None:
+        self._vm = vm
+        self._overage = overage
+        self._slack = slack
+        self._sent: dict[UpstreamId, _Window] = {}
+
+    def allowance(
+        self, *, upstream: UpstreamId, cold_rate_per_s: float, gateways: frozenset[VmId]
+    ) -> int:
+        """Return how many requests this gateway may send in any one second.
+
+        With more gateways than requests, those that rank first for the upstream may send one each.
+        """
+        bound = int((cold_rate_per_s * self._overage + self._slack) * COLD_SAFETY)
+        if len(gateways) <= bound:
+            return bound // max(len(gateways), 1)
+        mine = _rank(vm=self._vm, upstream=upstream)
+        ahead = sum(_rank(vm=vm, upstream=upstream) > mine for vm in gateways)
+        return 1 if ahead < bound else 0
+
+    def room(
+        self,
+        *,
+        upstream: UpstreamId,
+        cold_rate_per_s: float,
+        gateways: frozenset[VmId],
+        now: float,
+    ) -> bool:
+        """Tell whether a request may be sent now."""
+        window = self._sent.get(upstream)
+        sent = window.count(now) if window is not None else 0
+        if sent == 0 and len(gateways) == 1:
+            return True
+        return sent < self.allowance(
+            upstream=upstream, cold_rate_per_s=cold_rate_per_s, gateways=gateways
+        )
+
+    def note_sent(self, *, upstream: UpstreamId, now: float) -> None:
+        """Count a request that is sent to an upstream, cold or not."""
+        window = self._sent.get(upstream)
+        if window is None:
+            window = self._sent[upstream] = _Window(length_s=COLD_WINDOW_S)
+        window.count(now)
+        window.add(now)
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Drop what is counted for an upstream that is gone."""
+        self._sent.pop(upstream, None)
+
+
+def _rank(*, vm: VmId, upstream: UpstreamId) -> int:
+    return xxhash.xxh3_64_intdigest(f"{upstream}|{vm}".encode())
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
@@ -0,0 +1,116 @@
+"""Find the route of a request, and the destination among a route's weighted parts."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from gooseberryport_core.gateway.model import ObjectKey, Part, Route, RoutingConfig
+
+HASH_RANGE = 2.0**64
+
+SHARE_TOLERANCE = 0.03
+"""How far a part's share of the requests may lie over its weight before others are preferred."""
+
+SHARE_MEMORY = 200.0
+"""Requests over which a part's share is counted; older ones count for less."""
+
+
+class RouteTable:
+    """Find routes by host and longest path prefix.
+
+    Parameters
+    ----------
+    config
+        Configuration whose routes are searched.
+    """
+
+    def __init__(self, config: RoutingConfig) -> None:
+        self.config = config
+        self._hosts: dict[str, dict[str, Route]] = {}
+        for route in config.routes:
+            self._hosts.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, *, host: str, path: str) -> Route | None:
+        """Return the route of a request, or None if none matches.
+
+        Parameters
+        ----------
+        host
+            Value of the request's host header; a port is ignored.
+        path
+            Path without the query.
+        """
+        prefixes = self._hosts.get(host.lower().rpartition(":")[0] or host.lower())
+        if prefixes is None:
+            prefixes = self._hosts.get(host.lower())
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+class _Shares(msgspec.Struct):
+    """Requests that each part of a route got lately, with the weights they were counted under."""
+
+    parts: tuple[Part, ...]
+    counts: list[float]
+
+
+class SplitChooser:
+    """Choose a route's part so that objects stay where they are and shares follow the weights.
+
+    Load pattern: a route with two destinations and few objects. A hash of the object alone keeps
+    upstreams warm, but some dozens of objects of uneven use miss the weights; counting alone meets
+    the weights, but spreads every object over both destinations.
+    """
+
+    def __init__(self) -> None:
+        self._shares: dict[str, _Shares] = {}
+
+    def choose(self, *, route: Route, key: ObjectKey | None, draw: float) -> Part:
+        """Return the part that serves a request, and count the request there.
+
+        Parameters
+        ----------
+        route
+            The request's route.
+        key
+            Object of the request.
+        draw
+            Random number in [0, 1) for requests without an object.
+        """
+        if len(route.parts) == 1:
+            return route.parts[0]
+        shares = self._shares.get(route.name)
+        if shares is None or shares.parts != route.parts:
+            shares = _Shares(parts=route.parts, counts=[0.0] * len(route.parts))
+            self._shares[route.name] = shares
+        weight = sum(part.weight for part in route.parts)
+        index = self._preferred(route=route, key=key, draw=draw, weight=weight)
+        total = sum(shares.counts) + 1.0
+        excess = [
+            (count + (1.0 if place == index else 0.0)) / total - part.weight / weight
+            for place, (count, part) in enumerate(zip(shares.counts, route.parts, strict=True))
+        ]
+        if excess[index] > SHARE_TOLERANCE + 1.0 / total:
+            index = min(range(len(excess)), key=excess.__getitem__)
+        shares.counts = [count * (1.0 - 1.0 / SHARE_MEMORY) for count in shares.counts]
+        shares.counts[index] += 1.0
+        return route.parts[index]
+
+    @staticmethod
+    def _preferred(*, route: Route, key: ObjectKey | None, draw: float, weight: float) -> int:
+        point = draw
+        if key is not None:
+            point = xxhash.xxh3_64_intdigest(f"{route.name}|{key}".encode()) / HASH_RANGE
+        bound = 0.0
+        for index, part in enumerate(route.parts):
+            bound += part.weight / weight
+            if point < bound:
+                return index
+        return len(route.parts) - 1
--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -0,0 +1,221 @@
+"""Follow the store: configuration, evacuations, upstreams and gateways, with one paced watch."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+import msgspec
+
+from gooseberryport_core.gateway.model import Member
+from gooseberryport_core.types import ZoneName
+from gooseberryport_gateway._logs import Event
+from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway.errors import HistoryGoneError, LeaseGoneError, StoreError
+from gooseberryport_gateway.wire import Codec, StoreClient, StoreItem
+
+WATCH_PAUSE_S = 0.5
+"""Pause between watches: upstreams report all the time, and a quarter of the shortest bound on
+draining leaves room for a slow call; seconds."""
+
+WATCH_WAIT_S = 2.0
+"""How long the store may hold a watch; a silent connection is noticed after that; seconds."""
+
+LEASE_TTL_S = 3.0
+"""Lease of a gateway's own entry; a killed gateway is named no longer; seconds."""
+
+RENEW_EVERY_S = 1.0
+"""Pause between renewals: a third of the lease; seconds."""
+
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 1.0
+"""Bounds of the pause after a failed call; seconds."""
+
+OUTAGE_LAPSE_S = 2.5
+"""Time after an outage in which vanished entries are kept for a while; seconds."""
+
+
+class Discovery:
+    """Keep a gateway's beliefs in step with the store.
+
+    Parameters
+    ----------
+    state
+        Beliefs that are kept.
+    store
+        The platform's store.
+    codec
+        Decodes what others write there.
+    """
+
+    def __init__(self, *, state: GatewayState, store: StoreClient, codec: Codec) -> None:
+        self._state = state
+        self._store = store
+        self._codec = codec
+        self._loop = asyncio.get_running_loop()
+        self._evacuated: dict[str, ZoneName] = {}
+        self._members: dict[str, Member] = {}
+        self._entries: set[str] = set()
+        self._reachable: bool | None = None
+        self._regained_at = float("-inf")
+        self._lease: int | None = None
+
+    @property
+    def synced(self) -> bool:
+        """Whether the store has been read at all."""
+        return self._reachable is not None and self._state.routes is not None
+
+    async def follow(self) -> None:
+        """Read the store, then follow its changes, for ever."""
+        after: int | None = None
+        pause_s = RETRY_MIN_S
+        while True:
+            try:
+                if after is None:
+                    after = await self._read_all()
+                page = await self._store.watch("", after=after, wait_s=WATCH_WAIT_S)
+                after = page.revision
+                self._note_reach(reachable=True, reason="")
+                self._apply(page.items)
+                pause_s = RETRY_MIN_S
+                await asyncio.sleep(WATCH_PAUSE_S if page.items else 0.0)
+            except HistoryGoneError:
+                self._state.log.write(Event.STORE_HISTORY_GONE, after=after)
+                after = None
+            except StoreError as exc:
+                self._note_reach(reachable=False, reason=str(exc))
+                await asyncio.sleep(
+                    max(exc.retry_after_s, pause_s * (0.5 + self._state.rng.random()))
+                )
+                pause_s = min(pause_s * 2.0, RETRY_MAX_S)
+
+    async def hold_membership(self) -> None:
+        """Keep this gateway's entry in the store, for ever."""
+        key = f"{self._codec.member_prefix}{self._state.me.vm}"
+        value = msgspec.json.encode(self._state.me)
+        while True:
+            try:
+                if self._lease is None:
+                    lease = await self._store.grant_lease(ttl_s=LEASE_TTL_S)
+                    await self._store.put(key, value, lease=lease)
+                    self._lease = lease
+                    self._state.log.write(Event.LEASE_TAKEN, lease=lease)
+                else:
+                    await self._store.renew_lease(self._lease)
+                await asyncio.sleep(RENEW_EVERY_S)
+            except LeaseGoneError:
+                self._state.log.write(Event.LEASE_LOST, lease=self._lease)
+                self._lease = None
+            except StoreError as exc:
+                await asyncio.sleep(
+                    max(exc.retry_after_s, RETRY_MAX_S * (0.5 + self._state.rng.random()))
+                )
+
+    async def end_membership(self) -> None:
+        """Remove this gateway's entry, so that clients are told of others."""
+        if self._lease is None:
+            return
+        try:
+            await self._store.end_lease(self._lease)
+        except StoreError as exc:
+            self._state.log.write(Event.LEASE_LOST, lease=self._lease, reason=str(exc))
+        self._lease = None
+
+    async def _read_all(self) -> int:
+        codec = self._codec
+        config = await self._store.read_range(codec.config_prefix)
+        upstreams = await self._store.read_range(codec.upstream_prefix)
+        members = await self._store.read_range(codec.member_prefix)
+        self._note_reach(reachable=True, reason="")
+        self._evacuated = {}
+        self._members = {}
+        now_listed = {item.key for item in upstreams.items}
+        gone = [StoreItem(key=key, value=None, revision=0) for key in self._entries - now_listed]
+        self._apply([*config.items, *upstreams.items, *members.items, *gone])
+        return min(config.revision, upstreams.revision, members.revision)
+
+    def _apply(self, items: Iterable[StoreItem]) -> None:
+        codec = self._codec
+        members = evacuated = False
+        for item in items:
+            if item.key.startswith(codec.upstream_prefix):
+                self._apply_upstream(item)
+            elif item.key.startswith(codec.member_prefix):
+                members = True
+                self._apply_member(item)
+            elif (zone := codec.evacuated_zone(item.key)) is not None:
+                evacuated = True
+                if item.value is None:
+                    self._evacuated.pop(item.key, None)
+                else:
+                    self._evacuated[item.key] = zone
+            elif item.key.startswith(codec.config_prefix):
+                self._apply_config(item)
+        now = self._loop.time()
+        if members:
+            self._state.fleet.set_listed(self._members.values(), now=now)
+            self._state.log.write(Event.MEMBERS_CHANGED, listed=sorted(self._members))
+        if evacuated or not self._evacuated:
+            self._state.set_evacuated(self._evacuated.values())
+        self.expire()
+
+    def expire(self) -> None:
+        """Drop upstreams whose entries did not come back after an outage."""
+        for upstream in self._state.upstreams.expire(now=self._loop.time()):
+            self._state.log.write(Event.UPSTREAM_REMOVED, upstream=upstream, reason="not back")
+
+    def _apply_config(self, item: StoreItem) -> None:
+        try:
+            config = self._codec.config(item)
+        except ValueError as exc:
+            self._state.metrics.ignored.labels("config").inc()
+            self._state.log.write(Event.CONFIG_IGNORED, key=item.key, reason=str(exc))
+            return
+        if config is not None:
+            self._state.apply_config(config)
+
+    def _apply_upstream(self, item: StoreItem) -> None:
+        now = self._loop.time()
+        upstream = self._codec.upstream_id(item.key)
+        if item.value is None:
+            self._entries.discard(item.key)
+            if now - self._regained_at < OUTAGE_LAPSE_S:
+                self._state.upstreams.suspend(upstream, now=now)
+            elif self._state.upstreams.get(upstream) is not None:
+                self._state.upstreams.remove(upstream)
+                self._state.log.write(
+                    Event.UPSTREAM_REMOVED, upstream=upstream, reason="entry removed"
+                )
+            return
+        self._entries.add(item.key)
+        try:
+            entry = self._codec.upstream(item)
+        except ValueError as exc:
+            self._state.metrics.ignored.labels("entry").inc()
+            self._state.log.write(Event.ENTRY_IGNORED, key=item.key, reason=str(exc))
+            self._state.upstreams.remove(upstream)
+            return
+        self._state.put_upstream(entry, now=now)
+
+    def _apply_member(self, item: StoreItem) -> None:
+        if item.value is None:
+            self._members.pop(item.key, None)
+            return
+        try:
+            self._members[item.key] = msgspec.json.decode(item.value, type=Member)
+        except msgspec.DecodeError as exc:
+            self._state.metrics.ignored.labels("member").inc()
+            self._state.log.write(Event.ENTRY_IGNORED, key=item.key, reason=str(exc))
+
+    def _note_reach(self, *, reachable: bool, reason: str) -> None:
+        if reachable == self._reachable:
+            return
+        if reachable:
+            if self._reachable is False:
+                self._regained_at = self._loop.time()
+            self._state.log.write(Event.STORE_BACK)
+        else:
+            self._state.log.write(Event.STORE_LOST, reason=reason)
+            if self._reachable is None:
+                return
+        self._reachable = reachable
--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -0,0 +1,401 @@
+"""Take a client's request to an upstream and bring its answer back."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+
+import msgspec
+
+from gooseberryport_core.gateway.model import ObjectKey, Repeatability, Route
+from gooseberryport_core.gateway.placement import Verdict, place, retry_after
+from gooseberryport_core.gateway.upstreams import Upstream
+from gooseberryport_core.types import ServiceName, UpstreamId
+from gooseberryport_gateway._client_conn import ClientRequest, Reply
+from gooseberryport_gateway._http_conn import Answer, Headers, HttpConn
+from gooseberryport_gateway._logs import Event
+from gooseberryport_gateway._pool import ConnPool
+from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway.errors import AnswerLostError, NotSentError
+from gooseberryport_gateway.wire import HeaderNames
+
+NOT_READY_RETRY_S = 0.5
+"""When clients return to a gateway that knows no configuration yet; seconds."""
+
+LEAST_WORK_S = 0.02
+"""Time left below which a request is not sent; seconds."""
+
+CONNECTION_HEADERS = frozenset(
+    [
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    ]
+)
+
+
+class AttemptEnd(Enum):
+    """How a send to an upstream ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    """The upstream answered with a failure after it ran the request."""
+
+    SHED = "shed"
+    """The upstream said that it did not run the request."""
+
+    MISDIRECTED = "misdirected"
+    """Another upstream has the address by now."""
+
+    NOT_SENT = "not-sent"
+    LOST = "lost"
+    """Bytes left, and no whole answer came back."""
+
+
+class Attempt(msgspec.Struct):
+    """One send to an upstream."""
+
+    end: AttemptEnd
+    answer: Answer | None = None
+    reason: str = ""
+
+    @property
+    def executed(self) -> bool:
+        """Whether the request may have run."""
+        return self.end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.LOST)
+
+
+class _Job(msgspec.Struct, eq=False):
+    """A request on its way.
+
+    Parameters
+    ----------
+    deadline
+        Monotonic time at which the client is answered whatever happens; seconds.
+    maybe_run
+        Whether an upstream may have run it.
+    """
+
+    req: ClientRequest
+    request_id: bytes
+    route: Route
+    service: ServiceName
+    key: ObjectKey | None
+    deadline: float
+    tried: list[UpstreamId] = msgspec.field(default_factory=list)
+    maybe_run: bool = False
+    sending: bool = False
+    load: int = 0
+    cause: str = ""
+    last: Answer | None = None
+
+
+class Forwarder:
+    """Answer clients' requests.
+
+    Parameters
+    ----------
+    state
+        Beliefs that decide.
+    pool
+        Connections to upstreams.
+    names
+        Header fields of clients and upstreams.
+    """
+
+    def __init__(self, *, state: GatewayState, pool: ConnPool, names: HeaderNames) -> None:
+        self._state = state
+        self._pool = pool
+        self._names = names
+        self._loop = asyncio.get_running_loop()
+        self._own_headers = CONNECTION_HEADERS | {names.deadline_ms, names.expected_upstream}
+
+    async def handle(self, req: ClientRequest) -> Reply:
+        """Return the answer to a request."""
+        request_id = req.header(self._names.request_id) or b""
+        routes = self._state.routes
+        if routes is None:
+            return self._refuse(req, request_id, None, 503, "no configuration yet")
+        host = (req.header(b"host") or b"").decode("latin-1")
+        route = routes.find(host=host, path=req.path)
+        if route is None:
+            return self._refuse(req, request_id, None, 404, "no route")
+        job = self._job(req, request_id, route)
+        self._state.retries.note_request(service=job.service, now=req.arrived_at)
+        self._state.metrics.in_flight.inc()
+        try:
+            async with asyncio.timeout_at(job.deadline):
+                return await self._serve(job)
+        except TimeoutError:
+            return self._end_late(job)
+        except asyncio.CancelledError:
+            self._log(job, Event.REQUEST_CANCELLED, status=0)
+            raise
+        finally:
+            self._state.metrics.in_flight.dec()
+
+    def _job(self, req: ClientRequest, request_id: bytes, route: Route) -> _Job:
+        key = self._object_key(req) if route.keyed else None
+        part = self._state.splits.choose(route=route, key=key, draw=self._state.rng.random())
+        wait_s = route.timeout_s
+        told = req.header(self._names.deadline_ms)
+        if told is not None and told.isdigit():
+            wait_s = min(wait_s, int(told) / 1000.0)
+        return _Job(
+            req=req,
+            request_id=request_id,
+            route=route,
+            service=part.service,
+            key=key,
+            deadline=req.arrived_at + wait_s,
+        )
+
+    async def _serve(self, job: _Job) -> Reply:
+        while True:
+            now = self._loop.time()
+            upstream = self._choose(job, now=now)
+            if upstream is None:
+                return self._give_up(job)
+            job.tried.append(upstream.id)
+            attempt = await self._attempt(job, upstream)
+            self._note(job, upstream, attempt)
+            if attempt.end is AttemptEnd.ANSWERED:
+                assert attempt.answer is not None
+                return self._finish(job, attempt.answer)
+            if attempt.answer is not None and attempt.end is AttemptEnd.FAILED:
+                job.last = attempt.answer
+            once = job.route.repeatability is Repeatability.AT_MOST_ONCE
+            if once and job.maybe_run:
+                return self._give_up(job)
+            if not self._may_retry(job, attempt):
+                return self._give_up(job)
+
+    def _choose(self, job: _Job, *, now: float) -> Upstream | None:
+        state = self._state
+        allowed = job.route.allowed_regions
+        candidates = [
+            each
+            for each in state.upstreams.usable(job.service)
+            if not allowed or state.region_of(each.entry.zone) in allowed
+        ]
+        placement = place(
+            candidates=candidates,
+            service=job.service,
+            key=job.key,
+            load_of=lambda each: state.load_of(each, now=now),
+            may_start=lambda each: state.may_start(each, now=now),
+            zone=state.me.zone,
+            region_of=state.region_of,
+            tried=frozenset(job.tried),
+        )
+        job.load = placement.load
+        if placement.verdict is Verdict.SEND:
+            return placement.upstream
+        job.cause = f"placement: {placement.verdict.value} of {len(candidates)}"
+        return None
+
+    def _may_retry(self, job: _Job, attempt: Attempt) -> bool:
+        now = self._loop.time()
+        if len(job.tried) >= job.route.max_attempts:
+            job.cause = f"{attempt.end.value}: {attempt.reason}; no attempts left"
+            return False
+        if job.deadline - now < LEAST_WORK_S:
+            job.cause = f"{attempt.end.value}: {attempt.reason}; no time left"
+            return False
+        if attempt.end is AttemptEnd.NOT_SENT:
+            return True
+        gateways = len(self._state.fleet.sharing(now=now))
+        if not self._state.retries.take(service=job.service, gateways=gateways, now=now):
+            job.cause = f"{attempt.end.value}: {attempt.reason}; retry budget used up"
+            return False
+        return True
+
+    async def _attempt(self, job: _Job, upstream: Upstream) -> Attempt:
+        upstream.in_flight += 1
+        try:
+            conn = self._pool.take(upstream.id)
+            if conn is None:
+                conn = await self._pool.connect(upstream.id, upstream.entry.address)
+                self._state.metrics.connections.inc()
+            return await self._send(job, upstream, conn)
+        except NotSentError as exc:
+            upstream.note_unreachable(self._loop.time())
+            self._state.log.write(Event.UPSTREAM_UNREACHABLE, upstream=upstream.id, reason=str(exc))
+            return Attempt(end=AttemptEnd.NOT_SENT, reason=str(exc))
+        except AnswerLostError as exc:
+            return Attempt(end=AttemptEnd.LOST, reason=exc.reason)
+        finally:
+            upstream.in_flight -= 1
+
+    async def _send(self, job: _Job, upstream: Upstream, conn: HttpConn) -> Attempt:
+        now = self._loop.time()
+        self._state.cold.note_sent(upstream=upstream.id, now=now)
+        job.sending = True
+        answer = await conn.request(
+            self._encode(job, upstream, now=now),
+            request_id=job.request_id or None,
+            head_only=job.req.method == b"HEAD",
+        )
+        job.sending = False
+        self._pool.give(upstream.id, conn)
+        return self._judge(answer)
+
+    def _judge(self, answer: Answer) -> Attempt:
+        names = self._names
+        if answer.status == 421:
+            return Attempt(end=AttemptEnd.MISDIRECTED, reason="another upstream has the address")
+        if answer.header(names.not_executed) is not None:
+            return Attempt(end=AttemptEnd.SHED, reason=f"status {answer.status}, not executed")
+        signed = answer.header(names.signature) is not None
+        if answer.header(b"content-encoding") is not None:
+            return Attempt(end=AttemptEnd.LOST, reason="an encoded body that was not asked for")
+        if 200 <= answer.status < 300:
+            if not signed:
+                return Attempt(end=AttemptEnd.LOST, reason="a success without a signature")
+            return Attempt(end=AttemptEnd.ANSWERED, answer=answer)
+        if answer.status >= 500 or not signed:
+            return Attempt(end=AttemptEnd.FAILED, answer=answer, reason=f"status {answer.status}")
+        return Attempt(end=AttemptEnd.ANSWERED, answer=answer)
+
+    def _note(self, job: _Job, upstream: Upstream, attempt: Attempt) -> None:
+        job.sending = False
+        job.maybe_run = job.maybe_run or attempt.executed
+        self._state.metrics.attempts.labels(job.service, attempt.end.value).inc()
+        upstream.note_answer(good=attempt.end is AttemptEnd.ANSWERED)
+        if attempt.end is AttemptEnd.ANSWERED:
+            return
+        now = self._loop.time()
+        if attempt.end is AttemptEnd.MISDIRECTED:
+            upstream.note_unreachable(now)
+        if attempt.end is AttemptEnd.LOST and not self._pool.open_conns(upstream.id):
+            upstream.note_unreachable(now)
+        self._state.log.write_request(
+            Event.ATTEMPT_FAILED,
+            now=now,
+            request=job.request_id.decode("latin-1"),
+            upstream=upstream.id,
+            end=attempt.end.value,
+            reason=attempt.reason,
+            load=job.load,
+            left_ms=round((job.deadline - now) * 1000),
+        )
+
+    def _finish(self, job: _Job, answer: Answer) -> Reply:
+        self._log(job, Event.REQUEST_ENDED, status=answer.status)
+        return Reply(status=answer.status, headers=self._kept(answer.headers), body=answer.body)
+
+    def _give_up(self, job: _Job) -> Reply:
+        if job.last is not None:
+            status = job.last.status
+            if status in (408, 421, 429, 503):
+                status = 502
+                job.cause += "; the upstream's status would deny that it ran"
+            else:
+                self._log(job, Event.REQUEST_FAILED, status=status)
+                return Reply(
+                    status=status, headers=self._kept(job.last.headers), body=job.last.body
+                )
+        if job.maybe_run:
+            self._log(job, Event.REQUEST_FAILED, status=502)
+            return self._plain(502, job.request_id)
+        self._log(job, Event.REQUEST_REFUSED, status=503)
+        return self._plain(503, job.request_id, retry_s=retry_after(draw=self._state.rng.random()))
+
+    def _end_late(self, job: _Job) -> Reply:
+        maybe_run = job.maybe_run or job.sending
+        job.cause = "no answer within the route's timeout"
+        status = 504 if maybe_run else 503
+        self._log(job, Event.REQUEST_FAILED, status=status)
+        return self._plain(status, job.request_id)
+
+    def _refuse(
+        self, req: ClientRequest, request_id: bytes, route: Route | None, status: int, cause: str
+    ) -> Reply:
+        now = self._loop.time()
+        self._state.metrics.requests.labels(route.name if route else "", str(status)).inc()
+        self._state.log.write_request(
+            Event.REQUEST_REFUSED,
+            now=now,
+            request=request_id.decode("latin-1"),
+            path=req.path[:100],
+            status=status,
+            cause=cause,
+            config=self._state.routes.config.version if self._state.routes else None,
+        )
+        return self._plain(status, request_id, retry_s=NOT_READY_RETRY_S if status == 503 else None)
+
+    def _log(self, job: _Job, event: Event, *, status: int) -> None:
+        now = self._loop.time()
+        took_s = now - job.req.arrived_at
+        outcome = str(status) if status else "cancelled"
+        self._state.metrics.requests.labels(job.route.name, outcome).inc()
+        self._state.metrics.latency.labels(job.route.name).observe(took_s)
+        self._state.log.write_request(
+            event,
+            now=now,
+            request=job.request_id.decode("latin-1"),
+            route=job.route.name,
+            service=job.service,
+            object=job.key,
+            upstreams=job.tried,
+            load=job.load,
+            status=status,
+            cause=job.cause,
+            took_ms=round(took_s * 1000),
+            config=self._state.routes.config.version if self._state.routes else None,
+        )
+
+    def _plain(self, status: int, request_id: bytes, *, retry_s: float | None = None) -> Reply:
+        headers: Headers = []
+        if request_id:
+            headers.append((self._names.request_id, request_id))
+        if retry_s is not None:
+            headers.append((b"retry-after", b"%.2f" % retry_s))
+        return Reply(status=status, headers=headers)
+
+    def _object_key(self, req: ClientRequest) -> ObjectKey | None:
+        for name, value in req.headers:
+            if name != b"cookie":
+                continue
+            for pair in value.split(b";"):
+                cookie, _, content = pair.strip().partition(b"=")
+                if cookie == self._names.object_cookie:
+                    return ObjectKey(content.decode("latin-1"))
+        return None
+
+    def _encode(self, job: _Job, upstream: Upstream, *, now: float) -> bytes:
+        req = job.req
+        left_ms = max(int((job.deadline - now) * 1000), 1)
+        lines = [req.method + b" " + req.target + b" HTTP/1.1"]
+        named = _connection_options(req.headers)
+        lines.extend(
+            name + b": " + value
+            for name, value in req.headers
+            if name not in self._own_headers and name not in named
+        )
+        lines.append(self._names.deadline_ms + b": %d" % left_ms)
+        lines.append(self._names.expected_upstream + b": " + upstream.id.encode())
+        if req.body or req.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
+            lines.append(b"content-length: %d" % len(req.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + req.body
+
+    def _kept(self, headers: Headers) -> Headers:
+        named = _connection_options(headers)
+        return [
+            (name, value)
+            for name, value in headers
+            if name not in CONNECTION_HEADERS and name not in named
+        ]
+
+
+def _connection_options(headers: Headers) -> frozenset[bytes]:
+    options = [value for name, value in headers if name == b"connection"]
+    return frozenset(option.strip().lower() for value in options for option in value.split(b","))
--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -0,0 +1,67 @@
+"""Counters and histograms, served as text."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+LATENCY_BOUNDS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
+"""Bounds of the latency histograms: around the latency objectives of both users; seconds."""
+
+
+class Metrics:
+    """Count what a gateway does; names are listed in ``docs/metrics.md``."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "gooseberryport_requests",
+            "Requests of clients by route and outcome",
+            ("route", "outcome"),
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            "gooseberryport_request_seconds",
+            "Time from a request's last byte to its answer",
+            ("route",),
+            buckets=LATENCY_BOUNDS_S,
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "gooseberryport_attempts",
+            "Sends to upstreams by service and outcome",
+            ("service", "outcome"),
+            registry=self.registry,
+        )
+        self.connections = Counter(
+            "gooseberryport_upstream_connections",
+            "Connections opened to upstreams",
+            registry=self.registry,
+        )
+        self.probes = Counter(
+            "gooseberryport_probes",
+            "Health checks by outcome",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            "gooseberryport_store_calls",
+            "Calls to the store by kind and outcome",
+            ("kind", "outcome"),
+            registry=self.registry,
+        )
+        self.ignored = Counter(
+            "gooseberryport_ignored",
+            "Malformed entries, configurations and datagrams that were ignored",
+            ("kind",),
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "gooseberryport_in_flight", "Requests being answered", registry=self.registry
+        )
+        self.config_version = Gauge(
+            "gooseberryport_config_version", "Configuration in force", registry=self.registry
+        )
+
+    def text(self) -> bytes:
+        """Return all metrics in the text exposition format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -0,0 +1,93 @@
+"""Datagrams between gateways: who is alive, who leaves, and what each has in flight."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import msgspec
+
+from gooseberryport_core.types import VmId
+from gooseberryport_gateway._logs import Event
+from gooseberryport_gateway._state import GatewayState
+
+SEND_EVERY_S = 0.25
+"""Pause between datagrams: below the time of most warm requests; seconds."""
+
+
+class PeerReport(msgspec.Struct, array_like=True):
+    """What a gateway tells the others.
+
+    Parameters
+    ----------
+    vm, incarnation
+        Who reports.
+    leaving
+        Whether it is about to stop.
+    loads
+        Requests in flight by the hash of the upstream's id.
+    """
+
+    vm: str
+    incarnation: int
+    leaving: bool
+    loads: dict[int, int]
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Send and take reports.
+
+    Parameters
+    ----------
+    state
+        Beliefs that reports change.
+    """
+
+    def __init__(self, *, state: GatewayState) -> None:
+        self._state = state
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._decoder = msgspec.msgpack.Decoder(PeerReport)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a report in."""
+        try:
+            report = self._decoder.decode(data)
+        except msgspec.DecodeError as exc:
+            self._state.metrics.ignored.labels("datagram").inc()
+            self._state.log.write(Event.DATAGRAM_IGNORED, sender=addr[0], reason=str(exc))
+            return
+        now = self._loop.time()
+        self._state.fleet.note_heard(
+            VmId(report.vm), incarnation=report.incarnation, leaving=report.leaving, now=now
+        )
+        self._state.note_peer_loads(report.vm, report.loads, now=now)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a peer's port is closed: its silence tells the same."""
+
+    async def report(self) -> None:
+        """Send reports, for ever."""
+        while True:
+            self.send()
+            await asyncio.sleep(SEND_EVERY_S)
+
+    def send(self) -> None:
+        """Send one report to every peer."""
+        if self._transport is None:
+            return
+        state = self._state
+        data = msgspec.msgpack.encode(
+            PeerReport(
+                vm=state.me.vm,
+                incarnation=state.me.incarnation,
+                leaving=state.leaving,
+                loads=state.loads(),
+            )
+        )
+        for peer in state.fleet.peers(now=self._loop.time()):
+            self._transport.sendto(data, peer.datagrams)
--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
@@ -0,0 +1,93 @@
+"""Kept connections to upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from gooseberryport_core.gateway.model import Address
+from gooseberryport_core.types import UpstreamId
+from gooseberryport_gateway._http_conn import HttpConn, open_conn
+
+CONNECT_TIMEOUT_S = 0.5
+"""Time for a connection to be established: many times the longest round trip; seconds."""
+
+
+class ConnPool:
+    """Keep idle connections to each upstream, newest first.
+
+    Parameters
+    ----------
+    id_header
+        Header field that carries a request's id, in lower case.
+    on_broken
+        Called when an idle connection is closed by the upstream and no other is left.
+    """
+
+    def __init__(self, *, id_header: bytes, on_broken: Callable[[UpstreamId], None]) -> None:
+        self._id_header = id_header
+        self._on_broken = on_broken
+        self._idle: dict[UpstreamId, list[HttpConn]] = {}
+        self._open: dict[UpstreamId, int] = {}
+        self._loop = asyncio.get_running_loop()
+        self.opened = 0
+
+    def open_conns(self, upstream: UpstreamId) -> int:
+        """Return how many connections to an upstream are open."""
+        return self._open.get(upstream, 0)
+
+    def take(self, upstream: UpstreamId) -> HttpConn | None:
+        """Return an idle connection that may be used, or None."""
+        idle = self._idle.get(upstream)
+        now = self._loop.time()
+        while idle:
+            conn = idle.pop()
+            if conn.usable and not conn.expired(now):
+                return conn
+            conn.close()
+        return None
+
+    async def connect(self, upstream: UpstreamId, address: Address) -> HttpConn:
+        """Open a connection.
+
+        Raises
+        ------
+        NotSentError
+            It could not be opened.
+        """
+        self.opened += 1
+        conn = await open_conn(address, timeout_s=CONNECT_TIMEOUT_S, id_header=self._id_header)
+        self._open[upstream] = self._open.get(upstream, 0) + 1
+        conn.on_closed.add_done_callback(lambda _: self._note_closed(upstream, conn))
+        return conn
+
+    def give(self, upstream: UpstreamId, conn: HttpConn) -> None:
+        """Take a connection back."""
+        if conn.usable:
+            self._idle.setdefault(upstream, []).append(conn)
+        else:
+            conn.close()
+
+    def close_expired(self) -> None:
+        """Close connections that upstreams are about to close."""
+        now = self._loop.time()
+        for idle in self._idle.values():
+            for conn in [each for each in idle if each.expired(now)]:
+                idle.remove(conn)
+                conn.close()
+
+    def drop(self, upstream: UpstreamId) -> None:
+        """Close the idle connections to an upstream that is gone."""
+        for conn in self._idle.pop(upstream, []):
+            conn.close()
+
+    def _note_closed(self, upstream: UpstreamId, conn: HttpConn) -> None:
+        left = self._open.get(upstream, 1) - 1
+        self._open[upstream] = left
+        if not left:
+            del self._open[upstream]
+        idle = self._idle.get(upstream, [])
+        if conn in idle:
+            idle.remove(conn)
+            if not left:
+                self._on_broken(upstream)
--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -0,0 +1,134 @@
+"""What one gateway believes, and the few changes that touch several beliefs at once."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from functools import lru_cache
+
+import xxhash
+
+from gooseberryport_core.gateway.fleet import Fleet
+from gooseberryport_core.gateway.limits import ColdShare, RetryShare
+from gooseberryport_core.gateway.model import ClientLimits, Member, RoutingConfig, UpstreamEntry
+from gooseberryport_core.gateway.routing import RouteTable, SplitChooser
+from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
+from gooseberryport_core.types import RegionName, UpstreamId, ZoneName
+from gooseberryport_gateway._logs import Event, Log
+from gooseberryport_gateway._metrics import Metrics
+from gooseberryport_gateway.wire import GatewaySettings
+
+LOAD_REPORT_S = 1.0
+"""Age from which another gateway's load report counts for nothing; seconds."""
+
+HASH_MASK = 0xFFFFFFFF
+
+
+class GatewayState:
+    """Beliefs of one gateway.
+
+    Parameters
+    ----------
+    settings
+        Settings of the gateway.
+    me
+        This gateway as the others know it.
+    log, metrics
+        Where changes are reported.
+    """
+
+    def __init__(
+        self, *, settings: GatewaySettings, me: Member, log: Log, metrics: Metrics
+    ) -> None:
+        bounds = settings.bounds
+        self.settings = settings
+        self.me = me
+        self.log = log
+        self.metrics = metrics
+        self.rng = random.Random(f"{me.vm}|{me.incarnation}")
+        self.routes: RouteTable | None = None
+        self.upstreams = UpstreamTable()
+        self.splits = SplitChooser()
+        self.fleet = Fleet(me=me)
+        self.retries = RetryShare(
+            ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
+        )
+        self.cold = ColdShare(vm=me.vm, overage=bounds.cold_overage, slack=bounds.cold_slack)
+        self.leaving = False
+        self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Bounds on what clients may send."""
+        return self.routes.config.limits if self.routes is not None else ClientLimits()
+
+    def region_of(self, zone: ZoneName) -> RegionName:
+        """Return the region of an availability zone."""
+        return self.settings.regions.get(zone, RegionName(zone))
+
+    def apply_config(self, config: RoutingConfig) -> bool:
+        """Put a configuration in force, unless a newer one is; True if it was taken."""
+        if self.routes is not None and config.version <= self.routes.config.version:
+            return False
+        self.routes = RouteTable(config)
+        self.metrics.config_version.set(config.version)
+        self.log.write(Event.CONFIG_APPLIED, version=config.version, routes=len(config.routes))
+        return True
+
+    def put_upstream(self, entry: UpstreamEntry, *, now: float) -> None:
+        """Take an upstream's report in."""
+        known = self.upstreams.get(entry.upstream)
+        before = known.entry if known is not None else None
+        if not self.upstreams.put(entry, now=now):
+            return
+        if before is None or (before.state, before.started_ms) != (entry.state, entry.started_ms):
+            self.log.write(
+                Event.UPSTREAM_CHANGED,
+                upstream=entry.upstream,
+                service=entry.service,
+                state=entry.state.value,
+                cold_s=entry.cold_s,
+                started_ms=entry.started_ms,
+            )
+
+    def set_evacuated(self, zones: Iterable[ZoneName]) -> None:
+        """Replace the availability zones that get no requests."""
+        wanted = frozenset(zones)
+        if wanted != self.upstreams.evacuated:
+            self.upstreams.set_evacuated(wanted)
+            self.log.write(Event.ZONES_EVACUATED, zones=sorted(wanted))
+
+    def note_peer_loads(self, vm: str, loads: dict[int, int], *, now: float) -> None:
+        """Keep what another gateway has in flight, by the hash of the upstream's id."""
+        self._peer_loads[vm] = (now, loads)
+
+    def load_of(self, upstream: Upstream, *, now: float) -> int:
+        """Return the requests of all gateways that run or wait at an upstream, as far as known."""
+        mark = upstream_mark(upstream.id)
+        load = upstream.in_flight
+        for at, loads in self._peer_loads.values():
+            if now - at < LOAD_REPORT_S:
+                load += loads.get(mark, 0)
+        return load
+
+    def loads(self) -> dict[int, int]:
+        """Return what this gateway has in flight, by the hash of the upstream's id."""
+        return {upstream_mark(each.id): each.in_flight for each in self.upstreams if each.in_flight}
+
+    def may_start(self, upstream: Upstream, *, now: float) -> bool:
+        """Tell whether an upstream may get a request now; cold ones bear few."""
+        if not upstream.cold(now) or self.routes is None:
+            return True
+        spec = self.routes.config.services.get(upstream.entry.service)
+        return self.cold.room(
+            upstream=upstream.id,
+            cold_rate_per_s=spec.cold_rate_per_s if spec is not None else 0.0,
+            gateways=self.fleet.sharing(now=now),
+            now=now,
+        )
+
+
+@lru_cache(maxsize=4096)
+def upstream_mark(upstream: UpstreamId) -> int:
+    """Return a short hash of an upstream's id, the same in every process."""
+    return xxhash.xxh3_64_intdigest(upstream.encode()) & HASH_MASK
--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -0,0 +1,241 @@
+"""Run one gateway: listeners, background tasks, and an orderly end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import time
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from gooseberryport_core.gateway.model import ClientLimits, Member
+from gooseberryport_core.types import RegionName, ZoneName
+from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
+from gooseberryport_gateway._discovery import Discovery
+from gooseberryport_gateway._forwarder import Forwarder
+from gooseberryport_gateway._logs import Event, Log
+from gooseberryport_gateway._metrics import Metrics
+from gooseberryport_gateway._peers import Peers
+from gooseberryport_gateway._pool import ConnPool
+from gooseberryport_gateway._prober import Prober
+from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway.errors import SettingsError
+from gooseberryport_gateway.wire import Codec, GatewaySettings, HeaderNames, StoreClient
+
+STDOUT = 1
+
+LOOKUP_TTL_S = 2.0
+"""How long clients keep a look-up's answer; a gateway that stops serves on for longer; seconds."""
+
+HOUSEKEEPING_EVERY_S = 0.2
+"""Pause between flushes of the log and looks at idle connections; seconds."""
+
+LISTEN_BACKLOG = 1024
+"""Connections that may wait to be accepted; a burst of new clients on one VM."""
+
+STOP_ACCEPTING_SHARE = 0.35
+"""Part of the grace time for which a stopping gateway still takes connections."""
+
+EXIT_MARGIN_S = 0.4
+"""How long before the end of the grace time a stopping gateway exits; seconds."""
+
+
+class Gateway:
+    """One gateway.
+
+    Parameters
+    ----------
+    settings
+        Where it runs and what binds it.
+    store
+        The platform's store.
+    codec
+        Decodes what others write to the store.
+    names
+        Header fields of clients and upstreams.
+    """
+
+    def __init__(
+        self, *, settings: GatewaySettings, store: StoreClient, codec: Codec, names: HeaderNames
+    ) -> None:
+        os.set_blocking(STDOUT, False)
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self.metrics = Metrics()
+        self.log = Log(vm=settings.vm, fd=STDOUT)
+        me = Member(
+            vm=settings.vm,
+            zone=settings.zone,
+            region=settings.region,
+            front=settings.front,
+            datagrams=(settings.ip, settings.peer_port),
+            incarnation=time.time_ns(),
+        )
+        self.state = GatewayState(settings=settings, me=me, log=self.log, metrics=self.metrics)
+        self._pool = ConnPool(id_header=names.request_id, on_broken=self._note_broken)
+        self._forwarder = Forwarder(state=self.state, pool=self._pool, names=names)
+        self._prober = Prober(state=self.state, pool=self._pool, names=names)
+        self._discovery = Discovery(state=self.state, store=store, codec=codec)
+        self._peers = Peers(state=self.state)
+        self._conns: set[ClientConn] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._servers: list[asyncio.Server] = []
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then end without losing an answer."""
+        settings = self._settings
+        self.log.write(Event.GATEWAY_STARTED, zone=settings.zone, region=settings.region)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stop.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        async with self._peer_socket():
+            front = await self._listen(settings.front, self._handle_front, self._conns)
+            pages: set[ClientConn] = set()
+            for address in {settings.ready, settings.lookup, settings.control} - {""}:
+                await self._listen(address, self._handle_page, pages)
+            self._start(self._discovery.follow())
+            self._start(self._discovery.hold_membership())
+            self._start(self._peers.report())
+            self._start(self._prober.run())
+            self._start(self._keep_house())
+            await self._stop.wait()
+            await self._end(front)
+        for task in self._tasks:
+            task.cancel()
+        self.log.write(Event.GATEWAY_STOPPED)
+        self.log.flush()
+
+    @contextlib.asynccontextmanager
+    async def _peer_socket(self) -> AsyncIterator[None]:
+        transport, _ = await self._loop.create_datagram_endpoint(
+            lambda: self._peers, local_addr=self.state.me.datagrams
+        )
+        try:
+            yield
+        finally:
+            transport.close()
+
+    async def _listen(
+        self, address: str, handler: Handler, conns: set[ClientConn]
+    ) -> asyncio.Server:
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            raise SettingsError(f"listener address {address!r} is not IP:port; correct it")
+        server = await self._loop.create_server(
+            lambda: ClientConn(handler=self._guarded(handler), limits=self._limits, conns=conns),
+            host=host,
+            port=int(port),
+            backlog=LISTEN_BACKLOG,
+            reuse_address=True,
+        )
+        self._servers.append(server)
+        return server
+
+    def _limits(self) -> ClientLimits:
+        return self.state.limits
+
+    def _guarded(self, handler: Handler) -> Handler:
+        async def handle(req: ClientRequest) -> Reply:
+            try:
+                return await handler(req)
+            except Exception as exc:
+                self.log.write(Event.TASK_FAILED, task="request", error=repr(exc))
+                return Reply(status=500, headers=[])
+
+        return handle
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_ended)
+
+    def _note_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        exc = task.exception()
+        if exc is not None:
+            self.log.write(Event.TASK_FAILED, task=str(task.get_coro()), error=repr(exc))
+            self._stop.set()
+
+    async def _handle_front(self, req: ClientRequest) -> Reply:
+        return await self._forwarder.handle(req)
+
+    async def _handle_page(self, req: ClientRequest) -> Reply:
+        if req.path == "/v1/resolve":
+            return self._lookup(req)
+        if req.path == "/v1/ready":
+            return Reply(status=200 if self.ready else 503, headers=[])
+        if req.path == "/metrics":
+            return Reply(
+                status=200,
+                headers=[(b"content-type", b"text/plain; version=0.0.4")],
+                body=self.metrics.text(),
+            )
+        return Reply(status=404, headers=[])
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients should come."""
+        return self._discovery.synced and not self.state.leaving
+
+    def _lookup(self, req: ClientRequest) -> Reply:
+        query = parse_qs(req.target.partition(b"?")[2].decode("latin-1"))
+        zone = ZoneName(query.get("zone", [self._settings.zone])[0])
+        region = RegionName(query.get("region", [self._settings.region])[0])
+        addresses = self.state.fleet.entry_points(
+            zone=zone, region=region, leaving=self.state.leaving, now=self._loop.time()
+        )
+        ttl_s = min(LOOKUP_TTL_S, self._settings.bounds.max_lookup_ttl_s)
+        body = msgspec.json.encode({"addresses": addresses, "ttlS": ttl_s})
+        return Reply(status=200, headers=[(b"content-type", b"application/json")], body=body)
+
+    def _note_broken(self, upstream: Any) -> None:
+        known = self.state.upstreams.get(upstream)
+        if known is not None:
+            known.note_unreachable(self._loop.time())
+
+    def _reload(self) -> None:
+        self.log.write(Event.SETTINGS_RELOADED)
+
+    async def _keep_house(self) -> None:
+        was_ready = False
+        while True:
+            self._pool.close_expired()
+            self._discovery.expire()
+            if self.ready and not was_ready:
+                was_ready = True
+                self.log.write(Event.GATEWAY_READY)
+            self.log.flush()
+            await asyncio.sleep(HOUSEKEEPING_EVERY_S)
+
+    async def _end(self, front: asyncio.Server) -> None:
+        started = self._loop.time()
+        grace_s = self._settings.bounds.grace_s
+        self.state.leaving = True
+        self.log.write(Event.GATEWAY_STOPPING, connections=len(self._conns))
+        self._peers.send()
+        self._start(self._discovery.end_membership())
+        await asyncio.sleep(grace_s * STOP_ACCEPTING_SHARE)
+        front.close()
+        for conn in list(self._conns):
+            conn.leave()
+        while self._conns and self._loop.time() - started < grace_s - EXIT_MARGIN_S:
+            await asyncio.sleep(0.05)
+        for server in self._servers:
+            server.close()
+
+
+def run_gateway(start: Callable[[], Gateway]) -> None:
+    """Run a gateway that `start` makes inside the loop."""
+
+    async def main() -> None:
+        await start().run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -0,0 +1,167 @@
+"""Names that an adapter gives to what gateways, clients and upstreams tell each other."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+from gooseberryport_core.gateway.model import Member, RoutingConfig, UpstreamEntry
+from gooseberryport_core.types import RegionName, UpstreamId, VmId, ZoneName
+
+
+class HeaderNames(msgspec.Struct, frozen=True):
+    """Header fields of requests and answers, in lower case.
+
+    Parameters
+    ----------
+    request_id
+        Id of a request; its answer repeats it.
+    deadline_ms
+        How long the sender waits; milliseconds.
+    expected_upstream
+        Upstream that alone may run the request.
+    upstream
+        Upstream that answers a health check.
+    signature
+        Proof that an answer is an upstream's own.
+    not_executed
+        Mark of an answer to a request that did not run.
+    load
+        Requests that run and wait at an upstream, and its slots, separated by commas.
+    cold_ms
+        How much longer an upstream stays cold; milliseconds.
+    object_cookie
+        Cookie that names the request's object.
+    """
+
+    request_id: bytes
+    deadline_ms: bytes
+    expected_upstream: bytes
+    upstream: bytes
+    signature: bytes
+    not_executed: bytes
+    load: bytes
+    cold_ms: bytes
+    object_cookie: bytes
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Bounds that the deployment sets; names as in the decisions that use them."""
+
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    cold_overage: float
+    cold_slack: float
+    grace_s: float
+    max_lookup_ttl_s: float
+
+
+class GatewaySettings(msgspec.Struct, frozen=True):
+    """Settings of one gateway.
+
+    Parameters
+    ----------
+    vm, zone, region
+        Which VM this is, and where.
+    regions
+        Region of each availability zone.
+    ip
+        Address for traffic between gateways.
+    front, ready, lookup, control
+        Addresses of the listeners, ``IP:port``; empty for none.
+    peer_port
+        Port for datagrams between gateways.
+    store
+        Address of the store, ``IP:port``.
+    lease_min_ms
+        Shortest lease that the store grants; milliseconds.
+    bounds
+        Bounds of the deployment.
+    """
+
+    vm: VmId
+    zone: ZoneName
+    region: RegionName
+    regions: dict[ZoneName, RegionName]
+    ip: str
+    front: str
+    ready: str
+    lookup: str
+    control: str
+    peer_port: int
+    store: str
+    lease_min_ms: int
+    bounds: Bounds
+
+
+class StoreItem(msgspec.Struct, frozen=True):
+    """One key of the store; `value` is None if it was deleted."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class StorePage(msgspec.Struct, frozen=True):
+    """What a read or a watch returned.
+
+    Parameters
+    ----------
+    items
+        Items, or changes in their order.
+    revision
+        Revision of the store from which a watch goes on.
+    """
+
+    items: tuple[StoreItem, ...]
+    revision: int
+
+
+class StoreClient(Protocol):
+    """The platform's store. Every call may raise `StoreError`."""
+
+    async def read_range(self, prefix: str) -> StorePage:
+        """Return all items under a prefix."""
+
+    async def watch(self, prefix: str, *, after: int, wait_s: float) -> StorePage:
+        """Return the changes after a revision as soon as there are any."""
+
+    async def grant_lease(self, *, ttl_s: float) -> int:
+        """Take a lease and return its id."""
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease."""
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; its keys are removed."""
+
+    async def put(self, key: str, value: bytes, *, lease: int) -> None:
+        """Write a key, whatever it holds."""
+
+
+class Codec(Protocol):
+    """Decodes what operators and upstreams write to the store."""
+
+    config_prefix: str
+    upstream_prefix: str
+    member_prefix: str
+
+    def config(self, item: StoreItem) -> RoutingConfig | None:
+        """Decode a configuration, or return None if the item is not one."""
+
+    def evacuated_zone(self, key: str) -> ZoneName | None:
+        """Return the availability zone that a key asks to empty, if it does."""
+
+    def upstream_id(self, key: str) -> UpstreamId:
+        """Return the upstream whose entry a key holds."""
+
+    def upstream(self, item: StoreItem) -> UpstreamEntry:
+        """Decode an upstream's entry; ValueError says what is wrong."""
+
+
+class MemberRecord(msgspec.Struct, frozen=True):
+    """A gateway's own entry in the store."""
+
+    member: Member
