Stop using entries that vanish while a gateway is cut off

Ruled out: a stale watch (history was gone, the range was read again). Change: vanished entries are used only while most of a service's entries vanished; the grace counts from the moment the store is back; failed calls are repeated after at most 0.5 s.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
@@ -158,11 +158,19 @@
         if self._upstreams.pop(upstream, None) is not None:
             self._index()
 
-    def suspend(self, upstream: UpstreamId, *, now: float) -> None:
-        """Keep an upstream whose entry vanished during a store outage for a short time."""
+    def suspend(self, upstream: UpstreamId, *, regained_at: float) -> None:
+        """Keep an upstream whose entry vanished during a store outage for a short time.
+
+        Parameters
+        ----------
+        upstream
+            Whose entry is missing.
+        regained_at
+            When the store could be reached again; monotonic seconds.
+        """
         known = self._upstreams.get(upstream)
         if known is not None and known.lapses_at is None:
-            known.lapses_at = now + RETURN_GRACE_S
+            known.lapses_at = regained_at + RETURN_GRACE_S
 
     def expire(self, *, now: float) -> list[UpstreamId]:
         """Drop and return the upstreams whose entries did not come back in time."""
@@ -176,14 +184,20 @@
         return gone
 
     def usable(self, service: ServiceName) -> list[Upstream]:
-        """Return the upstreams of a service that take new requests, cold ones included."""
-        return [
+        """Return the upstreams of a service that take new requests, cold ones included.
+
+        Upstreams whose entries vanished count only while most of the service's entries did: then
+        the store has forgotten them, and else they have left.
+        """
+        ready = [
             each
             for each in self.of(service)
-            if each.entry.state is UpstreamState.READY
-            and each.entry.zone not in self._evacuated
-            and each.reach is Reach.OPEN
+            if each.entry.state is UpstreamState.READY and each.entry.zone not in self._evacuated
         ]
+        standing = [each for each in ready if each.lapses_at is None]
+        if 2 * len(standing) >= len(ready):
+            ready = standing
+        return [each for each in ready if each.reach is Reach.OPEN]
 
     def _index(self) -> None:
         self._by_service = {}
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -28,7 +28,7 @@
 """Pause between renewals: a third of the lease; seconds."""
 
 RETRY_MIN_S = 0.2
-RETRY_MAX_S = 1.0
+RETRY_MAX_S = 0.5
 """Bounds of the pause after a failed call; seconds."""
 
 OUTAGE_LAPSE_S = 2.5
@@ -180,7 +180,7 @@
         if item.value is None:
             self._entries.discard(item.key)
             if now - self._regained_at < OUTAGE_LAPSE_S:
-                self._state.upstreams.suspend(upstream, now=now)
+                self._state.upstreams.suspend(upstream, regained_at=self._regained_at)
             elif self._state.upstreams.get(upstream) is not None:
                 self._state.upstreams.remove(upstream)
                 self._state.log.write(
