Place requests by warmth, bound waiting by the objective, and ask random refusers again

Change: gateways of a region tell each other which upstream handled which object; a request goes to a warm upstream with a free slot, warms a second one only while that is idle, waits as long as its objective allows, or is refused at once. Refusals of upstreams with free slots are asked again.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -3,7 +3,8 @@
 Load pattern: upstreams work several times faster on objects that they handled lately, and demand
 is over what cold upstreams carry. A request that moves to another upstream because its own is busy
 holds a slot there for the cold time, so each move makes the next one likelier. Objects therefore
-have stable homes, waiting at a home is bounded, and what does not fit is refused at once.
+stay where they are warm, waiting there is bounded by the latency objective, another upstream is
+warmed only while it is idle, and what does not fit is refused at once.
 """
 
 from __future__ import annotations
@@ -21,8 +22,24 @@
 
 HASH_RANGE = 2.0**64
 
-QUEUE_FACTOR = 1.5
-"""Running and waiting requests at a home, over its slots, from which requests are refused."""
+REGION_BIAS = 4.0
+"""How much more often an object's home lies in its clients' region than the slots there say."""
+
+FIRST_HOMES = 2
+"""Upstreams among which a cold object's first home is chosen by load."""
+
+MOST_HOMES = 2
+"""Upstreams that an object is kept warm on; each costs a slow first request."""
+
+IDLE_SHARE = 0.25
+"""Load over slots up to which an upstream is idle enough to warm another object."""
+
+OBJECTIVE_SHARE = 0.9
+"""Part of the latency objective that is planned with; load reports are a little old."""
+
+LEAST_QUEUE = 1.25
+MOST_QUEUE = 2.5
+"""Bounds of load over slots at which requests are refused; upstreams themselves refuse at four."""
 
 FAILING_SHARE = 0.4
 """Share of failed answers from which an upstream is only used if no other is left."""
@@ -54,24 +71,56 @@
         Where the request goes, with `Verdict.SEND`.
     load
         Requests that were believed to run or wait there.
+    warm
+        Whether the upstream handled the object lately, as far as known.
     """
 
     verdict: Verdict
     upstream: Upstream | None = None
     load: int = 0
+    warm: bool = False
 
 
-def rank(*, candidates: Sequence[Upstream], service: ServiceName, key: ObjectKey) -> list[Upstream]:
-    """Order upstreams by how well they suit an object, the same at every gateway.
+class View(msgspec.Struct, frozen=True):
+    """What a gateway believes at the moment of a decision.
+
+    Parameters
+    ----------
+    zone
+        Availability zone of this gateway.
+    region_of
+        Region of an availability zone.
+    load_of
+        Requests that run or wait at an upstream.
+    may_start
+        Whether an upstream may get a request now; cold ones are bounded.
+    warm
+        Whether an upstream handled the request's object lately.
+    """
+
+    zone: ZoneName
+    region_of: Callable[[ZoneName], RegionName]
+    load_of: Callable[[Upstream], int]
+    may_start: Callable[[Upstream], bool]
+    warm: Callable[[Upstream], bool]
+
+    def near(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream is in this gateway's region."""
+        return self.region_of(upstream.entry.zone) == self.region_of(self.zone)
+
+
+def rank(
+    *, candidates: Sequence[Upstream], service: ServiceName, key: ObjectKey, view: View
+) -> list[Upstream]:
+    """Order upstreams by how well they suit an object, the same at every gateway of a region.
 
     Weighted rendezvous hashing by slots: when an upstream joins or leaves, only the objects that
-    it gains or loses move.
+    it gains or loses move. Objects are asked for from one region, so upstreams there weigh more.
     """
 
     def score(each: Upstream) -> float:
-        return home_score(
-            service=service, key=key, upstream=each.id, weight=float(max(each.entry.slots, 1))
-        )
+        weight = max(each.entry.slots, 1) * (REGION_BIAS if view.near(each) else 1.0)
+        return home_score(service=service, key=key, upstream=each.id, weight=weight)
 
     return sorted(candidates, key=score, reverse=True)
 
@@ -90,11 +139,9 @@
     candidates: Sequence[Upstream],
     service: ServiceName,
     key: ObjectKey | None,
-    load_of: Callable[[Upstream], int],
-    may_start: Callable[[Upstream], bool],
-    zone: ZoneName,
-    region_of: Callable[[ZoneName], RegionName],
-    tried: frozenset[UpstreamId] = frozenset(),
+    view: View,
+    queue_factor: float,
+    avoided: frozenset[UpstreamId] = frozenset(),
 ) -> Placement:
     """Decide where a request goes.
 
@@ -104,58 +151,83 @@
         Upstreams that may serve it.
     service, key
         Service and object of the request.
-    load_of
-        Requests that run or wait at an upstream, as far as known.
-    may_start
-        Whether an upstream may get a request now; cold ones are bounded.
-    zone
-        Availability zone of this gateway.
-    region_of
-        Region of an availability zone.
-    tried
-        Upstreams that the request was sent to before.
+    view
+        Beliefs that decide.
+    queue_factor
+        Running and waiting requests, over an upstream's slots, from which the request would be
+        late there.
+    avoided
+        Upstreams that failed the request before.
     """
-    open_ones = [each for each in candidates if each.id not in tried]
+    open_ones = [each for each in candidates if each.id not in avoided]
     if not open_ones:
         return Placement(verdict=Verdict.NONE)
     sound = [each for each in open_ones if each.failures < FAILING_SHARE]
-    pool = sound or open_ones
+    startable = [each for each in sound or open_ones if view.may_start(each)]
+    if not startable:
+        return Placement(verdict=Verdict.FULL)
     if key is None:
-        return _place_anywhere(
-            pool=pool, load_of=load_of, may_start=may_start, zone=zone, region_of=region_of
-        )
-    for each in rank(candidates=pool, service=service, key=key):
-        if not may_start(each):
-            continue
-        load = load_of(each)
-        if load >= each.entry.slots * QUEUE_FACTOR:
-            return Placement(verdict=Verdict.FULL, upstream=each, load=load)
-        return Placement(verdict=Verdict.SEND, upstream=each, load=load)
-    return Placement(verdict=Verdict.FULL)
-
-
-def _place_anywhere(
-    *,
-    pool: Sequence[Upstream],
-    load_of: Callable[[Upstream], int],
-    may_start: Callable[[Upstream], bool],
-    zone: ZoneName,
-    region_of: Callable[[ZoneName], RegionName],
-) -> Placement:
+        return _nearest(pool=startable, view=view, queue_factor=queue_factor)
+    ranked = rank(candidates=startable, service=service, key=key, view=view)
+    homes = [each for each in ranked if view.warm(each)]
+    if not homes:
+        return _least_loaded(pool=ranked[:FIRST_HOMES], view=view, queue_factor=queue_factor)
+    for each in homes:
+        if view.load_of(each) < each.entry.slots:
+            return _send(each, view=view)
+    if len(homes) < MOST_HOMES:
+        for each in ranked[: MOST_HOMES + 1]:
+            if view.load_of(each) <= each.entry.slots * IDLE_SHARE:
+                return _send(each, view=view)
+    return _least_loaded(pool=homes, view=view, queue_factor=queue_factor)
+
+
+def _send(upstream: Upstream, *, view: View) -> Placement:
+    return Placement(
+        verdict=Verdict.SEND,
+        upstream=upstream,
+        load=view.load_of(upstream),
+        warm=view.warm(upstream),
+    )
+
+
+def _least_loaded(*, pool: Sequence[Upstream], view: View, queue_factor: float) -> Placement:
+    best = min(pool, key=lambda each: max(view.load_of(each) / each.entry.slots, 1.0 - 1e-9))
+    load = view.load_of(best)
+    if load >= best.entry.slots * queue_factor:
+        return Placement(verdict=Verdict.FULL, upstream=best, load=load)
+    return _send(best, view=view)
+
+
+def _nearest(*, pool: Sequence[Upstream], view: View, queue_factor: float) -> Placement:
     def cost(each: Upstream) -> tuple[float, int]:
         distance = 0
-        if each.entry.zone != zone:
-            distance = 1 if region_of(each.entry.zone) == region_of(zone) else 2
-        return (load_of(each) / max(each.entry.slots, 1) + 0.25 * distance, distance)
+        if each.entry.zone != view.zone:
+            distance = 1 if view.near(each) else 2
+        return (view.load_of(each) / each.entry.slots + 0.25 * distance, distance)
 
-    ready = [each for each in pool if may_start(each)]
-    if not ready:
-        return Placement(verdict=Verdict.FULL)
-    best = min(ready, key=cost)
-    load = load_of(best)
-    if load >= best.entry.slots * QUEUE_FACTOR:
+    best = min(pool, key=cost)
+    load = view.load_of(best)
+    if load >= best.entry.slots * queue_factor:
         return Placement(verdict=Verdict.FULL, upstream=best, load=load)
-    return Placement(verdict=Verdict.SEND, upstream=best, load=load)
+    return _send(best, view=view)
+
+
+def queue_factor(*, objective_s: float, warm_s: float) -> float:
+    """Return up to which load over slots a request still meets its latency objective.
+
+    Load pattern: a queue at a warm home. Each waiting request takes the warm time of a slot, so
+    a request may wait as long as its objective leaves after its own work.
+
+    Parameters
+    ----------
+    objective_s
+        Latency objective, less the time that has passed; seconds.
+    warm_s
+        Time of a request whose object is warm, travel included; seconds.
+    """
+    slack_s = objective_s * OBJECTIVE_SHARE - warm_s
+    return min(max(1.0 + slack_s / max(warm_s, 0.001), LEAST_QUEUE), MOST_QUEUE)
 
 
 def retry_after(*, draw: float) -> float:
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
@@ -0,0 +1,74 @@
+"""Which upstreams handled which objects lately.
+
+Load pattern: an upstream answers several times faster for objects that it handled lately, and
+keeps some dozens of them. What each gateway sees of that is passed on to the others of its region,
+whose clients ask for the same objects.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+
+import xxhash
+
+from gooseberryport_core.gateway.model import ObjectKey
+from gooseberryport_core.types import UpstreamId
+
+KEPT_OBJECTS = 48
+"""Objects that an upstream is believed to keep; those handled longest ago are forgotten first."""
+
+NEWS_S = 1.0
+"""How long a new pair of upstream and object is passed on: four datagrams; seconds."""
+
+MARK_MASK = 0xFFFFFFFF
+
+
+def object_mark(key: ObjectKey) -> int:
+    """Return a short hash of an object's key, the same in every process."""
+    return xxhash.xxh3_64_intdigest(key.encode()) & MARK_MASK
+
+
+class Warmth:
+    """Remember pairs of upstream and object."""
+
+    def __init__(self) -> None:
+        self._objects: dict[UpstreamId, OrderedDict[int, None]] = {}
+        self._news: deque[tuple[float, UpstreamId, int]] = deque()
+
+    def warm(self, upstream: UpstreamId, mark: int) -> bool:
+        """Tell whether an upstream handled an object lately."""
+        objects = self._objects.get(upstream)
+        return objects is not None and mark in objects
+
+    def note(self, upstream: UpstreamId, mark: int, *, now: float, own: bool) -> None:
+        """Remember that an upstream handled an object.
+
+        Parameters
+        ----------
+        upstream
+            The upstream.
+        mark
+            Short hash of the object's key.
+        now
+            Monotonic time; seconds.
+        own
+            Whether this gateway saw it itself; such news is passed on.
+        """
+        objects = self._objects.setdefault(upstream, OrderedDict())
+        known = mark in objects
+        objects[mark] = None
+        objects.move_to_end(mark)
+        if len(objects) > KEPT_OBJECTS:
+            objects.popitem(last=False)
+        if own and not known:
+            self._news.append((now, upstream, mark))
+
+    def news(self, *, now: float) -> list[tuple[UpstreamId, int]]:
+        """Return the pairs that others may not know yet."""
+        while self._news and now - self._news[0][0] > NEWS_S:
+            self._news.popleft()
+        return [(upstream, mark) for _, upstream, mark in self._news]
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Drop what an upstream handled: it is gone, or started again."""
+        self._objects.pop(upstream, None)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from gooseberryport_core.gateway.model import ObjectKey, Repeatability, Route
-from gooseberryport_core.gateway.placement import Verdict, place, retry_after
+from gooseberryport_core.gateway.placement import Verdict, View, place, queue_factor, retry_after
 from gooseberryport_core.gateway.upstreams import Upstream
+from gooseberryport_core.gateway.warmth import object_mark
 from gooseberryport_core.types import ServiceName, UpstreamId
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
 from gooseberryport_gateway._http_conn import Answer, Headers, HttpConn
@@ -22,6 +23,9 @@
 NOT_READY_RETRY_S = 0.5
 """When clients return to a gateway that knows no configuration yet; seconds."""
 
+MOST_SENDS = 4
+"""Sends of one request, with those that upstreams refused to run."""
+
 LEAST_WORK_S = 0.02
 """Time left below which a request is not sent; seconds."""
 
@@ -80,6 +84,10 @@
     ----------
     deadline
         Monotonic time at which the client is answered whatever happens; seconds.
+    sent_to
+        Upstreams that it was sent to, in their order.
+    avoided
+        Upstreams that it is not sent to again.
     maybe_run
         Whether an upstream may have run it.
     """
@@ -90,10 +98,12 @@
     service: ServiceName
     key: ObjectKey | None
     deadline: float
-    tried: list[UpstreamId] = msgspec.field(default_factory=list)
+    sent_to: list[UpstreamId] = msgspec.field(default_factory=list)
+    avoided: set[UpstreamId] = msgspec.field(default_factory=set)
     maybe_run: bool = False
     sending: bool = False
     load: int = 0
+    warm: bool = False
     cause: str = ""
     last: Answer | None = None
 
@@ -164,9 +174,9 @@
             upstream = self._choose(job, now=now)
             if upstream is None:
                 return self._give_up(job)
-            job.tried.append(upstream.id)
+            job.sent_to.append(upstream.id)
             attempt = await self._attempt(job, upstream)
-            self._note(job, upstream, attempt)
+            self._note(job, upstream, attempt, sent_at=now)
             if attempt.end is AttemptEnd.ANSWERED:
                 assert attempt.answer is not None
                 return self._finish(job, attempt.answer)
@@ -186,16 +196,24 @@
             for each in state.upstreams.usable(job.service)
             if not allowed or state.region_of(each.entry.zone) in allowed
         ]
+        mark = object_mark(job.key) if job.key is not None else 0
+        view = View(
+            zone=state.me.zone,
+            region_of=state.region_of,
+            load_of=lambda each: state.load_of(each, now=now),
+            may_start=lambda each: state.may_start(each, now=now),
+            warm=lambda each: state.warmth.warm(each.id, mark),
+        )
+        left_s = job.route.objective_s - (now - job.req.arrived_at)
         placement = place(
             candidates=candidates,
             service=job.service,
             key=job.key,
-            load_of=lambda each: state.load_of(each, now=now),
-            may_start=lambda each: state.may_start(each, now=now),
-            zone=state.me.zone,
-            region_of=state.region_of,
-            tried=frozenset(job.tried),
+            view=view,
+            queue_factor=queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route)),
+            avoided=frozenset(job.avoided),
         )
+        job.warm = placement.warm
         job.load = placement.load
         if placement.verdict is Verdict.SEND:
             return placement.upstream
@@ -204,7 +222,9 @@
 
     def _may_retry(self, job: _Job, attempt: Attempt) -> bool:
         now = self._loop.time()
-        if len(job.tried) >= job.route.max_attempts:
+        sends = len(job.sent_to)
+        spent = len(set(job.sent_to)) >= job.route.max_attempts
+        if sends >= MOST_SENDS or (spent and job.sent_to[-1] in job.avoided):
             job.cause = f"{attempt.end.value}: {attempt.reason}; no attempts left"
             return False
         if job.deadline - now < LEAST_WORK_S:
@@ -253,7 +273,11 @@
         if answer.status == 421:
             return Attempt(end=AttemptEnd.MISDIRECTED, reason="another upstream has the address")
         if answer.header(names.not_executed) is not None:
-            return Attempt(end=AttemptEnd.SHED, reason=f"status {answer.status}, not executed")
+            return Attempt(
+                end=AttemptEnd.SHED,
+                answer=answer,
+                reason=f"status {answer.status}, not executed",
+            )
         signed = answer.header(names.signature) is not None
         if answer.header(b"content-encoding") is not None:
             return Attempt(end=AttemptEnd.LOST, reason="an encoded body that was not asked for")
@@ -265,14 +289,22 @@
             return Attempt(end=AttemptEnd.FAILED, answer=answer, reason=f"status {answer.status}")
         return Attempt(end=AttemptEnd.ANSWERED, answer=answer)
 
-    def _note(self, job: _Job, upstream: Upstream, attempt: Attempt) -> None:
+    def _note(self, job: _Job, upstream: Upstream, attempt: Attempt, *, sent_at: float) -> None:
         job.sending = False
         job.maybe_run = job.maybe_run or attempt.executed
         self._state.metrics.attempts.labels(job.service, attempt.end.value).inc()
-        upstream.note_answer(good=attempt.end is AttemptEnd.ANSWERED)
+        now = self._loop.time()
+        if attempt.end is not AttemptEnd.SHED or self._says_full(attempt, upstream, job):
+            job.avoided.add(upstream.id)
+        if attempt.executed:
+            upstream.note_answer(good=attempt.end is AttemptEnd.ANSWERED)
+            if job.key is not None:
+                mark = object_mark(job.key)
+                self._state.warmth.note(upstream.id, mark, now=now, own=True)
         if attempt.end is AttemptEnd.ANSWERED:
+            if job.warm and job.load < upstream.entry.slots:
+                self._state.note_warm_time(job.route, now - sent_at)
             return
-        now = self._loop.time()
         if attempt.end is AttemptEnd.MISDIRECTED:
             upstream.note_unreachable(now)
         if attempt.end is AttemptEnd.LOST and not self._pool.open_conns(upstream.id):
@@ -288,6 +320,18 @@
             left_ms=round((job.deadline - now) * 1000),
         )
 
+    def _says_full(self, attempt: Attempt, upstream: Upstream, job: _Job) -> bool:
+        """Tell whether an upstream that refused a request has no room, or refuses at random.
+
+        Who refuses at random is asked again: the object is warm there.
+        """
+        told = attempt.answer.header(self._names.load) if attempt.answer is not None else None
+        if told is not None:
+            running, _, _ = told.partition(b",")
+            if running.strip().isdigit():
+                return int(running) >= upstream.entry.slots
+        return job.load >= upstream.entry.slots
+
     def _finish(self, job: _Job, answer: Answer) -> Reply:
         self._log(job, Event.REQUEST_ENDED, status=answer.status)
         return Reply(status=answer.status, headers=self._kept(answer.headers), body=answer.body)
@@ -345,8 +389,9 @@
             route=job.route.name,
             service=job.service,
             object=job.key,
-            upstreams=job.tried,
+            upstreams=job.sent_to,
             load=job.load,
+            warm=job.warm,
             status=status,
             cause=job.cause,
             took_ms=round(took_s * 1000),
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -26,12 +26,15 @@
         Whether it is about to stop.
     loads
         Requests in flight by the hash of the upstream's id.
+    warm
+        Pairs of upstream and object that became warm lately, as short hashes.
     """
 
     vm: str
     incarnation: int
     leaving: bool
     loads: dict[int, int]
+    warm: list[tuple[int, int]] = []
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -66,6 +69,7 @@
             VmId(report.vm), incarnation=report.incarnation, leaving=report.leaving, now=now
         )
         self._state.note_peer_loads(report.vm, report.loads, now=now)
+        self._state.note_peer_warmth(report.warm, now=now)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore that a peer's port is closed: its silence tells the same."""
@@ -81,13 +85,21 @@
         if self._transport is None:
             return
         state = self._state
-        data = msgspec.msgpack.encode(
-            PeerReport(
-                vm=state.me.vm,
-                incarnation=state.me.incarnation,
-                leaving=state.leaving,
-                loads=state.loads(),
-            )
-        )
-        for peer in state.fleet.peers(now=self._loop.time()):
+        now = self._loop.time()
+        loads = state.loads()
+        warm = state.warm_news(now=now)
+        far = msgspec.msgpack.encode(self._report(loads=loads, warm=[]))
+        near = msgspec.msgpack.encode(self._report(loads=loads, warm=warm)) if warm else far
+        for peer in state.fleet.peers(now=now):
+            # Objects are asked for from one region, so only its gateways need to know.
+            data = near if peer.region == state.me.region else far
             self._transport.sendto(data, peer.datagrams)
+
+    def _report(self, *, loads: dict[int, int], warm: list[tuple[int, int]]) -> PeerReport:
+        return PeerReport(
+            vm=self._state.me.vm,
+            incarnation=self._state.me.incarnation,
+            leaving=self._state.leaving,
+            loads=loads,
+            warm=warm,
+        )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -10,9 +10,17 @@
 
 from gooseberryport_core.gateway.fleet import Fleet
 from gooseberryport_core.gateway.limits import ColdShare, RetryShare
-from gooseberryport_core.gateway.model import ClientLimits, Member, RoutingConfig, UpstreamEntry
+from gooseberryport_core.gateway.model import (
+    ClientLimits,
+    Member,
+    Route,
+    RouteName,
+    RoutingConfig,
+    UpstreamEntry,
+)
 from gooseberryport_core.gateway.routing import RouteTable, SplitChooser
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
+from gooseberryport_core.gateway.warmth import Warmth
 from gooseberryport_core.types import RegionName, UpstreamId, ZoneName
 from gooseberryport_gateway._logs import Event, Log
 from gooseberryport_gateway._metrics import Metrics
@@ -21,6 +29,12 @@
 LOAD_REPORT_S = 1.0
 """Age from which another gateway's load report counts for nothing; seconds."""
 
+FIRST_WARM_SHARE = 0.5
+"""Part of a route's latency objective that warm work takes, until it has been measured."""
+
+WARM_SMOOTHING = 0.05
+"""Weight of the newest request in a route's warm time."""
+
 HASH_MASK = 0xFFFFFFFF
 
 
@@ -54,6 +68,8 @@
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
         )
         self.cold = ColdShare(vm=me.vm, overage=bounds.cold_overage, slack=bounds.cold_slack)
+        self.warmth = Warmth()
+        self.warm_times: dict[RouteName, float] = {}
         self.leaving = False
         self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
 
@@ -81,6 +97,8 @@
         before = known.entry if known is not None else None
         if not self.upstreams.put(entry, now=now):
             return
+        if before is not None and before.started_ms != entry.started_ms:
+            self.warmth.forget(entry.upstream)
         if before is None or (before.state, before.started_ms) != (entry.state, entry.started_ms):
             self.log.write(
                 Event.UPSTREAM_CHANGED,
@@ -115,6 +133,29 @@
         """Return what this gateway has in flight, by the hash of the upstream's id."""
         return {upstream_mark(each.id): each.in_flight for each in self.upstreams if each.in_flight}
 
+    def warm_news(self, *, now: float) -> list[tuple[int, int]]:
+        """Return pairs of upstream and object that others may not know, as short hashes."""
+        return [(upstream_mark(upstream), mark) for upstream, mark in self.warmth.news(now=now)]
+
+    def note_peer_warmth(self, pairs: list[tuple[int, int]], *, now: float) -> None:
+        """Keep which upstreams handled which objects for other gateways."""
+        if not pairs:
+            return
+        marks = {upstream_mark(each.id): each.id for each in self.upstreams}
+        for upstream, mark in pairs:
+            known = marks.get(upstream)
+            if known is not None:
+                self.warmth.note(known, mark, now=now, own=False)
+
+    def warm_s(self, route: Route) -> float:
+        """Return how long a request of a route takes where its object is warm; seconds."""
+        return self.warm_times.get(route.name, route.objective_s * FIRST_WARM_SHARE)
+
+    def note_warm_time(self, route: Route, took_s: float) -> None:
+        """Count the time of a request that did not wait and whose object was warm."""
+        known = self.warm_s(route)
+        self.warm_times[route.name] = known + WARM_SMOOTHING * (took_s - known)
+
     def may_start(self, upstream: Upstream, *, now: float) -> bool:
         """Tell whether an upstream may get a request now; cold ones bear few."""
         if not upstream.cold(now) or self.routes is None:
