--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -29,12 +29,12 @@
 """Upstreams among which a cold object's first home is chosen by load."""
 
 MOST_HOMES = 2
-"""Upstreams that an object is kept warm on; each costs a slow first request."""
+"""Upstreams that an object is warmed on rather than refuse its requests."""
 
-IDLE_SHARE = 0.25
+IDLE_SHARE = 0.1
 """Load over slots up to which an upstream is idle enough to warm another object."""
 
-OBJECTIVE_SHARE = 0.9
+OBJECTIVE_SHARE = 1.1
 """Part of the latency objective that is planned with; load reports are a little old."""
 
 LEAST_QUEUE = 1.25
@@ -175,11 +175,20 @@
     for each in homes:
         if view.load_of(each) < each.entry.slots:
             return _send(each, view=view)
-    if len(homes) < MOST_HOMES:
-        for each in ranked[: MOST_HOMES + 1]:
-            if view.load_of(each) <= each.entry.slots * IDLE_SHARE:
-                return _send(each, view=view)
-    return _least_loaded(pool=homes, view=view, queue_factor=queue_factor)
+    placement = _least_loaded(pool=homes, view=view, queue_factor=queue_factor)
+    if placement.verdict is Verdict.FULL and len(homes) < MOST_HOMES:
+        idle = _idle(ranked, view=view)
+        if idle is not None:
+            return _send(idle, view=view)
+    return placement
+
+
+def _idle(ranked: Sequence[Upstream], *, view: View) -> Upstream | None:
+    """Return the first upstream that is idle enough to warm another object."""
+    for each in ranked:
+        if view.load_of(each) <= each.entry.slots * IDLE_SHARE:
+            return each
+    return None
 
 
 def _send(upstream: Upstream, *, view: View) -> Placement:
--- a/packages/gooseberryport-core/tests/conftest.py
+++ b/packages/gooseberryport-core/tests/conftest.py
@@ -1,7 +1,11 @@
+import sys
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
+sys.path.insert(0, str(Path(__file__).parent))
+
 from gooseberryport_core._invariants import raising
 
 
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_gateway_limits.py
@@ -0,0 +1,64 @@
+import random
+
+import pytest
+
+from gooseberryport_core.gateway.limits import ColdShare, RetryShare
+
+
+@pytest.mark.parametrize(
+    ("gateways", "rate"), [(1, 4.1), (8, 4.1), (9, 2.0), (63, 4.1), (400, 2.0)]
+)
+def test_cold_upstream_gets_no_more_than_its_bound_in_any_second(gateways, rate):
+    overage, slack = 1.5, 5.0
+    vms = frozenset(f"vm{index}" for index in range(gateways))
+    shares = [ColdShare(vm=vm, overage=overage, slack=slack) for vm in vms]
+    rng = random.Random(gateways)
+    sent = []
+    now = 0.0
+    while now < 4.0:
+        now += rng.expovariate(300.0)
+        share = rng.choice(shares)
+        if share.room(upstream="u", cold_rate_per_s=rate, gateways=vms, now=now):
+            share.note_sent(upstream="u", now=now)
+            sent.append(now)
+    most = max(sum(at <= each < at + 1.0 for each in sent) for at in sent)
+    if gateways > 1:
+        assert most <= rate * overage + slack
+    assert sent
+
+
+def test_requests_before_an_upstream_turned_cold_count():
+    share = ColdShare(vm="vm0", overage=1.0, slack=4.0)
+    vms = frozenset({"vm0", "vm1"})
+    share.note_sent(upstream="u", now=1.0)
+    share.note_sent(upstream="u", now=1.1)
+    assert not share.room(upstream="u", cold_rate_per_s=1.0, gateways=vms, now=1.5)
+    assert share.room(upstream="u", cold_rate_per_s=1.0, gateways=vms, now=2.2)
+
+
+@pytest.mark.parametrize("gateways", [1, 8, 63])
+def test_retries_of_all_gateways_stay_within_the_budget(gateways):
+    ratio, slack, window_s = 0.2, 56.0, 10.0
+    shares = [RetryShare(ratio=ratio, slack=slack, window_s=window_s) for _ in range(gateways)]
+    rng = random.Random(1)
+    requests, retries = [], []
+    now = 0.0
+    while now < 25.0:
+        now += rng.expovariate(100.0)
+        share = rng.choice(shares)
+        share.note_request(service="s", now=now)
+        requests.append(now)
+        for _ in range(3):
+            if share.take(service="s", gateways=gateways, now=now):
+                retries.append(now)
+    for end in retries:
+        spent = sum(end - window_s < at <= end for at in retries)
+        earned = sum(end - window_s < at <= end for at in requests)
+        assert spent <= ratio * earned + slack
+
+
+def test_services_do_not_share_a_budget():
+    share = RetryShare(ratio=0.0, slack=2.0, window_s=10.0)
+    assert share.take(service="s", gateways=1, now=0.0)
+    assert not share.take(service="s", gateways=1, now=0.0)
+    assert share.take(service="t", gateways=1, now=0.0)
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_gateway_routing.py
@@ -0,0 +1,64 @@
+from collections import Counter
+
+import pytest
+from gateway_worlds import config, route
+
+from gooseberryport_core.gateway.model import Part
+from gooseberryport_core.gateway.routing import RouteTable, SplitChooser
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("h.example", "/a/x", "a"),
+        ("H.Example:80", "/a/x", "a"),
+        ("h.example", "/a/b/", "ab"),
+        ("h.example", "/a/b/c/d", "ab"),
+        ("h.example", "/a/bc", "a"),
+        ("h.example", "/a", None),
+        ("h.example", "/", None),
+        ("other.example", "/a/x", None),
+        ("", "/a/x", None),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(host, path, name):
+    table = RouteTable(config(route(name="a", prefix="/a/"), route(name="ab", prefix="/a/b/")))
+    found = table.find(host=host, path=path)
+    assert (found.name if found else None) == name
+
+
+@pytest.mark.parametrize("weights", [(90, 10), (50, 50), (10, 30, 60)])
+@pytest.mark.parametrize("objects", [1, 24, 72])
+def test_parts_get_their_weights_whatever_the_objects(weights, objects):
+    chooser = SplitChooser()
+    parts = tuple(Part(f"s{index}", weight) for index, weight in enumerate(weights))
+    split = route(parts=parts)
+    counts = Counter(
+        chooser.choose(route=split, key=f"o{index % objects}", draw=0.0).service
+        for index in range(1200)
+    )
+    for part in parts:
+        assert counts[part.service] / 1200 == pytest.approx(part.weight / sum(weights), abs=0.06)
+
+
+def test_most_requests_of_an_object_go_to_one_part():
+    chooser = SplitChooser()
+    split = route(parts=(Part("s0", 60), Part("s1", 40)))
+    seen = {}
+    for index in range(2000):
+        key = f"o{index % 100}"
+        part = chooser.choose(route=split, key=key, draw=0.0)
+        seen.setdefault(key, Counter())[part.service] += 1
+    kept = sum(max(counts.values()) for counts in seen.values())
+    assert kept / 2000 > 0.85
+
+
+def test_new_weights_are_counted_from_the_start():
+    chooser = SplitChooser()
+    for index in range(300):
+        chooser.choose(route=route(parts=(Part("a", 90), Part("b", 10))), key=f"{index}", draw=0)
+    new = route(parts=(Part("a", 10), Part("b", 90)))
+    counts = Counter(
+        chooser.choose(route=new, key=f"{index}", draw=0.0).service for index in range(300)
+    )
+    assert counts["a"] / 300 == pytest.approx(0.1, abs=0.06)
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_placement.py
@@ -0,0 +1,176 @@
+import random
+
+import pytest
+from gateway_worlds import upstreams, view
+
+from gooseberryport_core.gateway.placement import (
+    LEAST_QUEUE,
+    MOST_HOMES,
+    MOST_QUEUE,
+    Verdict,
+    place,
+    queue_factor,
+    rank,
+    retry_after,
+)
+
+
+def placed(candidates, view, *, key="k", factor=2.0, avoided=frozenset()):
+    return place(
+        candidates=candidates,
+        service="s",
+        key=key,
+        view=view,
+        queue_factor=factor,
+        avoided=avoided,
+    )
+
+
+def test_warm_upstream_with_a_free_slot_is_kept_though_others_are_idle():
+    pool = upstreams(6)
+    home = rank(candidates=pool, service="s", key="k", view=view())[3]
+    found = placed(pool, view(loads={home.id: 3}, warm={home.id}))
+    assert (found.verdict, found.upstream, found.warm) == (Verdict.SEND, home, True)
+
+
+def test_request_waits_at_its_warm_home_within_the_bound():
+    pool = upstreams(6)
+    found = placed(pool, view(loads={"u2": 7}, warm={"u2"}))
+    assert (found.verdict, found.upstream.id) == (Verdict.SEND, "u2")
+
+
+def test_second_home_is_opened_only_on_an_idle_upstream():
+    pool = upstreams(3)
+    busy = {each.id: 1 for each in pool} | {"u0": 8}
+    assert placed(pool, view(loads=busy, warm={"u0"})).verdict is Verdict.FULL
+    idle = busy | {"u2": 0}
+    found = placed(pool, view(loads=idle, warm={"u0"}))
+    assert (found.upstream.id, found.warm) == ("u2", False)
+
+
+def test_no_more_homes_than_the_bound_are_opened():
+    pool = upstreams(MOST_HOMES + 2)
+    homes = {f"u{index}" for index in range(MOST_HOMES)}
+    found = placed(pool, view(loads=dict.fromkeys(homes, 8), warm=homes))
+    assert found.verdict is Verdict.FULL
+
+
+def test_less_loaded_of_two_busy_homes_is_taken():
+    found = placed(upstreams(4), view(loads={"u1": 7, "u3": 5}, warm={"u1", "u3"}))
+    assert found.upstream.id == "u3"
+
+
+@pytest.mark.parametrize("key", [None, "k"])
+def test_nothing_is_sent_where_nothing_may_start(key):
+    found = placed(upstreams(3), view(startable=lambda each: False), key=key)
+    assert found.verdict is Verdict.FULL
+
+
+def test_upstreams_that_failed_the_request_are_left_out():
+    pool = upstreams(2)
+    assert placed(pool, view(), avoided=frozenset({"u0"})).upstream.id == "u1"
+    assert placed(pool, view(), avoided=frozenset({"u0", "u1"})).verdict is Verdict.NONE
+
+
+def test_failing_upstream_is_used_only_if_no_other_is_left():
+    pool = upstreams(2)
+    for _ in range(5):
+        pool[0].note_answer(good=False)
+    assert placed(pool, view(warm={"u0"})).upstream.id == "u1"
+    assert placed(pool[:1], view()).upstream.id == "u0"
+
+
+def test_request_without_an_object_goes_to_the_nearest_with_room():
+    pool = upstreams(4, zones=("a1", "a2", "b1", "b2"))
+    assert placed(pool, view(zone="a2"), key=None).upstream.id == "u1"
+    assert placed(pool, view(zone="a2", loads={"u1": 4}), key=None).upstream.id == "u0"
+
+
+def test_few_objects_move_when_an_upstream_joins():
+    pool = upstreams(11)
+    keys = [f"o{index}" for index in range(500)]
+
+    def homes(candidates):
+        return [rank(candidates=candidates, service="s", key=key, view=view())[0] for key in keys]
+
+    before, after = homes(pool[:10]), homes(pool)
+    moved = [new for old, new in zip(before, after, strict=True) if old is not new]
+    assert 20 < len(moved) < 90
+    assert {each.id for each in moved} == {"u10"}
+
+
+def test_objects_live_mostly_in_their_clients_region():
+    pool = upstreams(8, zones=("a1", "b1"))
+    homes = [rank(candidates=pool, service="s", key=f"o{i}", view=view())[0] for i in range(400)]
+    near = sum(each.entry.zone == "a1" for each in homes)
+    assert 0.7 < near / 400 < 0.9
+
+
+@pytest.mark.parametrize(
+    ("objective_s", "warm_s", "low", "high"),
+    [(0.4, 0.2, 1.5, MOST_QUEUE), (0.4, 0.6, LEAST_QUEUE, LEAST_QUEUE), (9, 0.1, 2, MOST_QUEUE)],
+)
+def test_queue_is_as_long_as_the_objective_allows(objective_s, warm_s, low, high):
+    assert low <= queue_factor(objective_s=objective_s, warm_s=warm_s) <= high
+
+
+def test_returns_of_refused_clients_are_spread():
+    rng = random.Random(3)
+    times = [retry_after(draw=rng.random()) for _ in range(200)]
+    assert min(times) >= 0.2
+    assert max(times) <= 0.5
+    assert max(times) - min(times) > 0.25
+
+
+def replay(*, choose, seed=5, seconds=20.0, rate=230.0, objects=72, targets=16, slots=4):
+    """Replay a day of load in a model of upstreams; return the share served in time.
+
+    Warm work takes 0.2 s and cold work 0.65 s of a slot; an upstream keeps 40 objects; the
+    objective is 0.4 s. `choose` gets the objects that are warm and the loads.
+    """
+    rng = random.Random(seed)
+    pool = upstreams(targets, zones=("a1", "b1"), slots=slots)
+    free_at = {each.id: [0.0] * slots for each in pool}
+    ends = {each.id: [] for each in pool}
+    warm = {each.id: set() for each in pool}
+    now, served, asked = 0.0, 0, 0
+    while now < seconds:
+        now += rng.expovariate(rate)
+        asked += 1
+        key = f"o{rng.randrange(objects)}"
+        for each in pool:
+            ends[each.id] = [end for end in ends[each.id] if end > now]
+        loads = {each.id: len(ends[each.id]) for each in pool}
+        homes = {each.id for each in pool if key in warm[each.id]}
+        upstream = choose(pool, key, loads, homes)
+        if upstream is None:
+            continue
+        start = max(now, min(free_at[upstream.id]))
+        end = start + (0.2 if key in warm[upstream.id] else 0.65) * rng.uniform(0.85, 1.15)
+        free_at[upstream.id].remove(min(free_at[upstream.id]))
+        free_at[upstream.id].append(end)
+        ends[upstream.id].append(end)
+        warm[upstream.id].add(key)
+        served += end - now <= 0.4
+    return served / asked
+
+
+def send_by_warmth(pool, key, loads, homes):
+    found = placed(pool, view(loads=loads, warm=homes), key=key, factor=2.0)
+    return found.upstream if found.verdict is Verdict.SEND else None
+
+
+def by_hash_alone(pool, key, loads, homes):
+    return rank(candidates=pool, service="s", key=key, view=view())[0]
+
+
+def by_least_load(pool, key, loads, homes):
+    return min(pool, key=lambda each: (loads[each.id], each.id))
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_load_near_the_warm_capacity_is_served_better_than_by_hash_or_by_load(seed):
+    ours = replay(choose=send_by_warmth, seed=seed)
+    assert ours > replay(choose=by_hash_alone, seed=seed) + 0.1
+    assert ours > replay(choose=by_least_load, seed=seed) + 0.1
+    assert ours > 0.8
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_upstream_table.py
@@ -0,0 +1,95 @@
+import pytest
+from gateway_worlds import entry
+
+from gooseberryport_core.gateway.model import UpstreamState
+from gooseberryport_core.gateway.upstreams import Reach, UpstreamTable
+
+
+def names(upstreams):
+    return [each.id for each in upstreams]
+
+
+def table_of(*entries):
+    table = UpstreamTable()
+    for each in entries:
+        table.put(each, now=0.0)
+    return table
+
+
+def test_draining_and_evacuated_upstreams_get_nothing():
+    table = table_of(entry("u1"), entry("u2", state=UpstreamState.DRAINING), entry("u3", zone="b1"))
+    table.set_evacuated(frozenset({"b1"}))
+    assert names(table.usable("s")) == ["u1"]
+    table.set_evacuated(frozenset())
+    assert names(table.usable("s")) == ["u1", "u3"]
+
+
+def test_report_older_than_what_is_known_changes_nothing():
+    table = table_of(entry(state=UpstreamState.DRAINING, sequence=7))
+    assert not table.put(entry(sequence=6), now=1.0)
+    assert table.usable("s") == []
+
+
+def test_draining_does_not_end_within_an_incarnation():
+    table = table_of(entry(state=UpstreamState.DRAINING, sequence=7))
+    assert table.put(entry(sequence=8), now=1.0)
+    assert table.usable("s") == []
+
+
+def test_restart_under_the_same_id_starts_anew():
+    table = table_of(entry(state=UpstreamState.DRAINING, sequence=7))
+    upstream = table.get("u1")
+    upstream.failures = 0.9
+    upstream.note_unreachable(1.0)
+    assert table.put(entry(started_ms=2000, sequence=1, cold_s=3.0), now=2.0)
+    assert names(table.usable("s")) == ["u1"]
+    assert upstream.failures == 0.0
+    assert upstream.cold(4.9)
+    assert not upstream.cold(5.1)
+
+
+def test_late_report_of_the_former_incarnation_is_ignored():
+    table = table_of(entry(started_ms=2000, sequence=1))
+    assert not table.put(entry(started_ms=1000, sequence=99, state=UpstreamState.DRAINING), now=1.0)
+    assert names(table.usable("s")) == ["u1"]
+
+
+def test_entry_that_vanishes_while_a_gateway_is_cut_off_is_not_used():
+    table = table_of(*(entry(f"u{index}") for index in range(6)))
+    table.suspend("u2", regained_at=10.0)
+    assert "u2" not in names(table.usable("s"))
+
+
+def test_entries_that_an_outage_let_lapse_are_used_for_a_while():
+    table = table_of(*(entry(f"u{index}") for index in range(6)))
+    for index in range(6):
+        table.suspend(f"u{index}", regained_at=10.0)
+    assert len(table.usable("s")) == 6
+    table.put(entry("u0", sequence=2), now=11.0)
+    assert sorted(table.expire(now=12.1)) == [f"u{index}" for index in range(1, 6)]
+    assert names(table.usable("s")) == ["u0"]
+
+
+def test_grace_counts_from_the_return_of_the_store():
+    table = table_of(entry("u1"), entry("u2"))
+    table.suspend("u1", regained_at=10.0)
+    assert table.expire(now=11.9) == []
+    assert table.expire(now=12.0) == ["u1"]
+
+
+def test_unreachable_upstream_is_probed_ever_more_seldom_and_returns():
+    table = table_of(entry())
+    upstream = table.get("u1")
+    upstream.note_unreachable(5.0)
+    assert upstream.reach is Reach.UNPROVEN
+    assert upstream.probe_at == 5.0
+    pauses = []
+    for _ in range(6):
+        now = upstream.probe_at
+        upstream.note_unreachable(now)
+        pauses.append(upstream.probe_at - now)
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == pytest.approx(2.0)
+    assert table.usable("s") == []
+    upstream.note_reachable()
+    assert names(table.usable("s")) == ["u1"]
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -307,8 +307,6 @@
             return
         if attempt.end is AttemptEnd.MISDIRECTED:
             upstream.note_unreachable(now)
-        if attempt.end is AttemptEnd.LOST and not self._pool.open_conns(upstream.id):
-            upstream.note_unreachable(now)
         self._state.log.write_request(
             Event.ATTEMPT_FAILED,
             now=now,
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -19,7 +19,7 @@
 IDLE_MARGIN_S = 1.0
 """How long before the other end's stated idle time a connection is closed; seconds."""
 
-UNACKNOWLEDGED_MS = 2_000  # silent links are noticed before most requests time out
+UNACKNOWLEDGED_MS = 2_000
 """Time after which unacknowledged bytes break a connection; milliseconds."""
 
 Headers = list[tuple[bytes, bytes]]
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
@@ -26,16 +26,12 @@
 
     def __init__(self, *, id_header: bytes, on_broken: Callable[[UpstreamId], None]) -> None:
         self._id_header = id_header
-        self._on_broken = on_broken
+        self.on_broken = on_broken
         self._idle: dict[UpstreamId, list[HttpConn]] = {}
         self._open: dict[UpstreamId, int] = {}
         self._loop = asyncio.get_running_loop()
         self.opened = 0
 
-    def open_conns(self, upstream: UpstreamId) -> int:
-        """Return how many connections to an upstream are open."""
-        return self._open.get(upstream, 0)
-
     def take(self, upstream: UpstreamId) -> HttpConn | None:
         """Return an idle connection that may be used, or None."""
         idle = self._idle.get(upstream)
@@ -90,4 +86,4 @@
         if conn in idle:
             idle.remove(conn)
             if not left:
-                self._on_broken(upstream)
+                self.on_broken(upstream)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -41,7 +41,7 @@
 STOP_ACCEPTING_SHARE = 0.35
 """Part of the grace time for which a stopping gateway still takes connections."""
 
-EXIT_MARGIN_S = 0.4
+EXIT_MARGIN_S = 0.8
 """How long before the end of the grace time a stopping gateway exits; seconds."""
 
 
--- /dev/null
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -0,0 +1,266 @@
+"""A gateway's parts in one loop, with scripted upstreams and clients on loopback."""
+
+import asyncio
+import contextlib
+import os
+
+from gooseberryport_core.gateway.model import (
+    ClientLimits,
+    Member,
+    Part,
+    Repeatability,
+    Route,
+    RoutingConfig,
+    ServiceSpec,
+    UpstreamEntry,
+    UpstreamState,
+)
+from gooseberryport_gateway._client_conn import ClientConn
+from gooseberryport_gateway._forwarder import Forwarder
+from gooseberryport_gateway._logs import Log
+from gooseberryport_gateway._metrics import Metrics
+from gooseberryport_gateway._pool import ConnPool
+from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway.wire import Bounds, GatewaySettings, HeaderNames
+
+NAMES = HeaderNames(
+    request_id=b"x-id",
+    deadline_ms=b"x-deadline",
+    expected_upstream=b"x-expect",
+    upstream=b"x-upstream",
+    signature=b"x-signature",
+    not_executed=b"x-not-run",
+    load=b"x-load",
+    cold_ms=b"x-cold",
+    object_cookie=b"Object",
+)
+
+SETTINGS = GatewaySettings(
+    vm="vm1",
+    zone="a1",
+    region="A",
+    regions={"a1": "A", "b1": "B"},
+    ip="127.0.0.1",
+    front="127.0.0.1:0",
+    ready="",
+    lookup="",
+    control="",
+    peer_port=0,
+    store="127.0.0.1:1",
+    lease_min_ms=1000,
+    bounds=Bounds(
+        retry_ratio=0.2,
+        retry_slack=50.0,
+        retry_window_s=10.0,
+        cold_overage=1.5,
+        cold_slack=5.0,
+        grace_s=6.0,
+        max_lookup_ttl_s=5.0,
+    ),
+)
+
+
+def make_route(**changes):
+    fields = {
+        "name": "r",
+        "host": "h.example",
+        "prefix": "/a/",
+        "repeatability": Repeatability.IDEMPOTENT,
+        "parts": (Part("s", 1.0),),
+        "timeout_s": 1.0,
+        "objective_s": 0.4,
+        "max_attempts": 2,
+        "priority": 1,
+        "keyed": True,
+        "allowed_regions": frozenset(),
+    }
+    return Route(**(fields | changes))
+
+
+def make_config(*routes, version=1, limits=None):
+    spec = ServiceSpec("s", "/health", 330, 3.0, 4.0)
+    return RoutingConfig(
+        version=version, routes=routes, services={"s": spec}, limits=limits or ClientLimits()
+    )
+
+
+def make_entry(name, port, **changes):
+    fields = {
+        "upstream": name,
+        "service": "s",
+        "zone": "a1",
+        "address": ("127.0.0.1", port),
+        "slots": 4,
+        "state": UpstreamState.READY,
+        "cold_s": 0.0,
+        "started_ms": 1000,
+        "sequence": 1,
+    }
+    return UpstreamEntry(**(fields | changes))
+
+
+class ScriptedUpstream:
+    """Answers each request with what a script returns for its head; None keeps silent."""
+
+    def __init__(self, script):
+        self._script = script
+        self.heads = []
+        self.open = 0
+        self.cut = asyncio.Event()
+        self._writers = set()
+        self.port = 0
+
+    async def serve(self, reader, writer):
+        self.open += 1
+        self._writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = field(head, b"content-length")
+                body = await reader.readexactly(int(length or 0))
+                self.heads.append(head + body)
+                answer = self._script(head, len(self.heads))
+                if asyncio.iscoroutine(answer):
+                    answer = await answer
+                if answer is None:
+                    await reader.read()
+                    return
+                writer.write(answer)
+                await writer.drain()
+                if b"connection: close" in answer.lower():
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self.open -= 1
+            self.cut.set()
+            self._writers.discard(writer)
+            writer.close()
+
+    def close_all(self):
+        for writer in list(self._writers):
+            writer.close()
+
+
+def field(head, name):
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(name.lower() + b":"):
+            return line.partition(b":")[2].strip()
+    return None
+
+
+def answer_to(head, *, status=b"200 OK", body=b"ok", signed=True, extra=b"", request_id=None):
+    lines = [b"HTTP/1.1 " + status, b"content-length: %d" % len(body)]
+    lines.append(b"x-id: " + (request_id or field(head, b"x-id") or b""))
+    if signed:
+        lines.append(b"x-signature: sig")
+    if extra:
+        lines.append(extra)
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+@contextlib.asynccontextmanager
+async def upstream(script):
+    scripted = ScriptedUpstream(script)
+    server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+    scripted.port = server.sockets[0].getsockname()[1]
+    try:
+        yield scripted
+    finally:
+        server.close()
+
+
+class Bench:
+    """A state and a forwarder behind a real listener."""
+
+    def __init__(self):
+        self.log_fd = os.open(os.devnull, os.O_WRONLY)
+        member = Member("vm1", "a1", "A", "127.0.0.1:1", ("127.0.0.1", 1), 1)
+        self.state = GatewayState(
+            settings=SETTINGS, me=member, log=Log(vm="vm1", fd=self.log_fd), metrics=Metrics()
+        )
+        self.pool = ConnPool(id_header=NAMES.request_id, on_broken=lambda _: None)
+        self.forwarder = Forwarder(state=self.state, pool=self.pool, names=NAMES)
+        self.conns = set()
+        self.port = 0
+
+    def put(self, name, port, **changes):
+        self.state.put_upstream(
+            make_entry(name, port, **changes), now=asyncio.get_running_loop().time()
+        )
+
+
+@contextlib.asynccontextmanager
+async def bench(*routes, limits=None):
+    opened = Bench()
+    if routes:
+        opened.state.apply_config(make_config(*routes, limits=limits))
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: ClientConn(
+            handler=opened.forwarder.handle,
+            limits=lambda: opened.state.limits,
+            conns=opened.conns,
+        ),
+        "127.0.0.1",
+        0,
+    )
+    opened.port = server.sockets[0].getsockname()[1]
+    try:
+        yield opened
+    finally:
+        server.close()
+        for conn in list(opened.conns):
+            conn.abort()
+        os.close(opened.log_fd)
+
+
+def request(
+    *, method=b"GET", path=b"/a/x", request_id=b"id1", deadline_ms=900, body=b"", extra=b""
+):
+    lines = [method + b" " + path + b" HTTP/1.1", b"Host: h.example", b"X-Id: " + request_id]
+    lines.append(b"X-Deadline: %d" % deadline_ms)
+    lines.append(b"Cookie: Object=7")
+    if body or method == b"POST":
+        lines.append(b"Content-Length: %d" % len(body))
+    if extra:
+        lines.append(extra)
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class Client:
+    """Sends bytes and reads whole answers."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self.writer = writer
+
+    def send(self, data):
+        self.writer.write(data)
+
+    async def answer(self):
+        head = await self._reader.readuntil(b"\r\n\r\n")
+        body = await self._reader.readexactly(int(field(head, b"content-length") or 0))
+        return int(head.split(b" ")[1]), head.lower(), body
+
+    async def at_end(self):
+        return await self._reader.read() == b""
+
+    def close(self):
+        self.writer.close()
+
+
+@contextlib.asynccontextmanager
+async def client(bench):
+    reader, writer = await asyncio.open_connection("127.0.0.1", bench.port)
+    opened = Client(reader, writer)
+    try:
+        yield opened
+    finally:
+        opened.close()
+
+
+async def ask(bench, data):
+    async with client(bench) as opened:
+        opened.send(data)
+        return await opened.answer()
--- /dev/null
+++ b/packages/gooseberryport-gateway/tests/test_client_conn.py
@@ -0,0 +1,156 @@
+import asyncio
+
+import pytest
+from gateway_harness import answer_to, bench, client, field, make_route, request, upstream
+
+from gooseberryport_core.gateway.model import ClientLimits
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 20))
+
+
+def test_pipelined_requests_run_at_once_and_are_answered_in_order():
+    async def main():
+        async def script(head, count):
+            await asyncio.sleep(0.3 if field(head, b"x-id") == b"r0" else 0.05)
+            return answer_to(head, body=field(head, b"x-id"))
+
+        async with upstream(lambda head, count: script(head, count)) as up:
+            async with bench(make_route(timeout_s=5.0)) as gateway, client(gateway) as caller:
+                gateway.put("u1", up.port)
+                start = asyncio.get_running_loop().time()
+                caller.send(b"".join(request(request_id=b"r%d" % index) for index in range(4)))
+                bodies = [(await caller.answer())[2] for _ in range(4)]
+                assert bodies == [b"r0", b"r1", b"r2", b"r3"]
+                assert asyncio.get_running_loop().time() - start < 0.45
+
+    run(main())
+
+
+def test_bodies_in_chunks_arrive_whole():
+    async def main():
+        async with upstream(lambda head, _: answer_to(head)) as up:
+            async with bench(make_route()) as gateway, client(gateway) as caller:
+                gateway.put("u1", up.port)
+                caller.send(
+                    b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Id: i\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n"
+                )
+                await asyncio.sleep(0.02)
+                caller.send(b"3\r\nefg\r\n0\r\n\r\n")
+                assert (await caller.answer())[0] == 200
+                assert up.heads[0].endswith(b"\r\n\r\nabcdefg")
+
+    run(main())
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 50])
+def test_bytes_may_be_split_anywhere(size):
+    async def main():
+        async with upstream(lambda head, _: answer_to(head)) as up:
+            async with bench(make_route()) as gateway, client(gateway) as caller:
+                gateway.put("u1", up.port)
+                data = request(method=b"POST", body=b"hello") + request(request_id=b"id2")
+                for start in range(0, len(data), size):
+                    caller.send(data[start : start + size])
+                    await asyncio.sleep(0)
+                assert (await caller.answer())[0] == 200
+                assert (await caller.answer())[0] == 200
+                assert [field(head, b"x-id") for head in up.heads] == [b"id1", b"id2"]
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x16\x03\x01 not http\r\n\r\n", 400),
+        (b"GET /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n", 400),
+        (
+            b"POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (b"GET /a/x HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 3000 + b"\r\n\r\n", 431),
+        (b"POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n", 413),
+        (
+            b"POST /a/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"800\r\n" + b"z" * 2048 + b"\r\n0\r\n\r\n",
+            413,
+        ),
+        (b"GET /a/x HTTP/1.1\r\nHost: h\r\n", 408),
+    ],
+)
+def test_improper_requests_are_refused_and_the_connection_ends(data, status):
+    async def main():
+        limits = ClientLimits(max_header_bytes=2000, max_body_bytes=1000, header_timeout_s=0.2)
+        async with bench(make_route(), limits=limits) as gateway, client(gateway) as caller:
+            caller.send(data)
+            got, head, _ = await caller.answer()
+            assert got == status
+            assert field(head, b"connection") == b"close"
+            assert await caller.at_end()
+
+    run(main())
+
+
+def test_request_smuggled_behind_a_refused_one_is_not_run():
+    async def main():
+        async with upstream(lambda head, _: answer_to(head)) as up:
+            async with bench(make_route()) as gateway, client(gateway) as caller:
+                gateway.put("u1", up.port)
+                caller.send(
+                    b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\n"
+                    b"Content-Length: 6\r\n\r\n" + request()
+                )
+                assert (await caller.answer())[0] == 400
+                assert await caller.at_end()
+                assert up.heads == []
+
+    run(main())
+
+
+def test_idle_connection_is_closed():
+    async def main():
+        limits = ClientLimits(idle_timeout_s=0.2)
+        async with bench(make_route(), limits=limits) as gateway, client(gateway) as caller:
+            start = asyncio.get_running_loop().time()
+            assert await caller.at_end()
+            assert 0.15 < asyncio.get_running_loop().time() - start < 0.6
+
+    run(main())
+
+
+def test_leaving_connection_answers_what_it_has_and_closes():
+    async def main():
+        async def script(head):
+            await asyncio.sleep(0.2)
+            return answer_to(head)
+
+        async with upstream(lambda head, _: script(head)) as up:
+            async with bench(make_route()) as gateway, client(gateway) as caller:
+                gateway.put("u1", up.port)
+                caller.send(request())
+                while not up.heads:
+                    await asyncio.sleep(0.01)
+                for conn in list(gateway.conns):
+                    conn.leave()
+                status, head, _ = await caller.answer()
+                assert (status, field(head, b"connection")) == (200, b"close")
+                assert await caller.at_end()
+
+    run(main())
+
+
+def test_requests_behind_one_that_closes_are_not_run():
+    async def main():
+        async with upstream(lambda head, _: answer_to(head)) as up:
+            async with bench(make_route()) as gateway, client(gateway) as caller:
+                gateway.put("u1", up.port)
+                caller.send(request(extra=b"Connection: close") + request(request_id=b"behind"))
+                assert (await caller.answer())[0] == 200
+                assert await caller.at_end()
+                assert len(up.heads) == 1
+
+    run(main())
