--- a/packages/gooseberryport-gateway/tests/test_client_conn.py
+++ b/packages/gooseberryport-gateway/tests/test_client_conn.py
@@ -16,31 +16,37 @@
             await asyncio.sleep(0.3 if field(head, b"x-id") == b"r0" else 0.05)
             return answer_to(head, body=field(head, b"x-id"))
 
-        async with upstream(lambda head, count: script(head, count)) as up:
-            async with bench(make_route(timeout_s=5.0)) as gateway, client(gateway) as caller:
-                gateway.put("u1", up.port)
-                start = asyncio.get_running_loop().time()
-                caller.send(b"".join(request(request_id=b"r%d" % index) for index in range(4)))
-                bodies = [(await caller.answer())[2] for _ in range(4)]
-                assert bodies == [b"r0", b"r1", b"r2", b"r3"]
-                assert asyncio.get_running_loop().time() - start < 0.45
+        async with (
+            upstream(lambda head, count: script(head, count)) as up,
+            bench(make_route(timeout_s=5.0)) as gateway,
+            client(gateway) as caller,
+        ):
+            gateway.put("u1", up.port)
+            start = asyncio.get_running_loop().time()
+            caller.send(b"".join(request(request_id=b"r%d" % index) for index in range(4)))
+            bodies = [(await caller.answer())[2] for _ in range(4)]
+            assert bodies == [b"r0", b"r1", b"r2", b"r3"]
+            assert asyncio.get_running_loop().time() - start < 0.45
 
     run(main())
 
 
 def test_bodies_in_chunks_arrive_whole():
     async def main():
-        async with upstream(lambda head, _: answer_to(head)) as up:
-            async with bench(make_route()) as gateway, client(gateway) as caller:
-                gateway.put("u1", up.port)
-                caller.send(
-                    b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Id: i\r\n"
-                    b"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n"
-                )
-                await asyncio.sleep(0.02)
-                caller.send(b"3\r\nefg\r\n0\r\n\r\n")
-                assert (await caller.answer())[0] == 200
-                assert up.heads[0].endswith(b"\r\n\r\nabcdefg")
+        async with (
+            upstream(lambda head, _: answer_to(head)) as up,
+            bench(make_route()) as gateway,
+            client(gateway) as caller,
+        ):
+            gateway.put("u1", up.port)
+            caller.send(
+                b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Id: i\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n"
+            )
+            await asyncio.sleep(0.02)
+            caller.send(b"3\r\nefg\r\n0\r\n\r\n")
+            assert (await caller.answer())[0] == 200
+            assert up.heads[0].endswith(b"\r\n\r\nabcdefg")
 
     run(main())
 
@@ -48,16 +54,19 @@
 @pytest.mark.parametrize("size", [1, 2, 3, 7, 50])
 def test_bytes_may_be_split_anywhere(size):
     async def main():
-        async with upstream(lambda head, _: answer_to(head)) as up:
-            async with bench(make_route()) as gateway, client(gateway) as caller:
-                gateway.put("u1", up.port)
-                data = request(method=b"POST", body=b"hello") + request(request_id=b"id2")
-                for start in range(0, len(data), size):
-                    caller.send(data[start : start + size])
-                    await asyncio.sleep(0)
-                assert (await caller.answer())[0] == 200
-                assert (await caller.answer())[0] == 200
-                assert [field(head, b"x-id") for head in up.heads] == [b"id1", b"id2"]
+        async with (
+            upstream(lambda head, _: answer_to(head)) as up,
+            bench(make_route()) as gateway,
+            client(gateway) as caller,
+        ):
+            gateway.put("u1", up.port)
+            data = request(method=b"POST", body=b"hello") + request(request_id=b"id2")
+            for start in range(0, len(data), size):
+                caller.send(data[start : start + size])
+                await asyncio.sleep(0)
+            assert (await caller.answer())[0] == 200
+            assert (await caller.answer())[0] == 200
+            assert [field(head, b"x-id") for head in up.heads] == [b"id1", b"id2"]
 
     run(main())
 
@@ -97,16 +106,19 @@
 
 def test_request_smuggled_behind_a_refused_one_is_not_run():
     async def main():
-        async with upstream(lambda head, _: answer_to(head)) as up:
-            async with bench(make_route()) as gateway, client(gateway) as caller:
-                gateway.put("u1", up.port)
-                caller.send(
-                    b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\n"
-                    b"Content-Length: 6\r\n\r\n" + request()
-                )
-                assert (await caller.answer())[0] == 400
-                assert await caller.at_end()
-                assert up.heads == []
+        async with (
+            upstream(lambda head, _: answer_to(head)) as up,
+            bench(make_route()) as gateway,
+            client(gateway) as caller,
+        ):
+            gateway.put("u1", up.port)
+            caller.send(
+                b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\n"
+                b"Content-Length: 6\r\n\r\n" + request()
+            )
+            assert (await caller.answer())[0] == 400
+            assert await caller.at_end()
+            assert up.heads == []
 
     run(main())
 
@@ -128,29 +140,35 @@
             await asyncio.sleep(0.2)
             return answer_to(head)
 
-        async with upstream(lambda head, _: script(head)) as up:
-            async with bench(make_route()) as gateway, client(gateway) as caller:
-                gateway.put("u1", up.port)
-                caller.send(request())
-                while not up.heads:
-                    await asyncio.sleep(0.01)
-                for conn in list(gateway.conns):
-                    conn.leave()
-                status, head, _ = await caller.answer()
-                assert (status, field(head, b"connection")) == (200, b"close")
-                assert await caller.at_end()
+        async with (
+            upstream(lambda head, _: script(head)) as up,
+            bench(make_route()) as gateway,
+            client(gateway) as caller,
+        ):
+            gateway.put("u1", up.port)
+            caller.send(request())
+            while not up.heads:
+                await asyncio.sleep(0.01)
+            for conn in list(gateway.conns):
+                conn.leave()
+            status, head, _ = await caller.answer()
+            assert (status, field(head, b"connection")) == (200, b"close")
+            assert await caller.at_end()
 
     run(main())
 
 
 def test_requests_behind_one_that_closes_are_not_run():
     async def main():
-        async with upstream(lambda head, _: answer_to(head)) as up:
-            async with bench(make_route()) as gateway, client(gateway) as caller:
-                gateway.put("u1", up.port)
-                caller.send(request(extra=b"Connection: close") + request(request_id=b"behind"))
-                assert (await caller.answer())[0] == 200
-                assert await caller.at_end()
-                assert len(up.heads) == 1
+        async with (
+            upstream(lambda head, _: answer_to(head)) as up,
+            bench(make_route()) as gateway,
+            client(gateway) as caller,
+        ):
+            gateway.put("u1", up.port)
+            caller.send(request(extra=b"Connection: close") + request(request_id=b"behind"))
+            assert (await caller.answer())[0] == 200
+            assert await caller.at_end()
+            assert len(up.heads) == 1
 
     run(main())
--- a/packages/gooseberryport-gateway/tests/test_forwarding.py
+++ b/packages/gooseberryport-gateway/tests/test_forwarding.py
@@ -24,20 +24,22 @@
 
 def test_request_and_answer_pass_unchanged():
     async def main():
-        async with upstream(lambda head, _: answer_to(head, body=b"hello")) as up:
-            async with bench(make_route()) as gateway:
-                gateway.put("u1", up.port)
-                status, head, body = await ask(
-                    gateway,
-                    request(method=b"POST", path=b"/a/x?q=1", body=b"data", extra=b"X-Own: 5"),
-                )
-                assert (status, body, field(head, b"x-signature")) == (200, b"hello", b"sig")
-                sent = up.heads[0]
-                assert sent.startswith(b"POST /a/x?q=1 HTTP/1.1\r\n")
-                assert sent.endswith(b"\r\n\r\ndata")
-                assert field(sent, b"x-own") == b"5"
-                assert field(sent, b"x-expect") == b"u1"
-                assert 0 < int(field(sent, b"x-deadline")) <= 900
+        async with (
+            upstream(lambda head, _: answer_to(head, body=b"hello")) as up,
+            bench(make_route()) as gateway,
+        ):
+            gateway.put("u1", up.port)
+            status, head, body = await ask(
+                gateway,
+                request(method=b"POST", path=b"/a/x?q=1", body=b"data", extra=b"X-Own: 5"),
+            )
+            assert (status, body, field(head, b"x-signature")) == (200, b"hello", b"sig")
+            sent = up.heads[0]
+            assert sent.startswith(b"POST /a/x?q=1 HTTP/1.1\r\n")
+            assert sent.endswith(b"\r\n\r\ndata")
+            assert field(sent, b"x-own") == b"5"
+            assert field(sent, b"x-expect") == b"u1"
+            assert 0 < int(field(sent, b"x-deadline")) <= 900
 
     run(main())
 
@@ -98,11 +100,13 @@
 @pytest.mark.parametrize("kind", [{}, ONCE])
 def test_spoiled_answer_is_never_a_success_or_a_denial(spoiled, status, kind):
     async def main():
-        async with upstream(lambda head, _: spoiled(head)) as up:
-            async with bench(make_route(max_attempts=1, **kind)) as gateway:
-                gateway.put("u1", up.port)
-                assert (await ask(gateway, request(method=b"POST")))[0] == status
-                assert len(up.heads) == 1
+        async with (
+            upstream(lambda head, _: spoiled(head)) as up,
+            bench(make_route(max_attempts=1, **kind)) as gateway,
+        ):
+            gateway.put("u1", up.port)
+            assert (await ask(gateway, request(method=b"POST")))[0] == status
+            assert len(up.heads) == 1
 
     run(main())
 
@@ -111,7 +115,9 @@
     async def main():
         async with (
             upstream(
-                lambda head, _: b"HTTP/1.1 200 OK\r\nx-signature: s\r\nconnection: close\r\n\r\nwhole"
+                lambda head, _: (
+                    b"HTTP/1.1 200 OK\r\nx-signature: s\r\nconnection: close\r\n\r\nwhole"
+                )
             ) as up,
             bench(make_route()) as gateway,
         ):
@@ -154,16 +160,19 @@
         def full(head, _):
             return answer_to(head, status=b"503 Busy", extra=b"x-not-run: 1\r\nx-load: 4,9,4")
 
-        async with upstream(full) as busy, upstream(lambda head, _: answer_to(head)) as free:
-            async with bench(make_route(**ONCE)) as gateway:
-                gateway.put("u1", busy.port)
-                gateway.put("u2", free.port)
-                for index in range(6):
-                    status, _, _ = await ask(
-                        gateway, request(method=b"POST", request_id=b"r%d" % index)
-                    )
-                    assert status == 200
-                assert len(free.heads) == 6
+        async with (
+            upstream(full) as busy,
+            upstream(lambda head, _: answer_to(head)) as free,
+            bench(make_route(**ONCE)) as gateway,
+        ):
+            gateway.put("u1", busy.port)
+            gateway.put("u2", free.port)
+            for index in range(6):
+                status, _, _ = await ask(
+                    gateway, request(method=b"POST", request_id=b"r%d" % index)
+                )
+                assert status == 200
+            assert len(free.heads) == 6
 
     run(main())
 
@@ -208,12 +217,15 @@
                 return b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\nconnection: close\r\n\r\nx"
             return answer_to(head)
 
-        async with upstream(script) as first, upstream(script) as second:
-            async with bench(make_route(**kind)) as gateway:
-                gateway.put("u1", first.port)
-                gateway.put("u2", second.port)
-                assert (await ask(gateway, request(method=b"POST")))[0] == status
-                assert len(total) == sends
+        async with (
+            upstream(script) as first,
+            upstream(script) as second,
+            bench(make_route(**kind)) as gateway,
+        ):
+            gateway.put("u1", first.port)
+            gateway.put("u2", second.port)
+            assert (await ask(gateway, request(method=b"POST")))[0] == status
+            assert len(total) == sends
 
     run(main())
 
@@ -223,14 +235,17 @@
         def moved(head, _):
             return answer_to(head, status=b"421 Misdirected Request")
 
-        async with upstream(moved) as other, upstream(lambda head, _: answer_to(head)) as right:
-            async with bench(make_route(**ONCE)) as gateway:
-                gateway.put("u1", other.port)
-                gateway.put("u2", right.port)
-                for index in range(6):
-                    await ask(gateway, request(method=b"POST", request_id=b"r%d" % index))
-                assert len(right.heads) == 6
-                assert len(other.heads) <= 1
+        async with (
+            upstream(moved) as other,
+            upstream(lambda head, _: answer_to(head)) as right,
+            bench(make_route(**ONCE)) as gateway,
+        ):
+            gateway.put("u1", other.port)
+            gateway.put("u2", right.port)
+            for index in range(6):
+                await ask(gateway, request(method=b"POST", request_id=b"r%d" % index))
+            assert len(right.heads) == 6
+            assert len(other.heads) <= 1
 
     run(main())
 
@@ -239,53 +254,61 @@
 def test_request_that_lasts_too_long_is_answered_at_the_routes_timeout(kind):
     async def main():
         loop = asyncio.get_running_loop()
-        async with upstream(lambda head, _: None) as up:
-            async with bench(make_route(timeout_s=0.3, **kind)) as gateway:
-                gateway.put("u1", up.port)
-                start = loop.time()
-                assert (await ask(gateway, request(deadline_ms=5000)))[0] == 504
-                assert 0.25 < loop.time() - start < 0.6
-                await asyncio.wait_for(up.cut.wait(), 0.5)
+        async with (
+            upstream(lambda head, _: None) as up,
+            bench(make_route(timeout_s=0.3, **kind)) as gateway,
+        ):
+            gateway.put("u1", up.port)
+            start = loop.time()
+            assert (await ask(gateway, request(deadline_ms=5000)))[0] == 504
+            assert 0.25 < loop.time() - start < 0.6
+            await asyncio.wait_for(up.cut.wait(), 0.5)
 
     run(main())
 
 
 def test_client_that_leaves_ends_the_work_at_the_upstream():
     async def main():
-        async with upstream(lambda head, _: None) as up:
-            async with bench(make_route(timeout_s=9.0)) as gateway:
-                gateway.put("u1", up.port)
-                async with client(gateway) as leaving:
-                    leaving.send(request(deadline_ms=9000))
-                    while not up.heads:
-                        await asyncio.sleep(0.01)
-                await asyncio.wait_for(up.cut.wait(), 0.5)
+        async with (
+            upstream(lambda head, _: None) as up,
+            bench(make_route(timeout_s=9.0)) as gateway,
+        ):
+            gateway.put("u1", up.port)
+            async with client(gateway) as leaving:
+                leaving.send(request(deadline_ms=9000))
+                while not up.heads:
+                    await asyncio.sleep(0.01)
+            await asyncio.wait_for(up.cut.wait(), 0.5)
 
     run(main())
 
 
 def test_unreachable_upstream_costs_no_request():
     async def main():
-        async with upstream(lambda head, _: answer_to(head)) as up:
-            async with bench(make_route(**ONCE)) as gateway:
-                gateway.put("dead", 1)
-                gateway.put("u2", up.port)
-                for index in range(4):
-                    status, _, _ = await ask(
-                        gateway, request(method=b"POST", request_id=b"r%d" % index)
-                    )
-                    assert status == 200
+        async with (
+            upstream(lambda head, _: answer_to(head)) as up,
+            bench(make_route(**ONCE)) as gateway,
+        ):
+            gateway.put("dead", 1)
+            gateway.put("u2", up.port)
+            for index in range(4):
+                status, _, _ = await ask(
+                    gateway, request(method=b"POST", request_id=b"r%d" % index)
+                )
+                assert status == 200
 
     run(main())
 
 
 def test_regions_that_may_not_serve_a_route_never_see_it():
     async def main():
-        async with upstream(lambda head, _: answer_to(head)) as far:
-            async with bench(make_route(allowed_regions=frozenset({"A"}))) as gateway:
-                gateway.put("u1", far.port, zone="b1")
-                assert (await ask(gateway, request()))[0] == 503
-                assert far.heads == []
+        async with (
+            upstream(lambda head, _: answer_to(head)) as far,
+            bench(make_route(allowed_regions=frozenset({"A"}))) as gateway,
+        ):
+            gateway.put("u1", far.port, zone="b1")
+            assert (await ask(gateway, request()))[0] == 503
+            assert far.heads == []
 
     run(main())
 
@@ -299,15 +322,14 @@
             asyncio.get_running_loop().call_later(0.1, ended.set)
             return answer_to(head)
 
-        async with upstream(lambda head, _: script(head)) as up:
-            async with bench(make_route()) as gateway:
-                gateway.pool.on_broken = broken.append
-                gateway.put("u1", up.port)
-                assert (await ask(gateway, request()))[0] == 200
-                await ended.wait()
-                assert broken == []
-                up.close_all()
-                await asyncio.sleep(0.05)
-                assert broken == ["u1"]
+        async with upstream(lambda head, _: script(head)) as up, bench(make_route()) as gateway:
+            gateway.pool.on_broken = broken.append
+            gateway.put("u1", up.port)
+            assert (await ask(gateway, request()))[0] == 200
+            await ended.wait()
+            assert broken == []
+            up.close_all()
+            await asyncio.sleep(0.05)
+            assert broken == ["u1"]
 
     run(main())
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,12 @@
+import sys
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
+sys.path.insert(0, str(Path(__file__).parents[1] / "platform"))
+sys.path.insert(0, str(Path(__file__).parent))
+
 from gooseberryport_standins.faults import StoreFaults, UpstreamFaults, VmListFaults
 from gooseberryport_standins.trial import Trial, open_trial
 
--- /dev/null
+++ b/tests/store_standin.py
@@ -0,0 +1,155 @@
+"""Stand-in of the platform's store on loopback, with faults on demand."""
+
+import asyncio
+import base64
+import contextlib
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from gooseberryport_site.store import PlatformStore
+
+
+class StoreStandIn:
+    """Keys, leases and a history; `fault` decides what happens to each call.
+
+    `fault` gets the method and target and returns None, a status, "silent", "reset", or "lost"
+    (done, and not answered).
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.leases = {}
+        self.events = []
+        self.revision = 10
+        self.oldest = 0
+        self.page = 500
+        self.calls = []
+        self.fault = lambda method, target: None
+        self._changed = asyncio.Condition()
+        self.port = 0
+
+    async def put(self, key, value, *, lease=0):
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+            "created": self.revision,
+            "lease": lease,
+        }
+        self.items[key] = item
+        await self._note(item)
+
+    async def delete(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            await self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    async def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key, item in list(self.items.items()):
+            if item["lease"] == lease:
+                await self.delete(key)
+
+    def forget_history(self):
+        self.oldest = self.revision
+
+    async def _note(self, event):
+        async with self._changed:
+            self.events.append(event)
+            self._changed.notify_all()
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                method, target, _ = head.split("\r\n")[0].split(" ")
+                length = 0
+                for line in head.split("\r\n"):
+                    if line.lower().startswith("content-length:"):
+                        length = int(line.split(":")[1])
+                body = json.loads(await reader.readexactly(length) or b"{}")
+                self.calls.append((method, target))
+                fault = self.fault(method, target)
+                if fault == "silent":
+                    await reader.read()
+                    break
+                if fault == "reset":
+                    writer.transport.abort()
+                    break
+                if isinstance(fault, int):
+                    status, answer = fault, {}
+                else:
+                    status, answer = await self._answer(method, target, body)
+                if fault == "lost":
+                    writer.transport.abort()
+                    break
+                data = json.dumps(answer).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data)))
+                writer.write(data)
+        writer.close()
+
+    async def _answer(self, method, target, body):
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == "/v1/kv-range":
+            return 200, self._range(query)
+        if parts.path == "/v1/kv-watch":
+            return await self._watch(query)
+        if parts.path == "/v1/kv-lease":
+            lease = 100 + len(self.leases)
+            self.leases[lease] = body["ttlMs"]
+            return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+        if parts.path.startswith("/v1/kv-keep/"):
+            lease = int(parts.path.rpartition("/")[2])
+            return (200, {"ttlMs": 3000}) if lease in self.leases else (404, {})
+        if parts.path.startswith("/v1/kv-lease-end/"):
+            await self.end_lease(int(parts.path.rpartition("/")[2]))
+            return 200, {}
+        for put in body["puts"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return 404, {}
+            await self.put(put["key"], base64.b64decode(put["value"]), lease=put["lease"])
+        return 200, {"revision": self.revision}
+
+    def _range(self, query):
+        keys = sorted(key for key in self.items if key.startswith(query.get("pathPrefix", "")))
+        keys = [key for key in keys if key > query.get("after", "")]
+        page = [self.items[key] for key in keys[: self.page]]
+        return {
+            "items": page,
+            "hasMore": len(keys) > self.page,
+            "storeRevision": self.revision,
+        }
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        prefix = query.get("pathPrefix", "")
+        if after < self.oldest:
+            return 410, {}
+
+        def found():
+            return [
+                event
+                for event in self.events
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+
+        async with self._changed:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._changed.wait_for(lambda: bool(found())), int(query["waitMs"]) / 1000
+                )
+            return 200, {"events": found(), "storeRevision": self.revision}
+
+
+@contextlib.asynccontextmanager
+async def store_standin():
+    standin = StoreStandIn()
+    server = await asyncio.start_server(standin.serve, "127.0.0.1", 0)
+    standin.port = server.sockets[0].getsockname()[1]
+    try:
+        yield standin, PlatformStore(address=f"127.0.0.1:{standin.port}")
+    finally:
+        server.close()
--- /dev/null
+++ b/tests/test_site_discovery.py
@@ -0,0 +1,213 @@
+import asyncio
+import json
+
+from store_standin import store_standin
+
+from gooseberryport_core.gateway.model import Member
+from gooseberryport_gateway import _discovery
+from gooseberryport_gateway._discovery import Discovery
+from gooseberryport_gateway._logs import Log
+from gooseberryport_gateway._metrics import Metrics
+from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway.wire import Bounds, GatewaySettings
+from gooseberryport_site.codec import PlatformCodec
+
+ENTRY = {
+    "address": "10.128.0.9:8080",
+    "info": {"service": "s", "version": "v1", "zone": "a1", "slots": 4},
+    "status": {"state": "ready", "sequence": 4, "coldRemainingMs": 0},
+    "born": 1000,
+}
+
+
+def config(version):
+    return {
+        "version": version,
+        "listeners": [
+            {
+                "host": "h.example",
+                "rules": [
+                    {
+                        "kind": "safe",
+                        "match": {"pathPrefix": "/a/"},
+                        "action": {"service": "s", "timeoutMs": 1000},
+                    }
+                ],
+            }
+        ],
+        "clusters": [],
+    }
+
+
+def entry(**status):
+    return ENTRY | {"status": ENTRY["status"] | status}
+
+
+def make_state(log_fd):
+    settings = GatewaySettings(
+        vm="vm1",
+        zone="a1",
+        region="A",
+        regions={"a1": "A"},
+        ip="127.0.0.1",
+        front="",
+        ready="",
+        lookup="",
+        control="",
+        peer_port=0,
+        store="",
+        lease_min_ms=1000,
+        bounds=Bounds(0.2, 50.0, 10.0, 1.5, 5.0, 6.0, 5.0),
+    )
+    me = Member("vm1", "a1", "A", "10.0.0.1:80", ("10.0.0.1", 9), 1)
+    return GatewayState(settings=settings, me=me, log=Log(vm="vm1", fd=log_fd), metrics=Metrics())
+
+
+async def until(condition, *, within_s=4.0):
+    async with asyncio.timeout(within_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def follow(scenario, *, tmp_path, monkeypatch):
+    monkeypatch.setattr(_discovery, "WATCH_PAUSE_S", 0.02)
+    monkeypatch.setattr(_discovery, "WATCH_WAIT_S", 0.3)
+
+    async def main():
+        log_path = tmp_path / "log"
+        with log_path.open("wb") as file:
+            async with store_standin() as (standin, store):
+                state = make_state(file.fileno())
+                discovery = Discovery(state=state, store=store, codec=PlatformCodec())
+                tasks = [
+                    asyncio.create_task(discovery.follow()),
+                    asyncio.create_task(discovery.hold_membership()),
+                ]
+                try:
+                    await scenario(standin, state, discovery)
+                finally:
+                    for task in tasks:
+                        task.cancel()
+            state.log.flush()
+        return [json.loads(line) for line in log_path.read_text().splitlines()]
+
+    return asyncio.run(asyncio.wait_for(main(), 20))
+
+
+def usable(state):
+    return [each.id for each in state.upstreams.usable("s")]
+
+
+def test_what_the_store_holds_and_what_changes_is_believed(tmp_path, monkeypatch):
+    async def scenario(standin, state, discovery):
+        await standin.put("servers/u1", ENTRY)
+        assert not discovery.synced
+        await standin.put("op/config", config(3))
+        await until(lambda: discovery.synced and usable(state) == ["u1"])
+        await standin.put("op/evacuate/a1", {})
+        await until(lambda: usable(state) == [])
+        await standin.delete("op/evacuate/a1")
+        await until(lambda: usable(state) == ["u1"])
+        await standin.put("servers/u1", entry(state="draining", sequence=5))
+        await until(lambda: usable(state) == [])
+        await standin.put("op/config", config(9))
+        await until(lambda: state.routes.config.version == 9)
+
+    lines = follow(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+    events = [line["event"] for line in lines]
+    assert events.count("config_applied") == 2
+    assert events.count("zones_evacuated") == 2
+    assert all({"vm", "number", "timestamp"} <= line.keys() for line in lines)
+
+
+def test_malformed_entries_and_configurations_leave_the_rest_in_force(tmp_path, monkeypatch):
+    async def scenario(standin, state, discovery):
+        await standin.put("op/config", config(3))
+        await standin.put("servers/u1", ENTRY)
+        await until(lambda: usable(state) == ["u1"])
+        await standin.put("servers/u2", b"\xff not json")
+        await standin.put("op/config", {"version": 4})
+        await standin.put("gooseberryport/members/x", b"{}")
+        await standin.put("servers/u3", ENTRY)
+        await until(lambda: usable(state) == ["u1", "u3"])
+        assert state.routes.config.version == 3
+        await standin.put("servers/u1", b"[]")
+        await until(lambda: usable(state) == ["u3"])
+
+    lines = follow(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+    reasons = [line["event"] for line in lines if line["event"].endswith("_ignored")]
+    assert sorted(reasons) == ["config_ignored"] + ["entry_ignored"] * 3
+
+
+def test_forgotten_history_is_read_again_with_what_vanished(tmp_path, monkeypatch):
+    async def scenario(standin, state, discovery):
+        await standin.put("op/config", config(3))
+        await standin.put("op/evacuate/a9", {})
+        await standin.put("servers/u1", ENTRY)
+        await standin.put("servers/u2", ENTRY)
+        await until(lambda: usable(state) == ["u1", "u2"])
+        standin.fault = lambda method, target: 410 if "watch" in target else None
+        await standin.delete("servers/u2")
+        await standin.delete("op/evacuate/a9")
+        await until(lambda: usable(state) == ["u1"] and not state.upstreams.evacuated)
+
+    lines = follow(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+    assert "store_history_gone" in [line["event"] for line in lines]
+
+
+def test_entries_that_lapse_in_an_outage_are_kept_until_they_are_back(tmp_path, monkeypatch):
+    async def scenario(standin, state, discovery):
+        await standin.put("op/config", config(3))
+        for index in range(4):
+            await standin.put(f"servers/u{index}", ENTRY)
+        await until(lambda: len(usable(state)) == 4)
+        standin.fault = lambda method, target: 503
+        await asyncio.sleep(0.8)
+        assert len(usable(state)) == 4
+        for index in range(4):
+            await standin.delete(f"servers/u{index}")
+        standin.fault = lambda method, target: None
+        await asyncio.sleep(1.0)
+        assert len(usable(state)) == 4
+        await standin.put("servers/u0", entry(sequence=9))
+        await until(lambda: discovery.expire() or usable(state) == ["u0"])
+
+    lines = follow(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+    events = [line["event"] for line in lines]
+    assert events.count("store_lost") == 1
+    assert events.count("store_back") == 2
+
+
+def test_membership_is_taken_anew_when_its_lease_is_gone(tmp_path, monkeypatch):
+    async def scenario(standin, state, discovery):
+        key = "gooseberryport/members/vm1"
+        await until(lambda: key in standin.items)
+        lease = standin.items[key]["lease"]
+        await standin.end_lease(lease)
+        await until(lambda: key in standin.items)
+        await discovery.end_membership()
+        assert key not in standin.items
+
+    follow(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_other_gateways_are_known_from_the_store(tmp_path, monkeypatch):
+    async def scenario(standin, state, discovery):
+        other = {
+            "vm": "vm2",
+            "zone": "a1",
+            "region": "A",
+            "front": "10.0.0.2:80",
+            "datagrams": ["10.0.0.2", 9],
+            "incarnation": 5,
+        }
+        await standin.put("gooseberryport/members/vm2", other)
+
+        def named():
+            return state.fleet.entry_points(zone="a1", region="A", leaving=False, now=0.0)
+
+        await until(lambda: "10.0.0.2:80" in named())
+        await standin.delete("gooseberryport/members/vm2")
+        await until(lambda: "10.0.0.2:80" not in named())
+
+    follow(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
--- /dev/null
+++ b/tests/test_site_store.py
@@ -0,0 +1,114 @@
+import asyncio
+
+import pytest
+from store_standin import store_standin
+
+from gooseberryport_gateway.errors import HistoryGoneError, LeaseGoneError, StoreError
+from gooseberryport_site import store as site_store
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 20))
+
+
+def test_range_is_read_page_by_page():
+    async def main():
+        async with store_standin() as (standin, store):
+            standin.page = 3
+            for index in range(8):
+                await standin.put(f"a/{index}", b"v%d" % index)
+            await standin.put("b/0", b"other")
+            page = await store.read_range("a/")
+            assert [item.value for item in page.items] == [b"v%d" % index for index in range(8)]
+            assert page.revision == standin.revision
+
+    run(main())
+
+
+def test_watch_returns_changes_and_where_to_go_on():
+    async def main():
+        async with store_standin() as (standin, store):
+            await standin.put("a", b"1")
+            page = await store.read_range("")
+            waiting = asyncio.create_task(store.watch("", after=page.revision, wait_s=2.0))
+            await asyncio.sleep(0.05)
+            await standin.delete("a")
+            changes = await waiting
+            assert [(item.key, item.value) for item in changes.items] == [("a", None)]
+            assert changes.revision == standin.revision
+
+    run(main())
+
+
+def test_watch_ends_without_changes():
+    async def main():
+        async with store_standin() as (standin, store):
+            page = await store.watch("", after=standin.revision, wait_s=0.1)
+            assert page.items == ()
+
+    run(main())
+
+
+def test_forgotten_history_is_told():
+    async def main():
+        async with store_standin() as (standin, store):
+            await standin.put("a", b"1")
+            standin.forget_history()
+            with pytest.raises(HistoryGoneError):
+                await store.watch("", after=1, wait_s=0.1)
+
+    run(main())
+
+
+def test_leases_are_granted_renewed_and_ended():
+    async def main():
+        async with store_standin() as (standin, store):
+            lease = await store.grant_lease(ttl_s=3.0)
+            assert standin.leases[lease] == 3000
+            await store.put("m", b"v", lease=lease)
+            await store.renew_lease(lease)
+            await store.end_lease(lease)
+            assert "m" not in standin.items
+            with pytest.raises(LeaseGoneError):
+                await store.renew_lease(lease)
+            with pytest.raises(LeaseGoneError):
+                await store.put("m", b"v", lease=lease)
+
+    run(main())
+
+
+@pytest.mark.parametrize("fault", [429, 503, 500, "reset", "silent", "lost"])
+def test_failed_call_is_an_error_and_the_next_one_works(fault, monkeypatch):
+    monkeypatch.setattr(site_store, "CALL_TIMEOUT_S", 0.2)
+
+    async def main():
+        async with store_standin() as (standin, store):
+            await store.read_range("")
+            standin.fault = lambda method, target: fault
+            with pytest.raises(StoreError):
+                await store.put("k", b"v", lease=0)
+            standin.fault = lambda method, target: None
+            await store.put("k", b"v", lease=0)
+            assert (await store.read_range("k")).items[0].value == b"v"
+
+    run(main())
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_store_that_turns_calls_away_is_given_a_pause(status):
+    async def main():
+        async with store_standin() as (standin, store):
+            standin.fault = lambda method, target: status
+            with pytest.raises(StoreError) as caught:
+                await store.read_range("")
+            assert caught.value.retry_after_s > 0
+
+    run(main())
+
+
+def test_unreachable_store_is_an_error():
+    async def main():
+        with pytest.raises(StoreError):
+            await site_store.PlatformStore(address="127.0.0.1:1").read_range("")
+
+    run(main())
