--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -96,6 +96,8 @@
         Whether an upstream may get a request now; cold ones are bounded.
     warm
         Whether an upstream handled the request's object lately.
+    unused
+        Whether an upstream handled no object at all, as far as known.
     """
 
     zone: ZoneName
@@ -103,6 +105,7 @@
     load_of: Callable[[Upstream], int]
     may_start: Callable[[Upstream], bool]
     warm: Callable[[Upstream], bool]
+    unused: Callable[[Upstream], bool]
 
     def near(self, upstream: Upstream) -> bool:
         """Tell whether an upstream is in this gateway's region."""
@@ -172,6 +175,10 @@
     homes = [each for each in ranked if view.warm(each)]
     if not homes:
         return _least_loaded(pool=ranked[:FIRST_HOMES], view=view, queue_factor=queue_factor)
+    best = ranked[0]
+    if view.unused(best) and view.near(best) and len(homes) < MOST_HOMES:
+        # An upstream that joins takes over the objects that rank it first, one at a time.
+        return _send(best, view=view)
     for each in homes:
         if view.load_of(each) < each.entry.slots:
             return _send(each, view=view)
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
@@ -1,8 +1,8 @@
 """Which upstreams handled which objects lately.
 
-Load pattern: an upstream answers several times faster for objects that it handled lately, and
-keeps some dozens of them. What each gateway sees of that is passed on to the others of its region,
-whose clients ask for the same objects.
+Load pattern: an upstream answers several times faster for objects that it handled lately, from the
+moment at which it began to work on one, and keeps some dozens of them. What each gateway sees of
+that is passed on to the others of its region, whose clients ask for the same objects.
 """
 
 from __future__ import annotations
@@ -17,8 +17,8 @@
 KEPT_OBJECTS = 48
 """Objects that an upstream is believed to keep; those handled longest ago are forgotten first."""
 
-NEWS_S = 1.0
-"""How long a new pair of upstream and object is passed on: four datagrams; seconds."""
+NEWS_S = 0.5
+"""How long a new pair of upstream and object is passed on: five datagrams; seconds."""
 
 MARK_MASK = 0xFFFFFFFF
 
@@ -40,8 +40,8 @@
         objects = self._objects.get(upstream)
         return objects is not None and mark in objects
 
-    def note(self, upstream: UpstreamId, mark: int, *, now: float, own: bool) -> None:
-        """Remember that an upstream handled an object.
+    def note(self, upstream: UpstreamId, mark: int, *, now: float, own: bool) -> bool:
+        """Remember that an upstream handles an object; True if that is news.
 
         Parameters
         ----------
@@ -62,6 +62,17 @@
             objects.popitem(last=False)
         if own and not known:
             self._news.append((now, upstream, mark))
+        return not known
+
+    def drop(self, upstream: UpstreamId, mark: int) -> None:
+        """Forget one pair: the upstream did not run the request."""
+        objects = self._objects.get(upstream)
+        if objects is not None:
+            objects.pop(mark, None)
+
+    def idle(self, upstream: UpstreamId) -> bool:
+        """Tell whether no object is known to be warm at an upstream."""
+        return not self._objects.get(upstream)
 
     def news(self, *, now: float) -> list[tuple[UpstreamId, int]]:
         """Return the pairs that others may not know yet."""
--- a/packages/gooseberryport-core/tests/test_placement.py
+++ b/packages/gooseberryport-core/tests/test_placement.py
@@ -60,6 +60,14 @@
     assert found.upstream.id == "u3"
 
 
+def test_upstream_that_joins_takes_objects_that_rank_it_first_and_no_others():
+    pool = upstreams(6)
+    ranked = rank(candidates=pool, service="s", key="k", view=view())
+    first, home, last = ranked[0].id, ranked[2].id, ranked[5].id
+    assert placed(pool, view(warm={home}, unused={first})).upstream.id == first
+    assert placed(pool, view(warm={home}, unused={last})).upstream.id == home
+
+
 @pytest.mark.parametrize("key", [None, "k"])
 def test_nothing_is_sent_where_nothing_may_start(key):
     found = placed(upstreams(3), view(startable=lambda each: False), key=key)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from gooseberryport_core.gateway.model import Member
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import ZoneName
-from gooseberryport_gateway._logs import Event
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import HistoryGoneError, LeaseGoneError, StoreError
 from gooseberryport_gateway.wire import Codec, StoreClient, StoreItem
@@ -80,7 +80,7 @@
                 pause_s = RETRY_MIN_S
                 await asyncio.sleep(WATCH_PAUSE_S if page.items else 0.0)
             except HistoryGoneError:
-                self._state.log.write(Event.STORE_HISTORY_GONE, after=after)
+                self._state.log.write(LogNumber.GATEWAY_STORE_HISTORY_GONE, after=after)
                 after = None
             except StoreError as exc:
                 self._note_reach(reachable=False, reason=str(exc))
@@ -99,12 +99,12 @@
                     lease = await self._store.grant_lease(ttl_s=LEASE_TTL_S)
                     await self._store.put(key, value, lease=lease)
                     self._lease = lease
-                    self._state.log.write(Event.LEASE_TAKEN, lease=lease)
+                    self._state.log.write(LogNumber.GATEWAY_LEASE_TAKEN, lease=lease)
                 else:
                     await self._store.renew_lease(self._lease)
                 await asyncio.sleep(RENEW_EVERY_S)
             except LeaseGoneError:
-                self._state.log.write(Event.LEASE_LOST, lease=self._lease)
+                self._state.log.write(LogNumber.GATEWAY_LEASE_LOST, lease=self._lease)
                 self._lease = None
             except StoreError as exc:
                 await asyncio.sleep(
@@ -118,7 +118,7 @@
         try:
             await self._store.end_lease(self._lease)
         except StoreError as exc:
-            self._state.log.write(Event.LEASE_LOST, lease=self._lease, reason=str(exc))
+            self._state.log.write(LogNumber.GATEWAY_LEASE_LOST, lease=self._lease, reason=str(exc))
         self._lease = None
 
     async def _read_all(self) -> int:
@@ -154,7 +154,7 @@
         now = self._loop.time()
         if members:
             self._state.fleet.set_listed(self._members.values(), now=now)
-            self._state.log.write(Event.MEMBERS_CHANGED, listed=sorted(self._members))
+            self._state.log.write(LogNumber.GATEWAY_MEMBERS_CHANGED, listed=sorted(self._members))
         if evacuated or not self._evacuated:
             self._state.set_evacuated(self._evacuated.values())
         self.expire()
@@ -162,14 +162,16 @@
     def expire(self) -> None:
         """Drop upstreams whose entries did not come back after an outage."""
         for upstream in self._state.upstreams.expire(now=self._loop.time()):
-            self._state.log.write(Event.UPSTREAM_REMOVED, upstream=upstream, reason="not back")
+            self._state.log.write(
+                LogNumber.GATEWAY_UPSTREAM_REMOVED, upstream=upstream, reason="not back"
+            )
 
     def _apply_config(self, item: StoreItem) -> None:
         try:
             config = self._codec.config(item)
         except ValueError as exc:
             self._state.metrics.ignored.labels("config").inc()
-            self._state.log.write(Event.CONFIG_IGNORED, key=item.key, reason=str(exc))
+            self._state.log.write(LogNumber.GATEWAY_CONFIG_IGNORED, key=item.key, reason=str(exc))
             return
         if config is not None:
             self._state.apply_config(config)
@@ -184,7 +186,7 @@
             elif self._state.upstreams.get(upstream) is not None:
                 self._state.upstreams.remove(upstream)
                 self._state.log.write(
-                    Event.UPSTREAM_REMOVED, upstream=upstream, reason="entry removed"
+                    LogNumber.GATEWAY_UPSTREAM_REMOVED, upstream=upstream, reason="entry removed"
                 )
             return
         self._entries.add(item.key)
@@ -192,7 +194,7 @@
             entry = self._codec.upstream(item)
         except ValueError as exc:
             self._state.metrics.ignored.labels("entry").inc()
-            self._state.log.write(Event.ENTRY_IGNORED, key=item.key, reason=str(exc))
+            self._state.log.write(LogNumber.GATEWAY_ENTRY_IGNORED, key=item.key, reason=str(exc))
             self._state.upstreams.remove(upstream)
             return
         self._state.put_upstream(entry, now=now)
@@ -205,7 +207,7 @@
             self._members[item.key] = msgspec.json.decode(item.value, type=Member)
         except msgspec.DecodeError as exc:
             self._state.metrics.ignored.labels("member").inc()
-            self._state.log.write(Event.ENTRY_IGNORED, key=item.key, reason=str(exc))
+            self._state.log.write(LogNumber.GATEWAY_ENTRY_IGNORED, key=item.key, reason=str(exc))
 
     def _note_reach(self, *, reachable: bool, reason: str) -> None:
         if reachable == self._reachable:
@@ -213,9 +215,9 @@
         if reachable:
             if self._reachable is False:
                 self._regained_at = self._loop.time()
-            self._state.log.write(Event.STORE_BACK)
+            self._state.log.write(LogNumber.GATEWAY_STORE_BACK)
         else:
-            self._state.log.write(Event.STORE_LOST, reason=reason)
+            self._state.log.write(LogNumber.GATEWAY_STORE_LOST, reason=reason)
             if self._reachable is None:
                 return
         self._reachable = reachable
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -11,10 +11,10 @@
 from gooseberryport_core.gateway.placement import Verdict, View, place, queue_factor, retry_after
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_core.gateway.warmth import object_mark
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import ServiceName, UpstreamId
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
 from gooseberryport_gateway._http_conn import Answer, Headers, HttpConn
-from gooseberryport_gateway._logs import Event
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import AnswerLostError, NotSentError
@@ -147,7 +147,7 @@
         except TimeoutError:
             return self._end_late(job)
         except asyncio.CancelledError:
-            self._log(job, Event.REQUEST_CANCELLED, status=0)
+            self._log(job, LogNumber.GATEWAY_REQUEST_CANCELLED, status=0)
             raise
         finally:
             self._state.metrics.in_flight.dec()
@@ -203,6 +203,7 @@
             load_of=lambda each: state.load_of(each, now=now),
             may_start=lambda each: state.may_start(each, now=now),
             warm=lambda each: state.warmth.warm(each.id, mark),
+            unused=lambda each: state.warmth.idle(each.id),
         )
         left_s = job.route.objective_s - (now - job.req.arrived_at)
         placement = place(
@@ -248,7 +249,9 @@
             return await self._send(job, upstream, conn)
         except NotSentError as exc:
             upstream.note_unreachable(self._loop.time())
-            self._state.log.write(Event.UPSTREAM_UNREACHABLE, upstream=upstream.id, reason=str(exc))
+            self._state.log.write(
+                LogNumber.GATEWAY_UPSTREAM_UNREACHABLE, upstream=upstream.id, reason=str(exc)
+            )
             return Attempt(end=AttemptEnd.NOT_SENT, reason=str(exc))
         except AnswerLostError as exc:
             return Attempt(end=AttemptEnd.LOST, reason=exc.reason)
@@ -258,6 +261,10 @@
     async def _send(self, job: _Job, upstream: Upstream, conn: HttpConn) -> Attempt:
         now = self._loop.time()
         self._state.cold.note_sent(upstream=upstream.id, now=now)
+        if job.key is not None:
+            mark = object_mark(job.key)
+            if self._state.warmth.note(upstream.id, mark, now=now, own=True):
+                self._state.on_warmth_news()
         job.sending = True
         answer = await conn.request(
             self._encode(job, upstream, now=now),
@@ -298,9 +305,8 @@
             job.avoided.add(upstream.id)
         if attempt.executed:
             upstream.note_answer(good=attempt.end is AttemptEnd.ANSWERED)
-            if job.key is not None:
-                mark = object_mark(job.key)
-                self._state.warmth.note(upstream.id, mark, now=now, own=True)
+        elif job.key is not None and not job.warm:
+            self._state.warmth.drop(upstream.id, object_mark(job.key))
         if attempt.end is AttemptEnd.ANSWERED:
             if job.warm and job.load < upstream.entry.slots:
                 self._state.note_warm_time(job.route, now - sent_at)
@@ -308,7 +314,7 @@
         if attempt.end is AttemptEnd.MISDIRECTED:
             upstream.note_unreachable(now)
         self._state.log.write_request(
-            Event.ATTEMPT_FAILED,
+            LogNumber.GATEWAY_ATTEMPT_FAILED,
             now=now,
             request=job.request_id.decode("latin-1"),
             upstream=upstream.id,
@@ -331,7 +337,7 @@
         return job.load >= upstream.entry.slots
 
     def _finish(self, job: _Job, answer: Answer) -> Reply:
-        self._log(job, Event.REQUEST_ENDED, status=answer.status)
+        self._log(job, LogNumber.GATEWAY_REQUEST_ENDED, status=answer.status)
         return Reply(status=answer.status, headers=self._kept(answer.headers), body=answer.body)
 
     def _give_up(self, job: _Job) -> Reply:
@@ -341,21 +347,21 @@
                 status = 502
                 job.cause += "; the upstream's status would deny that it ran"
             else:
-                self._log(job, Event.REQUEST_FAILED, status=status)
+                self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=status)
                 return Reply(
                     status=status, headers=self._kept(job.last.headers), body=job.last.body
                 )
         if job.maybe_run:
-            self._log(job, Event.REQUEST_FAILED, status=502)
+            self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=502)
             return self._plain(502, job.request_id)
-        self._log(job, Event.REQUEST_REFUSED, status=503)
+        self._log(job, LogNumber.GATEWAY_REQUEST_REFUSED, status=503)
         return self._plain(503, job.request_id, retry_s=retry_after(draw=self._state.rng.random()))
 
     def _end_late(self, job: _Job) -> Reply:
         maybe_run = job.maybe_run or job.sending
         job.cause = "no answer within the route's timeout"
         status = 504 if maybe_run else 503
-        self._log(job, Event.REQUEST_FAILED, status=status)
+        self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=status)
         return self._plain(status, job.request_id)
 
     def _refuse(
@@ -364,7 +370,7 @@
         now = self._loop.time()
         self._state.metrics.requests.labels(route.name if route else "", str(status)).inc()
         self._state.log.write_request(
-            Event.REQUEST_REFUSED,
+            LogNumber.GATEWAY_REQUEST_REFUSED,
             now=now,
             request=request_id.decode("latin-1"),
             path=req.path[:100],
@@ -374,7 +380,7 @@
         )
         return self._plain(status, request_id, retry_s=NOT_READY_RETRY_S if status == 503 else None)
 
-    def _log(self, job: _Job, event: Event, *, status: int) -> None:
+    def _log(self, job: _Job, event: LogNumber, *, status: int) -> None:
         now = self._loop.time()
         took_s = now - job.req.arrived_at
         outcome = str(status) if status else "cancelled"
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_logs.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_logs.py
@@ -4,12 +4,13 @@
 
 import os
 from collections import deque
-from enum import Enum
 from typing import Any
 
 import msgspec
 import structlog
 
+from gooseberryport_core.log_events import LogNumber
+
 MAX_WAITING_BYTES = 262_144
 """Bytes of log lines that wait for a slow reader; more are dropped and counted."""
 
@@ -20,38 +21,6 @@
 """Bytes that are written at once; a pipe takes that many whole or not at all."""
 
 
-class Event(Enum):
-    """Kinds of log lines, by their number in the catalogue."""
-
-    GATEWAY_STARTED = 1100
-    GATEWAY_READY = 1101
-    GATEWAY_STOPPING = 1102
-    GATEWAY_STOPPED = 1103
-    SETTINGS_RELOADED = 1104
-    REQUEST_ENDED = 1110
-    REQUEST_REFUSED = 1111
-    REQUEST_CANCELLED = 1112
-    REQUEST_FAILED = 1113
-    ATTEMPT_FAILED = 1114
-    LINES_DROPPED = 1119
-    CONFIG_APPLIED = 1120
-    CONFIG_IGNORED = 1121
-    ZONES_EVACUATED = 1122
-    UPSTREAM_CHANGED = 1130
-    UPSTREAM_REMOVED = 1131
-    ENTRY_IGNORED = 1132
-    UPSTREAM_UNREACHABLE = 1133
-    UPSTREAM_BACK = 1134
-    STORE_LOST = 1140
-    STORE_BACK = 1141
-    STORE_HISTORY_GONE = 1142
-    LEASE_TAKEN = 1143
-    LEASE_LOST = 1144
-    MEMBERS_CHANGED = 1150
-    DATAGRAM_IGNORED = 1151
-    TASK_FAILED = 1190
-
-
 class _LineBuffer:
     """Take whole lines, and write as many as the reader takes."""
 
@@ -114,16 +83,16 @@
             wrapper_class=structlog.BoundLogger,
         ).bind(vm=vm)
 
-    def write(self, event: Event, **fields: Any) -> None:
+    def write(self, event: LogNumber, **fields: Any) -> None:
         """Write a line on a belief or on the process."""
         self._logger.msg(event.name.lower(), number=event.value, **fields)
 
-    def write_request(self, event: Event, *, now: float, **fields: Any) -> None:
+    def write_request(self, event: LogNumber, *, now: float, **fields: Any) -> None:
         """Write a line on a request, unless this second has had its share of them."""
         second = int(now)
         if second != self._second:
             if self._suppressed:
-                self.write(Event.LINES_DROPPED, suppressed=self._suppressed)
+                self.write(LogNumber.GATEWAY_LINES_DROPPED, suppressed=self._suppressed)
             self._second = second
             self._in_second = self._suppressed = 0
         self._in_second += 1
@@ -136,7 +105,7 @@
         """Hand waiting lines to the reader; never waits."""
         dropped, self._buffer.dropped = self._buffer.dropped, 0
         if dropped:
-            self.write(Event.LINES_DROPPED, dropped=dropped)
+            self.write(LogNumber.GATEWAY_LINES_DROPPED, dropped=dropped)
         self._buffer.flush()
 
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -7,12 +7,18 @@
 
 import msgspec
 
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import VmId
-from gooseberryport_gateway._logs import Event
 from gooseberryport_gateway._state import GatewayState
 
-SEND_EVERY_S = 0.25
-"""Pause between datagrams: below the time of most warm requests; seconds."""
+NEAR_EVERY_S = 0.1
+"""Pause between datagrams in a region: half of the time of warm requests; seconds."""
+
+FAR_EVERY = 3
+"""Datagrams in a region for each one to other regions, where bytes are dear."""
+
+NEWS_DELAY_S = 0.01
+"""How long news waits for more before it is sent; seconds."""
 
 
 class PeerReport(msgspec.Struct, array_like=True):
@@ -50,6 +56,7 @@
         self._state = state
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
+        self._soon: asyncio.TimerHandle | None = None
         self._decoder = msgspec.msgpack.Decoder(PeerReport)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -62,7 +69,9 @@
             report = self._decoder.decode(data)
         except msgspec.DecodeError as exc:
             self._state.metrics.ignored.labels("datagram").inc()
-            self._state.log.write(Event.DATAGRAM_IGNORED, sender=addr[0], reason=str(exc))
+            self._state.log.write(
+                LogNumber.GATEWAY_DATAGRAM_IGNORED, sender=addr[0], reason=str(exc)
+            )
             return
         now = self._loop.time()
         self._state.fleet.note_heard(
@@ -76,24 +85,36 @@
 
     async def report(self) -> None:
         """Send reports, for ever."""
+        self._state.on_warmth_news = self._send_soon
+        count = 0
         while True:
-            self.send()
-            await asyncio.sleep(SEND_EVERY_S)
+            self.send(far=count % FAR_EVERY == 0)
+            count += 1
+            await asyncio.sleep(NEAR_EVERY_S)
+
+    def _send_soon(self) -> None:
+        if self._soon is None:
+            self._soon = self._loop.call_later(NEWS_DELAY_S, self._send_news)
+
+    def _send_news(self) -> None:
+        self._soon = None
+        self.send(far=False)
 
-    def send(self) -> None:
-        """Send one report to every peer."""
+    def send(self, *, far: bool = True) -> None:
+        """Send one report to every peer of the region, and to those of others if `far`."""
         if self._transport is None:
             return
         state = self._state
         now = self._loop.time()
         loads = state.loads()
-        warm = state.warm_news(now=now)
-        far = msgspec.msgpack.encode(self._report(loads=loads, warm=[]))
-        near = msgspec.msgpack.encode(self._report(loads=loads, warm=warm)) if warm else far
+        # Objects are asked for from one region, so only its gateways need to know of them.
+        near_data = msgspec.msgpack.encode(self._report(loads=loads, warm=state.warm_news(now=now)))
+        far_data = msgspec.msgpack.encode(self._report(loads=loads, warm=[])) if far else b""
         for peer in state.fleet.peers(now=now):
-            # Objects are asked for from one region, so only its gateways need to know.
-            data = near if peer.region == state.me.region else far
-            self._transport.sendto(data, peer.datagrams)
+            if peer.region == state.me.region:
+                self._transport.sendto(near_data, peer.datagrams)
+            elif far:
+                self._transport.sendto(far_data, peer.datagrams)
 
     def _report(self, *, loads: dict[int, int], warm: list[tuple[int, int]]) -> PeerReport:
         return PeerReport(
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -6,9 +6,9 @@
 from functools import partial
 
 from gooseberryport_core.gateway.upstreams import Reach, Upstream, UpstreamTable
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import UpstreamId
 from gooseberryport_gateway._http_conn import Answer
-from gooseberryport_gateway._logs import Event
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import AnswerLostError, NotSentError
@@ -62,7 +62,7 @@
     def _note_ended(self, upstream: UpstreamId, task: asyncio.Task[None]) -> None:
         self._running.pop(upstream, None)
         if not task.cancelled() and (exc := task.exception()) is not None:
-            self._state.log.write(Event.TASK_FAILED, task="probe", error=repr(exc))
+            self._state.log.write(LogNumber.GATEWAY_TASK_FAILED, task="probe", error=repr(exc))
 
     async def _probe(self, upstream: Upstream) -> None:
         try:
@@ -72,7 +72,7 @@
             self._state.metrics.probes.labels("no-answer").inc()
             upstream.note_unreachable(self._loop.time())
             self._state.log.write(
-                Event.UPSTREAM_UNREACHABLE, upstream=upstream.id, reason=repr(exc)
+                LogNumber.GATEWAY_UPSTREAM_UNREACHABLE, upstream=upstream.id, reason=repr(exc)
             )
             return
         self._take(upstream, answer)
@@ -108,7 +108,7 @@
             upstream.cold_until = max(upstream.cold_until, now + int(told) / 1000.0)
         upstream.note_reachable()
         self._state.log.write(
-            Event.UPSTREAM_BACK,
+            LogNumber.GATEWAY_UPSTREAM_BACK,
             upstream=upstream.id,
             status=answer.status,
             cold_s=max(upstream.cold_until - now, 0.0),
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import lru_cache
 
 import xxhash
@@ -21,8 +21,9 @@
 from gooseberryport_core.gateway.routing import RouteTable, SplitChooser
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import Warmth
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, UpstreamId, ZoneName
-from gooseberryport_gateway._logs import Event, Log
+from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
 from gooseberryport_gateway.wire import GatewaySettings
 
@@ -71,6 +72,7 @@
         self.warmth = Warmth()
         self.warm_times: dict[RouteName, float] = {}
         self.leaving = False
+        self.on_warmth_news: Callable[[], None] = lambda: None
         self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
 
     @property
@@ -88,7 +90,9 @@
             return False
         self.routes = RouteTable(config)
         self.metrics.config_version.set(config.version)
-        self.log.write(Event.CONFIG_APPLIED, version=config.version, routes=len(config.routes))
+        self.log.write(
+            LogNumber.GATEWAY_CONFIG_APPLIED, version=config.version, routes=len(config.routes)
+        )
         return True
 
     def put_upstream(self, entry: UpstreamEntry, *, now: float) -> None:
@@ -101,7 +105,7 @@
             self.warmth.forget(entry.upstream)
         if before is None or (before.state, before.started_ms) != (entry.state, entry.started_ms):
             self.log.write(
-                Event.UPSTREAM_CHANGED,
+                LogNumber.GATEWAY_UPSTREAM_CHANGED,
                 upstream=entry.upstream,
                 service=entry.service,
                 state=entry.state.value,
@@ -114,7 +118,7 @@
         wanted = frozenset(zones)
         if wanted != self.upstreams.evacuated:
             self.upstreams.set_evacuated(wanted)
-            self.log.write(Event.ZONES_EVACUATED, zones=sorted(wanted))
+            self.log.write(LogNumber.GATEWAY_ZONES_EVACUATED, zones=sorted(wanted))
 
     def note_peer_loads(self, vm: str, loads: dict[int, int], *, now: float) -> None:
         """Keep what another gateway has in flight, by the hash of the upstream's id."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -14,11 +14,12 @@
 import msgspec
 
 from gooseberryport_core.gateway.model import ClientLimits, Member
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, ZoneName
 from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
 from gooseberryport_gateway._discovery import Discovery
 from gooseberryport_gateway._forwarder import Forwarder
-from gooseberryport_gateway._logs import Event, Log
+from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
 from gooseberryport_gateway._peers import Peers
 from gooseberryport_gateway._pool import ConnPool
@@ -90,7 +91,7 @@
     async def run(self) -> None:
         """Serve until told to stop, then end without losing an answer."""
         settings = self._settings
-        self.log.write(Event.GATEWAY_STARTED, zone=settings.zone, region=settings.region)
+        self.log.write(LogNumber.GATEWAY_STARTED, zone=settings.zone, region=settings.region)
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -108,7 +109,7 @@
             await self._end(front)
         for task in self._tasks:
             task.cancel()
-        self.log.write(Event.GATEWAY_STOPPED)
+        self.log.write(LogNumber.GATEWAY_STOPPED)
         self.log.flush()
 
     @contextlib.asynccontextmanager
@@ -145,7 +146,7 @@
             try:
                 return await handler(req)
             except Exception as exc:
-                self.log.write(Event.TASK_FAILED, task="request", error=repr(exc))
+                self.log.write(LogNumber.GATEWAY_TASK_FAILED, task="request", error=repr(exc))
                 return Reply(status=500, headers=[])
 
         return handle
@@ -161,7 +162,9 @@
             return
         exc = task.exception()
         if exc is not None:
-            self.log.write(Event.TASK_FAILED, task=str(task.get_coro()), error=repr(exc))
+            self.log.write(
+                LogNumber.GATEWAY_TASK_FAILED, task=str(task.get_coro()), error=repr(exc)
+            )
             self._stop.set()
 
     async def _handle_front(self, req: ClientRequest) -> Reply:
@@ -202,7 +205,7 @@
             known.note_unreachable(self._loop.time())
 
     def _reload(self) -> None:
-        self.log.write(Event.SETTINGS_RELOADED)
+        self.log.write(LogNumber.GATEWAY_SETTINGS_RELOADED)
 
     async def _keep_house(self) -> None:
         was_ready = False
@@ -211,7 +214,7 @@
             self._discovery.expire()
             if self.ready and not was_ready:
                 was_ready = True
-                self.log.write(Event.GATEWAY_READY)
+                self.log.write(LogNumber.GATEWAY_READY)
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_EVERY_S)
 
@@ -219,7 +222,7 @@
         started = self._loop.time()
         grace_s = self._settings.bounds.grace_s
         self.state.leaving = True
-        self.log.write(Event.GATEWAY_STOPPING, connections=len(self._conns))
+        self.log.write(LogNumber.GATEWAY_STOPPING, connections=len(self._conns))
         self._peers.send()
         self._start(self._discovery.end_membership())
         await asyncio.sleep(grace_s * STOP_ACCEPTING_SHARE)
