--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -28,7 +28,7 @@
 FIRST_HOMES = 2
 """Upstreams among which a cold object's first home is chosen by load."""
 
-MOST_HOMES = 2
+MOST_HOMES = 3
 """Upstreams that an object is warmed on rather than refuse its requests."""
 
 IDLE_SHARE = 0.1
