Start from another gateway while the store turns a gateway away, and name only those that serve

Change: reports say whether a gateway serves; look-ups name only those, and answer 503 if none is known. A gateway that can't read the store asks those it hears, and its seeds, for what they read. Unreachable upstreams are logged when that changes, not at each try.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -30,7 +30,7 @@
     listed_at: float = 0.0
     heard_at: float = float("-inf")
     seen_at: float = 0.0
-    leaving: bool = False
+    ready: bool = True
 
 
 class Fleet:
@@ -60,16 +60,15 @@
                 known.listed = True
                 known.seen_at = now
 
-    def note_heard(self, vm: VmId, *, incarnation: int, leaving: bool, now: float) -> None:
+    def note_heard(self, vm: VmId, *, incarnation: int, ready: bool, now: float) -> None:
         """Count a datagram of a gateway; those that were never listed are ignored."""
         known = self._known.get(vm)
         if known is None or known.member.incarnation > incarnation:
             return
         if known.member.incarnation < incarnation:
             known.member = msgspec.structs.replace(known.member, incarnation=incarnation)
-            known.leaving = False
         known.heard_at = known.seen_at = now
-        known.leaving = known.leaving or leaving
+        known.ready = ready
 
     def peers(self, *, now: float) -> list[Member]:
         """Return the other gateways to which datagrams are sent."""
@@ -97,31 +96,32 @@
         return [
             known.member
             for known in self._known.values()
-            if not known.leaving and self._is_alive(known, now=now)
+            if known.ready and self._is_alive(known, now=now)
         ]
 
     def entry_points(
-        self, *, zone: ZoneName, region: RegionName, leaving: bool, now: float
+        self, *, zone: ZoneName, region: RegionName, ready: bool, now: float
     ) -> list[str]:
         """Return the addresses that a client in a place should use.
 
-        Gateways of the client's availability zone come alone; else those of its region, else all.
+        Gateways of the client's availability zone come alone; else those of its region, else all;
+        none if none is known to serve.
 
         Parameters
         ----------
         zone, region
             Place of the client.
-        leaving
-            Whether this gateway is about to stop.
+        ready
+            Whether this gateway serves clients itself.
         now
             Monotonic time; seconds.
         """
         members = self.alive(now=now)
-        if not leaving:
+        if ready:
             members.append(self._me)
         near = [each for each in members if each.zone == zone]
         near = near or [each for each in members if each.region == region]
-        return sorted(each.front for each in near or members or [self._me])
+        return sorted(each.front for each in near or members)
 
     @staticmethod
     def _is_alive(known: _Known, *, now: float) -> bool:
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
@@ -78,15 +78,16 @@
         """Count an answer, or an answer that never came."""
         self.failures += FAILURE_SMOOTHING * ((0.0 if good else 1.0) - self.failures)
 
-    def note_unreachable(self, now: float) -> None:
-        """Withhold requests until a probe succeeds."""
+    def note_unreachable(self, now: float) -> bool:
+        """Withhold requests until a probe succeeds; True if that is new."""
         if self.reach is Reach.OPEN:
             self.reach = Reach.UNPROVEN
             self.probe_pause_s = FIRST_PROBE_S
             self.probe_at = now
-            return
+            return True
         self.probe_at = now + self.probe_pause_s
         self.probe_pause_s = min(self.probe_pause_s * 2.0, LONGEST_PROBE_S)
+        return False
 
     def note_reachable(self) -> None:
         """Give it requests again."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -10,9 +10,21 @@
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import ZoneName
+from gooseberryport_gateway._http_conn import open_conn
 from gooseberryport_gateway._state import GatewayState
-from gooseberryport_gateway.errors import HistoryGoneError, LeaseGoneError, StoreError
-from gooseberryport_gateway.wire import Codec, StoreClient, StoreItem
+from gooseberryport_gateway.errors import (
+    AnswerLostError,
+    HistoryGoneError,
+    LeaseGoneError,
+    NotSentError,
+    StoreError,
+)
+from gooseberryport_gateway.wire import Beliefs, Codec, StoreClient, StoreItem
+
+BELIEFS_PATH = "/v1/beliefs"
+
+ASK_TIMEOUT_S = 0.5
+"""Time for another gateway to tell what it knows: many times a round trip; seconds."""
 
 WATCH_PAUSE_S = 0.5
 """Pause between watches: upstreams report all the time, and a quarter of the shortest bound on
@@ -55,7 +67,8 @@
         self._loop = asyncio.get_running_loop()
         self._evacuated: dict[str, ZoneName] = {}
         self._members: dict[str, Member] = {}
-        self._entries: set[str] = set()
+        self._items: dict[str, StoreItem] = {}
+        self._revision = 0
         self._reachable: bool | None = None
         self._regained_at = float("-inf")
         self._lease: int | None = None
@@ -63,7 +76,7 @@
     @property
     def synced(self) -> bool:
         """Whether the store has been read at all."""
-        return self._reachable is not None and self._state.routes is not None
+        return self._state.routes is not None
 
     async def follow(self) -> None:
         """Read the store, then follow its changes, for ever."""
@@ -74,7 +87,7 @@
                 if after is None:
                     after = await self._read_all()
                 page = await self._store.watch("", after=after, wait_s=WATCH_WAIT_S)
-                after = page.revision
+                after = self._revision = page.revision
                 self._note_reach(reachable=True, reason="")
                 self._apply(page.items)
                 pause_s = RETRY_MIN_S
@@ -84,11 +97,47 @@
                 after = None
             except StoreError as exc:
                 self._note_reach(reachable=False, reason=str(exc))
+                if after is None and not self.synced:
+                    after = await self._ask_peers()
                 await asyncio.sleep(
                     max(exc.retry_after_s, pause_s * (0.5 + self._state.rng.random()))
                 )
                 pause_s = min(pause_s * 2.0, RETRY_MAX_S)
 
+    def beliefs(self) -> bytes | None:
+        """Return what was read from the store, for a gateway that can't reach it."""
+        if not self.synced:
+            return None
+        return msgspec.msgpack.encode(
+            Beliefs(items=list(self._items.values()), revision=self._revision)
+        )
+
+    async def _ask_peers(self) -> int | None:
+        """Start from what another gateway knows, since the store does not answer."""
+        for address in self._state.peer_controls(now=self._loop.time()):
+            host, _, port = address.rpartition(":")
+            request = f"GET {BELIEFS_PATH} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+            try:
+                async with asyncio.timeout(ASK_TIMEOUT_S):
+                    conn = await open_conn((host, int(port)), timeout_s=ASK_TIMEOUT_S)
+                    answer = await conn.request(request.encode())
+                conn.close()
+                if answer.status != 200:
+                    continue
+                beliefs = msgspec.msgpack.decode(answer.body, type=Beliefs)
+            except (NotSentError, AnswerLostError, TimeoutError, msgspec.DecodeError) as exc:
+                self._state.log.write(
+                    LogNumber.GATEWAY_PEER_SILENT, address=address, reason=repr(exc)
+                )
+                continue
+            self._revision = beliefs.revision
+            self._apply(beliefs.items)
+            self._state.log.write(
+                LogNumber.GATEWAY_BELIEFS_ADOPTED, address=address, revision=beliefs.revision
+            )
+            return beliefs.revision
+        return None
+
     async def hold_membership(self) -> None:
         """Keep this gateway's entry in the store, for ever."""
         key = f"{self._codec.member_prefix}{self._state.me.vm}"
@@ -127,17 +176,21 @@
         upstreams = await self._store.read_range(codec.upstream_prefix)
         members = await self._store.read_range(codec.member_prefix)
         self._note_reach(reachable=True, reason="")
-        self._evacuated = {}
-        self._members = {}
-        now_listed = {item.key for item in upstreams.items}
-        gone = [StoreItem(key=key, value=None, revision=0) for key in self._entries - now_listed]
-        self._apply([*config.items, *upstreams.items, *members.items, *gone])
-        return min(config.revision, upstreams.revision, members.revision)
+        read = [*config.items, *upstreams.items, *members.items]
+        vanished = self._items.keys() - {item.key for item in read}
+        gone = [StoreItem(key=key, value=None, revision=0) for key in vanished]
+        self._apply([*read, *gone])
+        self._revision = min(config.revision, upstreams.revision, members.revision)
+        return self._revision
 
     def _apply(self, items: Iterable[StoreItem]) -> None:
         codec = self._codec
         members = evacuated = False
         for item in items:
+            if item.value is None:
+                self._items.pop(item.key, None)
+            else:
+                self._items[item.key] = item
             if item.key.startswith(codec.upstream_prefix):
                 self._apply_upstream(item)
             elif item.key.startswith(codec.member_prefix):
@@ -155,7 +208,7 @@
         if members:
             self._state.fleet.set_listed(self._members.values(), now=now)
             self._state.log.write(LogNumber.GATEWAY_MEMBERS_CHANGED, listed=sorted(self._members))
-        if evacuated or not self._evacuated:
+        if evacuated:
             self._state.set_evacuated(self._evacuated.values())
         self.expire()
 
@@ -180,7 +233,6 @@
         now = self._loop.time()
         upstream = self._codec.upstream_id(item.key)
         if item.value is None:
-            self._entries.discard(item.key)
             if now - self._regained_at < OUTAGE_LAPSE_S:
                 self._state.upstreams.suspend(upstream, regained_at=self._regained_at)
             elif self._state.upstreams.get(upstream) is not None:
@@ -189,7 +241,6 @@
                     LogNumber.GATEWAY_UPSTREAM_REMOVED, upstream=upstream, reason="entry removed"
                 )
             return
-        self._entries.add(item.key)
         try:
             entry = self._codec.upstream(item)
         except ValueError as exc:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -248,10 +248,7 @@
                 self._state.metrics.connections.inc()
             return await self._send(job, upstream, conn)
         except NotSentError as exc:
-            upstream.note_unreachable(self._loop.time())
-            self._state.log.write(
-                LogNumber.GATEWAY_UPSTREAM_UNREACHABLE, upstream=upstream.id, reason=str(exc)
-            )
+            self._state.note_unreachable(upstream, reason=str(exc), now=self._loop.time())
             return Attempt(end=AttemptEnd.NOT_SENT, reason=str(exc))
         except AnswerLostError as exc:
             return Attempt(end=AttemptEnd.LOST, reason=exc.reason)
@@ -312,7 +309,7 @@
                 self._state.note_warm_time(job.route, now - sent_at)
             return
         if attempt.end is AttemptEnd.MISDIRECTED:
-            upstream.note_unreachable(now)
+            self._state.note_unreachable(upstream, reason=attempt.reason, now=now)
         self._state.log.write_request(
             LogNumber.GATEWAY_ATTEMPT_FAILED,
             now=now,
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -28,8 +28,8 @@
     ----------
     vm, incarnation
         Who reports.
-    leaving
-        Whether it is about to stop.
+    ready
+        Whether it serves clients: it knows a configuration and is not about to stop.
     loads
         Requests in flight by the hash of the upstream's id.
     warm
@@ -38,7 +38,7 @@
 
     vm: str
     incarnation: int
-    leaving: bool
+    ready: bool
     loads: dict[int, int]
     warm: list[tuple[int, int]] = []
 
@@ -74,8 +74,9 @@
             )
             return
         now = self._loop.time()
+        self._state.note_heard_from(addr[0], now=now)
         self._state.fleet.note_heard(
-            VmId(report.vm), incarnation=report.incarnation, leaving=report.leaving, now=now
+            VmId(report.vm), incarnation=report.incarnation, ready=report.ready, now=now
         )
         self._state.note_peer_loads(report.vm, report.loads, now=now)
         self._state.note_peer_warmth(report.warm, now=now)
@@ -120,7 +121,7 @@
         return PeerReport(
             vm=self._state.me.vm,
             incarnation=self._state.me.incarnation,
-            leaving=self._state.leaving,
+            ready=self._state.ready,
             loads=loads,
             warm=warm,
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -70,10 +70,7 @@
                 answer = await self._ask(upstream)
         except (NotSentError, AnswerLostError, TimeoutError) as exc:
             self._state.metrics.probes.labels("no-answer").inc()
-            upstream.note_unreachable(self._loop.time())
-            self._state.log.write(
-                LogNumber.GATEWAY_UPSTREAM_UNREACHABLE, upstream=upstream.id, reason=repr(exc)
-            )
+            self._state.note_unreachable(upstream, reason=repr(exc), now=self._loop.time())
             return
         self._take(upstream, answer)
 
@@ -95,12 +92,12 @@
         theirs = answer.header(self._names.upstream)
         if theirs is not None and theirs.decode("latin-1") != upstream.id:
             self._state.metrics.probes.labels("other-upstream").inc()
-            upstream.note_unreachable(now)
+            self._state.note_unreachable(upstream, reason="another upstream", now=now)
             return
         full = answer.header(self._names.not_executed) is not None
         if answer.status != 200 and not full:
             self._state.metrics.probes.labels("unwell").inc()
-            upstream.note_unreachable(now)
+            self._state.note_unreachable(upstream, reason=f"health check: {answer.status}", now=now)
             return
         self._state.metrics.probes.labels("well").inc()
         told = answer.header(self._names.cold_ms)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -36,6 +36,9 @@
 WARM_SMOOTHING = 0.05
 """Weight of the newest request in a route's warm time."""
 
+HEARD_IP_S = 2.0
+"""Age up to which the sender of a datagram is asked what it knows; seconds."""
+
 HASH_MASK = 0xFFFFFFFF
 
 
@@ -73,6 +76,7 @@
         self.warm_times: dict[RouteName, float] = {}
         self.leaving = False
         self.on_warmth_news: Callable[[], None] = lambda: None
+        self._heard_ips: dict[str, float] = {}
         self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
 
     @property
@@ -113,6 +117,13 @@
                 started_ms=entry.started_ms,
             )
 
+    def note_unreachable(self, upstream: Upstream, *, reason: str, now: float) -> None:
+        """Withhold requests from an upstream until a probe succeeds."""
+        if upstream.note_unreachable(now):
+            self.log.write(
+                LogNumber.GATEWAY_UPSTREAM_UNREACHABLE, upstream=upstream.id, reason=reason
+            )
+
     def set_evacuated(self, zones: Iterable[ZoneName]) -> None:
         """Replace the availability zones that get no requests."""
         wanted = frozenset(zones)
@@ -120,6 +131,22 @@
             self.upstreams.set_evacuated(wanted)
             self.log.write(LogNumber.GATEWAY_ZONES_EVACUATED, zones=sorted(wanted))
 
+    @property
+    def ready(self) -> bool:
+        """Whether clients should come."""
+        return self.routes is not None and not self.leaving
+
+    def note_heard_from(self, ip: str, *, now: float) -> None:
+        """Keep the address of a gateway that sent a datagram."""
+        self._heard_ips[ip] = now
+
+    def peer_controls(self, *, now: float) -> list[str]:
+        """Return control addresses of gateways that may know what the store holds."""
+        port = self.settings.control.rpartition(":")[2]
+        heard = [f"{ip}:{port}" for ip, at in self._heard_ips.items() if now - at < HEARD_IP_S]
+        own = self.settings.control
+        return [each for each in dict.fromkeys([*heard, *self.settings.seeds]) if each != own]
+
     def note_peer_loads(self, vm: str, loads: dict[int, int], *, now: float) -> None:
         """Keep what another gateway has in flight, by the hash of the upstream's id."""
         self._peer_loads[vm] = (now, loads)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -17,7 +17,7 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, ZoneName
 from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
-from gooseberryport_gateway._discovery import Discovery
+from gooseberryport_gateway._discovery import BELIEFS_PATH, Discovery
 from gooseberryport_gateway._forwarder import Forwarder
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
@@ -174,7 +174,10 @@
         if req.path == "/v1/resolve":
             return self._lookup(req)
         if req.path == "/v1/ready":
-            return Reply(status=200 if self.ready else 503, headers=[])
+            return Reply(status=200 if self.state.ready else 503, headers=[])
+        if req.path == BELIEFS_PATH:
+            beliefs = self._discovery.beliefs()
+            return Reply(status=503 if beliefs is None else 200, headers=[], body=beliefs or b"")
         if req.path == "/metrics":
             return Reply(
                 status=200,
@@ -183,18 +186,15 @@
             )
         return Reply(status=404, headers=[])
 
-    @property
-    def ready(self) -> bool:
-        """Whether clients should come."""
-        return self._discovery.synced and not self.state.leaving
-
     def _lookup(self, req: ClientRequest) -> Reply:
         query = parse_qs(req.target.partition(b"?")[2].decode("latin-1"))
         zone = ZoneName(query.get("zone", [self._settings.zone])[0])
         region = RegionName(query.get("region", [self._settings.region])[0])
         addresses = self.state.fleet.entry_points(
-            zone=zone, region=region, leaving=self.state.leaving, now=self._loop.time()
+            zone=zone, region=region, ready=self.state.ready, now=self._loop.time()
         )
+        if not addresses:
+            return Reply(status=503, headers=[])
         ttl_s = min(LOOKUP_TTL_S, self._settings.bounds.max_lookup_ttl_s)
         body = msgspec.json.encode({"addresses": addresses, "ttlS": ttl_s})
         return Reply(status=200, headers=[(b"content-type", b"application/json")], body=body)
@@ -202,7 +202,9 @@
     def _note_broken(self, upstream: Any) -> None:
         known = self.state.upstreams.get(upstream)
         if known is not None:
-            known.note_unreachable(self._loop.time())
+            self.state.note_unreachable(
+                known, reason="all idle connections broke", now=self._loop.time()
+            )
 
     def _reload(self) -> None:
         self.log.write(LogNumber.GATEWAY_SETTINGS_RELOADED)
@@ -212,7 +214,7 @@
         while True:
             self._pool.close_expired()
             self._discovery.expire()
-            if self.ready and not was_ready:
+            if self.state.ready and not was_ready:
                 was_ready = True
                 self.log.write(LogNumber.GATEWAY_READY)
             self.log.flush()
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gooseberryport_core.gateway.model import Member, RoutingConfig, UpstreamEntry
+from gooseberryport_core.gateway.model import RoutingConfig, UpstreamEntry
 from gooseberryport_core.types import RegionName, UpstreamId, VmId, ZoneName
 
 
@@ -73,6 +73,8 @@
         Addresses of the listeners, ``IP:port``; empty for none.
     peer_port
         Port for datagrams between gateways.
+    seeds
+        Control addresses of some gateways, ``IP:port``; any of them may be down.
     store
         Address of the store, ``IP:port``.
     lease_min_ms
@@ -91,12 +93,13 @@
     lookup: str
     control: str
     peer_port: int
+    seeds: tuple[str, ...]
     store: str
     lease_min_ms: int
     bounds: Bounds
 
 
-class StoreItem(msgspec.Struct, frozen=True):
+class StoreItem(msgspec.Struct, frozen=True, array_like=True):
     """One key of the store; `value` is None if it was deleted."""
 
     key: str
@@ -104,6 +107,21 @@
     revision: int
 
 
+class Beliefs(msgspec.Struct, frozen=True, array_like=True):
+    """What one gateway read from the store, for another that can't.
+
+    Parameters
+    ----------
+    items
+        Every item that was read.
+    revision
+        Revision of the store from which a watch goes on.
+    """
+
+    items: list[StoreItem]
+    revision: int
+
+
 class StorePage(msgspec.Struct, frozen=True):
     """What a read or a watch returned.
 
@@ -159,9 +177,3 @@
 
     def upstream(self, item: StoreItem) -> UpstreamEntry:
         """Decode an upstream's entry; ValueError says what is wrong."""
-
-
-class MemberRecord(msgspec.Struct, frozen=True):
-    """A gateway's own entry in the store."""
-
-    member: Member
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -46,6 +46,7 @@
     lookup="",
     control="",
     peer_port=0,
+    seeds=(),
     store="127.0.0.1:1",
     lease_min_ms=1000,
     bounds=Bounds(
