Give every upstream that joins an object, and bear clocks that step back

Ruled out: the bound on cold upstreams (the others of the same start got requests). Change: an unused upstream takes its first object from those that rank it among the first three; a lower incarnation counts once the higher one is silent or the store lists it.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -54,18 +54,24 @@
                 old.listed = False
         for vm, member in listed.items():
             known = self._known.get(vm)
-            if known is None or known.member.incarnation < member.incarnation:
+            if known is None or known.member.incarnation != member.incarnation:
                 self._known[vm] = _Known(member=member, listed=True, listed_at=now, seen_at=now)
             elif known.member.incarnation == member.incarnation:
                 known.listed = True
                 known.seen_at = now
 
     def note_heard(self, vm: VmId, *, incarnation: int, ready: bool, now: float) -> None:
-        """Count a datagram of a gateway; those that were never listed are ignored."""
+        """Count a datagram of a gateway; those that were never listed are ignored.
+
+        Incarnations come from the wall clock, which may step back before a restart: a lower one is
+        a late datagram only while the higher one is heard.
+        """
         known = self._known.get(vm)
-        if known is None or known.member.incarnation > incarnation:
+        if known is None:
+            return
+        if incarnation < known.member.incarnation and now - known.heard_at < HEARD_S:
             return
-        if known.member.incarnation < incarnation:
+        if incarnation != known.member.incarnation:
             known.member = msgspec.structs.replace(known.member, incarnation=incarnation)
         known.heard_at = known.seen_at = now
         known.ready = ready
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -31,6 +31,9 @@
 MOST_HOMES = 3
 """Upstreams that an object is warmed on rather than refuse its requests."""
 
+JOIN_RANKS = 3
+"""Ranks of an object's upstreams among which one that joined gets its first object."""
+
 IDLE_SHARE = 0.1
 """Load over slots up to which an upstream is idle enough to warm another object."""
 
@@ -175,10 +178,11 @@
     homes = [each for each in ranked if view.warm(each)]
     if not homes:
         return _least_loaded(pool=ranked[:FIRST_HOMES], view=view, queue_factor=queue_factor)
-    best = ranked[0]
-    if view.unused(best) and view.near(best) and len(homes) < MOST_HOMES:
-        # An upstream that joins takes over the objects that rank it first, one at a time.
-        return _send(best, view=view)
+    if len(homes) < MOST_HOMES:
+        # An upstream that joins takes its first object from those that rank it high.
+        for each in ranked[:JOIN_RANKS]:
+            if view.unused(each) and view.near(each):
+                return _send(each, view=view)
     for each in homes:
         if view.load_of(each) < each.entry.slots:
             return _send(each, view=view)
--- a/packages/gooseberryport-core/tests/test_fleet.py
+++ b/packages/gooseberryport-core/tests/test_fleet.py
@@ -45,10 +45,20 @@
 
 def test_datagram_of_a_former_incarnation_counts_for_nothing():
     fleet = fleet_of(member("x", incarnation=5))
+    fleet.note_heard("x", incarnation=5, ready=True, now=0.9)
     fleet.note_heard("x", incarnation=4, ready=False, now=1.0)
     assert entry_points(fleet, now=1.1) == ["me:80", "x:80"]
 
 
+def test_gateway_that_starts_again_after_its_clock_stepped_back_is_known():
+    fleet = fleet_of(member("x", incarnation=5))
+    fleet.note_heard("x", incarnation=5, ready=True, now=1.0)
+    fleet.note_heard("x", incarnation=3, ready=True, now=4.0)
+    assert entry_points(fleet, now=4.1) == ["me:80", "x:80"]
+    fleet.set_listed([member("x", incarnation=2)], now=9.0)
+    assert entry_points(fleet, now=9.5) == ["me:80", "x:80"]
+
+
 def test_leaving_gateway_names_the_others():
     fleet = fleet_of(member("x", zone="a2"))
     assert entry_points(fleet, zone="a1", ready=False) == ["x:80"]
