--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -14,8 +14,13 @@
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.types import RegionName, VmId, ZoneName
 
-HEARD_S = 1.5
-"""How long a gateway counts as alive after its last datagram; six of its usual pauses; seconds."""
+HEARD_NEAR_S = 1.5
+HEARD_FAR_S = 3.0
+"""How long a gateway of the own or another region counts as alive after its last datagram, several
+of its pauses; seconds."""
+
+LEAST_NEAR = 2
+"""Gateways of an availability zone from which its clients are told of no others: one may die."""
 
 NEW_MEMBER_S = 2.0
 """How long a listed gateway counts as alive before its first datagram; seconds."""
@@ -69,7 +74,7 @@
         known = self._known.get(vm)
         if known is None:
             return
-        if incarnation < known.member.incarnation and now - known.heard_at < HEARD_S:
+        if incarnation < known.member.incarnation and self._is_heard(known, now=now):
             return
         if incarnation != known.member.incarnation:
             known.member = msgspec.structs.replace(known.member, incarnation=incarnation)
@@ -110,8 +115,8 @@
     ) -> list[str]:
         """Return the addresses that a client in a place should use.
 
-        Gateways of the client's availability zone come alone; else those of its region, else all;
-        none if none is known to serve.
+        If enough gateways of the client's availability zone serve, they come alone; else those of
+        its region, else all; none if none is known to serve.
 
         Parameters
         ----------
@@ -126,11 +131,15 @@
         if ready:
             members.append(self._me)
         near = [each for each in members if each.zone == zone]
-        near = near or [each for each in members if each.region == region]
+        if len(near) < LEAST_NEAR:
+            near = [each for each in members if each.region == region]
         return sorted(each.front for each in near or members)
 
-    @staticmethod
-    def _is_alive(known: _Known, *, now: float) -> bool:
-        if now - known.heard_at < HEARD_S:
+    def _is_heard(self, known: _Known, *, now: float) -> bool:
+        near = known.member.region == self._me.region
+        return now - known.heard_at < (HEARD_NEAR_S if near else HEARD_FAR_S)
+
+    def _is_alive(self, known: _Known, *, now: float) -> bool:
+        if self._is_heard(known, now=now):
             return True
         return known.listed and now - known.listed_at < NEW_MEMBER_S
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -11,8 +11,8 @@
 from gooseberryport_core.types import VmId
 from gooseberryport_gateway._state import GatewayState
 
-NEAR_EVERY_S = 0.1
-"""Pause between datagrams in a region: half of the time of warm requests; seconds."""
+NEAR_EVERY_S = 0.2
+"""Pause between datagrams in a region: the time of a warm request; seconds."""
 
 FAR_EVERY = 3
 """Datagrams in a region for each one to other regions, where bytes are dear."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -27,7 +27,7 @@
 from gooseberryport_gateway._metrics import Metrics
 from gooseberryport_gateway.wire import GatewaySettings
 
-LOAD_REPORT_S = 1.0
+LOAD_REPORT_S = 1.5
 """Age from which another gateway's load report counts for nothing; seconds."""
 
 FIRST_WARM_SHARE = 0.5
--- a/standins/src/gooseberryport_standins/bench.py
+++ b/standins/src/gooseberryport_standins/bench.py
@@ -17,6 +17,7 @@
     "lookup": "gooseberryport_standins.bench_lookup",
     "control": "gooseberryport_standins.bench_control",
     "burn": "gooseberryport_standins.bench_burn",
+    "placement": "gooseberryport_standins.bench_placement",
     "process": "gooseberryport_standins.bench_process",
 }
 """Module of each benchmark; its function ``run(seed)`` returns a `BenchReport`."""
