--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -26,9 +26,9 @@
 ASK_TIMEOUT_S = 0.5
 """Time for another gateway to tell what it knows: many times a round trip; seconds."""
 
-WATCH_PAUSE_S = 0.5
-"""Pause between watches: upstreams report all the time, and a quarter of the shortest bound on
-draining leaves room for a slow call; seconds."""
+WATCH_PAUSE_SHARE = 0.4
+"""Pause between watches, as a part of the time within which a draining upstream must get nothing
+more: upstreams report all the time, each call has its price, and a slow call must fit as well."""
 
 WATCH_WAIT_S = 2.0
 """How long the store may hold a watch; a silent connection is noticed after that; seconds."""
@@ -67,6 +67,7 @@
         self._loop = asyncio.get_running_loop()
         self._evacuated: dict[str, ZoneName] = {}
         self._members: dict[str, Member] = {}
+        self._pause_s = state.settings.bounds.drain_s * WATCH_PAUSE_SHARE
         self._items: dict[str, StoreItem] = {}
         self._revision = 0
         self._reachable: bool | None = None
@@ -91,7 +92,7 @@
                 self._note_reach(reachable=True, reason="")
                 self._apply(page.items)
                 pause_s = RETRY_MIN_S
-                await asyncio.sleep(WATCH_PAUSE_S if page.items else 0.0)
+                await asyncio.sleep(self._pause_s if page.items else 0.0)
             except HistoryGoneError:
                 self._state.log.write(LogNumber.GATEWAY_STORE_HISTORY_GONE, after=after)
                 after = None
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -54,6 +54,7 @@
     retry_window_s: float
     cold_overage: float
     cold_slack: float
+    drain_s: float
     grace_s: float
     max_lookup_ttl_s: float
 
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -55,6 +55,7 @@
         retry_window_s=10.0,
         cold_overage=1.5,
         cold_slack=5.0,
+        drain_s=2.0,
         grace_s=6.0,
         max_lookup_ttl_s=5.0,
     ),
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -59,7 +59,7 @@
         seeds=seeds,
         store="",
         lease_min_ms=1000,
-        bounds=Bounds(0.2, 50.0, 10.0, 1.5, 5.0, 6.0, 5.0),
+        bounds=Bounds(0.2, 50.0, 10.0, 1.5, 5.0, 0.05, 6.0, 5.0),
     )
     me = Member("vm1", "a1", "A", "10.0.0.1:80", ("10.0.0.1", 9), 1)
     return GatewayState(settings=settings, me=me, log=Log(vm="vm1", fd=log_fd), metrics=Metrics())
@@ -72,7 +72,6 @@
 
 
 def follow(scenario, *, tmp_path, monkeypatch):
-    monkeypatch.setattr(_discovery, "WATCH_PAUSE_S", 0.02)
     monkeypatch.setattr(_discovery, "WATCH_WAIT_S", 0.3)
 
     async def main():
