Notice silent upstreams early, and stay out of the store once a stop has begun

A process test found that a stopping gateway ended its lease and then took a new one. Ruled out: a shorter bound on unacknowledged bytes (worse, see docs/design/placement.md). Change: a request to a warm upstream that takes three times its usual time makes the gateway open a new connection there; if that fails, the upstream waits for a probe and repeatable requests leave it. The task that holds the lease ends before the lease does.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -16,6 +16,7 @@
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
 from gooseberryport_gateway._http_conn import Answer, Headers, HttpConn
 from gooseberryport_gateway._pool import ConnPool
+from gooseberryport_gateway._silence import SilenceWatch
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import AnswerLostError, NotSentError
 from gooseberryport_gateway.wire import HeaderNames
@@ -125,6 +126,7 @@
         self._state = state
         self._pool = pool
         self._names = names
+        self._silence = SilenceWatch(state=state, pool=pool)
         self._loop = asyncio.get_running_loop()
         self._own_headers = CONNECTION_HEADERS | {names.deadline_ms, names.expected_upstream}
 
@@ -263,11 +265,14 @@
             if self._state.warmth.note(upstream.id, mark, now=now, own=True):
                 self._state.on_warmth_news()
         job.sending = True
-        answer = await conn.request(
-            self._encode(job, upstream, now=now),
-            request_id=job.request_id or None,
-            head_only=job.req.method == b"HEAD",
-        )
+        usual_s = self._state.warm_s(job.route) if job.warm else None
+        repeatable = job.route.repeatability is Repeatability.IDEMPOTENT
+        with self._silence.watching(upstream, conn, usual_s=usual_s, repeatable=repeatable):
+            answer = await conn.request(
+                self._encode(job, upstream, now=now),
+                request_id=job.request_id or None,
+                head_only=job.req.method == b"HEAD",
+            )
         job.sending = False
         self._pool.give(upstream.id, conn)
         return self._judge(answer)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -101,11 +101,12 @@
             for address in {settings.ready, settings.lookup, settings.control} - {""}:
                 await self._listen(address, self._handle_page, pages)
             self._start(self._discovery.follow())
-            self._start(self._discovery.hold_membership())
+            membership = self._start(self._discovery.hold_membership())
             self._start(self._peers.report())
             self._start(self._prober.run())
             self._start(self._keep_house())
             await self._stop.wait()
+            membership.cancel()
             await self._end(front)
         for task in self._tasks:
             task.cancel()
@@ -151,10 +152,11 @@
 
         return handle
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._note_ended)
+        return task
 
     def _note_ended(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -139,6 +139,9 @@
             self._writers.discard(writer)
             writer.close()
 
+    def stop_listening(self):
+        self.server.close()
+
     def close_all(self):
         for writer in list(self._writers):
             writer.close()
@@ -165,6 +168,7 @@
 async def upstream(script):
     scripted = ScriptedUpstream(script)
     server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+    scripted.server = server
     scripted.port = server.sockets[0].getsockname()[1]
     try:
         yield scripted
--- /dev/null
+++ b/tests/test_site_process.py
@@ -0,0 +1,185 @@
+"""The gateway as a process of its own, against the stand-in store and upstreams on loopback."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from store_standin import store_standin
+
+ROOT = Path(__file__).parents[1]
+READY_S = 15.0
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def routing(version=1):
+    rule = {
+        "kind": "unsafe",
+        "match": {"pathPrefix": "/a/"},
+        "action": {"service": "s", "timeoutMs": 3000, "maxAttempts": 2},
+    }
+    listeners = [{"host": "h.example", "rules": [rule]}]
+    return {"version": version, "listeners": listeners, "clusters": [{"name": "s"}]}
+
+
+def entry(port):
+    return {
+        "address": f"127.0.0.1:{port}",
+        "info": {"service": "s", "version": "v1", "zone": "a", "slots": 4},
+        "status": {"state": "ready", "sequence": 1, "coldRemainingMs": 0},
+        "born": 1,
+    }
+
+
+class Running:
+    def __init__(self, process, ports):
+        self.process = process
+        self.ports = ports
+
+    async def get(self, role, path, *, request_id="id1"):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[role])
+        head = f"GET {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request_id}\r\n"
+        writer.write(f"{head}Request-Deadline: 3000\r\nConnection: close\r\n\r\n".encode())
+        data = await reader.read()
+        writer.close()
+        status = int(data.split(b" ")[1]) if data else 0
+        return status, data.partition(b"\r\n\r\n")[2]
+
+    async def until_ready(self):
+        async with asyncio.timeout(READY_S):
+            while True:
+                with contextlib.suppress(OSError):
+                    if (await self.get("ready", "/v1/ready"))[0] == 200:
+                        return
+                await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def running(tmp_path, store_port, *, grace_s=4):
+    ports = {role: free_port() for role in ("front", "ready", "directory", "control")}
+    settings = {
+        "nodeName": "vm1",
+        "ip": "127.0.0.1",
+        "zone": "a",
+        "region": "A",
+        "zones": {"a": "A"},
+        "listen": {role: f"127.0.0.1:{port}" for role, port in ports.items()},
+        "portRange": [free_port(), 65535],
+        "seeds": [],
+        "platform": {"address": f"127.0.0.1:{store_port}", "ttlMinMs": 1000},
+        "bounds": {"graceS": grace_s, "drainMs": 200},
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings))
+    with (tmp_path / "log").open("wb") as log:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "gooseberryport_site",
+            env=os.environ
+            | {"GOOSEBERRYPORT_BOOT": str(path), "PYTHONPATH": str(ROOT / "platform")},
+            stdout=log,
+        )
+        try:
+            yield Running(process, ports)
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+@contextlib.asynccontextmanager
+async def slow_upstream(delay_s):
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = head.lower().partition(b"request-id: ")[2].partition(b"\r\n")[0]
+                await asyncio.sleep(delay_s)
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nResponse-Signature: s\r\n"
+                    b"Request-Id: " + request_id + b"\r\n\r\nbody"
+                )
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+def test_process_serves_reloads_and_stops_without_losing_an_answer(tmp_path):
+    async def main():
+        async with (
+            store_standin() as (standin, _),
+            slow_upstream(0.5) as upstream_port,
+            running(tmp_path, standin.port) as gateway,
+        ):
+            assert (await _status_once_up(gateway, "front", "/a/x")) == 503
+            await standin.put("op/config", routing())
+            await standin.put("servers/u1", entry(upstream_port))
+            await gateway.until_ready()
+            async with asyncio.timeout(5):
+                while (await gateway.get("front", "/a/x"))[0] != 200:
+                    await asyncio.sleep(0.05)
+            assert (await gateway.get("front", "/none/"))[0] == 404
+            status, body = await gateway.get("directory", "/v1/resolve?name=h&region=A&zone=a")
+            assert status == 200
+            assert json.loads(body)["addresses"] == [f"127.0.0.1:{gateway.ports['front']}"]
+            assert b"gooseberryport_requests_total" in (await gateway.get("control", "/metrics"))[1]
+            gateway.process.send_signal(signal.SIGHUP)
+            waiting = [
+                asyncio.create_task(gateway.get("front", "/a/x", request_id=f"r{index}"))
+                for index in range(6)
+            ]
+            await asyncio.sleep(0.2)
+            gateway.process.send_signal(signal.SIGTERM)
+            assert [await each for each in waiting] == [(200, b"body")] * 6
+            assert (await gateway.get("ready", "/v1/ready"))[0] == 503
+            assert await asyncio.wait_for(gateway.process.wait(), 4.5) == 0
+            assert not [key for key in standin.items if key.startswith("gooseberryport/")]
+        lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+        events = [line["event"] for line in lines]
+        assert events[0] == "gateway_started"
+        assert events[-1] == "gateway_stopped"
+        assert "gateway_settings_reloaded" in events
+        assert [line for line in lines if line.get("request") == "r3"]
+
+    asyncio.run(asyncio.wait_for(main(), 60))
+
+
+async def _status_once_up(gateway, role, path):
+    async with asyncio.timeout(READY_S):
+        while True:
+            try:
+                return (await gateway.get(role, path))[0]
+            except OSError:
+                await asyncio.sleep(0.05)
+
+
+def test_settings_that_cannot_be_used_end_the_process_with_2(tmp_path):
+    async def main():
+        path = tmp_path / "settings.json"
+        path.write_text('{"nodeName": 5}')
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "gooseberryport_site",
+            env=os.environ
+            | {"GOOSEBERRYPORT_BOOT": str(path), "PYTHONPATH": str(ROOT / "platform")},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, errors = await asyncio.wait_for(process.communicate(), 20)
+        assert process.returncode == 2
+        assert b"nodeName" in errors
+
+    asyncio.run(main())
