--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -85,7 +85,7 @@
 
 
 class View(msgspec.Struct, frozen=True):
-    """What a gateway believes at the moment of a decision.
+    """What a gateway knows at the moment of a decision.
 
     Parameters
     ----------
@@ -158,7 +158,7 @@
     service, key
         Service and object of the request.
     view
-        Beliefs that decide.
+        State that decides.
     queue_factor
         Running and waiting requests, over an upstream's slots, from which the request would be
         late there.
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
@@ -17,7 +17,7 @@
 KEPT_OBJECTS = 48
 """Objects that an upstream is believed to keep; those handled longest ago are forgotten first."""
 
-NEWS_S = 0.5
+UPDATE_AGE_S = 0.5
 """How long a new pair of upstream and object is passed on: five datagrams; seconds."""
 
 MARK_MASK = 0xFFFFFFFF
@@ -33,7 +33,7 @@
 
     def __init__(self) -> None:
         self._objects: dict[UpstreamId, OrderedDict[int, None]] = {}
-        self._news: deque[tuple[float, UpstreamId, int]] = deque()
+        self._updates: deque[tuple[float, UpstreamId, int]] = deque()
 
     def warm(self, upstream: UpstreamId, mark: int) -> bool:
         """Tell whether an upstream handled an object lately."""
@@ -41,7 +41,7 @@
         return objects is not None and mark in objects
 
     def note(self, upstream: UpstreamId, mark: int, *, now: float, own: bool) -> bool:
-        """Remember that an upstream handles an object; True if that is news.
+        """Remember that an upstream handles an object; True if that was not known.
 
         Parameters
         ----------
@@ -52,7 +52,7 @@
         now
             Monotonic time; seconds.
         own
-            Whether this gateway saw it itself; such news is passed on.
+            Whether this gateway saw it itself; such an update is passed on.
         """
         objects = self._objects.setdefault(upstream, OrderedDict())
         known = mark in objects
@@ -61,7 +61,7 @@
         if len(objects) > KEPT_OBJECTS:
             objects.popitem(last=False)
         if own and not known:
-            self._news.append((now, upstream, mark))
+            self._updates.append((now, upstream, mark))
         return not known
 
     def drop(self, upstream: UpstreamId, mark: int) -> None:
@@ -74,11 +74,11 @@
         """Tell whether no object is known to be warm at an upstream."""
         return not self._objects.get(upstream)
 
-    def news(self, *, now: float) -> list[tuple[UpstreamId, int]]:
+    def updates(self, *, now: float) -> list[tuple[UpstreamId, int]]:
         """Return the pairs that others may not know yet."""
-        while self._news and now - self._news[0][0] > NEWS_S:
-            self._news.popleft()
-        return [(upstream, mark) for _, upstream, mark in self._news]
+        while self._updates and now - self._updates[0][0] > UPDATE_AGE_S:
+            self._updates.popleft()
+        return [(upstream, mark) for _, upstream, mark in self._updates]
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop what an upstream handled: it is gone, or started again."""
--- a/packages/gooseberryport-core/tests/test_warmth.py
+++ b/packages/gooseberryport-core/tests/test_warmth.py
@@ -17,8 +17,8 @@
     warmth.note("u", 1, now=0.0, own=True)
     warmth.note("u", 2, now=0.0, own=False)
     warmth.note("u", 1, now=0.4, own=True)
-    assert warmth.news(now=0.4) == [("u", 1)]
-    assert warmth.news(now=0.6) == []
+    assert warmth.updates(now=0.4) == [("u", 1)]
+    assert warmth.updates(now=0.6) == []
 
 
 def test_upstream_that_started_again_is_warm_for_nothing():
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from gooseberryport_core.gateway.model import ClientLimits
-from gooseberryport_gateway._http_conn import Headers
+from gooseberryport_gateway._headers import Headers
 
 MAX_PIPELINED = 64
 """Requests of one connection that are worked on at once; reading pauses beyond that."""
@@ -110,6 +110,7 @@
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
+        self._headers_done = False
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._reading = False
@@ -158,8 +159,6 @@
             if not self._headers_done and self._header_bytes > self._limits().max_header_bytes:
                 self._refuse(431)
 
-    _headers_done = False
-
     def eof_received(self) -> bool:
         """Take the end of the client's bytes as its leaving."""
         return False
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -19,9 +19,9 @@
     NotSentError,
     StoreError,
 )
-from gooseberryport_gateway.wire import Beliefs, Codec, StoreClient, StoreItem
+from gooseberryport_gateway.wire import Codec, StoreClient, StoreItem, StoreSnapshot
 
-BELIEFS_PATH = "/v1/beliefs"
+SNAPSHOT_PATH = "/v1/snapshot"
 
 ASK_TIMEOUT_S = 0.5
 """Time for another gateway to tell what it knows: many times a round trip; seconds."""
@@ -48,12 +48,12 @@
 
 
 class Discovery:
-    """Keep a gateway's beliefs in step with the store.
+    """Keep a gateway's state in step with the store.
 
     Parameters
     ----------
     state
-        Beliefs that are kept.
+        State that is kept.
     store
         The platform's store.
     codec
@@ -105,19 +105,19 @@
                 )
                 pause_s = min(pause_s * 2.0, RETRY_MAX_S)
 
-    def beliefs(self) -> bytes | None:
+    def snapshot(self) -> bytes | None:
         """Return what was read from the store, for a gateway that can't reach it."""
         if not self.synced:
             return None
         return msgspec.msgpack.encode(
-            Beliefs(items=list(self._items.values()), revision=self._revision)
+            StoreSnapshot(items=list(self._items.values()), revision=self._revision)
         )
 
     async def _ask_peers(self) -> int | None:
         """Start from what another gateway knows, since the store does not answer."""
         for address in self._state.peer_controls(now=self._loop.time()):
             host, _, port = address.rpartition(":")
-            request = f"GET {BELIEFS_PATH} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+            request = f"GET {SNAPSHOT_PATH} HTTP/1.1\r\nhost: {address}\r\n\r\n"
             try:
                 async with asyncio.timeout(ASK_TIMEOUT_S):
                     conn = await open_conn((host, int(port)), timeout_s=ASK_TIMEOUT_S)
@@ -125,18 +125,18 @@
                 conn.close()
                 if answer.status != 200:
                     continue
-                beliefs = msgspec.msgpack.decode(answer.body, type=Beliefs)
+                snapshot = msgspec.msgpack.decode(answer.body, type=StoreSnapshot)
             except (NotSentError, AnswerLostError, TimeoutError, msgspec.DecodeError) as exc:
                 self._state.log.write(
                     LogNumber.GATEWAY_PEER_SILENT, address=address, reason=repr(exc)
                 )
                 continue
-            self._revision = beliefs.revision
-            self._apply(beliefs.items)
+            self._revision = snapshot.revision
+            self._apply(snapshot.items)
             self._state.log.write(
-                LogNumber.GATEWAY_BELIEFS_ADOPTED, address=address, revision=beliefs.revision
+                LogNumber.GATEWAY_SNAPSHOT_LOADED, address=address, revision=snapshot.revision
             )
-            return beliefs.revision
+            return snapshot.revision
         return None
 
     async def hold_membership(self) -> None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -14,7 +14,8 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import ServiceName, UpstreamId
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
-from gooseberryport_gateway._http_conn import Answer, Headers, HttpConn
+from gooseberryport_gateway._headers import Headers, end_to_end, object_key
+from gooseberryport_gateway._http_conn import Answer, HttpConn
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._silence import SilenceWatch
 from gooseberryport_gateway._state import GatewayState
@@ -30,22 +31,6 @@
 LEAST_WORK_S = 0.02
 """Time left below which a request is not sent; seconds."""
 
-CONNECTION_HEADERS = frozenset(
-    [
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    ]
-)
-
 
 class AttemptEnd(Enum):
     """How a send to an upstream ended."""
@@ -115,7 +100,7 @@
     Parameters
     ----------
     state
-        Beliefs that decide.
+        State that decides.
     pool
         Connections to upstreams.
     names
@@ -128,7 +113,7 @@
         self._names = names
         self._silence = SilenceWatch(state=state, pool=pool)
         self._loop = asyncio.get_running_loop()
-        self._own_headers = CONNECTION_HEADERS | {names.deadline_ms, names.expected_upstream}
+        self._own_headers = frozenset([names.deadline_ms, names.expected_upstream])
 
     async def handle(self, req: ClientRequest) -> Reply:
         """Return the answer to a request."""
@@ -155,7 +140,7 @@
             self._state.metrics.in_flight.dec()
 
     def _job(self, req: ClientRequest, request_id: bytes, route: Route) -> _Job:
-        key = self._object_key(req) if route.keyed else None
+        key = object_key(req.headers, cookie=self._names.object_cookie) if route.keyed else None
         part = self._state.splits.choose(route=route, key=key, draw=self._state.rng.random())
         wait_s = route.timeout_s
         told = req.header(self._names.deadline_ms)
@@ -263,7 +248,7 @@
         if job.key is not None:
             mark = object_mark(job.key)
             if self._state.warmth.note(upstream.id, mark, now=now, own=True):
-                self._state.on_warmth_news()
+                self._state.on_warmth_update()
         job.sending = True
         usual_s = self._state.warm_s(job.route) if job.warm else None
         repeatable = job.route.repeatability is Repeatability.IDEMPOTENT
@@ -340,7 +325,7 @@
 
     def _finish(self, job: _Job, answer: Answer) -> Reply:
         self._log(job, LogNumber.GATEWAY_REQUEST_ENDED, status=answer.status)
-        return Reply(status=answer.status, headers=self._kept(answer.headers), body=answer.body)
+        return Reply(status=answer.status, headers=end_to_end(answer.headers), body=answer.body)
 
     def _give_up(self, job: _Job) -> Reply:
         if job.last is not None:
@@ -351,7 +336,7 @@
             else:
                 self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=status)
                 return Reply(
-                    status=status, headers=self._kept(job.last.headers), body=job.last.body
+                    status=status, headers=end_to_end(job.last.headers), body=job.last.body
                 )
         if job.maybe_run:
             self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=502)
@@ -412,41 +397,17 @@
             headers.append((b"retry-after", b"%.2f" % retry_s))
         return Reply(status=status, headers=headers)
 
-    def _object_key(self, req: ClientRequest) -> ObjectKey | None:
-        for name, value in req.headers:
-            if name != b"cookie":
-                continue
-            for pair in value.split(b";"):
-                cookie, _, content = pair.strip().partition(b"=")
-                if cookie == self._names.object_cookie:
-                    return ObjectKey(content.decode("latin-1"))
-        return None
-
     def _encode(self, job: _Job, upstream: Upstream, *, now: float) -> bytes:
         req = job.req
         left_ms = max(int((job.deadline - now) * 1000), 1)
         lines = [req.method + b" " + req.target + b" HTTP/1.1"]
-        named = _connection_options(req.headers)
         lines.extend(
             name + b": " + value
-            for name, value in req.headers
-            if name not in self._own_headers and name not in named
+            for name, value in end_to_end(req.headers)
+            if name not in self._own_headers
         )
         lines.append(self._names.deadline_ms + b": %d" % left_ms)
         lines.append(self._names.expected_upstream + b": " + upstream.id.encode())
         if req.body or req.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
             lines.append(b"content-length: %d" % len(req.body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + req.body
-
-    def _kept(self, headers: Headers) -> Headers:
-        named = _connection_options(headers)
-        return [
-            (name, value)
-            for name, value in headers
-            if name not in CONNECTION_HEADERS and name not in named
-        ]
-
-
-def _connection_options(headers: Headers) -> frozenset[bytes]:
-    options = [value for name, value in headers if name == b"connection"]
-    return frozenset(option.strip().lower() for value in options for option in value.split(b","))
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -8,6 +8,7 @@
 import httptools
 import msgspec
 
+from gooseberryport_gateway._headers import Headers
 from gooseberryport_gateway.errors import AnswerLostError, NotSentError
 
 MAX_ANSWER_BYTES = 67_108_864
@@ -22,8 +23,6 @@
 UNACKNOWLEDGED_MS = 2_000
 """Time after which unacknowledged bytes break a connection; milliseconds."""
 
-Headers = list[tuple[bytes, bytes]]
-
 
 class Answer(msgspec.Struct):
     """A whole answer.
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_logs.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_logs.py
@@ -84,7 +84,7 @@
         ).bind(vm=vm)
 
     def write(self, event: LogNumber, **fields: Any) -> None:
-        """Write a line on a belief or on the process."""
+        """Write a line on the gateway's state or its process."""
         self._logger.msg(event.name.lower(), number=event.value, **fields)
 
     def write_request(self, event: LogNumber, *, now: float, **fields: Any) -> None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -17,8 +17,8 @@
 FAR_EVERY = 3
 """Datagrams in a region for each one to other regions, where bytes are dear."""
 
-NEWS_DELAY_S = 0.01
-"""How long news waits for more before it is sent; seconds."""
+UPDATE_DELAY_S = 0.01
+"""How long an update waits for more before it is sent; seconds."""
 
 
 class PeerReport(msgspec.Struct, array_like=True):
@@ -49,7 +49,7 @@
     Parameters
     ----------
     state
-        Beliefs that reports change.
+        State that reports change.
     """
 
     def __init__(self, *, state: GatewayState) -> None:
@@ -86,7 +86,7 @@
 
     async def report(self) -> None:
         """Send reports, for ever."""
-        self._state.on_warmth_news = self._send_soon
+        self._state.on_warmth_update = self._send_soon
         count = 0
         while True:
             self.send(far=count % FAR_EVERY == 0)
@@ -95,9 +95,9 @@
 
     def _send_soon(self) -> None:
         if self._soon is None:
-            self._soon = self._loop.call_later(NEWS_DELAY_S, self._send_news)
+            self._soon = self._loop.call_later(UPDATE_DELAY_S, self._send_updates)
 
-    def _send_news(self) -> None:
+    def _send_updates(self) -> None:
         self._soon = None
         self.send(far=False)
 
@@ -109,7 +109,9 @@
         now = self._loop.time()
         loads = state.loads()
         # Objects are asked for from one region, so only its gateways need to know of them.
-        near_data = msgspec.msgpack.encode(self._report(loads=loads, warm=state.warm_news(now=now)))
+        near_data = msgspec.msgpack.encode(
+            self._report(loads=loads, warm=state.warm_updates(now=now))
+        )
         far_data = msgspec.msgpack.encode(self._report(loads=loads, warm=[])) if far else b""
         for peer in state.fleet.peers(now=now):
             if peer.region == state.me.region:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -29,7 +29,7 @@
     Parameters
     ----------
     state
-        Beliefs that a probe changes.
+        State that a probe changes.
     pool
         Connections to upstreams; a good probe's connection is kept.
     names
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
@@ -36,7 +36,7 @@
     Parameters
     ----------
     state
-        Beliefs that change.
+        State that changes.
     pool
         Connections to upstreams; a new one is kept.
     """
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -1,4 +1,4 @@
-"""What one gateway believes, and the few changes that touch several beliefs at once."""
+"""What one gateway knows, and the changes that touch several parts of it at once."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 
 class GatewayState:
-    """Beliefs of one gateway.
+    """State of one gateway.
 
     Parameters
     ----------
@@ -75,7 +75,7 @@
         self.warmth = Warmth()
         self.warm_times: dict[RouteName, float] = {}
         self.leaving = False
-        self.on_warmth_news: Callable[[], None] = lambda: None
+        self.on_warmth_update: Callable[[], None] = lambda: None
         self._heard_ips: dict[str, float] = {}
         self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
 
@@ -164,9 +164,9 @@
         """Return what this gateway has in flight, by the hash of the upstream's id."""
         return {upstream_mark(each.id): each.in_flight for each in self.upstreams if each.in_flight}
 
-    def warm_news(self, *, now: float) -> list[tuple[int, int]]:
+    def warm_updates(self, *, now: float) -> list[tuple[int, int]]:
         """Return pairs of upstream and object that others may not know, as short hashes."""
-        return [(upstream_mark(upstream), mark) for upstream, mark in self.warmth.news(now=now)]
+        return [(upstream_mark(upstream), mark) for upstream, mark in self.warmth.updates(now=now)]
 
     def note_peer_warmth(self, pairs: list[tuple[int, int]], *, now: float) -> None:
         """Keep which upstreams handled which objects for other gateways."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -17,7 +17,7 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, ZoneName
 from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
-from gooseberryport_gateway._discovery import BELIEFS_PATH, Discovery
+from gooseberryport_gateway._discovery import SNAPSHOT_PATH, Discovery
 from gooseberryport_gateway._forwarder import Forwarder
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
@@ -104,7 +104,7 @@
             membership = self._start(self._discovery.hold_membership())
             self._start(self._peers.report())
             self._start(self._prober.run())
-            self._start(self._keep_house())
+            self._start(self._housekeeping())
             await self._stop.wait()
             membership.cancel()
             await self._end(front)
@@ -177,9 +177,9 @@
             return self._lookup(req)
         if req.path == "/v1/ready":
             return Reply(status=200 if self.state.ready else 503, headers=[])
-        if req.path == BELIEFS_PATH:
-            beliefs = self._discovery.beliefs()
-            return Reply(status=503 if beliefs is None else 200, headers=[], body=beliefs or b"")
+        if req.path == SNAPSHOT_PATH:
+            snapshot = self._discovery.snapshot()
+            return Reply(status=503 if snapshot is None else 200, headers=[], body=snapshot or b"")
         if req.path == "/metrics":
             return Reply(
                 status=200,
@@ -211,7 +211,7 @@
     def _reload(self) -> None:
         self.log.write(LogNumber.GATEWAY_SETTINGS_RELOADED)
 
-    async def _keep_house(self) -> None:
+    async def _housekeeping(self) -> None:
         was_ready = False
         while True:
             self._pool.close_expired()
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -108,7 +108,7 @@
     revision: int
 
 
-class Beliefs(msgspec.Struct, frozen=True, array_like=True):
+class StoreSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """What one gateway read from the store, for another that can't.
 
     Parameters
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -201,7 +201,7 @@
 
         async def tell(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
-            body = discovery.beliefs()
+            body = discovery.snapshot()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await writer.drain()
             writer.close()
