--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -44,7 +44,7 @@
 MOST_QUEUE = 2.5
 """Bounds of load over slots at which requests are refused; upstreams themselves refuse at four."""
 
-FAILING_SHARE = 0.4
+FAILING_SHARE = 0.7
 """Share of failed answers from which an upstream is only used if no other is left."""
 
 RETRY_AFTER_MIN_S = 0.2
