Keep the platform's pages in the adapter, and mend a race of the stand-in store

The stand-in raised its revision before it kept the event, and a watch that answered between the two went on behind it. Change: paths, query and answer of a look-up are the codec's; the stand-in changes both at once.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -9,13 +9,10 @@
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
-from urllib.parse import parse_qs
-
-import msgspec
 
 from gooseberryport_core.gateway.model import ClientLimits, Member
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import RegionName, ZoneName
+from gooseberryport_core.types import UpstreamId
 from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
 from gooseberryport_gateway._discovery import SNAPSHOT_PATH, Discovery
 from gooseberryport_gateway._forwarder import Forwarder
@@ -29,6 +26,7 @@
 from gooseberryport_gateway.wire import Codec, GatewaySettings, HeaderNames, StoreClient
 
 STDOUT = 1
+METRICS_PATH = "/metrics"
 
 LOOKUP_TTL_S = 2.0
 """How long clients keep a look-up's answer; a gateway that stops serves on for longer; seconds."""
@@ -66,6 +64,7 @@
     ) -> None:
         os.set_blocking(STDOUT, False)
         self._settings = settings
+        self._codec = codec
         self._loop = asyncio.get_running_loop()
         self.metrics = Metrics()
         self.log = Log(vm=settings.vm, fd=STDOUT)
@@ -173,14 +172,14 @@
         return await self._forwarder.handle(req)
 
     async def _handle_page(self, req: ClientRequest) -> Reply:
-        if req.path == "/v1/resolve":
+        if req.path == self._codec.lookup_path:
             return self._lookup(req)
-        if req.path == "/v1/ready":
+        if req.path == self._codec.ready_path:
             return Reply(status=200 if self.state.ready else 503, headers=[])
         if req.path == SNAPSHOT_PATH:
             snapshot = self._discovery.snapshot()
             return Reply(status=503 if snapshot is None else 200, headers=[], body=snapshot or b"")
-        if req.path == "/metrics":
+        if req.path == METRICS_PATH:
             return Reply(
                 status=200,
                 headers=[(b"content-type", b"text/plain; version=0.0.4")],
@@ -189,19 +188,20 @@
         return Reply(status=404, headers=[])
 
     def _lookup(self, req: ClientRequest) -> Reply:
-        query = parse_qs(req.target.partition(b"?")[2].decode("latin-1"))
-        zone = ZoneName(query.get("zone", [self._settings.zone])[0])
-        region = RegionName(query.get("region", [self._settings.region])[0])
+        place = self._codec.place(req.target.partition(b"?")[2].decode("latin-1"))
         addresses = self.state.fleet.entry_points(
-            zone=zone, region=region, ready=self.state.ready, now=self._loop.time()
+            zone=place.zone or self._settings.zone,
+            region=place.region or self._settings.region,
+            ready=self.state.ready,
+            now=self._loop.time(),
         )
         if not addresses:
             return Reply(status=503, headers=[])
         ttl_s = min(LOOKUP_TTL_S, self._settings.bounds.max_lookup_ttl_s)
-        body = msgspec.json.encode({"addresses": addresses, "ttlS": ttl_s})
+        body = self._codec.lookup_answer(addresses, ttl_s=ttl_s)
         return Reply(status=200, headers=[(b"content-type", b"application/json")], body=body)
 
-    def _note_broken(self, upstream: Any) -> None:
+    def _note_broken(self, upstream: UpstreamId) -> None:
         known = self.state.upstreams.get(upstream)
         if known is not None:
             self.state.note_unreachable(
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -160,12 +160,27 @@
         """Write a key, whatever it holds."""
 
 
+class Place(msgspec.Struct, frozen=True):
+    """Where a client that asks for gateways is; None for what it does not tell."""
+
+    zone: ZoneName | None
+    region: RegionName | None
+
+
 class Codec(Protocol):
-    """Decodes what operators and upstreams write to the store."""
+    """Forms of the platform: keys of the store, and the pages that clients and the platform ask."""
 
     config_prefix: str
     upstream_prefix: str
     member_prefix: str
+    lookup_path: str
+    ready_path: str
+
+    def place(self, query: str) -> Place:
+        """Decode the query of a look-up."""
+
+    def lookup_answer(self, addresses: list[str], *, ttl_s: float) -> bytes:
+        """Encode the answer to a look-up as JSON."""
 
     def config(self, item: StoreItem) -> RoutingConfig | None:
         """Decode a configuration, or return None if the item is not one."""
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -29,22 +29,26 @@
         self.port = 0
 
     async def put(self, key, value, *, lease=0):
-        self.revision += 1
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        item = {
-            "key": key,
-            "value": base64.b64encode(data).decode(),
-            "revision": self.revision,
-            "created": self.revision,
-            "lease": lease,
-        }
-        self.items[key] = item
-        await self._note(item)
+        async with self._changed:
+            self.revision += 1
+            self.items[key] = {
+                "key": key,
+                "value": base64.b64encode(data).decode(),
+                "revision": self.revision,
+                "created": self.revision,
+                "lease": lease,
+            }
+            self.events.append(self.items[key])
+            self._changed.notify_all()
 
     async def delete(self, key):
-        if self.items.pop(key, None) is not None:
-            self.revision += 1
-            await self._note({"key": key, "revision": self.revision, "deleted": True})
+        # Revision and event change together: a watch must never see the one without the other.
+        async with self._changed:
+            if self.items.pop(key, None) is not None:
+                self.revision += 1
+                self.events.append({"key": key, "revision": self.revision, "deleted": True})
+                self._changed.notify_all()
 
     async def end_lease(self, lease):
         self.leases.pop(lease, None)
@@ -55,11 +59,6 @@
     def forget_history(self):
         self.oldest = self.revision
 
-    async def _note(self, event):
-        async with self._changed:
-            self.events.append(event)
-            self._changed.notify_all()
-
     async def serve(self, reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
