--- a/packages/gooseberryport-daemon/tests/test_upstreams.py
+++ b/packages/gooseberryport-daemon/tests/test_upstreams.py
@@ -1,9 +1,10 @@
 import http.client
 import socket
 from collections.abc import Callable
+from contextlib import ExitStack
 
 import pytest
-from daemon_harness import PATIENCE_S, Deployment, call
+from daemon_harness import PATIENCE_S, Deployment, RawUpstream, call
 
 from gooseberryport_daemon._attempt import Attempt, AttemptPool, current
 from gooseberryport_standins.faults import Outage, UpstreamFaults
@@ -182,3 +183,10 @@
     deployment.start_upstreams(UpstreamSpec("up-1", service_time_s=0.01, answer_bytes=50_000))
     daemon = deployment.start_with(deployment.fleet, max_answer_bytes=40_000)
     assert call(daemon.http, PATH, "POST", b"x").problem["outcome"] == "unknown"
+
+
+def test_closed_raw_upstream_leaves_no_thread_behind() -> None:
+    with ExitStack() as stack:
+        upstream = RawUpstream(stack, answering(OK))
+        assert upstream.accepting
+    assert not upstream.accepting
--- a/standins/src/gooseberryport_standins/checks.py
+++ b/standins/src/gooseberryport_standins/checks.py
@@ -10,6 +10,30 @@
 MAX_EXAMPLES = 3
 """Most request ids named for one kind of violation."""
 
+LOST = "lost: no answer and no word"
+
+
+class PromiseError(AssertionError):
+    """Something broke that must hold however slow the machine is."""
+
+
+def raise_if_unsafe(violations: list[str]) -> None:
+    """Raise if anything broke other than an answer in time.
+
+    Parameters
+    ----------
+    violations
+        What `find_violations` returned.
+
+    Raises
+    ------
+    PromiseError
+        An answer was wrong, something ran that must not, or an upstream got too much.
+    """
+    unsafe = [line for line in violations if LOST not in line]
+    if unsafe:
+        raise PromiseError("\n".join(unsafe))
+
 
 def find_violations(
     results: list[CallResult], runs: list[Run], stats: list[UpstreamStats]
@@ -37,7 +61,7 @@
 def _broken_by(result: CallResult, times: int) -> list[str]:
     kinds: list[str] = []
     if result.end == End.LOST:
-        kinds.append("lost: no answer and no word")
+        kinds.append(LOST)
     if result.end == End.WRONG:
         kinds.append("wrong: an answer that is not the caller's own")
     if result.end == End.NOT_RUN and times:
--- a/standins/src/gooseberryport_standins/trial.py
+++ b/standins/src/gooseberryport_standins/trial.py
@@ -15,7 +15,7 @@
 from gooseberryport_platform import StoreSettings, open_store
 from gooseberryport_standins._process import STOP_S
 from gooseberryport_standins.caller import CallResult, LoadPlan, run_load
-from gooseberryport_standins.checks import find_violations
+from gooseberryport_standins.checks import find_violations, raise_if_unsafe
 from gooseberryport_standins.daemons import (
     Daemon,
     DaemonPlan,
@@ -115,8 +115,10 @@
         return run_load(plan, self.addresses, name=f"{name}-{time.monotonic_ns()}")
 
     def violations(self, results: list[CallResult]) -> list[str]:
-        """Return what broke."""
-        return find_violations(results, self.fleet.runs(), self.fleet.stats())
+        """Return which answers were lost; anything else that broke raises at once."""
+        found = find_violations(results, self.fleet.runs(), self.fleet.stats())
+        raise_if_unsafe(found)
+        return found
 
     def ask(
         self,
