Put changed settings in force while the gateway serves

Cause: SIGHUP was logged and nothing read; a settings file that changed without a signal went unseen, and a bound of the wrong form ended the process with a traceback instead of an error. Change: the file is read on SIGHUP and every 2 s. Bounds, seeds and zones are in force at once, what was counted stays counted; what a process is (name, addresses, store) is named in the log as needing a restart; settings that can't be used change nothing. Bounds are decoded with their types. `lease_min_ms` bounds the lease of the gateway's own entry, which it did not before. A single gateway's special case in `ColdShare.room` is gone: its share is the whole bound. Tests: test_reload.py (decision, counting, log), test_site_codec.py (bounds of the wrong form), test_site_process.py (a process, with and without a signal); the last two fail without the change by their nature (no such field in the log, ValueError), which was not run.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/limits.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/limits.py
@@ -26,12 +26,12 @@
     """Count events of the last seconds."""
 
     def __init__(self, *, length_s: float) -> None:
-        self._length_s = length_s
+        self.length_s = length_s
         self._times: deque[float] = deque()
 
     def count(self, now: float) -> int:
         """Return how many events lie in the window."""
-        while self._times and self._times[0] <= now - self._length_s:
+        while self._times and self._times[0] <= now - self.length_s:
             self._times.popleft()
         return len(self._times)
 
@@ -60,6 +60,14 @@
         self._requests: dict[ServiceName, _Window] = {}
         self._retries: dict[ServiceName, _Window] = {}
 
+    def set_bounds(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Change the bounds; what was counted stays counted."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+        for window in (*self._requests.values(), *self._retries.values()):
+            window.length_s = window_s
+
     def note_request(self, *, service: ServiceName, now: float) -> None:
         """Count a client's request."""
         self._window(self._requests, service).add(now)
@@ -108,6 +116,11 @@
         self._slack = slack
         self._sent: dict[UpstreamId, _Window] = {}
 
+    def set_bounds(self, *, overage: float, slack: float) -> None:
+        """Change the bounds; what was sent stays counted."""
+        self._overage = overage
+        self._slack = slack
+
     def allowance(
         self, *, upstream: UpstreamId, cold_rate_per_s: float, gateways: frozenset[VmId]
     ) -> int:
@@ -133,8 +146,6 @@
         """Tell whether a request may be sent now."""
         window = self._sent.get(upstream)
         sent = window.count(now) if window is not None else 0
-        if sent == 0 and len(gateways) == 1:
-            return True
         return sent < self.allowance(
             upstream=upstream, cold_rate_per_s=cold_rate_per_s, gateways=gateways
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -67,7 +67,6 @@
         self._loop = asyncio.get_running_loop()
         self._evacuated: dict[str, ZoneName] = {}
         self._members: dict[str, Member] = {}
-        self._pause_s = state.settings.bounds.drain_s * WATCH_PAUSE_SHARE
         self._items: dict[str, StoreItem] = {}
         self._revision = 0
         self._reachable: bool | None = None
@@ -79,6 +78,14 @@
         """Whether the store has been read at all."""
         return self._state.routes is not None
 
+    @property
+    def _lease_ttl_s(self) -> float:
+        return max(LEASE_TTL_S, self._state.settings.lease_min_ms / 1000.0)
+
+    @property
+    def _watch_pause_s(self) -> float:
+        return self._state.settings.bounds.drain_s * WATCH_PAUSE_SHARE
+
     async def follow(self) -> None:
         """Read the store, then follow its changes, for ever."""
         after: int | None = None
@@ -92,7 +99,7 @@
                 self._note_reach(reachable=True, reason="")
                 self._apply(page.items)
                 pause_s = RETRY_MIN_S
-                await asyncio.sleep(self._pause_s if page.items else 0.0)
+                await asyncio.sleep(self._watch_pause_s if page.items else 0.0)
             except HistoryGoneError:
                 self._state.log.write(LogNumber.GATEWAY_STORE_HISTORY_GONE, after=after)
                 after = None
@@ -146,7 +153,7 @@
         while True:
             try:
                 if self._lease is None:
-                    lease = await self._store.grant_lease(ttl_s=LEASE_TTL_S)
+                    lease = await self._store.grant_lease(ttl_s=self._lease_ttl_s)
                     await self._store.put(key, value, lease=lease)
                     self._lease = lease
                     self._state.log.write(LogNumber.GATEWAY_LEASE_TAKEN, lease=lease)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -88,6 +88,15 @@
         """Return the region of an availability zone."""
         return self.settings.regions.get(zone, RegionName(zone))
 
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Put changed settings in force."""
+        bounds = settings.bounds
+        self.settings = settings
+        self.retries.set_bounds(
+            ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
+        )
+        self.cold.set_bounds(overage=bounds.cold_overage, slack=bounds.cold_slack)
+
     def apply_config(self, config: RoutingConfig) -> bool:
         """Put a configuration in force, unless a newer one is; True if it was taken."""
         if self.routes is not None and config.version <= self.routes.config.version:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -21,6 +21,7 @@
 from gooseberryport_gateway._peers import Peers
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._prober import Prober
+from gooseberryport_gateway._reload import Reloader
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import SettingsError
 from gooseberryport_gateway.wire import Codec, GatewaySettings, HeaderNames, StoreClient
@@ -34,6 +35,9 @@
 HOUSEKEEPING_EVERY_S = 0.2
 """Pause between flushes of the log and looks at idle connections; seconds."""
 
+CHECK_SETTINGS_EVERY_S = 2.0
+"""Pause between looks at settings that may change without a signal; half of 4 s to be in force."""
+
 LISTEN_BACKLOG = 1024
 """Connections that may wait to be accepted; a burst of new clients on one VM."""
 
@@ -51,6 +55,8 @@
     ----------
     settings
         Where it runs and what binds it.
+    load_settings
+        Reads the settings again; `SettingsError` says what is wrong with them.
     store
         The platform's store.
     codec
@@ -60,10 +66,15 @@
     """
 
     def __init__(
-        self, *, settings: GatewaySettings, store: StoreClient, codec: Codec, names: HeaderNames
+        self,
+        *,
+        settings: GatewaySettings,
+        load_settings: Callable[[], GatewaySettings],
+        store: StoreClient,
+        codec: Codec,
+        names: HeaderNames,
     ) -> None:
         os.set_blocking(STDOUT, False)
-        self._settings = settings
         self._codec = codec
         self._loop = asyncio.get_running_loop()
         self.metrics = Metrics()
@@ -77,6 +88,7 @@
             incarnation=time.time_ns(),
         )
         self.state = GatewayState(settings=settings, me=me, log=self.log, metrics=self.metrics)
+        self._reloader = Reloader(state=self.state, load=load_settings)
         self._pool = ConnPool(id_header=names.request_id, on_broken=self._note_broken)
         self._forwarder = Forwarder(state=self.state, pool=self._pool, names=names)
         self._prober = Prober(state=self.state, pool=self._pool, names=names)
@@ -89,11 +101,11 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then end without losing an answer."""
-        settings = self._settings
+        settings = self.state.settings
         self.log.write(LogNumber.GATEWAY_STARTED, zone=settings.zone, region=settings.region)
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._loop.add_signal_handler(signal.SIGHUP, lambda: self._reloader.reload(signalled=True))
         async with self._peer_socket():
             front = await self._listen(settings.front, self._handle_front, self._conns)
             pages: set[ClientConn] = set()
@@ -104,6 +116,7 @@
             self._start(self._peers.report())
             self._start(self._prober.run())
             self._start(self._housekeeping())
+            self._start(self._check_settings())
             await self._stop.wait()
             membership.cancel()
             await self._end(front)
@@ -190,14 +203,14 @@
     def _lookup(self, req: ClientRequest) -> Reply:
         place = self._codec.place(req.target.partition(b"?")[2].decode("latin-1"))
         addresses = self.state.fleet.entry_points(
-            zone=place.zone or self._settings.zone,
-            region=place.region or self._settings.region,
+            zone=place.zone or self.state.settings.zone,
+            region=place.region or self.state.settings.region,
             ready=self.state.ready,
             now=self._loop.time(),
         )
         if not addresses:
             return Reply(status=503, headers=[])
-        ttl_s = min(LOOKUP_TTL_S, self._settings.bounds.max_lookup_ttl_s)
+        ttl_s = min(LOOKUP_TTL_S, self.state.settings.bounds.max_lookup_ttl_s)
         body = self._codec.lookup_answer(addresses, ttl_s=ttl_s)
         return Reply(status=200, headers=[(b"content-type", b"application/json")], body=body)
 
@@ -208,8 +221,10 @@
                 known, reason="all idle connections broke", now=self._loop.time()
             )
 
-    def _reload(self) -> None:
-        self.log.write(LogNumber.GATEWAY_SETTINGS_RELOADED)
+    async def _check_settings(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_SETTINGS_EVERY_S)
+            self._reloader.reload(signalled=False)
 
     async def _housekeeping(self) -> None:
         was_ready = False
@@ -224,7 +239,7 @@
 
     async def _end(self, front: asyncio.Server) -> None:
         started = self._loop.time()
-        grace_s = self._settings.bounds.grace_s
+        grace_s = self.state.settings.bounds.grace_s
         self.state.leaving = True
         self.log.write(LogNumber.GATEWAY_STOPPING, connections=len(self._conns))
         self._peers.send()
--- a/tests/test_site_codec.py
+++ b/tests/test_site_codec.py
@@ -204,6 +204,15 @@
     assert settings.peer_port == 7720
 
 
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [("graceS", "soon"), ("drainMs", None), ("budgetSlack", -1), ("coldOverage", [])],
+)
+def test_bounds_of_the_wrong_form_are_an_error(name, value):
+    with pytest.raises(SettingsError, match=name):
+        decode_settings(json.dumps(SETTINGS | {"bounds": {name: value}}).encode())
+
+
 @pytest.mark.parametrize("name", ["nodeName", "ip", "zone", "listen", "platform", "portRange"])
 def test_settings_without_a_needed_field_name_it(name):
     with pytest.raises(SettingsError, match=name):
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -41,9 +41,14 @@
 
 
 class Running:
-    def __init__(self, process, ports):
+    def __init__(self, process, ports, settings_path):
         self.process = process
         self.ports = ports
+        self.settings_path = settings_path
+
+    def change_settings(self, **fields):
+        settings = json.loads(self.settings_path.read_text())
+        self.settings_path.write_text(json.dumps(settings | fields))
 
     async def get(self, role, path, *, request_id="id1"):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[role])
@@ -90,7 +95,7 @@
             stdout=log,
         )
         try:
-            yield Running(process, ports)
+            yield Running(process, ports, path)
         finally:
             if process.returncode is None:
                 process.kill()
@@ -166,6 +171,34 @@
                 await asyncio.sleep(0.05)
 
 
+def test_changed_settings_hold_with_and_without_a_signal(tmp_path):
+    async def until_logged(number):
+        async with asyncio.timeout(READY_S):
+            while True:
+                lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+                found = [line for line in lines if line["event"].startswith("gateway_settings_re")]
+                if len(found) >= number:
+                    return found[number - 1]
+                await asyncio.sleep(0.05)
+
+    async def main():
+        async with store_standin() as (standin, _), running(tmp_path, standin.port) as gateway:
+            await _status_once_up(gateway, "ready", "/v1/ready")
+            gateway.change_settings(seeds=["127.0.0.1:9"])
+            assert (await until_logged(1))["changed"] == "seeds"
+            gateway.change_settings(bounds={"graceS": "soon"})
+            gateway.process.send_signal(signal.SIGHUP)
+            assert "graceS" in (await until_logged(2))["error"]
+            gateway.change_settings(bounds={"graceS": 3}, nodeName="other")
+            gateway.process.send_signal(signal.SIGHUP)
+            line = await until_logged(3)
+            assert (line["changed"], line["needs_restart"]) == ("bounds", "vm")
+            gateway.process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(gateway.process.wait(), 5) == 0
+
+    asyncio.run(asyncio.wait_for(main(), 60))
+
+
 def test_settings_that_cannot_be_used_end_the_process_with_2(tmp_path):
     async def main():
         path = tmp_path / "settings.json"
