--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -110,6 +110,7 @@
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
+        self._header_began = False
         self._headers_done = False
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -148,15 +149,17 @@
         """Feed the parser."""
         if self._closing or self._refusing:
             return
+        self._header_began = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._refusing:
                 self._refuse(400)
             return
-        if self._reading and not self._refusing and not self._body_bytes:
-            self._header_bytes += len(data)
-            if not self._headers_done and self._header_bytes > self._limits().max_header_bytes:
+        if self._reading and not self._refusing and not self._headers_done:
+            # Requests before it may make up most of the bytes in which a head begins.
+            self._header_bytes += 0 if self._header_began else len(data)
+            if self._header_bytes > self._limits().max_header_bytes:
                 self._refuse(431)
 
     def eof_received(self) -> bool:
@@ -190,6 +193,7 @@
         self._target = b""
         self._headers = []
         self._header_bytes = 0
+        self._header_began = True
         self._body = []
         self._body_bytes = 0
         self._headers_done = False
