--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -102,7 +102,10 @@
 
 
 class ScriptedUpstream:
-    """Answers each request with what a script returns for its head; None keeps silent."""
+    """Answers each request with what a script returns for its head.
+
+    None keeps silent, no bytes close the connection.
+    """
 
     def __init__(self, script):
         self._script = script
@@ -127,6 +130,8 @@
                 if answer is None:
                     await reader.read()
                     return
+                if not answer:
+                    return
                 writer.write(answer)
                 await writer.drain()
                 if b"connection: close" in answer.lower():
