Learn from resets how long idle connections may rest

Each gateway kept offering such connections: a request that may run once at most is then lost, another costs a retry and lost its warm upstream, which was also counted as failing. Ruled out: probing or never reusing (connections are dear there); a rule by upstream alone (a gateway rarely meets the same upstream twice while it lasts). A reset within 0.1 s of a send on a rested connection is `forgotten`: for 10 s, connections to that upstream are used only if they rested at most half as long; once two upstreams of a service forgot, that holds for the service. A forgotten request that may be repeated goes to the same, warm upstream again on a new connection. Tests: test_rest.py (a replay of 20 upstreams that forget: 2 losses instead of 160); test_forwarding: two of three new tests failed on the source before, the third needs the new state.

--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_rest.py
@@ -0,0 +1,58 @@
+import pytest
+
+from gooseberryport_core.gateway.rest import LEARNED_FOR_S, RestLimits
+
+UNKNOWN = float("inf")
+
+
+def learned(*resets):
+    limits = RestLimits()
+    for upstream, rested_s, now in resets:
+        limits.note_reset(service="s", upstream=upstream, rested_s=rested_s, now=now)
+    return limits
+
+
+@pytest.mark.parametrize(
+    ("resets", "upstream", "now", "expected"),
+    [
+        ([], "u1", 0.0, UNKNOWN),
+        ([("u1", 0.4, 0.0)], "u1", 1.0, 0.2),
+        ([("u1", 0.4, 0.0)], "u2", 1.0, UNKNOWN),
+        ([("u1", 0.4, 0.0)], "u1", LEARNED_FOR_S, UNKNOWN),
+        ([("u1", 0.4, 0.0), ("u1", 3.0, 1.0)], "u1", 2.0, 0.2),
+        ([("u1", 0.4, 0.0), ("u1", 3.0, LEARNED_FOR_S)], "u1", LEARNED_FOR_S, 1.5),
+        ([("u1", 0.4, 0.0), ("u2", 3.0, 1.0)], "u3", 2.0, 0.2),
+        ([("u1", 0.4, 0.0), ("u2", 3.0, 1.0)], "u3", LEARNED_FOR_S + 0.5, UNKNOWN),
+    ],
+)
+def test_resets_bound_the_rest_of_their_own_upstream_or_of_all(resets, upstream, now, expected):
+    limit_s = learned(*resets).limit_s(service="s", upstream=upstream, now=now)
+    assert limit_s == pytest.approx(expected)
+
+
+def test_other_services_are_not_bound():
+    limits = learned(("u1", 0.4, 0.0), ("u2", 0.4, 0.0))
+    assert limits.limit_s(service="other", upstream="u1", now=0.1) == UNKNOWN
+
+
+def lost(limits, *, upstreams=20, forget_after_s=0.3, gap_s=0.5, rounds=8):
+    """Send to each upstream every `gap_s`; return how many sends met a forgotten connection."""
+    count = 0
+    for turn in range(rounds):
+        for index in range(upstreams):
+            now = turn * gap_s + index * gap_s / upstreams
+            name = f"u{index}"
+            if limits is not None:
+                fresh = limits.limit_s(service="s", upstream=name, now=now) < gap_s
+            else:
+                fresh = False
+            if not fresh and gap_s > forget_after_s:
+                count += 1
+                if limits is not None:
+                    limits.note_reset(service="s", upstream=name, rested_s=gap_s, now=now)
+    return count
+
+
+def test_few_requests_are_lost_while_many_upstreams_forget():
+    assert lost(None) == 160
+    assert lost(RestLimits()) == 2
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -28,6 +28,10 @@
 MOST_SENDS = 4
 """Sends of one request, with those that upstreams refused to run."""
 
+FORGOTTEN_WITHIN_S = 0.1
+"""Time within which a forgotten connection is reset: more than a round trip between regions, and
+far less than a request's work; seconds."""
+
 LEAST_WORK_S = 0.02
 """Time left below which a request is not sent; seconds."""
 
@@ -49,6 +53,9 @@
     LOST = "lost"
     """Bytes left, and no whole answer came back."""
 
+    FORGOTTEN = "forgotten"
+    """The connection had rested and was reset at once; the upstream may have read the request."""
+
 
 class Attempt(msgspec.Struct):
     """One send to an upstream."""
@@ -60,7 +67,12 @@
     @property
     def executed(self) -> bool:
         """Whether the request may have run."""
-        return self.end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.LOST)
+        return self.end in (
+            AttemptEnd.ANSWERED,
+            AttemptEnd.FAILED,
+            AttemptEnd.LOST,
+            AttemptEnd.FORGOTTEN,
+        )
 
 
 class _Job(msgspec.Struct, eq=False):
@@ -229,7 +241,10 @@
     async def _attempt(self, job: _Job, upstream: Upstream) -> Attempt:
         upstream.in_flight += 1
         try:
-            conn = self._pool.take(upstream.id)
+            limit_s = self._state.rests.limit_s(
+                service=job.service, upstream=upstream.id, now=self._loop.time()
+            )
+            conn = self._pool.take(upstream.id, rest_limit_s=limit_s)
             if conn is None:
                 conn = await self._pool.connect(upstream.id, upstream.entry.address)
                 self._state.metrics.connections.inc()
@@ -253,15 +268,33 @@
         usual_s = self._state.warm_s(job.route) if job.warm else None
         repeatable = job.route.repeatability is Repeatability.IDEMPOTENT
         with self._silence.watching(upstream, conn, usual_s=usual_s, repeatable=repeatable):
-            answer = await conn.request(
-                self._encode(job, upstream, now=now),
-                request_id=job.request_id or None,
-                head_only=job.req.method == b"HEAD",
-            )
+            try:
+                answer = await conn.request(
+                    self._encode(job, upstream, now=now),
+                    request_id=job.request_id or None,
+                    head_only=job.req.method == b"HEAD",
+                )
+            except AnswerLostError as exc:
+                after_s = self._loop.time() - now
+                if not conn.rested_s or conn.began_answer or after_s > FORGOTTEN_WITHIN_S:
+                    raise
+                return self._note_forgotten(job, upstream, conn, reason=exc.reason)
         job.sending = False
         self._pool.give(upstream.id, conn)
         return self._judge(answer)
 
+    def _note_forgotten(
+        self, job: _Job, upstream: Upstream, conn: HttpConn, *, reason: str
+    ) -> Attempt:
+        self._state.rests.note_reset(
+            service=job.service,
+            upstream=upstream.id,
+            rested_s=conn.rested_s,
+            now=self._loop.time(),
+        )
+        rested = f"{reason} after a rest of {conn.rested_s:.3f} s"
+        return Attempt(end=AttemptEnd.FORGOTTEN, reason=rested)
+
     def _judge(self, answer: Answer) -> Attempt:
         names = self._names
         if answer.status == 421:
@@ -288,9 +321,12 @@
         job.maybe_run = job.maybe_run or attempt.executed
         self._state.metrics.attempts.labels(job.service, attempt.end.value).inc()
         now = self._loop.time()
-        if attempt.end is not AttemptEnd.SHED or self._says_full(attempt, upstream, job):
+        if attempt.end is AttemptEnd.SHED:
+            if self._says_full(attempt, upstream, job):
+                job.avoided.add(upstream.id)
+        elif attempt.end is not AttemptEnd.FORGOTTEN:
             job.avoided.add(upstream.id)
-        if attempt.executed:
+        if attempt.executed and attempt.end is not AttemptEnd.FORGOTTEN:
             upstream.note_answer(good=attempt.end is AttemptEnd.ANSWERED)
         elif job.key is not None and not job.warm:
             self._state.warmth.drop(upstream.id, object_mark(job.key))
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -70,6 +70,8 @@
         self._tainted = False
         self._idle_s = DEFAULT_IDLE_S
         self._idle_since = 0.0
+        self._used = False
+        self.rested_s = 0.0
         self.closed = False
         self.on_closed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.began_answer = False
@@ -79,6 +81,10 @@
         """Whether another request may be sent."""
         return not self.closed and not self._tainted and self._fut is None
 
+    def rest_s(self, now: float) -> float:
+        """Return how long no request has been under way; 0 before the first one, in seconds."""
+        return now - self._idle_since if self._used else 0.0
+
     def expired(self, now: float) -> bool:
         """Tell whether the other end is about to close the idle connection."""
         return now - self._idle_since >= self._idle_s - IDLE_MARGIN_S
@@ -107,7 +113,10 @@
         transport = self._transport
         if transport is None or not self.usable:
             raise NotSentError("the connection is closed")
-        self._fut = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self.rested_s = self.rest_s(loop.time())
+        self._used = True
+        self._fut = loop.create_future()
         self._request_id = request_id
         self._head_only = head_only
         self.began_answer = False
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
@@ -32,11 +32,11 @@
         self._loop = asyncio.get_running_loop()
         self.opened = 0
 
-    def take(self, upstream: UpstreamId) -> HttpConn | None:
-        """Return an idle connection that may be used, or None."""
+    def take(self, upstream: UpstreamId, *, rest_limit_s: float) -> HttpConn | None:
+        """Return an idle connection that has not rested for longer than a limit, or None."""
         idle = self._idle.get(upstream)
         now = self._loop.time()
-        while idle:
+        while idle and idle[-1].rest_s(now) <= rest_limit_s:
             conn = idle.pop()
             if conn.usable and not conn.expired(now):
                 return conn
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -18,6 +18,7 @@
     RoutingConfig,
     UpstreamEntry,
 )
+from gooseberryport_core.gateway.rest import RestLimits
 from gooseberryport_core.gateway.routing import RouteTable, SplitChooser
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import Warmth
@@ -72,6 +73,7 @@
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
         )
         self.cold = ColdShare(vm=me.vm, overage=bounds.cold_overage, slack=bounds.cold_slack)
+        self.rests = RestLimits()
         self.warmth = Warmth()
         self.warm_times: dict[RouteName, float] = {}
         self.leaving = False
--- a/packages/gooseberryport-gateway/tests/test_forwarding.py
+++ b/packages/gooseberryport-gateway/tests/test_forwarding.py
@@ -333,3 +333,49 @@
             assert broken == ["u1"]
 
     run(main())
+
+
+@pytest.mark.parametrize(("kind", "status"), [({}, 200), (ONCE, 502)])
+def test_connection_that_an_upstream_forgot_is_learned_from(kind, status):
+    async def main():
+        forgetting = True
+
+        def script(head, count):
+            if forgetting and count == 2:
+                return b""
+            return answer_to(head)
+
+        async with (
+            upstream(script) as up,
+            bench(make_route(**kind)) as gateway,
+        ):
+            gateway.put("u1", up.port)
+            assert (await ask(gateway, request(method=b"POST", request_id=b"r1")))[0] == 200
+            await asyncio.sleep(0.1)
+            assert (await ask(gateway, request(method=b"POST", request_id=b"r2")))[0] == status
+            opened = gateway.pool.opened
+            for index in range(3):
+                await asyncio.sleep(0.1)
+                data = request(method=b"POST", request_id=b"s%d" % index)
+                assert (await ask(gateway, data))[0] == 200
+            assert gateway.pool.opened >= opened + 2
+
+    run(main())
+
+
+def test_answer_lost_in_the_midst_of_work_says_nothing_of_rest():
+    async def main():
+        async def script(head, count):
+            if count == 2:
+                await asyncio.sleep(0.15)
+                return b""
+            return answer_to(head)
+
+        async with upstream(script) as up, bench(make_route(**ONCE)) as gateway:
+            gateway.put("u1", up.port)
+            assert (await ask(gateway, request(method=b"POST", request_id=b"r1")))[0] == 200
+            assert (await ask(gateway, request(method=b"POST", request_id=b"r2")))[0] == 502
+            now = asyncio.get_running_loop().time()
+            assert gateway.state.rests.limit_s(service="s", upstream="u1", now=now) == float("inf")
+
+    run(main())
