--- a/conftest.py
+++ b/conftest.py
@@ -16,7 +16,7 @@
 KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
 TEST_MARK = "test: "
 MOST_RUNS_AGAIN = 3
-"""Times that a test is run again; a machine that is paused in all of them is no place to test."""
+"""Times that a test is run again; after as many pauses in a row its failure counts."""
 
 watch_key = pytest.StashKey[PauseWatch]()
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/rest.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/rest.py
@@ -18,7 +18,7 @@
 """How long a limit holds after the reset that it was learned from; seconds."""
 
 SEVERAL = 2
-"""Upstreams of a service that forgot connections, from which all of them are taken to."""
+"""Upstreams of a service that must forget connections before a limit holds for all of them."""
 
 
 class _Limit(msgspec.Struct):
