Mend what reading the whole change again showed

Faults, each with a test that was run without its change and failed: - Requests counted for the retry budget were only forgotten when a retry was asked for: on a calm gateway the count grew for ever (20,000 kept instead of 101 in the test). The window forgets when it adds; the special case in ColdShare.note_sent that hid it there is gone. - Any answer lost within 0.1 s on a rested connection was taken as a forgotten connection, also bytes that are no answer. Only silence counts now; `began_answer`, which nothing else used, is gone. Also: a request that timed out unsent is logged as refused and is told when to return, as any other 503 is (no test of its own).

Written twice, now once: rendezvous_weight and the hash in [0, 1] (core had both: _hashing.py, used by burn, shifts, placement, routes, limits), which gateways count (fleet), the full-or-send end of placement, finding a header, the time-out of a connection, ending waiting requests, a route and an entry for tests (samples.py), starting the process in tests. The key of _least_loaded is written as what it means: a free slot is as good as another, then the shortest queue. Attempt says what may have run and what was worked on, instead of exceptions for `forgotten` in _note.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_assignment.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_assignment.py
@@ -5,20 +5,15 @@
 from collections.abc import Iterable, Mapping
 
 import msgspec
-import xxhash
 
+from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core._lease_table import NOBODY, Grant, Member, MemberId, Table
 from gooseberryport_core.config import Config, pools_of, region_of_zone, slots_of
-from gooseberryport_core.types import Epoch, Incarnation, PoolId, RegionName, VmId
+from gooseberryport_core.types import Epoch, Incarnation, PoolId, RegionName
 
 NO_MEMBER = MemberId(NOBODY, Incarnation(0))
 
 
-def rendezvous_weight(vm: VmId, name: str) -> int:
-    """Return a VM's weight for a name; the VM with the highest weight is chosen."""
-    return xxhash.xxh3_64_intdigest(f"{vm}|{name}".encode())
-
-
 def region_pools(cfg: Config, region: RegionName) -> dict[PoolId, int]:
     """Return the pools of a region with their slots."""
     return {
--- a/packages/gooseberryport-core/src/gooseberryport_core/_claims.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_claims.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from gooseberryport_core._assignment import rendezvous_weight
 from gooseberryport_core._claim_buckets import ClaimBuckets, bucket_of, key_digest
+from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core._views import Peers
 from gooseberryport_core.config import Config
 from gooseberryport_core.effects import Decide, Effect, SendMessage
--- a/packages/gooseberryport-core/src/gooseberryport_core/_config_head.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_config_head.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Iterable
 
-from gooseberryport_core._assignment import rendezvous_weight
+from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core._lease_clock import NEVER
 from gooseberryport_core._store_calls import StoreCall, StoreUser
 from gooseberryport_core.config_store import HEAD_KEY
--- a/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_ownership.py
@@ -5,7 +5,8 @@
 import random
 from collections.abc import Callable
 
-from gooseberryport_core._assignment import NO_MEMBER, region_pools, rendezvous_weight
+from gooseberryport_core._assignment import NO_MEMBER, region_pools
+from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core._holdings import Holdings
 from gooseberryport_core._lease_clock import NEVER, LapseWatch, StampClock
 from gooseberryport_core._lease_table import NOBODY, MemberId, SeenTable, Table, Witness
--- a/packages/gooseberryport-core/src/gooseberryport_core/_shifts.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_shifts.py
@@ -5,15 +5,13 @@
 from collections.abc import Iterable
 
 import msgspec
-import xxhash
 
+from gooseberryport_core._hashing import hash_point
 from gooseberryport_core._invariants import Invariant, check
 from gooseberryport_core.config import Config, Shift
 from gooseberryport_core.effects import Effect
 from gooseberryport_core.types import RegionName, RuleName, ServiceName
 
-HASH_RANGE = float(1 << 64)
-
 
 class WindowShare(msgspec.Struct):
     """Count one window's traffic and the part of it that moved.
@@ -181,4 +179,4 @@
 
 def _position(rule: Shift, block: str) -> float:
     salt = rule.salt or f"{rule.service}|{rule.source}"
-    return xxhash.xxh3_64_intdigest(f"{salt}|{block}".encode()) / HASH_RANGE
+    return hash_point(f"{salt}|{block}")
--- a/packages/gooseberryport-core/src/gooseberryport_core/_table_spread.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_table_spread.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gooseberryport_core._assignment import rendezvous_weight
+from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core._lease_clock import NEVER
 from gooseberryport_core._lease_table import (
     NOBODY,
--- a/packages/gooseberryport-core/src/gooseberryport_core/_table_writer.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_table_writer.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from gooseberryport_core._assignment import NO_MEMBER, Plan, rendezvous_weight
+from gooseberryport_core._assignment import NO_MEMBER, Plan
+from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core._lease_clock import LapseWatch
 from gooseberryport_core._lease_table import (
     MILLISECONDS,
--- a/packages/gooseberryport-core/src/gooseberryport_core/burn.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/burn.py
@@ -10,10 +10,10 @@
 import random
 
 import msgspec
-import xxhash
 
 from gooseberryport_core._burn_counts import Count, RegionCounts, RunCounts, service_counts
 from gooseberryport_core._burn_report import BurnLine, BurnWindow, Severity, burn_lines, burn_series
+from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core._history import History, Sample
 from gooseberryport_core._store_calls import StoreCall, StoreUser
 from gooseberryport_core._views import Peers
@@ -225,11 +225,9 @@
         region = self._settings.region
         members = [peer.vm for peer in self._peers.live(now) if peer.region == region]
         members.append(self._settings.vm)
-
-        def weight(vm: VmId) -> int:
-            return xxhash.xxh3_64_intdigest(f"{vm}|{record_key(region)}".encode())
-
-        return sorted(members, key=weight, reverse=True)[:WRITERS]
+        record = record_key(region)
+        members.sort(key=lambda vm: rendezvous_weight(vm, record), reverse=True)
+        return members[:WRITERS]
 
     def _rank(self, now: float) -> int | None:
         writers = self._writers(now)
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -38,6 +38,10 @@
     ready: bool = True
 
 
+def _counts(known: _Known, *, now: float) -> bool:
+    return known.listed or now - known.seen_at < REMEMBER_S
+
+
 class Fleet:
     """Keep the members that are listed or heard.
 
@@ -61,7 +65,7 @@
             known = self._known.get(vm)
             if known is None or known.member.incarnation != member.incarnation:
                 self._known[vm] = _Known(member=member, listed=True, listed_at=now, seen_at=now)
-            elif known.member.incarnation == member.incarnation:
+            else:
                 known.listed = True
                 known.seen_at = now
 
@@ -83,24 +87,12 @@
 
     def peers(self, *, now: float) -> list[Member]:
         """Return the other gateways to which datagrams are sent."""
-        return [
-            known.member
-            for known in self._known.values()
-            if known.listed or now - known.seen_at < REMEMBER_S
-        ]
+        return [known.member for known in self._known.values() if _counts(known, now=now)]
 
     def sharing(self, *, now: float) -> frozenset[VmId]:
         """Return the gateways that bounds are shared with, this one included."""
-        return frozenset(
-            [
-                self._me.vm,
-                *(
-                    vm
-                    for vm, known in self._known.items()
-                    if known.listed or now - known.seen_at < REMEMBER_S
-                ),
-            ]
-        )
+        others = [vm for vm, known in self._known.items() if _counts(known, now=now)]
+        return frozenset([self._me.vm, *others])
 
     def alive(self, *, now: float) -> list[Member]:
         """Return the other gateways that take clients, as far as known."""
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/limits.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/limits.py
@@ -8,8 +8,7 @@
 
 from collections import deque
 
-import xxhash
-
+from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core.types import ServiceName, UpstreamId, VmId
 
 COLD_SAFETY = 0.8
@@ -36,9 +35,13 @@
         return len(self._times)
 
     def add(self, now: float) -> None:
-        """Count an event at `now`."""
+        """Count an event at `now`, and forget those that are out of the window."""
+        self.count(now)
         self._times.append(now)
 
+    def __len__(self) -> int:
+        return len(self._times)
+
 
 class RetryShare:
     """Allow this gateway's share of a service's retries.
@@ -92,6 +95,10 @@
         retries.add(now)
         return True
 
+    def counted(self, service: ServiceName) -> int:
+        """Return how many of a service's requests are remembered."""
+        return len(self._window(self._requests, service))
+
     def _window(self, windows: dict[ServiceName, _Window], service: ServiceName) -> _Window:
         window = windows.get(service)
         if window is None:
@@ -131,8 +138,8 @@
         bound = int((cold_rate_per_s * self._overage + self._slack) * COLD_SAFETY)
         if len(gateways) <= bound:
             return bound // max(len(gateways), 1)
-        mine = _rank(vm=self._vm, upstream=upstream)
-        ahead = sum(_rank(vm=vm, upstream=upstream) > mine for vm in gateways)
+        mine = rendezvous_weight(self._vm, upstream)
+        ahead = sum(rendezvous_weight(vm, upstream) > mine for vm in gateways)
         return 1 if ahead < bound else 0
 
     def room(
@@ -155,13 +162,8 @@
         window = self._sent.get(upstream)
         if window is None:
             window = self._sent[upstream] = _Window(length_s=COLD_WINDOW_S)
-        window.count(now)
         window.add(now)
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop what is counted for an upstream that is gone."""
         self._sent.pop(upstream, None)
-
-
-def _rank(*, vm: VmId, upstream: UpstreamId) -> int:
-    return xxhash.xxh3_64_intdigest(f"{upstream}|{vm}".encode())
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
@@ -97,8 +97,6 @@
         Name of the service.
     health_path
         Path of the health check.
-    max_connections
-        Connections that one upstream accepts from all callers.
     cold_start_s
         Time for which a started upstream is cold; seconds.
     cold_rate_per_s
@@ -107,7 +105,6 @@
 
     name: ServiceName
     health_path: str
-    max_connections: int
     cold_start_s: float
     cold_rate_per_s: float
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -14,13 +14,14 @@
 from enum import Enum
 
 import msgspec
-import xxhash
 
+from gooseberryport_core._hashing import hash_point
 from gooseberryport_core.gateway.model import ObjectKey
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, ZoneName
 
-HASH_RANGE = 2.0**64
+SMALLEST_POINT = 2.0**-53
+"""Distance that a hash's point keeps from 0 and 1, where its logarithm can't be used."""
 
 REGION_BIAS = 4.0
 """How much more often an object's home lies in its clients' region than the slots there say."""
@@ -135,9 +136,8 @@
     *, service: ServiceName, key: ObjectKey, upstream: UpstreamId, weight: float
 ) -> float:
     """Return an upstream's rendezvous score for an object; higher is better."""
-    digest = xxhash.xxh3_64_intdigest(f"{service}|{key}|{upstream}".encode())
-    share = (digest + 0.5) / HASH_RANGE
-    return -weight / math.log(min(share, 1.0 - 2.0**-53))
+    point = hash_point(f"{service}|{key}|{upstream}")
+    return -weight / math.log(min(max(point, SMALLEST_POINT), 1.0 - SMALLEST_POINT))
 
 
 def place(
@@ -211,12 +211,21 @@
     )
 
 
+def _send_unless_full(upstream: Upstream, *, view: View, queue_factor: float) -> Placement:
+    load = view.load_of(upstream)
+    if load >= upstream.entry.slots * queue_factor:
+        return Placement(verdict=Verdict.FULL, upstream=upstream, load=load)
+    return _send(upstream, view=view)
+
+
 def _least_loaded(*, pool: Sequence[Upstream], view: View, queue_factor: float) -> Placement:
-    best = min(pool, key=lambda each: max(view.load_of(each) / each.entry.slots, 1.0 - 1e-9))
-    load = view.load_of(best)
-    if load >= best.entry.slots * queue_factor:
-        return Placement(verdict=Verdict.FULL, upstream=best, load=load)
-    return _send(best, view=view)
+    """Choose the first upstream with a free slot, else the one with the shortest queue."""
+
+    def queue(each: Upstream) -> float:
+        load = view.load_of(each)
+        return 0.0 if load < each.entry.slots else load / each.entry.slots
+
+    return _send_unless_full(min(pool, key=queue), view=view, queue_factor=queue_factor)
 
 
 def _nearest(*, pool: Sequence[Upstream], view: View, queue_factor: float) -> Placement:
@@ -226,11 +235,7 @@
             distance = 1 if view.near(each) else 2
         return (view.load_of(each) / each.entry.slots + 0.25 * distance, distance)
 
-    best = min(pool, key=cost)
-    load = view.load_of(best)
-    if load >= best.entry.slots * queue_factor:
-        return Placement(verdict=Verdict.FULL, upstream=best, load=load)
-    return _send(best, view=view)
+    return _send_unless_full(min(pool, key=cost), view=view, queue_factor=queue_factor)
 
 
 def queue_factor(*, objective_s: float, warm_s: float) -> float:
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import msgspec
-import xxhash
 
+from gooseberryport_core._hashing import hash_point
 from gooseberryport_core.gateway.model import ObjectKey, Part, Route, RoutingConfig
 
-HASH_RANGE = 2.0**64
-
 SHARE_TOLERANCE = 0.03
 """How far a part's share of the requests may lie over its weight before others are preferred."""
 
@@ -107,7 +105,7 @@
     def _preferred(*, route: Route, key: ObjectKey | None, draw: float, weight: float) -> int:
         point = draw
         if key is not None:
-            point = xxhash.xxh3_64_intdigest(f"{route.name}|{key}".encode()) / HASH_RANGE
+            point = hash_point(f"{route.name}|{key}")
         bound = 0.0
         for index, part in enumerate(route.parts):
             bound += part.weight / weight
--- a/packages/gooseberryport-core/tests/gateway_worlds.py
+++ b/packages/gooseberryport-core/tests/gateway_worlds.py
@@ -3,37 +3,18 @@
 from gooseberryport_core.gateway.model import (
     ClientLimits,
     Member,
-    Part,
-    Repeatability,
-    Route,
     RoutingConfig,
-    UpstreamEntry,
-    UpstreamState,
 )
 from gooseberryport_core.gateway.placement import View
 from gooseberryport_core.gateway.upstreams import Upstream
+from gooseberryport_standins.samples import make_entry
 
 REGIONS = {"a1": "A", "a2": "A", "b1": "B", "b2": "B"}
 
 
-def entry(name="u1", **changes):
-    fields = {
-        "upstream": name,
-        "service": "s",
-        "zone": "a1",
-        "address": ("10.0.0.1", 80),
-        "slots": 4,
-        "state": UpstreamState.READY,
-        "cold_s": 0.0,
-        "started_ms": 1000,
-        "sequence": 1,
-    }
-    return UpstreamEntry(**(fields | changes))
-
-
 def upstreams(count, *, zones=("a1",), slots=4):
     return [
-        Upstream(entry=entry(f"u{index}", zone=zones[index % len(zones)], slots=slots))
+        Upstream(entry=make_entry(f"u{index}", zone=zones[index % len(zones)], slots=slots))
         for index in range(count)
     ]
 
@@ -50,23 +31,6 @@
     )
 
 
-def route(**changes):
-    fields = {
-        "name": "r",
-        "host": "h.example",
-        "prefix": "/a/",
-        "repeatability": Repeatability.IDEMPOTENT,
-        "parts": (Part("s", 1.0),),
-        "timeout_s": 1.5,
-        "objective_s": 0.4,
-        "max_attempts": 2,
-        "priority": 1,
-        "keyed": True,
-        "allowed_regions": frozenset(),
-    }
-    return Route(**(fields | changes))
-
-
 def config(*routes, version=1):
     return RoutingConfig(version=version, routes=routes, services={}, limits=ClientLimits())
 
--- a/packages/gooseberryport-core/tests/test_gateway_limits.py
+++ b/packages/gooseberryport-core/tests/test_gateway_limits.py
@@ -61,3 +61,10 @@
     assert share.take(service="s", gateways=1, now=0.0)
     assert not share.take(service="s", gateways=1, now=0.0)
     assert share.take(service="t", gateways=1, now=0.0)
+
+
+def test_requests_are_forgotten_after_the_window_though_none_is_repeated():
+    share = RetryShare(ratio=0.2, slack=2.0, window_s=10.0)
+    for index in range(20_000):
+        share.note_request(service="s", now=index * 0.1)
+    assert share.counted("s") <= 101
--- a/packages/gooseberryport-core/tests/test_gateway_routing.py
+++ b/packages/gooseberryport-core/tests/test_gateway_routing.py
@@ -1,10 +1,11 @@
 from collections import Counter
 
 import pytest
-from gateway_worlds import config, route
+from gateway_worlds import config
 
 from gooseberryport_core.gateway.model import Part
 from gooseberryport_core.gateway.routing import RouteTable, SplitChooser
+from gooseberryport_standins.samples import make_route
 
 
 @pytest.mark.parametrize(
@@ -22,7 +23,9 @@
     ],
 )
 def test_longest_prefix_of_the_host_wins(host, path, name):
-    table = RouteTable(config(route(name="a", prefix="/a/"), route(name="ab", prefix="/a/b/")))
+    table = RouteTable(
+        config(make_route(name="a", prefix="/a/"), make_route(name="ab", prefix="/a/b/"))
+    )
     found = table.find(host=host, path=path)
     assert (found.name if found else None) == name
 
@@ -32,7 +35,7 @@
 def test_parts_get_their_weights_whatever_the_objects(weights, objects):
     chooser = SplitChooser()
     parts = tuple(Part(f"s{index}", weight) for index, weight in enumerate(weights))
-    split = route(parts=parts)
+    split = make_route(parts=parts)
     counts = Counter(
         chooser.choose(route=split, key=f"o{index % objects}", draw=0.0).service
         for index in range(1200)
@@ -43,7 +46,7 @@
 
 def test_most_requests_of_an_object_go_to_one_part():
     chooser = SplitChooser()
-    split = route(parts=(Part("s0", 60), Part("s1", 40)))
+    split = make_route(parts=(Part("s0", 60), Part("s1", 40)))
     seen = {}
     for index in range(2000):
         key = f"o{index % 100}"
@@ -56,8 +59,10 @@
 def test_new_weights_are_counted_from_the_start():
     chooser = SplitChooser()
     for index in range(300):
-        chooser.choose(route=route(parts=(Part("a", 90), Part("b", 10))), key=f"{index}", draw=0)
-    new = route(parts=(Part("a", 10), Part("b", 90)))
+        chooser.choose(
+            route=make_route(parts=(Part("a", 90), Part("b", 10))), key=f"{index}", draw=0
+        )
+    new = make_route(parts=(Part("a", 10), Part("b", 90)))
     counts = Counter(
         chooser.choose(route=new, key=f"{index}", draw=0.0).service for index in range(300)
     )
--- a/packages/gooseberryport-core/tests/test_rest.py
+++ b/packages/gooseberryport-core/tests/test_rest.py
@@ -35,24 +35,24 @@
     assert limits.limit_s(service="other", upstream="u1", now=0.1) == UNKNOWN
 
 
-def lost(limits, *, upstreams=20, forget_after_s=0.3, gap_s=0.5, rounds=8):
-    """Send to each upstream every `gap_s`; return how many sends met a forgotten connection."""
+def lost(limits, *, upstreams=20, gap_s=0.5, rounds=8):
+    """Send to each upstream every `gap_s`, when it has forgotten the connection; count losses."""
     count = 0
     for turn in range(rounds):
         for index in range(upstreams):
             now = turn * gap_s + index * gap_s / upstreams
             name = f"u{index}"
-            if limits is not None:
-                fresh = limits.limit_s(service="s", upstream=name, now=now) < gap_s
-            else:
-                fresh = False
-            if not fresh and gap_s > forget_after_s:
+            if limits.limit_s(service="s", upstream=name, now=now) >= gap_s:
                 count += 1
-                if limits is not None:
-                    limits.note_reset(service="s", upstream=name, rested_s=gap_s, now=now)
+                limits.note_reset(service="s", upstream=name, rested_s=gap_s, now=now)
     return count
 
 
+class NoLimits(RestLimits):
+    def note_reset(self, **_):
+        pass
+
+
 def test_few_requests_are_lost_while_many_upstreams_forget():
-    assert lost(None) == 160
+    assert lost(NoLimits()) == 160
     assert lost(RestLimits()) == 2
--- a/packages/gooseberryport-core/tests/test_upstream_table.py
+++ b/packages/gooseberryport-core/tests/test_upstream_table.py
@@ -1,8 +1,8 @@
 import pytest
-from gateway_worlds import entry
 
 from gooseberryport_core.gateway.model import UpstreamState
 from gooseberryport_core.gateway.upstreams import Reach, UpstreamTable
+from gooseberryport_standins.samples import make_entry
 
 
 def names(upstreams):
@@ -17,7 +17,11 @@
 
 
 def test_draining_and_evacuated_upstreams_get_nothing():
-    table = table_of(entry("u1"), entry("u2", state=UpstreamState.DRAINING), entry("u3", zone="b1"))
+    table = table_of(
+        make_entry("u1"),
+        make_entry("u2", state=UpstreamState.DRAINING),
+        make_entry("u3", zone="b1"),
+    )
     table.set_evacuated(frozenset({"b1"}))
     assert names(table.usable("s")) == ["u1"]
     table.set_evacuated(frozenset())
@@ -25,23 +29,23 @@
 
 
 def test_report_older_than_what_is_known_changes_nothing():
-    table = table_of(entry(state=UpstreamState.DRAINING, sequence=7))
-    assert not table.put(entry(sequence=6), now=1.0)
+    table = table_of(make_entry(state=UpstreamState.DRAINING, sequence=7))
+    assert not table.put(make_entry(sequence=6), now=1.0)
     assert table.usable("s") == []
 
 
 def test_draining_does_not_end_within_an_incarnation():
-    table = table_of(entry(state=UpstreamState.DRAINING, sequence=7))
-    assert table.put(entry(sequence=8), now=1.0)
+    table = table_of(make_entry(state=UpstreamState.DRAINING, sequence=7))
+    assert table.put(make_entry(sequence=8), now=1.0)
     assert table.usable("s") == []
 
 
 def test_restart_under_the_same_id_starts_anew():
-    table = table_of(entry(state=UpstreamState.DRAINING, sequence=7))
+    table = table_of(make_entry(state=UpstreamState.DRAINING, sequence=7))
     upstream = table.get("u1")
     upstream.failures = 0.9
     upstream.note_unreachable(1.0)
-    assert table.put(entry(started_ms=2000, sequence=1, cold_s=3.0), now=2.0)
+    assert table.put(make_entry(started_ms=2000, sequence=1, cold_s=3.0), now=2.0)
     assert names(table.usable("s")) == ["u1"]
     assert upstream.failures == 0.0
     assert upstream.cold(4.9)
@@ -49,36 +53,38 @@
 
 
 def test_late_report_of_the_former_incarnation_is_ignored():
-    table = table_of(entry(started_ms=2000, sequence=1))
-    assert not table.put(entry(started_ms=1000, sequence=99, state=UpstreamState.DRAINING), now=1.0)
+    table = table_of(make_entry(started_ms=2000, sequence=1))
+    assert not table.put(
+        make_entry(started_ms=1000, sequence=99, state=UpstreamState.DRAINING), now=1.0
+    )
     assert names(table.usable("s")) == ["u1"]
 
 
 def test_entry_that_vanishes_while_a_gateway_is_cut_off_is_not_used():
-    table = table_of(*(entry(f"u{index}") for index in range(6)))
+    table = table_of(*(make_entry(f"u{index}") for index in range(6)))
     table.suspend("u2", regained_at=10.0)
     assert "u2" not in names(table.usable("s"))
 
 
 def test_entries_that_an_outage_let_lapse_are_used_for_a_while():
-    table = table_of(*(entry(f"u{index}") for index in range(6)))
+    table = table_of(*(make_entry(f"u{index}") for index in range(6)))
     for index in range(6):
         table.suspend(f"u{index}", regained_at=10.0)
     assert len(table.usable("s")) == 6
-    table.put(entry("u0", sequence=2), now=11.0)
+    table.put(make_entry("u0", sequence=2), now=11.0)
     assert sorted(table.expire(now=12.1)) == [f"u{index}" for index in range(1, 6)]
     assert names(table.usable("s")) == ["u0"]
 
 
 def test_grace_counts_from_the_return_of_the_store():
-    table = table_of(entry("u1"), entry("u2"))
+    table = table_of(make_entry("u1"), make_entry("u2"))
     table.suspend("u1", regained_at=10.0)
     assert table.expire(now=11.9) == []
     assert table.expire(now=12.0) == ["u1"]
 
 
 def test_unreachable_upstream_is_probed_ever_more_seldom_and_returns():
-    table = table_of(entry())
+    table = table_of(make_entry())
     upstream = table.get("u1")
     upstream.note_unreachable(5.0)
     assert upstream.reach is Reach.UNPROVEN
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from gooseberryport_core.gateway.model import ClientLimits
-from gooseberryport_gateway._headers import Headers
+from gooseberryport_gateway._headers import Headers, find_header
 
 MAX_PIPELINED = 64
 """Requests of one connection that are worked on at once; reading pauses beyond that."""
@@ -59,10 +59,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header field, by its name in lower case."""
-        for each, value in self.headers:
-            if each == name:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 class Reply(msgspec.Struct):
@@ -171,10 +168,7 @@
         self._conns.discard(self)
         self._closing = True
         self._disarm()
-        for each in self._pending:
-            if each.task is not None:
-                each.task.cancel()
-        self._pending.clear()
+        self._cancel_pending()
 
     def pause_writing(self) -> None:
         """Stop reading from a client that does not read."""
@@ -301,10 +295,7 @@
             return
         self._closing = True
         self._disarm()
-        for each in self._pending:
-            if each.task is not None:
-                each.task.cancel()
-        self._pending.clear()
+        self._cancel_pending()
         transport = self._transport
         if transport is None:
             return
@@ -312,6 +303,12 @@
             transport.write_eof()
         self._loop.call_later(CLOSE_DELAY_S, transport.abort)
 
+    def _cancel_pending(self) -> None:
+        for each in self._pending:
+            if each.task is not None:
+                each.task.cancel()
+        self._pending.clear()
+
     def _arm(self, delay_s: float) -> None:
         self._disarm()
         self._timer = self._loop.call_later(delay_s, self._on_timer)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -65,14 +65,14 @@
     reason: str = ""
 
     @property
-    def executed(self) -> bool:
-        """Whether the request may have run."""
-        return self.end in (
-            AttemptEnd.ANSWERED,
-            AttemptEnd.FAILED,
-            AttemptEnd.LOST,
-            AttemptEnd.FORGOTTEN,
-        )
+    def worked_on(self) -> bool:
+        """Whether the upstream had the request, as far as can be known."""
+        return self.end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.LOST)
+
+    @property
+    def maybe_run(self) -> bool:
+        """Whether the upstream may have run the request."""
+        return self.worked_on or self.end is AttemptEnd.FORGOTTEN
 
 
 class _Job(msgspec.Struct, eq=False):
@@ -132,11 +132,11 @@
         request_id = req.header(self._names.request_id) or b""
         routes = self._state.routes
         if routes is None:
-            return self._refuse(req, request_id, None, 503, "no configuration yet")
+            return self._refuse(req, request_id, status=503, cause="no configuration yet")
         host = (req.header(b"host") or b"").decode("latin-1")
         route = routes.find(host=host, path=req.path)
         if route is None:
-            return self._refuse(req, request_id, None, 404, "no route")
+            return self._refuse(req, request_id, status=404, cause="no route")
         job = self._job(req, request_id, route)
         self._state.retries.note_request(service=job.service, now=req.arrived_at)
         self._state.metrics.in_flight.inc()
@@ -276,7 +276,7 @@
                 )
             except AnswerLostError as exc:
                 after_s = self._loop.time() - now
-                if not conn.rested_s or conn.began_answer or after_s > FORGOTTEN_WITHIN_S:
+                if not conn.rested_s or conn.heard or after_s > FORGOTTEN_WITHIN_S:
                     raise
                 return self._note_forgotten(job, upstream, conn, reason=exc.reason)
         job.sending = False
@@ -318,15 +318,12 @@
 
     def _note(self, job: _Job, upstream: Upstream, attempt: Attempt, *, sent_at: float) -> None:
         job.sending = False
-        job.maybe_run = job.maybe_run or attempt.executed
+        job.maybe_run = job.maybe_run or attempt.maybe_run
         self._state.metrics.attempts.labels(job.service, attempt.end.value).inc()
         now = self._loop.time()
-        if attempt.end is AttemptEnd.SHED:
-            if self._says_full(attempt, upstream, job):
-                job.avoided.add(upstream.id)
-        elif attempt.end is not AttemptEnd.FORGOTTEN:
+        if self._is_done_with(attempt, upstream, job):
             job.avoided.add(upstream.id)
-        if attempt.executed and attempt.end is not AttemptEnd.FORGOTTEN:
+        if attempt.worked_on:
             upstream.note_answer(good=attempt.end is AttemptEnd.ANSWERED)
         elif job.key is not None and not job.warm:
             self._state.warmth.drop(upstream.id, object_mark(job.key))
@@ -347,6 +344,12 @@
             left_ms=round((job.deadline - now) * 1000),
         )
 
+    def _is_done_with(self, attempt: Attempt, upstream: Upstream, job: _Job) -> bool:
+        """Tell whether the request should not go to the same upstream again."""
+        if attempt.end is AttemptEnd.SHED:
+            return self._says_full(attempt, upstream, job)
+        return attempt.end is not AttemptEnd.FORGOTTEN
+
     def _says_full(self, attempt: Attempt, upstream: Upstream, job: _Job) -> bool:
         """Tell whether an upstream that refused a request has no room, or refuses at random.
 
@@ -377,21 +380,22 @@
         if job.maybe_run:
             self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=502)
             return self._plain(502, job.request_id)
+        return self._not_run(job)
+
+    def _not_run(self, job: _Job) -> Reply:
         self._log(job, LogNumber.GATEWAY_REQUEST_REFUSED, status=503)
         return self._plain(503, job.request_id, retry_s=retry_after(draw=self._state.rng.random()))
 
     def _end_late(self, job: _Job) -> Reply:
-        maybe_run = job.maybe_run or job.sending
         job.cause = "no answer within the route's timeout"
-        status = 504 if maybe_run else 503
-        self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=status)
-        return self._plain(status, job.request_id)
+        if not job.maybe_run and not job.sending:
+            return self._not_run(job)
+        self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=504)
+        return self._plain(504, job.request_id)
 
-    def _refuse(
-        self, req: ClientRequest, request_id: bytes, route: Route | None, status: int, cause: str
-    ) -> Reply:
+    def _refuse(self, req: ClientRequest, request_id: bytes, *, status: int, cause: str) -> Reply:
         now = self._loop.time()
-        self._state.metrics.requests.labels(route.name if route else "", str(status)).inc()
+        self._state.metrics.requests.labels("", str(status)).inc()
         self._state.log.write_request(
             LogNumber.GATEWAY_REQUEST_REFUSED,
             now=now,
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_headers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_headers.py
@@ -25,6 +25,14 @@
 """Fields that concern one connection, and those that are written anew."""
 
 
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a field, by its name in lower case."""
+    for each, value in headers:
+        if each == name:
+            return value
+    return None
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return the fields that are passed on to the other side."""
     options = [value for name, value in headers if name == b"connection"]
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -8,7 +8,7 @@
 import httptools
 import msgspec
 
-from gooseberryport_gateway._headers import Headers
+from gooseberryport_gateway._headers import Headers, find_header
 from gooseberryport_gateway.errors import AnswerLostError, NotSentError
 
 MAX_ANSWER_BYTES = 67_108_864
@@ -20,6 +20,9 @@
 IDLE_MARGIN_S = 1.0
 """How long before the other end's stated idle time a connection is closed; seconds."""
 
+CONNECT_TIMEOUT_S = 0.5
+"""Time for a connection to be established: many times the longest round trip; seconds."""
+
 UNACKNOWLEDGED_MS = 2_000
 """Time after which unacknowledged bytes break a connection; milliseconds."""
 
@@ -43,10 +46,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header field, by its name in lower case."""
-        for each, value in self.headers:
-            if each == name:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 class HttpConn(asyncio.Protocol):
@@ -74,7 +74,7 @@
         self.rested_s = 0.0
         self.closed = False
         self.on_closed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.began_answer = False
+        self.heard = False
 
     @property
     def usable(self) -> bool:
@@ -119,7 +119,7 @@
         self._fut = loop.create_future()
         self._request_id = request_id
         self._head_only = head_only
-        self.began_answer = False
+        self.heard = False
         transport.write(data)
         try:
             return await self._fut
@@ -151,6 +151,7 @@
         if self._fut is None and not self._in_body:
             self._taint()
             return
+        self.heard = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -193,7 +194,6 @@
     def on_headers_complete(self) -> None:
         """Find how the answer's end is told."""
         self._in_body = True
-        self.began_answer = True
         names = {name for name, _ in self._headers}
         self._framed = b"content-length" in names or b"transfer-encoding" in names
         status = self._parser.get_status_code()
@@ -276,7 +276,10 @@
 
 
 async def open_conn(
-    address: tuple[str, int], *, timeout_s: float, id_header: bytes | None = None
+    address: tuple[str, int],
+    *,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+    id_header: bytes | None = None,
 ) -> HttpConn:
     """Open a connection.
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
@@ -4,14 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 
 from gooseberryport_core.gateway.model import Address
 from gooseberryport_core.types import UpstreamId
 from gooseberryport_gateway._http_conn import HttpConn, open_conn
 
-CONNECT_TIMEOUT_S = 0.5
-"""Time for a connection to be established: many times the longest round trip; seconds."""
-
 
 class ConnPool:
     """Keep idle connections to each upstream, newest first.
@@ -32,7 +30,7 @@
         self._loop = asyncio.get_running_loop()
         self.opened = 0
 
-    def take(self, upstream: UpstreamId, *, rest_limit_s: float) -> HttpConn | None:
+    def take(self, upstream: UpstreamId, *, rest_limit_s: float = inf) -> HttpConn | None:
         """Return an idle connection that has not rested for longer than a limit, or None."""
         idle = self._idle.get(upstream)
         now = self._loop.time()
@@ -52,7 +50,7 @@
             It could not be opened.
         """
         self.opened += 1
-        conn = await open_conn(address, timeout_s=CONNECT_TIMEOUT_S, id_header=self._id_header)
+        conn = await open_conn(address, id_header=self._id_header)
         self._open[upstream] = self._open.get(upstream, 0) + 1
         conn.on_closed.add_done_callback(lambda _: self._note_closed(upstream, conn))
         return conn
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -78,7 +78,7 @@
         routes = self._state.routes
         spec = routes.config.services.get(upstream.entry.service) if routes else None
         path = spec.health_path if spec is not None else DEFAULT_HEALTH_PATH
-        conn = self._pool.take(upstream.id, rest_limit_s=float("inf"))
+        conn = self._pool.take(upstream.id)
         if conn is None:
             conn = await self._pool.connect(upstream.id, upstream.entry.address)
             self._state.metrics.connections.inc()
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_reload.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_reload.py
@@ -22,7 +22,6 @@
     "control",
     "peer_port",
     "store",
-    "lease_min_ms",
 )
 """Settings that hold for the life of a process: who it is, and its sockets."""
 
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -7,13 +7,8 @@
 from gooseberryport_core.gateway.model import (
     ClientLimits,
     Member,
-    Part,
-    Repeatability,
-    Route,
     RoutingConfig,
     ServiceSpec,
-    UpstreamEntry,
-    UpstreamState,
 )
 from gooseberryport_gateway._client_conn import ClientConn
 from gooseberryport_gateway._forwarder import Forwarder
@@ -22,6 +17,7 @@
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.wire import Bounds, GatewaySettings, HeaderNames
+from gooseberryport_standins.samples import make_entry
 
 NAMES = HeaderNames(
     request_id=b"x-id",
@@ -62,45 +58,17 @@
 )
 
 
-def make_route(**changes):
-    fields = {
-        "name": "r",
-        "host": "h.example",
-        "prefix": "/a/",
-        "repeatability": Repeatability.IDEMPOTENT,
-        "parts": (Part("s", 1.0),),
-        "timeout_s": 1.0,
-        "objective_s": 0.4,
-        "max_attempts": 2,
-        "priority": 1,
-        "keyed": True,
-        "allowed_regions": frozenset(),
-    }
-    return Route(**(fields | changes))
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 20))
 
 
 def make_config(*routes, version=1, limits=None):
-    spec = ServiceSpec("s", "/health", 330, 3.0, 4.0)
+    spec = ServiceSpec("s", "/health", 3.0, 4.0)
     return RoutingConfig(
         version=version, routes=routes, services={"s": spec}, limits=limits or ClientLimits()
     )
 
 
-def make_entry(name, port, **changes):
-    fields = {
-        "upstream": name,
-        "service": "s",
-        "zone": "a1",
-        "address": ("127.0.0.1", port),
-        "slots": 4,
-        "state": UpstreamState.READY,
-        "cold_s": 0.0,
-        "started_ms": 1000,
-        "sequence": 1,
-    }
-    return UpstreamEntry(**(fields | changes))
-
-
 class ScriptedUpstream:
     """Answers each request with what a script returns for its head.
 
@@ -196,9 +164,8 @@
         self.port = 0
 
     def put(self, name, port, **changes):
-        self.state.put_upstream(
-            make_entry(name, port, **changes), now=asyncio.get_running_loop().time()
-        )
+        entry = make_entry(name, address=("127.0.0.1", port), **changes)
+        self.state.put_upstream(entry, now=asyncio.get_running_loop().time())
 
 
 @contextlib.asynccontextmanager
--- a/packages/gooseberryport-gateway/tests/test_at_most_once.py
+++ b/packages/gooseberryport-gateway/tests/test_at_most_once.py
@@ -4,11 +4,12 @@
 from collections import Counter
 from enum import Enum
 
-from gateway_harness import answer_to, bench, client, field, make_route, request, upstream
+from gateway_harness import answer_to, bench, client, field, request, upstream
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from gooseberryport_core.gateway.model import Repeatability
+from gooseberryport_standins.samples import make_route
 
 DEADLINE_MS = 400
 SLOW_S = 0.15
--- a/packages/gooseberryport-gateway/tests/test_client_conn.py
+++ b/packages/gooseberryport-gateway/tests/test_client_conn.py
@@ -1,13 +1,10 @@
 import asyncio
 
 import pytest
-from gateway_harness import answer_to, bench, client, field, make_route, request, upstream
+from gateway_harness import answer_to, bench, client, field, request, run, upstream
 
 from gooseberryport_core.gateway.model import ClientLimits
-
-
-def run(coroutine):
-    return asyncio.run(asyncio.wait_for(coroutine, 20))
+from gooseberryport_standins.samples import make_route
 
 
 def test_pipelined_requests_run_at_once_and_are_answered_in_order():
--- a/packages/gooseberryport-gateway/tests/test_forwarding.py
+++ b/packages/gooseberryport-gateway/tests/test_forwarding.py
@@ -8,20 +8,17 @@
     client,
     field,
     make_config,
-    make_route,
     request,
+    run,
     upstream,
 )
 
 from gooseberryport_core.gateway.model import Repeatability
+from gooseberryport_standins.samples import make_route
 
 ONCE = {"repeatability": Repeatability.AT_MOST_ONCE}
 
 
-def run(coroutine):
-    return asyncio.run(asyncio.wait_for(coroutine, 20))
-
-
 def test_request_and_answer_pass_unchanged():
     async def main():
         async with (
@@ -363,12 +360,15 @@
     run(main())
 
 
-def test_answer_lost_in_the_midst_of_work_says_nothing_of_rest():
+@pytest.mark.parametrize(
+    ("delay_s", "spoiled"), [(0.15, b""), (0.0, b"garbage that is no answer\r\n\r\n")]
+)
+def test_answer_lost_in_the_midst_of_work_or_spoiled_says_nothing_of_rest(delay_s, spoiled):
     async def main():
         async def script(head, count):
             if count == 2:
-                await asyncio.sleep(0.15)
-                return b""
+                await asyncio.sleep(delay_s)
+                return spoiled
             return answer_to(head)
 
         async with upstream(script) as up, bench(make_route(**ONCE)) as gateway:
--- a/packages/gooseberryport-gateway/tests/test_silence.py
+++ b/packages/gooseberryport-gateway/tests/test_silence.py
@@ -1,14 +1,11 @@
 import asyncio
 
 import pytest
-from gateway_harness import answer_to, ask, bench, make_route, request, upstream
+from gateway_harness import answer_to, ask, bench, request, run, upstream
 
 from gooseberryport_core.gateway.model import Repeatability
 from gooseberryport_core.gateway.upstreams import Reach
-
-
-def run(coroutine):
-    return asyncio.run(asyncio.wait_for(coroutine, 20))
+from gooseberryport_standins.samples import make_route
 
 
 @pytest.mark.parametrize(
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -40,6 +40,13 @@
     }
 
 
+def start(settings_path, **streams):
+    own = {"GOOSEBERRYPORT_BOOT": str(settings_path), "PYTHONPATH": str(ROOT / "platform")}
+    return asyncio.create_subprocess_exec(
+        sys.executable, "-m", "gooseberryport_site", env=os.environ | own, **streams
+    )
+
+
 class Running:
     def __init__(self, process, ports, settings_path):
         self.process = process
@@ -86,14 +93,7 @@
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(settings))
     with (tmp_path / "log").open("wb") as log:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "gooseberryport_site",
-            env=os.environ
-            | {"GOOSEBERRYPORT_BOOT": str(path), "PYTHONPATH": str(ROOT / "platform")},
-            stdout=log,
-        )
+        process = await start(path, stdout=log)
         try:
             yield Running(process, ports, path)
         finally:
@@ -203,14 +203,7 @@
     async def main():
         path = tmp_path / "settings.json"
         path.write_text('{"nodeName": 5}')
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "gooseberryport_site",
-            env=os.environ
-            | {"GOOSEBERRYPORT_BOOT": str(path), "PYTHONPATH": str(ROOT / "platform")},
-            stderr=asyncio.subprocess.PIPE,
-        )
+        process = await start(path, stderr=asyncio.subprocess.PIPE)
         _, errors = await asyncio.wait_for(process.communicate(), 20)
         assert process.returncode == 2
         assert b"nodeName" in errors
