Keep in the store what upstreams are warm for

Ruled out: the restart itself (ready 0.2 s after the start), the upstreams (not restarted), load reports (fresh after 0.2 s).

Change: one gateway of each region, the first by rendezvous among those that the store answers, saves every 2 s the objects of upstreams whose list changed; a gateway that starts reads its region's lists together with the configuration. A list counts for one incarnation only. Evidence on upstreams that are gone is dropped after 30 s; before, it was never dropped.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.types import RegionName, VmId, ZoneName
 
@@ -36,6 +37,7 @@
     heard_at: float = float("-inf")
     seen_at: float = 0.0
     ready: bool = True
+    follows_store: bool = True
 
 
 def _counts(known: _Known, *, now: float) -> bool:
@@ -69,11 +71,24 @@
                 known.listed = True
                 known.seen_at = now
 
-    def note_heard(self, vm: VmId, *, incarnation: int, ready: bool, now: float) -> None:
+    def note_heard(
+        self, vm: VmId, *, incarnation: int, ready: bool, follows_store: bool = True, now: float
+    ) -> None:
         """Count a datagram of a gateway; those that were never listed are ignored.
 
         Incarnations come from the wall clock, which may step back before a restart: a lower one is
         a late datagram only while the higher one is heard.
+
+        Parameters
+        ----------
+        vm, incarnation
+            Who sent it.
+        ready
+            Whether it serves clients.
+        follows_store
+            Whether the store answers it.
+        now
+            Monotonic time; seconds.
         """
         known = self._known.get(vm)
         if known is None:
@@ -84,6 +99,7 @@
             known.member = msgspec.structs.replace(known.member, incarnation=incarnation)
         known.heard_at = known.seen_at = now
         known.ready = ready
+        known.follows_store = follows_store
 
     def peers(self, *, now: float) -> list[Member]:
         """Return the other gateways to which datagrams are sent."""
@@ -102,6 +118,36 @@
             if known.ready and self._is_alive(known, now=now)
         ]
 
+    def chosen(self, task: str, *, count: int, follows_store: bool, now: float) -> list[Member]:
+        """Return the gateways of the own region that do a task for all of them.
+
+        Every gateway chooses the same ones by rendezvous as long as all hear each other; two that
+        don't may both do the task.
+
+        Parameters
+        ----------
+        task
+            Name of the task.
+        count
+            How many do it.
+        follows_store
+            Whether the store answers this gateway; those that it does not answer are left out.
+        now
+            Monotonic time; seconds.
+        """
+        able = [
+            known.member
+            for known in self._known.values()
+            if known.ready
+            and known.follows_store
+            and known.member.region == self._me.region
+            and self._is_alive(known, now=now)
+        ]
+        if follows_store:
+            able.append(self._me)
+        able.sort(key=lambda each: rendezvous_weight(each.vm, task), reverse=True)
+        return able[:count]
+
     def entry_points(
         self, *, zone: ZoneName, region: RegionName, ready: bool, now: float
     ) -> list[str]:
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/rest.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/rest.py
@@ -57,3 +57,8 @@
             return min(limit.rest_s for limit in limits.values())
         own = limits.get(upstream)
         return own.rest_s if own is not None else float("inf")
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Drop what was learned of an upstream that is gone."""
+        for limits in self._limits.values():
+            limits.pop(upstream, None)
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
@@ -175,14 +175,18 @@
 
     def expire(self, *, now: float) -> list[UpstreamId]:
         """Drop and return the upstreams whose entries did not come back in time."""
-        gone = [
+        gone = self.overdue(now=now)
+        for upstream in gone:
+            self.remove(upstream)
+        return gone
+
+    def overdue(self, *, now: float) -> list[UpstreamId]:
+        """Return the upstreams whose entries did not come back in time."""
+        return [
             each.id
             for each in self._upstreams.values()
             if each.lapses_at is not None and now >= each.lapses_at
         ]
-        for upstream in gone:
-            self.remove(upstream)
-        return gone
 
     def usable(self, service: ServiceName) -> list[Upstream]:
         """Return the upstreams of a service that take new requests, cold ones included.
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from collections.abc import Sequence
 
+import msgspec
 import xxhash
 
 from gooseberryport_core.gateway.model import ObjectKey
@@ -28,12 +30,28 @@
     return xxhash.xxh3_64_intdigest(key.encode()) & MARK_MASK
 
 
+class WarmthRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What an upstream handled lately, as it is kept while no gateway runs.
+
+    Parameters
+    ----------
+    started_ms
+        Start of the upstream's incarnation, which alone is warm.
+    marks
+        Short hashes of objects, the one handled longest ago first.
+    """
+
+    started_ms: int
+    marks: tuple[int, ...]
+
+
 class Warmth:
     """Remember pairs of upstream and object."""
 
     def __init__(self) -> None:
         self._objects: dict[UpstreamId, OrderedDict[int, None]] = {}
         self._updates: deque[tuple[float, UpstreamId, int]] = deque()
+        self._unsaved: set[UpstreamId] = set()
 
     def warm(self, upstream: UpstreamId, mark: int) -> bool:
         """Tell whether an upstream handled an object lately."""
@@ -56,6 +74,8 @@
         """
         objects = self._objects.setdefault(upstream, OrderedDict())
         known = mark in objects
+        if not known:
+            self._unsaved.add(upstream)
         objects[mark] = None
         objects.move_to_end(mark)
         if len(objects) > KEPT_OBJECTS:
@@ -67,8 +87,38 @@
     def drop(self, upstream: UpstreamId, mark: int) -> None:
         """Forget one pair: the upstream did not run the request."""
         objects = self._objects.get(upstream)
-        if objects is not None:
-            objects.pop(mark, None)
+        if objects is not None and mark in objects:
+            del objects[mark]
+            self._unsaved.add(upstream)
+
+    def recall(self, upstream: UpstreamId, marks: Sequence[int]) -> None:
+        """Take over what was known before; what was seen since is newer.
+
+        Parameters
+        ----------
+        upstream
+            The upstream.
+        marks
+            Short hashes of objects, the one handled longest ago first.
+        """
+        newer = self._objects.get(upstream, OrderedDict())
+        merged = OrderedDict.fromkeys(mark for mark in marks if mark not in newer)
+        merged.update(newer)
+        while len(merged) > KEPT_OBJECTS:
+            merged.popitem(last=False)
+        self._objects[upstream] = merged
+
+    def objects(self, upstream: UpstreamId) -> tuple[int, ...]:
+        """Return the objects that an upstream handled, the one handled longest ago first."""
+        return tuple(self._objects.get(upstream, ()))
+
+    def unsaved(self) -> list[UpstreamId]:
+        """Return the upstreams whose objects changed since they were marked as saved."""
+        return sorted(self._unsaved)
+
+    def mark_saved(self, upstreams: Sequence[UpstreamId]) -> None:
+        """Note that the objects of upstreams are kept elsewhere as they are now."""
+        self._unsaved.difference_update(upstreams)
 
     def idle(self, upstream: UpstreamId) -> bool:
         """Tell whether no object is known to be warm at an upstream."""
@@ -83,3 +133,4 @@
     def forget(self, upstream: UpstreamId) -> None:
         """Drop what an upstream handled: it is gone, or started again."""
         self._objects.pop(upstream, None)
+        self._unsaved.discard(upstream)
--- a/packages/gooseberryport-core/tests/test_fleet.py
+++ b/packages/gooseberryport-core/tests/test_fleet.py
@@ -83,3 +83,36 @@
     fleet.set_listed([], now=1.0)
     assert fleet.sharing(now=9.0) == {"me", "x"}
     assert fleet.sharing(now=11.0) == {"me"}
+
+
+def chosen(fleet, *, count=1, follows_store=True, now=1.0):
+    return [
+        each.vm for each in fleet.chosen("t", count=count, follows_store=follows_store, now=now)
+    ]
+
+
+def test_all_gateways_of_a_region_choose_the_same_one():
+    names = ["v", "w", "x", "y", "z"]
+    choices = set()
+    for me in names:
+        fleet = Fleet(me=member(me))
+        fleet.set_listed([member(each) for each in names], now=0.0)
+        choices.add(tuple(chosen(fleet, count=2)))
+    assert len(choices) == 1
+    assert len(choices.pop()) == 2
+
+
+def test_gateway_that_the_store_does_not_answer_is_not_chosen():
+    fleet = Fleet(me=member("me"))
+    fleet.set_listed([member("x")], now=0.0)
+    assert set(chosen(fleet, count=2)) == {"me", "x"}
+    assert chosen(fleet, count=2, follows_store=False) == ["x"]
+    fleet.note_heard("x", incarnation=1, ready=True, follows_store=False, now=0.5)
+    assert chosen(fleet, count=2) == ["me"]
+
+
+def test_gateways_that_are_silent_leaving_or_far_are_not_chosen():
+    fleet = Fleet(me=member("me"))
+    fleet.set_listed([member("x"), member("y"), member("far", zone="b1")], now=0.0)
+    fleet.note_heard("x", incarnation=1, ready=False, now=9.0)
+    assert chosen(fleet, count=4, now=9.0) == ["me"]
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -11,6 +11,7 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import ZoneName
 from gooseberryport_gateway._http_conn import open_conn
+from gooseberryport_gateway._keeper import WarmthKeeper
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import (
     AnswerLostError,
@@ -72,6 +73,10 @@
         self._reachable: bool | None = None
         self._regained_at = float("-inf")
         self._lease: int | None = None
+        self._recalled = False
+        self.keeper = WarmthKeeper(
+            state=state, store=store, prefix=codec.warmth_prefix, stored_keys=lambda: self._items
+        )
 
     @property
     def synced(self) -> bool:
@@ -140,6 +145,7 @@
                 continue
             self._revision = snapshot.revision
             self._apply(snapshot.items)
+            self.keeper.recall(snapshot.items)
             self._state.log.write(
                 LogNumber.GATEWAY_SNAPSHOT_LOADED, address=address, revision=snapshot.revision
             )
@@ -183,11 +189,17 @@
         config = await self._store.read_range(codec.config_prefix)
         upstreams = await self._store.read_range(codec.upstream_prefix)
         members = await self._store.read_range(codec.member_prefix)
+        # What was warm before this gateway started is needed once, with its first request.
+        kept = () if self._recalled else (await self._store.read_range(self.keeper.prefix)).items
         self._note_reach(reachable=True, reason="")
         read = [*config.items, *upstreams.items, *members.items]
-        vanished = self._items.keys() - {item.key for item in read}
+        known = {key for key in self._items if not key.startswith(codec.warmth_prefix)}
+        vanished = known - {item.key for item in read}
         gone = [StoreItem(key=key, value=None, revision=0) for key in vanished]
-        self._apply([*read, *gone])
+        self._apply([*read, *kept, *gone])
+        if not self._recalled:
+            self.keeper.recall(kept)
+            self._recalled = True
         self._revision = min(config.revision, upstreams.revision, members.revision)
         return self._revision
 
@@ -222,10 +234,7 @@
 
     def expire(self) -> None:
         """Drop upstreams whose entries did not come back after an outage."""
-        for upstream in self._state.upstreams.expire(now=self._loop.time()):
-            self._state.log.write(
-                LogNumber.GATEWAY_UPSTREAM_REMOVED, upstream=upstream, reason="not back"
-            )
+        self._state.expire_upstreams(now=self._loop.time())
 
     def _apply_config(self, item: StoreItem) -> None:
         try:
@@ -243,18 +252,15 @@
         if item.value is None:
             if now - self._regained_at < OUTAGE_LAPSE_S:
                 self._state.upstreams.suspend(upstream, regained_at=self._regained_at)
-            elif self._state.upstreams.get(upstream) is not None:
-                self._state.upstreams.remove(upstream)
-                self._state.log.write(
-                    LogNumber.GATEWAY_UPSTREAM_REMOVED, upstream=upstream, reason="entry removed"
-                )
+            else:
+                self._state.remove_upstream(upstream, reason="entry removed", now=now)
             return
         try:
             entry = self._codec.upstream(item)
         except ValueError as exc:
             self._state.metrics.ignored.labels("entry").inc()
             self._state.log.write(LogNumber.GATEWAY_ENTRY_IGNORED, key=item.key, reason=str(exc))
-            self._state.upstreams.remove(upstream)
+            self._state.remove_upstream(upstream, reason="unreadable entry", now=now)
             return
         self._state.put_upstream(entry, now=now)
 
@@ -276,7 +282,8 @@
                 self._regained_at = self._loop.time()
             self._state.log.write(LogNumber.GATEWAY_STORE_BACK)
         else:
+            self._state.follows_store = False
             self._state.log.write(LogNumber.GATEWAY_STORE_LOST, reason=reason)
             if self._reachable is None:
                 return
-        self._reachable = reachable
+        self._reachable = self._state.follows_store = reachable
--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_keeper.py
@@ -0,0 +1,124 @@
+"""Keep in the store what upstreams are warm for, so that it outlasts all gateways.
+
+Failure pattern: all gateways of a region lose power or are replaced at once. The upstreams are as
+warm as before, but gateways that know nothing place every object anew, and each of these requests
+holds a slot for the cold time while the clients of the outage come back together.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from gooseberryport_core.gateway.warmth import WarmthRecord
+from gooseberryport_core.log_events import LogNumber
+from gooseberryport_core.types import UpstreamId
+from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway.errors import StoreError
+from gooseberryport_gateway.wire import MOST_CHANGES, StoreClient, StoreItem
+
+SAVE_EVERY_S = 2.0
+"""Pause between saves. What became warm since the last one is placed anew after a loss of all
+gateways, and each save is a priced call; seconds."""
+
+TASK = "keep warmth"
+
+
+class WarmthKeeper:
+    """Save and recall the objects that upstreams handled for this gateway's region.
+
+    One gateway of a region saves for all of them, since they tell each other what became warm.
+
+    Parameters
+    ----------
+    state
+        State that is saved.
+    store
+        The platform's store.
+    prefix
+        Prefix of the keys, without the region.
+    stored_keys
+        Returns the keys that the store is known to hold.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: GatewayState,
+        store: StoreClient,
+        prefix: str,
+        stored_keys: Callable[[], Iterable[str]],
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._stored_keys = stored_keys
+        self._loop = asyncio.get_running_loop()
+        self.prefix = f"{prefix}{state.me.region}/"
+
+    async def run(self) -> None:
+        """Save what changed, for ever."""
+        while True:
+            await asyncio.sleep(SAVE_EVERY_S)
+            if not self._is_chosen():
+                continue
+            try:
+                await self._save()
+            except StoreError as exc:
+                self._state.log.write(LogNumber.GATEWAY_WARMTH_NOT_SAVED, reason=str(exc))
+
+    def recall(self, items: Iterable[StoreItem]) -> None:
+        """Take over what was kept of upstreams that still run."""
+        count = stale = 0
+        for item in items:
+            if item.value is None or not item.key.startswith(self.prefix):
+                continue
+            try:
+                record = msgspec.msgpack.decode(item.value, type=WarmthRecord)
+            except msgspec.DecodeError as exc:
+                self._state.metrics.ignored.labels("warmth").inc()
+                self._state.log.write(
+                    LogNumber.GATEWAY_ENTRY_IGNORED, key=item.key, reason=str(exc)
+                )
+                continue
+            if self._state.recall_warmth(self._upstream(item.key), record):
+                count += 1
+            else:
+                stale += 1
+        self._state.log.write(LogNumber.GATEWAY_WARMTH_RECALLED, upstreams=count, stale=stale)
+
+    def _is_chosen(self) -> bool:
+        state = self._state
+        chosen = state.fleet.chosen(
+            TASK, count=1, follows_store=state.follows_store, now=self._loop.time()
+        )
+        return state.ready and [each.vm for each in chosen] == [state.me.vm]
+
+    async def _save(self) -> None:
+        warmth = self._state.warmth
+        changed = warmth.unsaved()[:MOST_CHANGES]
+        values = {}
+        for upstream in changed:
+            known = self._state.upstreams.get(upstream)
+            if known is not None:
+                record = WarmthRecord(
+                    started_ms=known.entry.started_ms, marks=warmth.objects(upstream)
+                )
+                values[f"{self.prefix}{upstream}"] = msgspec.msgpack.encode(record)
+        deletes = self._obsolete()[: MOST_CHANGES - len(values)]
+        if not values and not deletes:
+            return
+        await self._store.save(values, deletes=deletes)
+        warmth.mark_saved(changed)
+
+    def _obsolete(self) -> list[str]:
+        """Return keys of upstreams that have been gone for so long that they won't come back."""
+        return [
+            key
+            for key in self._stored_keys()
+            if key.startswith(self.prefix) and not self._state.remembers(self._upstream(key))
+        ]
+
+    def _upstream(self, key: str) -> UpstreamId:
+        return UpstreamId(key.removeprefix(self.prefix))
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -34,6 +34,8 @@
         Requests in flight by the hash of the upstream's id.
     warm
         Pairs of upstream and object that became warm lately, as short hashes.
+    follows_store
+        Whether the store answers it.
     """
 
     vm: str
@@ -41,6 +43,7 @@
     ready: bool
     loads: dict[int, int]
     warm: list[tuple[int, int]] = []
+    follows_store: bool = True
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -76,7 +79,11 @@
         now = self._loop.time()
         self._state.note_heard_from(addr[0], now=now)
         self._state.fleet.note_heard(
-            VmId(report.vm), incarnation=report.incarnation, ready=report.ready, now=now
+            VmId(report.vm),
+            incarnation=report.incarnation,
+            ready=report.ready,
+            follows_store=report.follows_store,
+            now=now,
         )
         self._state.note_peer_loads(report.vm, report.loads, now=now)
         self._state.note_peer_warmth(report.warm, now=now)
@@ -126,4 +133,5 @@
             ready=self._state.ready,
             loads=loads,
             warm=warm,
+            follows_store=self._state.follows_store,
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from functools import lru_cache
 
+import msgspec
 import xxhash
 
 from gooseberryport_core.gateway.fleet import Fleet
@@ -21,7 +22,7 @@
 from gooseberryport_core.gateway.rest import RestLimits
 from gooseberryport_core.gateway.routing import RouteTable, SplitChooser
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
-from gooseberryport_core.gateway.warmth import Warmth
+from gooseberryport_core.gateway.warmth import Warmth, WarmthRecord
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, UpstreamId, ZoneName
 from gooseberryport_gateway._logs import Log
@@ -40,9 +41,20 @@
 HEARD_IP_S = 2.0
 """Age up to which the sender of a datagram is asked what it knows; seconds."""
 
+GONE_KEPT_S = 30.0
+"""How long evidence on an upstream whose entry is gone is kept: longer than an outage in which
+entries lapse; seconds."""
+
 HASH_MASK = 0xFFFFFFFF
 
 
+class _Gone(msgspec.Struct, frozen=True):
+    """An upstream whose entry is gone: since when, and which incarnation it was."""
+
+    at: float
+    started_ms: int
+
+
 class GatewayState:
     """State of one gateway.
 
@@ -77,7 +89,9 @@
         self.warmth = Warmth()
         self.warm_times: dict[RouteName, float] = {}
         self.leaving = False
+        self.follows_store = False
         self.on_warmth_update: Callable[[], None] = lambda: None
+        self._gone: dict[UpstreamId, _Gone] = {}
         self._heard_ips: dict[str, float] = {}
         self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
 
@@ -116,6 +130,9 @@
         before = known.entry if known is not None else None
         if not self.upstreams.put(entry, now=now):
             return
+        gone = self._gone.pop(entry.upstream, None)
+        if gone is not None and gone.started_ms != entry.started_ms:
+            self.warmth.forget(entry.upstream)
         if before is not None and before.started_ms != entry.started_ms:
             self.warmth.forget(entry.upstream)
         if before is None or (before.state, before.started_ms) != (entry.state, entry.started_ms):
@@ -128,6 +145,40 @@
                 started_ms=entry.started_ms,
             )
 
+    def remove_upstream(self, upstream: UpstreamId, *, reason: str, now: float) -> None:
+        """Drop an upstream; what is known of it is kept for a while, in case it comes back."""
+        known = self.upstreams.get(upstream)
+        if known is None:
+            return
+        self.upstreams.remove(upstream)
+        self._gone[upstream] = _Gone(at=now, started_ms=known.entry.started_ms)
+        self.log.write(LogNumber.GATEWAY_UPSTREAM_REMOVED, upstream=upstream, reason=reason)
+
+    def expire_upstreams(self, *, now: float) -> None:
+        """Drop upstreams whose entries did not come back, and old evidence on those that left."""
+        for upstream in self.upstreams.overdue(now=now):
+            self.remove_upstream(upstream, reason="not back", now=now)
+        for upstream in [name for name, gone in self._gone.items() if now - gone.at > GONE_KEPT_S]:
+            self._forget(upstream)
+
+    def remembers(self, upstream: UpstreamId) -> bool:
+        """Tell whether an upstream is known, or left only lately."""
+        return self.upstreams.get(upstream) is not None or upstream in self._gone
+
+    def _forget(self, upstream: UpstreamId) -> None:
+        self._gone.pop(upstream, None)
+        self.warmth.forget(upstream)
+        self.cold.forget(upstream)
+        self.rests.forget(upstream)
+
+    def recall_warmth(self, upstream: UpstreamId, record: WarmthRecord) -> bool:
+        """Take over what an upstream was known to be warm for; False if it started again since."""
+        known = self.upstreams.get(upstream)
+        if known is None or known.entry.started_ms != record.started_ms:
+            return False
+        self.warmth.recall(upstream, record.marks)
+        return True
+
     def note_unreachable(self, upstream: Upstream, *, reason: str, now: float) -> None:
         """Withhold requests from an upstream until a probe succeeds."""
         if upstream.note_unreachable(now):
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -113,6 +113,7 @@
                 await self._listen(address, self._handle_page, pages)
             self._start(self._discovery.follow())
             membership = self._start(self._discovery.hold_membership())
+            self._start(self._discovery.keeper.run())
             self._start(self._peers.report())
             self._start(self._prober.run())
             self._start(self._housekeeping())
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 import msgspec
@@ -100,6 +101,10 @@
     bounds: Bounds
 
 
+MOST_CHANGES = 32
+"""Keys that one call may write and delete; the platform's bound."""
+
+
 class StoreItem(msgspec.Struct, frozen=True, array_like=True):
     """One key of the store; `value` is None if it was deleted."""
 
@@ -159,6 +164,9 @@
     async def put(self, key: str, value: bytes, *, lease: int) -> None:
         """Write a key, whatever it holds."""
 
+    async def save(self, values: Mapping[str, bytes], *, deletes: Sequence[str] = ()) -> None:
+        """Write and delete keys that outlast their writer, at most `MOST_CHANGES` in one call."""
+
 
 class Place(msgspec.Struct, frozen=True):
     """Where a client that asks for gateways is; None for what it does not tell."""
@@ -173,6 +181,7 @@
     config_prefix: str
     upstream_prefix: str
     member_prefix: str
+    warmth_prefix: str
     lookup_path: str
     ready_path: str
 
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -110,6 +110,8 @@
             if put["lease"] and put["lease"] not in self.leases:
                 return 404, {}
             await self.put(put["key"], base64.b64decode(put["value"]), lease=put["lease"])
+        for key in body["deletes"]:
+            await self.delete(key)
         return 200, {"revision": self.revision}
 
     def _range(self, query):
--- /dev/null
+++ b/tests/test_warmth_keeper.py
@@ -0,0 +1,109 @@
+"""What upstreams are warm for outlasts the gateways; against a stand-in of the store."""
+
+import asyncio
+import contextlib
+
+import msgspec
+from store_standin import store_standin
+from test_site_discovery import ENTRY, config, make_state, until
+
+from gooseberryport_core.gateway.warmth import WarmthRecord
+from gooseberryport_gateway import _discovery, _keeper, _state
+from gooseberryport_gateway._discovery import Discovery
+from gooseberryport_site.codec import PlatformCodec
+
+KEY = "gooseberryport/warmth/A/u1"
+
+
+@contextlib.asynccontextmanager
+async def gateway(store, log):
+    state = make_state(log.fileno())
+    discovery = Discovery(state=state, store=store, codec=PlatformCodec())
+    tasks = [asyncio.create_task(discovery.follow()), asyncio.create_task(discovery.keeper.run())]
+    try:
+        yield state
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+def play(scenario, *, tmp_path, monkeypatch):
+    monkeypatch.setattr(_discovery, "WATCH_WAIT_S", 0.1)
+    monkeypatch.setattr(_keeper, "SAVE_EVERY_S", 0.05)
+
+    async def main():
+        with (tmp_path / "log").open("wb") as log:
+            async with store_standin() as (standin, store):
+                await standin.put("servers/u1", ENTRY)
+                await standin.put("op/config", config(1))
+                await scenario(standin, store, log)
+
+    asyncio.run(asyncio.wait_for(main(), 20))
+
+
+def knows_upstream(state):
+    return state.ready and state.upstreams.get("u1") is not None
+
+
+def test_gateway_that_starts_knows_what_was_warm_before_all_were_lost(tmp_path, monkeypatch):
+    async def scenario(standin, store, log):
+        async with gateway(store, log) as state:
+            await until(lambda: knows_upstream(state))
+            state.warmth.note("u1", 7, now=0.0, own=True)
+            await until(lambda: KEY in standin.items)
+        async with gateway(store, log) as state:
+            await until(lambda: knows_upstream(state))
+            assert state.warmth.objects("u1") == (7,)
+
+    play(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_upstream_that_started_again_meanwhile_is_warm_for_nothing(tmp_path, monkeypatch):
+    async def scenario(standin, store, log):
+        record = WarmthRecord(started_ms=ENTRY["born"] - 1, marks=(7,))
+        await standin.put(KEY, msgspec.msgpack.encode(record))
+        async with gateway(store, log) as state:
+            await until(lambda: knows_upstream(state))
+            assert state.warmth.idle("u1")
+
+    play(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_record_that_cannot_be_read_is_passed_over(tmp_path, monkeypatch):
+    async def scenario(standin, store, log):
+        await standin.put(KEY, b"\xff")
+        async with gateway(store, log) as state:
+            await until(lambda: knows_upstream(state))
+            assert state.warmth.idle("u1")
+
+    play(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_records_of_upstreams_that_are_long_gone_are_deleted(tmp_path, monkeypatch):
+    monkeypatch.setattr(_state, "GONE_KEPT_S", 0.3)
+
+    async def scenario(standin, store, log):
+        async with gateway(store, log) as state:
+            await until(lambda: knows_upstream(state))
+            state.warmth.note("u1", 7, now=0.0, own=True)
+            await until(lambda: KEY in standin.items)
+            await standin.delete("servers/u1")
+            await until(lambda: KEY not in standin.items)
+            assert state.warmth.idle("u1")
+
+    play(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_nothing_is_saved_while_the_store_turns_this_gateway_away(tmp_path, monkeypatch):
+    async def scenario(standin, store, log):
+        async with gateway(store, log) as state:
+            await until(lambda: knows_upstream(state))
+            standin.fault = lambda method, target: 503
+            await until(lambda: not state.follows_store)
+            state.warmth.note("u1", 7, now=0.0, own=True)
+            await asyncio.sleep(0.2)
+            assert "/v1/kv-txn" not in [target for _, target in standin.calls]
+            standin.fault = lambda method, target: None
+            await until(lambda: KEY in standin.items)
+
+    play(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
