--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -299,8 +299,12 @@
         transport = self._transport
         if transport is None:
             return
-        if transport.can_write_eof():
+        try:
             transport.write_eof()
+        except OSError:
+            # The client has reset the connection, which the loop will report.
+            transport.abort()
+            return
         self._loop.call_later(CLOSE_DELAY_S, transport.abort)
 
     def _cancel_pending(self) -> None:
--- a/packages/gooseberryport-gateway/tests/test_client_conn.py
+++ b/packages/gooseberryport-gateway/tests/test_client_conn.py
@@ -4,6 +4,7 @@
 from gateway_harness import answer_to, bench, client, field, request, run, upstream
 
 from gooseberryport_core.gateway.model import ClientLimits
+from gooseberryport_gateway._client_conn import ClientConn
 from gooseberryport_standins.samples import make_route
 
 
@@ -169,3 +170,31 @@
             assert len(up.heads) == 1
 
     run(main())
+
+
+class ResetTransport(asyncio.Transport):
+    """A connection that the client has reset, which the loop has not seen yet."""
+
+    def __init__(self):
+        super().__init__()
+        self.aborted = False
+
+    def write(self, data):
+        pass
+
+    def write_eof(self):
+        raise OSError(107, "Transport endpoint is not connected")
+
+    def abort(self):
+        self.aborted = True
+
+
+def test_connection_that_the_client_reset_does_not_stop_the_gateway_from_leaving():
+    async def main():
+        conn = ClientConn(handler=None, limits=ClientLimits, conns=set())
+        transport = ResetTransport()
+        conn.connection_made(transport)
+        conn.leave()
+        assert transport.aborted
+
+    run(main())
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -209,3 +209,31 @@
         assert b"nodeName" in errors
 
     asyncio.run(main())
+
+
+def signals(pid, kind):
+    """Return the numbers of the signals that a process ignores or catches."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith(kind):
+            mask = int(line.split()[1], 16)
+            return {number for number in range(1, 65) if mask >> (number - 1) & 1}
+    return set()
+
+
+def test_signals_before_the_gateway_runs_do_not_kill_the_process(tmp_path):
+    async def main():
+        async with store_standin() as (standin, _), running(tmp_path, standin.port) as gateway:
+            process = gateway.process
+            async with asyncio.timeout(READY_S):
+                while signal.SIGHUP not in signals(process.pid, "SigIgn:"):
+                    await asyncio.sleep(0.001)
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.01)
+            assert process.returncode is None
+            async with asyncio.timeout(READY_S):
+                while signal.SIGTERM not in signals(process.pid, "SigCgt:"):
+                    await asyncio.sleep(0.001)
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), 6) == 0
+
+    asyncio.run(asyncio.wait_for(main(), 60))
