Let two gateways of a large region watch the store for all

Change: in a region with five gateways or more two watch the store, the others ask them for the changes that matter and watch directly as soon as they get no fresh ones. Reports to other regions get rarer, down to each 0.8 s, where these have many gateways.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := packages standins tests platform conftest.py
 SEED ?= 1
 
-.PHONY: demo test lint format proof soak bench proto clean
+.PHONY: demo test lint format proof soak gateway-soak bench proto clean
 
 $(VENV)/.ready: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -35,6 +35,9 @@
 	$(PY) -m gooseberryport_standins.soak --seed $(SEED)
 	$(PY) -m gooseberryport_standins.traffic_soak --seed $(SEED)
 
+gateway-soak: $(VENV)/.ready  ## Random faults against real gateways: make gateway-soak SEED=7
+	$(PY) tests/gateway_soak.py --seed $(SEED) --seconds 30
+
 bench: $(VENV)/.ready  ## The figures of docs/CAPACITY.md and docs/design.
 	$(PY) -m gooseberryport_standins.bench --seed $(SEED)
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
@@ -193,6 +193,8 @@
         Address for datagrams of other gateways.
     incarnation
         Number that is new for every start.
+    control
+        Address for questions of other gateways, ``IP:port``.
     """
 
     vm: VmId
@@ -201,3 +203,4 @@
     front: str
     datagrams: Address
     incarnation: int
+    control: str = ""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -9,9 +9,10 @@
 
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import ZoneName
+from gooseberryport_core.types import VmId, ZoneName
 from gooseberryport_gateway._http_conn import open_conn
 from gooseberryport_gateway._keeper import WarmthKeeper
+from gooseberryport_gateway._relay import Relay
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import (
     AnswerLostError,
@@ -71,9 +72,10 @@
         self._items: dict[str, StoreItem] = {}
         self._revision = 0
         self._reachable: bool | None = None
-        self._regained_at = float("-inf")
         self._lease: int | None = None
         self._recalled = False
+        self._watcher: VmId | None = None
+        self.relay = Relay(state=state, codec=codec)
         self.keeper = WarmthKeeper(
             state=state, store=store, prefix=codec.warmth_prefix, stored_keys=lambda: self._items
         )
@@ -99,9 +101,13 @@
             try:
                 if after is None:
                     after = await self._read_all()
+                if await self._follow_watcher(after):
+                    after = self._revision
+                    continue
                 page = await self._store.watch("", after=after, wait_s=WATCH_WAIT_S)
                 after = self._revision = page.revision
                 self._note_reach(reachable=True, reason="")
+                self.relay.note_page(page)
                 self._apply(page.items)
                 pause_s = RETRY_MIN_S
                 await asyncio.sleep(self._watch_pause_s if page.items else 0.0)
@@ -117,6 +123,26 @@
                 )
                 pause_s = min(pause_s * 2.0, RETRY_MAX_S)
 
+    async def _follow_watcher(self, after: int) -> bool:
+        """Take changes from the gateway that watches the store for this one, if it has them."""
+        watcher = self.relay.watcher()
+        name = watcher.vm if watcher is not None else None
+        if name != self._watcher:
+            self._watcher = name
+            self._state.log.write(LogNumber.GATEWAY_WATCHER_CHANGED, watcher=name)
+        if watcher is None:
+            return False
+        page = await self.relay.ask(watcher, after=after)
+        if page is None:
+            return False
+        state = self._state
+        state.store_regained_at = max(state.store_regained_at, self._loop.time() - page.regained_s)
+        self._revision = max(after, page.revision)
+        self._note_reach(reachable=True, reason="")
+        self.relay.note_relayed(page)
+        self._apply(page.items)
+        return True
+
     def snapshot(self) -> bytes | None:
         """Return what was read from the store, for a gateway that can't reach it."""
         if not self.synced:
@@ -145,6 +171,7 @@
                 continue
             self._revision = snapshot.revision
             self._apply(snapshot.items)
+            self.relay.begin(snapshot.items, revision=snapshot.revision)
             self.keeper.recall(snapshot.items)
             self._state.log.write(
                 LogNumber.GATEWAY_SNAPSHOT_LOADED, address=address, revision=snapshot.revision
@@ -201,6 +228,7 @@
             self.keeper.recall(kept)
             self._recalled = True
         self._revision = min(config.revision, upstreams.revision, members.revision)
+        self.relay.begin(read, revision=self._revision)
         return self._revision
 
     def _apply(self, items: Iterable[StoreItem]) -> None:
@@ -250,8 +278,8 @@
         now = self._loop.time()
         upstream = self._codec.upstream_id(item.key)
         if item.value is None:
-            if now - self._regained_at < OUTAGE_LAPSE_S:
-                self._state.upstreams.suspend(upstream, regained_at=self._regained_at)
+            if now - self._state.store_regained_at < OUTAGE_LAPSE_S:
+                self._state.upstreams.suspend(upstream, regained_at=self._state.store_regained_at)
             else:
                 self._state.remove_upstream(upstream, reason="entry removed", now=now)
             return
@@ -279,7 +307,7 @@
             return
         if reachable:
             if self._reachable is False:
-                self._regained_at = self._loop.time()
+                self._state.store_regained_at = self._loop.time()
             self._state.log.write(LogNumber.GATEWAY_STORE_BACK)
         else:
             self._state.follows_store = False
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_keeper.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_keeper.py
@@ -54,6 +54,7 @@
         self._state = state
         self._store = store
         self._stored_keys = stored_keys
+        self._saved: set[str] = set()
         self._loop = asyncio.get_running_loop()
         self.prefix = f"{prefix}{state.me.region}/"
 
@@ -111,12 +112,14 @@
             return
         await self._store.save(values, deletes=deletes)
         warmth.mark_saved(changed)
+        self._saved.update(values)
+        self._saved.difference_update(deletes)
 
     def _obsolete(self) -> list[str]:
         """Return keys of upstreams that have been gone for so long that they won't come back."""
         return [
             key
-            for key in self._stored_keys()
+            for key in self._saved.union(self._stored_keys())
             if key.startswith(self.prefix) and not self._state.remembers(self._upstream(key))
         ]
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -15,12 +15,26 @@
 """Pause between datagrams in a region: the time of a warm request; seconds."""
 
 FAR_EVERY = 2
-"""Datagrams in a region for each one to other regions, where bytes are dear."""
+MOST_FAR_EVERY = 4
+"""Datagrams in a region for each one to other regions, where bytes are dear: the fewest, and the
+most, since loads and gateways are believed for some seconds only."""
+
+FEW_FAR_PEERS = 8
+"""Gateways of other regions up to which they get the most datagrams; the sum then stays."""
 
 UPDATE_DELAY_S = 0.01
 """How long an update waits for more before it is sent; seconds."""
 
 
+def far_every(*, far_peers: int) -> int:
+    """Return the datagrams in a region for each one to other regions.
+
+    Load pattern: a large fleet, in which all gateways tell those of other regions of their loads,
+    so that these bytes grow with the square of its size.
+    """
+    return min(MOST_FAR_EVERY, max(FAR_EVERY, FAR_EVERY * far_peers // FEW_FAR_PEERS))
+
+
 class PeerReport(msgspec.Struct, array_like=True):
     """What a gateway tells the others.
 
@@ -94,12 +108,20 @@
     async def report(self) -> None:
         """Send reports, for ever."""
         self._state.on_warmth_update = self._send_soon
-        count = 0
+        since_far = 0
         while True:
-            self.send(far=count % FAR_EVERY == 0)
-            count += 1
+            since_far += 1
+            far = since_far >= self._far_every()
+            if far:
+                since_far = 0
+            self.send(far=far)
             await asyncio.sleep(NEAR_EVERY_S)
 
+    def _far_every(self) -> int:
+        peers = self._state.fleet.peers(now=self._loop.time())
+        far_peers = sum(peer.region != self._state.me.region for peer in peers)
+        return far_every(far_peers=far_peers)
+
     def _send_soon(self) -> None:
         if self._soon is None:
             self._soon = self._loop.call_later(UPDATE_DELAY_S, self._send_updates)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -101,6 +101,7 @@
         self.warm_times: dict[RouteName, float] = {}
         self.leaving = False
         self.follows_store = False
+        self.store_regained_at = float("-inf")
         self.on_warmth_update: Callable[[], None] = lambda: None
         self._gone: dict[UpstreamId, _Gone] = {}
         self._heard_ips: dict[str, float] = {}
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -21,6 +21,7 @@
 from gooseberryport_gateway._peers import Peers
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._prober import Prober
+from gooseberryport_gateway._relay import CHANGES_PATH
 from gooseberryport_gateway._reload import Reloader
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import SettingsError
@@ -86,6 +87,7 @@
             front=settings.front,
             datagrams=(settings.ip, settings.peer_port),
             incarnation=time.time_ns(),
+            control=settings.control,
         )
         self.state = GatewayState(
             settings=settings,
@@ -199,6 +201,8 @@
         if req.path == SNAPSHOT_PATH:
             snapshot = self._discovery.snapshot()
             return Reply(status=503 if snapshot is None else 200, headers=[], body=snapshot or b"")
+        if req.path == CHANGES_PATH:
+            return await self._discovery.relay.answer(req)
         if req.path == METRICS_PATH:
             return Reply(
                 status=200,
--- /dev/null
+++ b/tests/soak_clients.py
@@ -0,0 +1,172 @@
+"""Clients of the gateway's fault soak: they keep connections, pipeline, give up and come back."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import time
+
+from soak_parts import Sent
+
+LOOKUP_S = 1.0
+"""Time for a look-up; seconds."""
+
+CONNECT_S = 1.0
+"""Time for a connection to be established; seconds."""
+
+DEADLINE_S = 3.0
+"""How long a client waits for an answer; seconds."""
+
+
+class NoAnswerError(Exception):
+    """The connection ended before the whole answer came."""
+
+
+class Conn:
+    """One client's connection to one gateway."""
+
+    def __init__(self, address, reader, writer):
+        self.address = address
+        self.reader = reader
+        self.writer = writer
+        self.last = False
+
+    async def answer(self):
+        """Read a whole answer."""
+        try:
+            head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            line, *rest = head.split("\r\n")
+            fields = {
+                name.lower(): value.strip()
+                for name, _, value in (each.partition(":") for each in rest if each)
+            }
+            body = await self.reader.readexactly(int(fields.get("content-length", 0)))
+        except (asyncio.IncompleteReadError, ConnectionError, OSError) as exc:
+            raise NoAnswerError(repr(exc)) from exc
+        self.last = fields.get("connection") == "close"
+        return int(line.split(" ")[1]), fields, body
+
+    def close(self):
+        self.writer.transport.abort()
+
+
+class SoakClient:
+    """Sends requests until it is stopped, and has every answer checked."""
+
+    def __init__(self, *, name, world, rng):
+        self._name = name
+        self._world = world
+        self._watch = world.watch
+        self._rng = rng
+        self._numbers = itertools.count()
+        self._conn = None
+        self._addresses = []
+        self._asked_at = float("-inf")
+
+    async def run(self):
+        """Send requests, for ever."""
+        while True:
+            await asyncio.sleep(self._rng.expovariate(self._world.rate_per_client))
+            with contextlib.suppress(OSError, TimeoutError, NoAnswerError):
+                await self.once()
+
+    async def once(self, *, kind=None):
+        """Send one burst of requests; return the last status, or None."""
+        conn = await self._connected()
+        if conn is None:
+            self._watch.count("no gateway")
+            return None
+        batch = [self._request(conn, kind) for _ in range(self._burst(kind))]
+        statuses = []
+        try:
+            for sent in batch:
+                conn.writer.write(self._encode(sent))
+            for position, sent in enumerate(batch):
+                statuses.append(await self._await(conn, sent, behind=position))
+                if conn.last:
+                    break
+        finally:
+            if conn.last or len(statuses) < len(batch):
+                conn.close()
+                self._conn = None
+        return statuses[-1]
+
+    def _burst(self, kind):
+        return 3 if kind is None and self._rng.random() < 0.15 else 1
+
+    def _request(self, conn, kind):
+        kind = kind or self._rng.choice(("pages", "pages", "orders", "proofs"))
+        request_id = f"{self._name}-{next(self._numbers)}"
+        once = kind == "orders"
+        sent = Sent(
+            request_id=request_id,
+            method="POST" if once else "GET",
+            target=f"/{kind}/{self._rng.randrange(9)}?q={request_id}",
+            body=f"order {request_id}".encode() if once else b"",
+            services=self._world.services_of(kind),
+            once=once,
+            sent_at=time.monotonic(),
+            gateway=conn.address,
+        )
+        self._watch.note_sent(sent)
+        return sent
+
+    def _encode(self, sent):
+        lines = [f"{sent.method} {sent.target} HTTP/1.1", "Host: soak.example"]
+        lines.append(f"Request-Id: {sent.request_id}")
+        lines.append(f"Request-Deadline: {int(DEADLINE_S * 1000)}")
+        lines.append(f"Cookie: Affinity-Key={sent.target.split('?')[0]}")
+        if sent.body:
+            lines.append(f"Content-Length: {len(sent.body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + sent.body
+
+    async def _await(self, conn, sent, *, behind):
+        patience_s = 0.05 if self._rng.random() < 0.04 else DEADLINE_S
+        try:
+            async with asyncio.timeout(patience_s):
+                status, fields, body = await conn.answer()
+        except TimeoutError:
+            sent.left_at = time.monotonic()
+            self._watch.count("gave up")
+            raise
+        except NoAnswerError:
+            self._watch.count("no answer")
+            self._world.note_cut(sent, behind=behind)
+            raise
+        self._watch.note_answer(
+            sent,
+            status=status,
+            headers=fields,
+            body=body,
+            took_s=time.monotonic() - sent.sent_at,
+            timeout_s=self._world.timeout_s,
+        )
+        return status
+
+    async def _connected(self):
+        if self._conn is not None and not self._conn.reader.at_eof():
+            return self._conn
+        for address in await self._look_up():
+            host, _, port = address.rpartition(":")
+            try:
+                async with asyncio.timeout(CONNECT_S):
+                    reader, writer = await asyncio.open_connection(host, int(port))
+            except (OSError, TimeoutError):
+                continue
+            self._conn = Conn(address, reader, writer)
+            return self._conn
+        return None
+
+    async def _look_up(self):
+        if time.monotonic() - self._asked_at > 2.0:
+            place = self._rng.choice(self._world.gateways)
+            for gateway in self._rng.sample(self._world.gateways, len(self._world.gateways)):
+                with contextlib.suppress(OSError, TimeoutError, ValueError, IndexError):
+                    async with asyncio.timeout(LOOKUP_S):
+                        path = f"/v1/resolve?name=x&region={place.region}&zone={place.zone}"
+                        status, body = await gateway.get("directory", path)
+                    if status == 200:
+                        self._addresses = json.loads(body)["addresses"]
+                        self._asked_at = time.monotonic()
+                        break
+        return self._rng.sample(self._addresses, len(self._addresses))
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import json
+import time
 from urllib.parse import parse_qs, urlsplit
 
 from gooseberryport_site.store import PlatformStore
@@ -19,7 +20,9 @@
     def __init__(self):
         self.items = {}
         self.leases = {}
+        self.renewed = {}
         self.events = []
+        self.last_lease = 100
         self.revision = 10
         self.oldest = 0
         self.page = 500
@@ -56,6 +59,12 @@
             if item["lease"] == lease:
                 await self.delete(key)
 
+    async def end_overdue_leases(self):
+        now = time.monotonic()
+        for lease, ttl_ms in list(self.leases.items()):
+            if now - self.renewed[lease] > ttl_ms / 1000:
+                await self.end_lease(lease)
+
     def forget_history(self):
         self.oldest = self.revision
 
@@ -97,12 +106,17 @@
         if parts.path == "/v1/kv-watch":
             return await self._watch(query)
         if parts.path == "/v1/kv-lease":
-            lease = 100 + len(self.leases)
+            self.last_lease += 1
+            lease = self.last_lease
             self.leases[lease] = body["ttlMs"]
+            self.renewed[lease] = time.monotonic()
             return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
         if parts.path.startswith("/v1/kv-keep/"):
             lease = int(parts.path.rpartition("/")[2])
-            return (200, {"ttlMs": 3000}) if lease in self.leases else (404, {})
+            if lease not in self.leases:
+                return 404, {}
+            self.renewed[lease] = time.monotonic()
+            return 200, {"ttlMs": self.leases[lease]}
         if parts.path.startswith("/v1/kv-lease-end/"):
             await self.end_lease(int(parts.path.rpartition("/")[2]))
             return 200, {}
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,246 @@
+"""A few gateways of a region watch the store for all; against a stand-in of the store."""
+
+import asyncio
+import contextlib
+
+import msgspec
+import pytest
+from soak_parts import Link
+from store_standin import store_standin
+from test_site_discovery import ENTRY, config, entry, make_state, until, usable
+
+from gooseberryport_gateway import _discovery, _relay
+from gooseberryport_gateway._client_conn import ClientConn, Reply
+from gooseberryport_gateway._discovery import Discovery
+from gooseberryport_gateway._relay import (
+    CHANGES_PATH,
+    MOST_CHANGES_KEPT,
+    RELAY_FROM,
+    WATCHERS,
+    ChangeLog,
+)
+from gooseberryport_gateway.wire import StoreItem
+from gooseberryport_site.codec import PlatformCodec
+from gooseberryport_site.store import PlatformStore
+
+
+class Gateway:
+    """Discovery of one gateway, and the listener that other gateways ask."""
+
+    def __init__(self, vm, store_link, log):
+        self.store_link = store_link
+        self.state = make_state(log.fileno())
+        self.state.me = msgspec.structs.replace(self.state.me, vm=vm)
+        self.state.fleet._me = self.state.me
+        self.store = PlatformStore(address=f"127.0.0.1:{store_link.port}")
+        self.discovery = Discovery(state=self.state, store=self.store, codec=PlatformCodec())
+        self.asked = 0
+        self.silent = False
+        self.conns = set()
+        self._tasks = []
+
+    async def listen(self):
+        async def handle(req):
+            self.asked += 1
+            if self.silent:
+                await asyncio.sleep(60)
+            if req.path == CHANGES_PATH:
+                return await self.discovery.relay.answer(req)
+            return Reply(status=404, headers=[])
+
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: ClientConn(handler=handle, limits=lambda: self.state.limits, conns=self.conns),
+            "127.0.0.1",
+            0,
+        )
+        port = self.server.sockets[0].getsockname()[1]
+        self.state.me = msgspec.structs.replace(self.state.me, control=f"127.0.0.1:{port}")
+        self.state.fleet._me = self.state.me
+
+    def start(self):
+        self._tasks = [asyncio.create_task(self.discovery.follow())]
+
+    def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        self.server.close()
+        for conn in list(self.conns):
+            conn.abort()
+
+
+@contextlib.asynccontextmanager
+async def region(standin, log, *, size):
+    links = [await Link(standin.port).start() for _ in range(size)]
+    gateways = [Gateway(f"vm{n}", link, log) for n, link in enumerate(links)]
+    for each in gateways:
+        await each.listen()
+
+    async def hear():
+        while True:
+            now = asyncio.get_running_loop().time()
+            for each in gateways:
+                for other in gateways:
+                    if other is not each and not other.silent:
+                        each.state.fleet.note_heard(
+                            other.state.me.vm,
+                            incarnation=1,
+                            ready=other.state.ready,
+                            follows_store=other.state.follows_store,
+                            now=now,
+                        )
+            await asyncio.sleep(0.02)
+
+    members = [each.state.me for each in gateways]
+    for each in gateways:
+        now = asyncio.get_running_loop().time()
+        each.state.fleet.set_listed(members, now=now)
+        each.discovery._members = {member.vm: member for member in members}
+        each.start()
+    hearing = asyncio.create_task(hear())
+    try:
+        yield gateways
+    finally:
+        hearing.cancel()
+        for each in gateways:
+            each.stop()
+            each.store_link.close()
+
+
+def play(scenario, *, size, tmp_path, monkeypatch):
+    monkeypatch.setattr(_discovery, "WATCH_WAIT_S", 0.3)
+    monkeypatch.setattr(_relay, "AVOID_S", 0.2)
+    monkeypatch.setattr(_relay, "AGE_SHARE", 20.0)
+
+    async def main():
+        with (tmp_path / "log").open("wb") as log:
+            async with store_standin() as (standin, _):
+                await standin.put("servers/u1", ENTRY)
+                await standin.put("op/config", config(1))
+                async with region(standin, log, size=size) as gateways:
+                    await until(lambda: all(each.state.ready for each in gateways))
+                    watchers = size if size < RELAY_FROM else WATCHERS
+                    await until(lambda: watching_themselves(gateways) == watchers)
+                    await scenario(standin, gateways)
+
+    asyncio.run(asyncio.wait_for(main(), 30))
+
+
+def watching_themselves(gateways):
+    return sum(each.discovery._watcher is None for each in gateways)
+
+
+async def beats(standin, count):
+    for number in range(count):
+        await standin.put("servers/u1", entry(sequence=10 + number))
+        await asyncio.sleep(0.05)
+
+
+def watches(standin):
+    return sum("kv-watch" in target for _, target in standin.calls)
+
+
+@pytest.mark.parametrize(("size", "most_watchers"), [(4, 4), (8, 2)])
+def test_two_gateways_of_a_large_region_watch_for_all(size, most_watchers, tmp_path, monkeypatch):
+    async def scenario(standin, gateways):
+        before = watches(standin)
+        await beats(standin, 20)
+        per_watcher = 20 + 4
+        assert watches(standin) - before <= most_watchers * per_watcher
+        assert watching_themselves(gateways) == most_watchers
+        await standin.put("servers/u1", entry(state="draining", sequence=99))
+        await until(lambda: all(usable(each.state) == [] for each in gateways), within_s=1.0)
+
+    play(scenario, size=size, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_gateways_watch_themselves_while_their_watchers_are_silent(tmp_path, monkeypatch):
+    async def scenario(standin, gateways):
+        for each in gateways:
+            if each.discovery._watcher is None:
+                each.silent = True
+        await standin.put("servers/u1", entry(state="draining", sequence=99))
+        others = [each for each in gateways if not each.silent]
+        assert len(others) == 6
+        within_s = _relay.HOLD_S + _relay.ASK_MARGIN_S + 0.7
+        await until(lambda: all(usable(e.state) == [] for e in others), within_s=within_s)
+
+    play(scenario, size=8, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_watcher_that_the_store_turns_away_is_not_followed(tmp_path, monkeypatch):
+    async def scenario(standin, gateways):
+        watchers = [each for each in gateways if each.discovery._watcher is None]
+        for each in watchers:
+            each.store_link.close()
+        await until(lambda: all(not each.state.follows_store for each in watchers))
+        await standin.put("servers/u1", entry(state="draining", sequence=99))
+        others = [each for each in gateways if each not in watchers]
+        await until(lambda: all(usable(each.state) == [] for each in others), within_s=2.0)
+
+    play(scenario, size=8, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_stale_watcher_is_not_followed(tmp_path, monkeypatch):
+    async def scenario(standin, gateways):
+        monkeypatch.setattr(_relay, "AGE_SHARE", 0.0)
+        before = watches(standin)
+        await beats(standin, 5)
+        assert all(each.discovery._watcher is None or each.asked == 0 for each in gateways)
+        assert watches(standin) - before > 5
+
+    play(scenario, size=8, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def item(key, value, revision):
+    data = None if value is None else msgspec.json.encode(value)
+    return StoreItem(key=key, value=data, revision=revision)
+
+
+def change_log():
+    log = ChangeLog(codec=PlatformCodec())
+    log.begin([item("servers/u1", ENTRY, 5)], revision=5, now=0.0)
+    return log
+
+
+def test_reports_that_say_what_was_known_are_left_out():
+    log = change_log()
+    assert not log.add([item("servers/u1", entry(sequence=5), 6)], revision=6, now=1.0)
+    assert log.since(5) == []
+    draining = item("servers/u1", entry(sequence=6, state="draining"), 7)
+    assert log.add([draining], revision=7, now=2.0)
+    assert log.since(5) == [draining]
+    assert log.since(7) == []
+
+
+def test_upstream_that_stays_cold_as_it_said_is_told_of_once():
+    log = change_log()
+    cold = [entry(sequence=5 + n, coldRemainingMs=3000 - 1000 * n) for n in range(3)]
+    told = [
+        log.add([item("servers/u1", each, 6 + n)], revision=6 + n, now=float(n))
+        for n, each in enumerate(cold)
+    ]
+    assert told == [True, False, False]
+    again = entry(sequence=9, coldRemainingMs=3000)
+    assert log.add([item("servers/u1", again, 9)], revision=9, now=2.5)
+
+
+def test_removal_return_and_unreadable_entries_are_told():
+    log = change_log()
+    removed = item("servers/u1", None, 6)
+    back = item("servers/u1", ENTRY, 7)
+    unreadable = StoreItem(key="servers/u1", value=b"{", revision=8)
+    changed = item("op/config", config(2), 9)
+    news = [removed, back, unreadable, changed]
+    log.add(news, revision=9, now=1.0)
+    assert log.since(5) == news
+
+
+def test_who_is_too_far_behind_has_to_read_the_store():
+    log = change_log()
+    assert log.since(4) is None
+    for number in range(MOST_CHANGES_KEPT + 1):
+        log.add([item("op/x", {}, 6 + number)], revision=6 + number, now=0.0)
+    assert log.since(5) is None
+    assert len(log.since(6)) == MOST_CHANGES_KEPT
+    assert ChangeLog(codec=PlatformCodec()).since(0) is None
