--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 import pytest
 from soak_parts import Link
 from store_standin import store_standin
-from test_site_discovery import ENTRY, config, entry, make_state, until, usable
+from test_site_discovery import ENTRY, ME, config, entry, make_state, until, usable
 
 from gooseberryport_gateway import _discovery, _relay
 from gooseberryport_gateway._client_conn import ClientConn, Reply
@@ -29,14 +29,11 @@
 
     def __init__(self, vm, store_link, log):
         self.store_link = store_link
-        self.state = make_state(log.fileno())
-        self.state.me = msgspec.structs.replace(self.state.me, vm=vm)
-        self.state.fleet._me = self.state.me
-        self.store = PlatformStore(address=f"127.0.0.1:{store_link.port}")
-        self.discovery = Discovery(state=self.state, store=self.store, codec=PlatformCodec())
         self.asked = 0
         self.silent = False
         self.conns = set()
+        self._vm = vm
+        self._log = log
         self._tasks = []
 
     async def listen(self):
@@ -55,8 +52,10 @@
             0,
         )
         port = self.server.sockets[0].getsockname()[1]
-        self.state.me = msgspec.structs.replace(self.state.me, control=f"127.0.0.1:{port}")
-        self.state.fleet._me = self.state.me
+        me = msgspec.structs.replace(ME, vm=self._vm, control=f"127.0.0.1:{port}")
+        self.state = make_state(self._log.fileno(), me=me)
+        store = PlatformStore(address=f"127.0.0.1:{self.store_link.port}")
+        self.discovery = Discovery(state=self.state, store=store, codec=PlatformCodec())
 
     def start(self):
         self._tasks = [asyncio.create_task(self.discovery.follow())]
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -44,7 +44,10 @@
     return ENTRY | {"status": ENTRY["status"] | status}
 
 
-def make_state(log_fd, *, seeds=()):
+ME = Member("vm1", "a1", "A", "10.0.0.1:80", ("10.0.0.1", 9), 1)
+
+
+def make_state(log_fd, *, seeds=(), me=ME):
     settings = GatewaySettings(
         vm="vm1",
         zone="a1",
@@ -61,7 +64,6 @@
         lease_min_ms=1000,
         bounds=Bounds(0.2, 50.0, 10.0, 1.5, 5.0, 0.05, 6.0, 5.0),
     )
-    me = Member("vm1", "a1", "A", "10.0.0.1:80", ("10.0.0.1", 9), 1)
     return GatewayState(settings=settings, me=me, log=Log(vm="vm1", fd=log_fd), metrics=Metrics())
 
 
