--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -3,15 +3,26 @@
 Failure pattern: gateways crash, are cut off, or lose their leases because the store is unavailable.
 A gateway is a member if the store lists it or if datagrams from it arrive. A gateway that is listed
 but silent is not given to clients while others are available.
+
+Load pattern: hundreds of gateways, of which each needs to know who is alive. Gateways send
+heartbeats within their availability zone only. A few reporters of each zone send a digest of their
+zone to the reporters of the other zones, which pass it on within theirs.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import Enum
 
 import msgspec
+import xxhash
 
 from gooseberryport_core._hashing import rendezvous_weight
+from gooseberryport_core.gateway.entry_points import (
+    MAX_ENTRY_POINTS,
+    PeakDemand,
+    choose_entry_points,
+)
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.types import RegionName, VmId, ZoneName
 
@@ -30,11 +41,121 @@
 FIRST_DATAGRAM_TIMEOUT_S = 2.0
 """Time for which a newly listed gateway counts as alive without a datagram from it; seconds."""
 
+ZONE_DIGEST_TTL_S = 3.0
+"""Age from which the digest of an availability zone is ignored, and its gateways do not count as
+alive: three digest intervals; seconds."""
+
+ACTIVE_TTL_S = 3.0
+"""Time for which a gateway counts as active after the last report that said so; seconds."""
+
+REPORTERS = 2
+"""Number of gateways of an availability zone that send its digest, so that one may fail."""
+
+REPORT_TASK = "report zone"
+
+PLAN_TTL_S = 0.5
+"""Time for which a report plan is kept while the members stay the same; seconds."""
+
+SHARING_TTL_S = 0.1
+"""Time for which the set of gateways that share limits is kept unless one joins; seconds."""
+
+VM_HASH_MASK = 0xFFFFFFFF
+
 DEPARTED_MEMBER_TTL_S = 10.0
 """Time for which a departed gateway still counts as one that shares limits, the length of the
 window of the retry budget; seconds."""
 
 
+class ZoneDigest(msgspec.Struct, frozen=True, array_like=True):
+    """What the reporters of an availability zone say of its gateways.
+
+    Parameters
+    ----------
+    zone
+        The availability zone.
+    age_s
+        Age of the digest when it is sent; seconds.
+    absent
+        Short hashes of the VMs whose gateways are listed but do not serve clients.
+    demand_per_s
+        Requests per second that the zone's gateways receive.
+    """
+
+    zone: ZoneName
+    age_s: float
+    absent: list[int]
+    demand_per_s: float
+
+
+class _ReceivedDigest(msgspec.Struct, frozen=True):
+    made_at: float
+    absent: frozenset[int]
+    demand_per_s: float
+
+
+def vm_hash(vm: VmId) -> int:
+    """Return a short hash of a VM's name that is the same in every process."""
+    return xxhash.xxh3_64_intdigest(vm.encode()) & VM_HASH_MASK
+
+
+class Audience(Enum):
+    """What a report to another gateway contains, and how often it is sent."""
+
+    ACTIVE = "active"
+    """Both gateways serve clients of one region: loads and warm objects, at the shortest period."""
+
+    REMOTE_ACTIVE = "remote-active"
+    """Both serve clients, in different regions: loads."""
+
+    ZONE = "zone"
+    """Another gateway of the availability zone: heartbeat and warm objects."""
+
+    REGION = "region"
+    """Another gateway of the region, which does not serve clients: warm objects, if any."""
+
+    REPORTER = "reporter"
+    """A reporter of another availability zone: digests."""
+
+
+class Listener(msgspec.Struct, frozen=True):
+    """Another gateway that this one reports to.
+
+    Parameters
+    ----------
+    member
+        The other gateway.
+    audience
+        What its reports contain, and how often they are sent.
+    gets_digests
+        Whether some of its reports contain the digests of availability zones.
+    """
+
+    member: Member
+    audience: Audience
+    gets_digests: bool
+
+
+class ReportPlan(msgspec.Struct, frozen=True):
+    """What this gateway is to the others, and which of them it reports to.
+
+    Parameters
+    ----------
+    at
+        Time at which the plan was made; monotonic seconds.
+    ready
+        Whether this gateway was ready to serve clients.
+    active
+        Whether this gateway serves clients, or expects to.
+    listeners
+        Gateways that it reports to.
+    """
+
+    at: float
+    ready: bool
+    active: bool
+    listeners: tuple[Listener, ...]
+
+
 class _MemberState(msgspec.Struct):
     """What this gateway knows of another one.
 
@@ -46,8 +167,10 @@
         Time of the last datagram from it; monotonic seconds.
     last_seen_at
         Time at which it was last listed or sent a datagram; monotonic seconds.
-    ready, follows_store
+    ready, follows_store, demand_per_s
         As in its last datagram.
+    active_at
+        Time of its last datagram that said that it serves clients; monotonic seconds.
     """
 
     member: Member
@@ -57,12 +180,21 @@
     last_seen_at: float = 0.0
     ready: bool = True
     follows_store: bool = True
+    demand_per_s: float = 0.0
+    active_at: float = float("-inf")
 
 
 def _is_counted(state: _MemberState, *, now: float) -> bool:
     return state.listed or now - state.last_seen_at < DEPARTED_MEMBER_TTL_S
 
 
+def _by_zone(members: Iterable[Member]) -> dict[ZoneName, list[Member]]:
+    by_zone: dict[ZoneName, list[Member]] = {}
+    for member in members:
+        by_zone.setdefault(member.zone, []).append(member)
+    return by_zone
+
+
 class Fleet:
     """Tracks the gateways that the store lists or that send datagrams.
 
@@ -75,9 +207,27 @@
     def __init__(self, *, me: Member) -> None:
         self._me = me
         self._states: dict[VmId, _MemberState] = {}
+        self._digests: dict[ZoneName, _ReceivedDigest] = {}
+        self._demands: dict[ZoneName, PeakDemand] = {}
+        self._plan: ReportPlan | None = None
+        self._sharing: frozenset[VmId] = frozenset([me.vm])
+        self._sharing_at = float("-inf")
+
+    def set_listed(
+        self, members: Iterable[Member], *, now: float, were_listed: bool = False
+    ) -> None:
+        """Replace the members that the store lists.
 
-    def set_listed(self, members: Iterable[Member], *, now: float) -> None:
-        """Replace the members that the store lists."""
+        Parameters
+        ----------
+        members
+            Members that the store lists.
+        now
+            Monotonic time; seconds.
+        were_listed
+            Whether unknown members were listed before this gateway started, and may have failed
+            long ago. They do not count as alive until a datagram or a digest says so.
+        """
         listed = {member.vm: member for member in members if member.vm != self._me.vm}
         for vm, old in self._states.items():
             if vm not in listed:
@@ -86,14 +236,28 @@
             state = self._states.get(vm)
             if state is None or state.member.incarnation != member.incarnation:
                 self._states[vm] = _MemberState(
-                    member=member, listed=True, listed_at=now, last_seen_at=now
+                    member=member,
+                    listed=True,
+                    listed_at=float("-inf") if were_listed else now,
+                    last_seen_at=now,
                 )
+                self._plan = None
+                self._sharing_at = float("-inf")
             else:
+                state.member = member
                 state.listed = True
                 state.last_seen_at = now
 
     def record_datagram(
-        self, vm: VmId, *, incarnation: int, ready: bool, follows_store: bool = True, now: float
+        self,
+        vm: VmId,
+        *,
+        incarnation: int,
+        ready: bool,
+        follows_store: bool = True,
+        active: bool = True,
+        demand_per_s: float = 0.0,
+        now: float,
     ) -> None:
         """Record a datagram from a gateway; a gateway that was never listed is ignored.
 
@@ -108,6 +272,10 @@
             Whether the sender serves clients.
         follows_store
             Whether the sender receives replies from the store.
+        active
+            Whether the sender serves clients, or expects to.
+        demand_per_s
+            Requests per second that the sender receives.
         now
             Monotonic time; seconds.
         """
@@ -118,18 +286,183 @@
             return
         if incarnation != state.member.incarnation:
             state.member = msgspec.structs.replace(state.member, incarnation=incarnation)
+        if not self._is_in_contact(state, now=now) or state.ready != ready:
+            self._plan = None
         state.last_received_at = state.last_seen_at = now
         state.ready = ready
         state.follows_store = follows_store
+        state.demand_per_s = demand_per_s
+        if active:
+            state.active_at = now
+
+    def record_digests(self, digests: Iterable[ZoneDigest], *, now: float) -> None:
+        """Record digests of other availability zones; of each zone the newest counts."""
+        for digest in digests:
+            made_at = now - max(digest.age_s, 0.0)
+            known = self._digests.get(digest.zone)
+            if digest.zone == self._me.zone or (known is not None and known.made_at >= made_at):
+                continue
+            self._digests[digest.zone] = _ReceivedDigest(
+                made_at=made_at,
+                absent=frozenset(digest.absent),
+                demand_per_s=digest.demand_per_s,
+            )
+
+    def digests(self, *, demand_per_s: float, now: float) -> list[ZoneDigest]:
+        """Return the digest of this gateway's zone, and those received from other zones.
+
+        Parameters
+        ----------
+        demand_per_s
+            Requests per second that this gateway receives.
+        now
+            Monotonic time; seconds.
+        """
+        absent = [
+            vm_hash(vm)
+            for vm, state in self._states.items()
+            if state.listed
+            and state.member.zone == self._me.zone
+            and not (state.ready and self._is_alive(state, now=now))
+        ]
+        own = ZoneDigest(
+            zone=self._me.zone,
+            age_s=0.0,
+            absent=absent,
+            demand_per_s=self._zone_demand(self._me.zone, own_per_s=demand_per_s, now=now),
+        )
+        received = [
+            ZoneDigest(
+                zone=zone,
+                age_s=now - digest.made_at,
+                absent=sorted(digest.absent),
+                demand_per_s=digest.demand_per_s,
+            )
+            for zone, digest in self._digests.items()
+            if now - digest.made_at < ZONE_DIGEST_TTL_S
+        ]
+        return [own, *received]
+
+    def _zone_demand(self, zone: ZoneName, *, own_per_s: float, now: float) -> float:
+        if zone == self._me.zone:
+            return own_per_s + sum(
+                state.demand_per_s
+                for state in self._states.values()
+                if state.member.zone == zone and self._is_in_contact(state, now=now)
+            )
+        digest = self._digests.get(zone)
+        if digest is None or now - digest.made_at >= ZONE_DIGEST_TTL_S:
+            return 0.0
+        return digest.demand_per_s
 
     def peers(self, *, now: float) -> list[Member]:
         """Return the other gateways to send datagrams to."""
         return [state.member for state in self._states.values() if _is_counted(state, now=now)]
 
+    def report_plan(
+        self, *, ready: bool, demand_per_s: float, busy: bool, now: float
+    ) -> ReportPlan:
+        """Return what this gateway is to the others, and which of them it reports to.
+
+        Parameters
+        ----------
+        ready
+            Whether this gateway serves clients.
+        demand_per_s
+            Requests per second that this gateway receives.
+        busy
+            Whether it received requests lately, even if look-ups do not return it.
+        now
+            Monotonic time; seconds.
+        """
+        plan = self._plan
+        if plan is None or now - plan.at >= PLAN_TTL_S or plan.ready is not ready:
+            plan = self._plan = self._make_plan(
+                ready=ready, demand_per_s=demand_per_s, busy=busy, now=now
+            )
+        return plan
+
+    def _make_plan(self, *, ready: bool, demand_per_s: float, busy: bool, now: float) -> ReportPlan:
+        # Gateways of which nothing is known yet get reports, so that they learn of this one.
+        by_zone = _by_zone(
+            [state.member for state in self._states.values() if self._is_presumed(state, now=now)]
+            + ([self._me] if ready else [])
+        )
+        active: set[VmId] = set()
+        reporters: set[VmId] = set()
+        for zone, members in by_zone.items():
+            demand = self._held_demand(zone, own_per_s=demand_per_s, now=now)
+            active.update(member.vm for member in choose_entry_points(members, demand_per_s=demand))
+            ranked = sorted(
+                members, key=lambda member: rendezvous_weight(member.vm, REPORT_TASK), reverse=True
+            )
+            reporters.update(member.vm for member in ranked[:REPORTERS])
+        me_active = busy or self._me.vm in active
+        # Digests tell of gateways that report within their zone only.
+        has_idle = any(member.vm not in active for member in by_zone.get(self._me.zone, []))
+        me_reporter = self._me.vm in reporters and has_idle
+        listeners: list[Listener] = []
+        for vm, state in self._states.items():
+            if not _is_counted(state, now=now):
+                continue
+            peer_active = vm in active or now - state.active_at < ACTIVE_TTL_S
+            both_report = me_reporter and vm in reporters
+            audience = self._audience(
+                state.member,
+                me_active=me_active,
+                peer_active=peer_active,
+                both_report=both_report,
+            )
+            if audience is not None:
+                same_zone = state.member.zone == self._me.zone
+                listeners.append(
+                    Listener(
+                        member=state.member,
+                        audience=audience,
+                        gets_digests=both_report or (me_reporter and same_zone),
+                    )
+                )
+        return ReportPlan(at=now, ready=ready, active=me_active, listeners=tuple(listeners))
+
+    def _audience(
+        self, peer: Member, *, me_active: bool, peer_active: bool, both_report: bool
+    ) -> Audience | None:
+        if me_active and peer_active:
+            return Audience.ACTIVE if peer.region == self._me.region else Audience.REMOTE_ACTIVE
+        if peer.zone == self._me.zone:
+            return Audience.ZONE
+        if both_report:
+            return Audience.REPORTER
+        if me_active and peer.region == self._me.region:
+            return Audience.REGION
+        return None
+
+    def _is_presumed(self, state: _MemberState, *, now: float) -> bool:
+        """Return whether a gateway serves clients, unless something shows that it does not."""
+        if not state.ready or not _is_counted(state, now=now):
+            return False
+        if self._is_alive(state, now=now):
+            return True
+        digest = self._digests.get(state.member.zone)
+        is_absent = digest is not None and vm_hash(state.member.vm) in digest.absent
+        return state.last_received_at == float("-inf") and not is_absent
+
+    def _held_demand(self, zone: ZoneName, *, own_per_s: float, now: float) -> float:
+        peak = self._demands.setdefault(zone, PeakDemand())
+        return peak.update(self._zone_demand(zone, own_per_s=own_per_s, now=now), now=now)
+
     def gateways_sharing_limits(self, *, now: float) -> frozenset[VmId]:
-        """Return the gateways that the limits are divided among, this one included."""
-        others = [vm for vm, state in self._states.items() if _is_counted(state, now=now)]
-        return frozenset([self._me.vm, *others])
+        """Return the gateways that the limits are divided among, this one included.
+
+        The same set is returned until it changes, so that callers can compare it by identity.
+        """
+        if not 0.0 <= now - self._sharing_at < SHARING_TTL_S:
+            others = [vm for vm, state in self._states.items() if _is_counted(state, now=now)]
+            sharing = frozenset([self._me.vm, *others])
+            if sharing != self._sharing:
+                self._sharing = sharing
+            self._sharing_at = now
+        return self._sharing
 
     def serving_members(self, *, now: float) -> list[Member]:
         """Return the other gateways that are believed to serve clients."""
@@ -170,13 +503,19 @@
         return eligible[:count]
 
     def entry_points(
-        self, *, zone: ZoneName, region: RegionName, ready: bool, now: float
+        self,
+        *,
+        zone: ZoneName,
+        region: RegionName,
+        ready: bool,
+        demand_per_s: float = 0.0,
+        now: float,
     ) -> list[str]:
         """Return the gateway addresses for a client in a zone and region.
 
-        If enough gateways in the client's availability zone serve clients, only they are returned;
-        otherwise those of its region; otherwise all. The list is empty if no gateway is known to
-        serve clients.
+        If enough gateways in the client's availability zone serve clients, only entry points of
+        this zone are returned; otherwise those of its region; otherwise of all. The list is empty
+        if no gateway is known to serve clients.
 
         Parameters
         ----------
@@ -184,16 +523,30 @@
             Location of the client.
         ready
             Whether this gateway serves clients itself.
+        demand_per_s
+            Requests per second that this gateway receives.
         now
             Monotonic time; seconds.
         """
-        members = self.serving_members(now=now)
-        if ready:
-            members.append(self._me)
-        nearby = [member for member in members if member.zone == zone]
-        if len(nearby) < MIN_ZONE_GATEWAYS:
-            nearby = [member for member in members if member.region == region]
-        return sorted(member.front for member in nearby or members)
+        by_zone = _by_zone(self.serving_members(now=now) + ([self._me] if ready else []))
+        nearby = {zone: by_zone.get(zone, [])}
+        if len(nearby[zone]) < MIN_ZONE_GATEWAYS:
+            nearby = {
+                name: members for name, members in by_zone.items() if members[0].region == region
+            }
+        chosen = [
+            member
+            for name, members in (nearby or by_zone).items()
+            for member in choose_entry_points(
+                members, demand_per_s=self._held_demand(name, own_per_s=demand_per_s, now=now)
+            )
+        ]
+        return sorted(member.front for member in chosen[:MAX_ENTRY_POINTS])
+
+    def is_in_contact(self, vm: VmId, *, now: float) -> bool:
+        """Return whether datagrams from a gateway arrive."""
+        state = self._states.get(vm)
+        return state is not None and self._is_in_contact(state, now=now)
 
     def _is_in_contact(self, state: _MemberState, *, now: float) -> bool:
         same_region = state.member.region == self._me.region
@@ -204,4 +557,9 @@
     def _is_alive(self, state: _MemberState, *, now: float) -> bool:
         if self._is_in_contact(state, now=now):
             return True
+        digest = self._digests.get(state.member.zone)
+        if digest is not None and now - digest.made_at < ZONE_DIGEST_TTL_S:
+            # A digest made soon after the last datagram may not know yet that the gateway failed.
+            knows_silence = digest.made_at > state.last_received_at + LOCAL_REGION_TIMEOUT_S
+            return knows_silence and state.listed and vm_hash(state.member.vm) not in digest.absent
         return state.listed and now - state.listed_at < FIRST_DATAGRAM_TIMEOUT_S
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/limits.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/limits.py
@@ -143,11 +143,13 @@
         self._overage = overage
         self._slack = slack
         self._sent: dict[UpstreamId, _SlidingWindow] = {}
+        self._allowances: dict[UpstreamId, tuple[float, frozenset[VmId], int]] = {}
 
     def set_bounds(self, *, overage: float, slack: float) -> None:
         """Change the bounds; the requests sent so far still count."""
         self._overage = overage
         self._slack = slack
+        self._allowances.clear()
 
     def allowance(
         self, *, upstream: UpstreamId, cold_rate_per_s: float, gateways: frozenset[VmId]
@@ -157,6 +159,16 @@
         If there are more gateways than allowed requests, the gateways that rank highest for the
         upstream by rendezvous hashing may send one each.
         """
+        known = self._allowances.get(upstream)
+        if known is not None and known[0] == cold_rate_per_s and known[1] is gateways:
+            return known[2]
+        allowance = self._compute_allowance(upstream, cold_rate_per_s, gateways)
+        self._allowances[upstream] = (cold_rate_per_s, gateways, allowance)
+        return allowance
+
+    def _compute_allowance(
+        self, upstream: UpstreamId, cold_rate_per_s: float, gateways: frozenset[VmId]
+    ) -> int:
         limit = int((cold_rate_per_s * self._overage + self._slack) * COLD_RATE_FRACTION)
         if len(gateways) <= limit:
             return limit // max(len(gateways), 1)
@@ -189,3 +201,4 @@
     def forget(self, upstream: UpstreamId) -> None:
         """Drop the counts of an upstream that was removed."""
         self._sent.pop(upstream, None)
+        self._allowances.pop(upstream, None)
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
@@ -196,6 +196,8 @@
         Number that differs for every start of the gateway.
     control
         Address for HTTP requests of other gateways, ``IP:port``.
+    capacity_per_s
+        Requests per second that its VM can carry; 0 if it does not state this.
     """
 
     vm: VmId
@@ -205,3 +207,4 @@
     datagrams: Address
     incarnation: int
     control: str = ""
+    capacity_per_s: float = 0.0
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -10,20 +10,16 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Sequence
 from enum import Enum
 
 import msgspec
 
-from gooseberryport_core._hashing import hash_to_unit_interval
+from gooseberryport_core.gateway import ranking
 from gooseberryport_core.gateway.model import ObjectKey
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, ZoneName
 
-MIN_HASH_POINT = 2.0**-53
-"""Minimum distance of a hash's point from 0 and 1, where the rendezvous score is undefined."""
-
 LOCAL_REGION_WEIGHT = 4.0
 """Weight of a slot in the gateway's region, relative to one in another region, when an object's
 home is chosen."""
@@ -114,30 +110,80 @@
         return self.region_of(upstream.entry.zone) == self.region_of(self.zone)
 
 
+def upstream_weight(upstream: Upstream, *, local: bool) -> float:
+    """Return an upstream's weight when an object's home is chosen.
+
+    Each object is requested from one region, so upstreams there weigh more.
+    """
+    return max(upstream.entry.slots, 1) * (LOCAL_REGION_WEIGHT if local else 1.0)
+
+
 def rank_upstreams(
     *, candidates: Sequence[Upstream], service: ServiceName, key: ObjectKey, view: PlacementView
 ) -> list[Upstream]:
     """Return upstreams in order of preference for an object, the same at all gateways of a region.
 
-    Rendezvous hashing weighted by slots: when an upstream joins or leaves, only the objects that it
-    gains or loses move. Each object is requested from one region, so upstreams there weigh more.
+    All candidates are scored; `ranking.ObjectRankings` keeps the best few of each object.
     """
+    return ranking.rank_upstreams(
+        upstreams=candidates,
+        service=service,
+        key=key,
+        weight_of=lambda upstream: upstream_weight(upstream, local=view.is_local(upstream)),
+    )
 
-    def score(upstream: Upstream) -> float:
-        weight = max(upstream.entry.slots, 1) * (
-            LOCAL_REGION_WEIGHT if view.is_local(upstream) else 1.0
-        )
-        return rendezvous_score(service=service, key=key, upstream=upstream.id, weight=weight)
 
-    return sorted(candidates, key=score, reverse=True)
+class PreferredUpstreams(msgspec.Struct, frozen=True):
+    """The few upstreams that an object's request may be placed on.
+
+    Parameters
+    ----------
+    ranked
+        Highest-ranked upstreams for the object, in order, whatever their state.
+    homes
+        Upstreams where the object is warm, in order of rank, whatever their state.
+    is_usable
+        Returns whether an upstream may serve the request.
+    """
+
+    ranked: Sequence[Upstream]
+    homes: Sequence[Upstream]
+    is_usable: Callable[[Upstream], bool]
+
+
+def place_on_preferred(
+    *,
+    preferred: PreferredUpstreams,
+    view: PlacementView,
+    queue_factor: float,
+    avoided: frozenset[UpstreamId] = frozenset(),
+) -> Placement | None:
+    """Choose one of an object's preferred upstreams; return None if none of them can be used.
+
+    The cost does not depend on the number of upstreams. If none can be used, `place_request`
+    decides among all of them.
 
+    Parameters
+    ----------
+    preferred
+        Upstreams to choose from.
+    view, queue_factor, avoided
+        As for `place_request`.
+    """
 
-def rendezvous_score(
-    *, service: ServiceName, key: ObjectKey, upstream: UpstreamId, weight: float
-) -> float:
-    """Return an upstream's rendezvous score for an object; higher is better."""
-    point = hash_to_unit_interval(f"{service}|{key}|{upstream}")
-    return -weight / math.log(min(max(point, MIN_HASH_POINT), 1.0 - MIN_HASH_POINT))
+    def can_use(upstream: Upstream) -> bool:
+        return (
+            upstream.id not in avoided
+            and upstream.failure_fraction < FAILING_FRACTION
+            and preferred.is_usable(upstream)
+            and view.can_send(upstream)
+        )
+
+    homes = [upstream for upstream in preferred.homes if can_use(upstream)]
+    ranked = [upstream for upstream in preferred.ranked if can_use(upstream)]
+    if not homes and not ranked:
+        return None
+    return _place_ranked(ranked=ranked, homes=homes, view=view, queue_factor=queue_factor)
 
 
 def place_request(
@@ -176,6 +222,16 @@
         return _nearest(candidates=sendable, view=view, queue_factor=queue_factor)
     ranked = rank_upstreams(candidates=sendable, service=service, key=key, view=view)
     homes = [upstream for upstream in ranked if view.is_warm(upstream)]
+    return _place_ranked(ranked=ranked, homes=homes, view=view, queue_factor=queue_factor)
+
+
+def _place_ranked(
+    *,
+    ranked: Sequence[Upstream],
+    homes: Sequence[Upstream],
+    view: PlacementView,
+    queue_factor: float,
+) -> Placement:
     if not homes:
         return _least_loaded(
             candidates=ranked[:INITIAL_HOME_CANDIDATES], view=view, queue_factor=queue_factor
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import bisect
 from collections.abc import Iterator
 from enum import Enum
 
@@ -142,6 +143,8 @@
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._by_service: dict[ServiceName, list[Upstream]] = {}
         self._evacuated: frozenset[ZoneName] = frozenset()
+        # Whether most entries of a service are missing; computed when it is needed.
+        self._has_lost_most: dict[ServiceName, bool] = {}
 
     @property
     def evacuated(self) -> frozenset[ZoneName]:
@@ -151,6 +154,7 @@
     def set_evacuated(self, zones: frozenset[ZoneName]) -> None:
         """Replace the evacuated availability zones."""
         self._evacuated = zones
+        self._has_lost_most.clear()
 
     def get(self, upstream: UpstreamId) -> Upstream | None:
         """Return the upstream with an id, or None if it is unknown."""
@@ -177,7 +181,7 @@
         if known is None:
             upstream = Upstream(entry=entry, cold_until=now + entry.cold_s)
             self._upstreams[entry.upstream] = upstream
-            self._rebuild_index()
+            self._add_to_index(upstream)
             return True
         known_entry = known.entry
         if (entry.started_ms, entry.sequence) < (known_entry.started_ms, known_entry.sequence):
@@ -185,6 +189,8 @@
         restarted = entry.started_ms != known_entry.started_ms
         if not restarted and known_entry.state is UpstreamState.DRAINING:
             entry = msgspec.structs.replace(entry, state=UpstreamState.DRAINING)
+        if known.expires_at is not None or entry.state is not known_entry.state:
+            self._has_lost_most.clear()
         known.entry = entry
         known.expires_at = None
         known.cold_until = now + entry.cold_s
@@ -197,8 +203,9 @@
 
     def remove(self, upstream: UpstreamId) -> None:
         """Remove an upstream whose entry was deleted."""
-        if self._upstreams.pop(upstream, None) is not None:
-            self._rebuild_index()
+        known = self._upstreams.pop(upstream, None)
+        if known is not None:
+            self._remove_from_index(known)
 
     def mark_missing(self, upstream: UpstreamId, *, store_available_at: float) -> None:
         """Schedule the removal of an upstream whose entry disappeared during a store outage.
@@ -213,6 +220,7 @@
         known = self._upstreams.get(upstream)
         if known is not None and known.expires_at is None:
             known.expires_at = store_available_at + MISSING_ENTRY_TTL_S
+            self._has_lost_most.clear()
 
     def expire(self, *, now: float) -> list[UpstreamId]:
         """Remove and return the upstreams whose entries did not reappear in time."""
@@ -230,27 +238,49 @@
         ]
 
     def usable(self, service: ServiceName) -> list[Upstream]:
-        """Return the upstreams of a service that accept new requests, cold ones included.
+        """Return the upstreams of a service that accept new requests, cold ones included."""
+        return [upstream for upstream in self.for_service(service) if self.is_usable(upstream)]
 
-        Upstreams whose entries are missing are included only if most of the service's entries are
+    def is_usable(self, upstream: Upstream) -> bool:
+        """Return whether an upstream accepts new requests, even if it is cold.
+
+        Upstreams whose entries are missing are used only if most of the service's entries are
         missing. In that case the store has lost the entries; otherwise the upstreams have left.
         """
-        ready_upstreams = [
-            upstream
-            for upstream in self.for_service(service)
-            if upstream.entry.state is UpstreamState.READY
+        return (
+            self._accepts_requests(upstream)
+            and upstream.reachability is Reachability.REACHABLE
+            and (upstream.expires_at is None or self._has_lost_most_entries(upstream.entry.service))
+        )
+
+    def _accepts_requests(self, upstream: Upstream) -> bool:
+        return (
+            upstream.entry.state is UpstreamState.READY
             and upstream.entry.zone not in self._evacuated
-        ]
-        listed_upstreams = [upstream for upstream in ready_upstreams if upstream.expires_at is None]
-        if 2 * len(listed_upstreams) >= len(ready_upstreams):
-            ready_upstreams = listed_upstreams
-        return [
-            upstream
-            for upstream in ready_upstreams
-            if upstream.reachability is Reachability.REACHABLE
-        ]
+        )
+
+    def _has_lost_most_entries(self, service: ServiceName) -> bool:
+        lost = self._has_lost_most.get(service)
+        if lost is None:
+            accepting = [u for u in self.for_service(service) if self._accepts_requests(u)]
+            listed = sum(upstream.expires_at is None for upstream in accepting)
+            lost = self._has_lost_most[service] = 2 * listed < len(accepting)
+        return lost
 
     def _rebuild_index(self) -> None:
+        self._has_lost_most.clear()
         self._by_service = {}
         for upstream in sorted(self._upstreams.values(), key=lambda upstream: upstream.id):
             self._by_service.setdefault(upstream.entry.service, []).append(upstream)
+
+    def _add_to_index(self, upstream: Upstream) -> None:
+        self._has_lost_most.clear()
+        bisect.insort(
+            self._by_service.setdefault(upstream.entry.service, []),
+            upstream,
+            key=lambda upstream: upstream.id,
+        )
+
+    def _remove_from_index(self, upstream: Upstream) -> None:
+        self._has_lost_most.clear()
+        self._by_service.get(upstream.entry.service, []).remove(upstream)
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
@@ -19,9 +19,13 @@
 MAX_WARM_OBJECTS = 48
 """Objects assumed to be warm at an upstream; the least recently handled are evicted first."""
 
-UPDATE_TTL_S = 0.5
-"""Time for which a new pair of upstream and object is sent to other gateways, in five datagrams;
-seconds."""
+UPDATE_TTL_S = 1.2
+"""Time for which a new pair of upstream and object is kept for other gateways: longer than the
+longest interval between the reports that contain them; seconds."""
+
+MAX_UPDATES = 2_000
+"""Maximum pairs of upstream and object that are kept for other gateways; they fit into one
+datagram."""
 
 OBJECT_HASH_MASK = 0xFFFFFFFF
 
@@ -52,7 +56,8 @@
 
     def __init__(self) -> None:
         self._objects: dict[UpstreamId, OrderedDict[int, None]] = {}
-        self._updates: deque[tuple[float, UpstreamId, int]] = deque()
+        self._homes: dict[int, set[UpstreamId]] = {}
+        self._updates: deque[tuple[float, UpstreamId, int]] = deque(maxlen=MAX_UPDATES)
         self._unsaved: set[UpstreamId] = set()
 
     def is_warm(self, upstream: UpstreamId, object_hash: int) -> bool:
@@ -60,6 +65,14 @@
         objects = self._objects.get(upstream)
         return objects is not None and object_hash in objects
 
+    def homes(self, object_hash: int) -> frozenset[UpstreamId]:
+        """Return the upstreams that handled an object recently."""
+        return frozenset(self._homes.get(object_hash, ()))
+
+    def object_count(self, upstream: UpstreamId) -> int:
+        """Return the number of objects that an upstream handled recently."""
+        return len(self._objects.get(upstream, ()))
+
     def record(
         self, upstream: UpstreamId, object_hash: int, *, now: float, observed_here: bool
     ) -> bool:
@@ -80,10 +93,12 @@
         was_warm = object_hash in objects
         if not was_warm:
             self._unsaved.add(upstream)
+            self._homes.setdefault(object_hash, set()).add(upstream)
         objects[object_hash] = None
         objects.move_to_end(object_hash)
         if len(objects) > MAX_WARM_OBJECTS:
-            objects.popitem(last=False)
+            evicted, _ = objects.popitem(last=False)
+            self._remove_home(evicted, upstream)
         if observed_here and not was_warm:
             self._updates.append((now, upstream, object_hash))
         return not was_warm
@@ -93,6 +108,7 @@
         objects = self._objects.get(upstream)
         if objects is not None and object_hash in objects:
             del objects[object_hash]
+            self._remove_home(object_hash, upstream)
             self._unsaved.add(upstream)
 
     def restore(self, upstream: UpstreamId, marks: Sequence[int]) -> None:
@@ -111,8 +127,11 @@
         )
         merged.update(recorded)
         while len(merged) > MAX_WARM_OBJECTS:
-            merged.popitem(last=False)
+            evicted, _ = merged.popitem(last=False)
+            self._remove_home(evicted, upstream)
         self._objects[upstream] = merged
+        for object_hash in merged:
+            self._homes.setdefault(object_hash, set()).add(upstream)
 
     def objects(self, upstream: UpstreamId) -> tuple[int, ...]:
         """Return the hashes of an upstream's warm objects, least recently handled first."""
@@ -130,13 +149,28 @@
         """Return whether no object is known to be warm at an upstream."""
         return not self._objects.get(upstream)
 
-    def recent_updates(self, *, now: float) -> list[tuple[UpstreamId, int]]:
-        """Return the pairs of upstream and object hash that other gateways may not know yet."""
+    def recent_updates(
+        self, *, now: float, max_age_s: float = UPDATE_TTL_S
+    ) -> list[tuple[UpstreamId, int]]:
+        """Return the pairs of upstream and object hash that became warm in the last `max_age_s`."""
         while self._updates and now - self._updates[0][0] > UPDATE_TTL_S:
             self._updates.popleft()
-        return [(upstream, object_hash) for _, upstream, object_hash in self._updates]
+        return [
+            (upstream, object_hash)
+            for at, upstream, object_hash in self._updates
+            if now - at <= max_age_s
+        ]
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop the objects of an upstream that was removed or has restarted."""
-        self._objects.pop(upstream, None)
+        for object_hash in self._objects.pop(upstream, ()):
+            self._remove_home(object_hash, upstream)
         self._unsaved.discard(upstream)
+
+    def _remove_home(self, object_hash: int, upstream: UpstreamId) -> None:
+        homes = self._homes.get(object_hash)
+        if homes is None:
+            return
+        homes.discard(upstream)
+        if not homes:
+            del self._homes[object_hash]
--- a/packages/gooseberryport-core/tests/test_fleet.py
+++ b/packages/gooseberryport-core/tests/test_fleet.py
@@ -1,6 +1,15 @@
-from gateway_builders import member
+import pytest
+from gateway_builders import REGIONS, member
 
-from gooseberryport_core.gateway.fleet import Fleet
+from gooseberryport_core.gateway.entry_points import MIN_ENTRY_POINTS
+from gooseberryport_core.gateway.fleet import (
+    REPORTERS,
+    ZONE_DIGEST_TTL_S,
+    Audience,
+    Fleet,
+    ZoneDigest,
+    vm_hash,
+)
 
 
 def entry_points(fleet, *, zone="a1", region="A", ready=True, now=0.0):
@@ -117,3 +126,194 @@
     fleet.set_listed([member("x"), member("y"), member("far", zone="b1")], now=0.0)
     fleet.record_datagram("x", incarnation=1, ready=False, now=9.0)
     assert assignees(fleet, count=4, now=9.0) == ["me"]
+
+
+ZONES = {"a1": "A", "a2": "A", "b1": "B", "b2": "B"}
+
+
+def large_fleet(me, *, zone_size=20, now=0.0):
+    fleet = Fleet(me=me)
+    fleet.set_listed(
+        [member(f"{zone}-{n}", zone=zone) for zone in ZONES for n in range(zone_size)], now=now
+    )
+    return fleet
+
+
+def plan(fleet, *, ready=True, busy=False, now=1.0):
+    return fleet.report_plan(ready=ready, demand_per_s=0.0, busy=busy, now=now)
+
+
+def audiences(fleet, **options):
+    counts = dict.fromkeys(Audience, 0)
+    for listener in plan(fleet, **options).listeners:
+        counts[listener.audience] += 1
+    return counts
+
+
+def all_members(zone_size=20):
+    return [member(f"{zone}-{n}", zone=zone) for zone in ZONES for n in range(zone_size)]
+
+
+def test_gateways_of_a_large_fleet_report_to_few_others():
+    sent = []
+    for me in all_members():
+        fleet = large_fleet(me)
+        counts = audiences(fleet)
+        # Datagrams a second, from the periods of the audiences in rounds of 0.2 s.
+        sent.append(
+            5 * counts[Audience.ACTIVE]
+            + 2.5 * counts[Audience.REMOTE_ACTIVE]
+            + 2.5 * counts[Audience.ZONE]
+            + counts[Audience.REPORTER]
+        )
+    assert sum(sent) / len(sent) < 60
+    active = [me for me in all_members() if plan(large_fleet(me)).active]
+    assert len(active) == MIN_ENTRY_POINTS * len(ZONES)
+
+
+def test_gateway_with_clients_exchanges_loads_even_if_look_ups_do_not_return_it():
+    active_vms = {me.vm for me in all_members() if plan(large_fleet(me)).active}
+    me = next(me for me in all_members() if me.vm not in active_vms)
+    assert audiences(large_fleet(me))[Audience.ACTIVE] == 0
+    assert audiences(large_fleet(me), busy=True)[Audience.ACTIVE] == 2 * MIN_ENTRY_POINTS
+    peer = next(other for other in all_members() if other.vm in active_vms)
+    assert peer.region == me.region
+    fleet = large_fleet(peer)
+    before = audiences(fleet)[Audience.ACTIVE]
+    fleet.record_datagram(me.vm, incarnation=1, ready=True, active=True, now=1.0)
+    assert audiences(fleet, now=1.2)[Audience.ACTIVE] == before + 1
+
+
+def heartbeats(fleet, zone, *, absent=(), zone_size=20, now):
+    for n in range(zone_size):
+        vm = f"{zone}-{n}"
+        if vm not in absent:
+            fleet.record_datagram(vm, incarnation=1, ready=True, active=False, now=now)
+
+
+def test_dead_gateways_of_other_zones_are_known_from_digests():
+    reporter = large_fleet(member("a1-0"))
+    heartbeats(reporter, "a1", absent={"a1-3"}, now=5.0)
+    far = large_fleet(member("b1-0", zone="b1"))
+    far.record_digests(reporter.digests(demand_per_s=0.0, now=5.0), now=5.1)
+    serving = {peer.vm for peer in far.serving_members(now=5.2) if peer.zone == "a1"}
+    assert serving == {f"a1-{n}" for n in range(20)} - {"a1-3"}
+
+
+def test_zone_whose_digests_cease_has_no_entry_points():
+    far = large_fleet(member("b1-0", zone="b1"))
+    reporter = large_fleet(member("a1-0"))
+    heartbeats(reporter, "a1", now=5.0)
+    far.record_digests(reporter.digests(demand_per_s=0.0, now=5.0), now=5.0)
+    later = 5.0 + ZONE_DIGEST_TTL_S + 0.1
+    assert not [peer for peer in far.serving_members(now=later) if peer.zone == "a1"]
+
+
+def test_newest_digest_of_a_zone_counts():
+    far = large_fleet(member("b1-0", zone="b1"))
+    new = ZoneDigest(zone="a1", age_s=0.1, absent=[vm_hash("a1-1")], demand_per_s=5.0)
+    old = ZoneDigest(zone="a1", age_s=1.0, absent=[], demand_per_s=5.0)
+    far.record_digests([new], now=5.0)
+    far.record_digests([old], now=5.1)
+    assert "a1-1" not in {peer.vm for peer in far.serving_members(now=5.2)}
+
+
+def test_digests_are_passed_on_with_their_age():
+    far = large_fleet(member("b1-0", zone="b1"))
+    far.record_digests([ZoneDigest(zone="a1", age_s=0.5, absent=[], demand_per_s=7.0)], now=5.0)
+    passed = {digest.zone: digest for digest in far.digests(demand_per_s=1.0, now=6.0)}
+    assert set(passed) == {"b1", "a1"}
+    assert passed["a1"].age_s == 1.5
+
+
+def test_gateway_listed_before_the_start_is_no_entry_point_until_it_is_heard():
+    fleet = Fleet(me=member("me"))
+    fleet.set_listed([member("x"), member("y")], now=0.0, were_listed=True)
+    assert entry_points(fleet, now=0.1) == ["me:80"]
+    fleet.record_datagram("x", incarnation=1, ready=True, now=0.2)
+    assert entry_points(fleet, now=0.3) == ["me:80", "x:80"]
+
+
+def test_small_zones_use_all_their_gateways_and_exchange_loads():
+    fleet = fleet_of(member("x"), member("y", zone="a2"), member("z", zone="b1"))
+    assert audiences(fleet)[Audience.ACTIVE] == 2
+    assert audiences(fleet)[Audience.REMOTE_ACTIVE] == 1
+    assert not any(listener.gets_digests for listener in plan(fleet).listeners)
+
+
+def test_digests_go_to_the_own_zone_and_to_reporters_of_the_others():
+    for me in all_members():
+        listeners = plan(large_fleet(me)).listeners
+        getting = [listener.member.zone for listener in listeners if listener.gets_digests]
+        others = {zone: getting.count(zone) for zone in ZONES if zone != me.zone}
+        assert (getting.count(me.zone), set(others.values())) in [(19, {REPORTERS}), (0, {0})]
+
+
+def test_gateway_that_falls_silent_is_dead_although_an_earlier_digest_lists_it():
+    fleet = fleet_of(member("x", zone="a2"))
+    fleet.record_datagram("x", incarnation=1, ready=True, now=10.0)
+    fleet.record_digests([ZoneDigest("a2", 0.0, [], 0.0)], now=10.5)
+    assert entry_points(fleet, zone="a2", now=11.0) == ["me:80", "x:80"]
+    assert entry_points(fleet, zone="a2", now=11.6) == ["me:80"]
+    fleet.record_digests([ZoneDigest("a2", 0.0, [], 0.0)], now=11.7)
+    assert entry_points(fleet, zone="a2", now=11.8) == ["me:80", "x:80"]
+
+
+class FleetSimulation:
+    """Gateways that start together, know each other from the store, and report as planned."""
+
+    def __init__(self, *, zone_size):
+        members = all_members(zone_size)
+        self.fleets = {me.vm: Fleet(me=me) for me in members}
+        for fleet in self.fleets.values():
+            fleet.set_listed(members, now=0.0, were_listed=True)
+        self.now = 0.0
+        self.ready_at = 3.0
+
+    def run(self, seconds):
+        for _ in range(round(seconds)):
+            self.now += 1.0
+            plans = {
+                vm: plan(fleet, ready=self.now >= self.ready_at, now=self.now)
+                for vm, fleet in self.fleets.items()
+            }
+            for vm, made in plans.items():
+                for listener in made.listeners:
+                    self.deliver(vm, made, listener)
+
+    def deliver(self, vm, made, listener):
+        fleet = self.fleets.get(listener.member.vm)
+        if fleet is None or listener.audience is Audience.REGION:
+            return
+        fleet.record_datagram(vm, incarnation=1, ready=made.ready, active=made.active, now=self.now)
+        if listener.gets_digests:
+            digests = self.fleets[vm].digests(demand_per_s=0.0, now=self.now)
+            fleet.record_digests(digests, now=self.now)
+
+    def entry_points(self, vm, zone):
+        return set(entry_points(self.fleets[vm], zone=zone, region=REGIONS[zone], now=self.now))
+
+
+@pytest.mark.parametrize("zone_size", [1, 2, 3, 12])
+def test_gateways_that_start_together_find_each_other(zone_size):
+    simulation = FleetSimulation(zone_size=zone_size)
+    simulation.run(12)
+    for zone in ZONES:
+        answers = {frozenset(simulation.entry_points(vm, zone)) for vm in simulation.fleets}
+        assert len(answers) == 1
+    hearing = {
+        vm: {peer.vm for peer in fleet.serving_members(now=simulation.now)}
+        for vm, fleet in simulation.fleets.items()
+    }
+    assert all(len(heard) == len(simulation.fleets) - 1 for heard in hearing.values())
+
+
+@pytest.mark.parametrize("zone_size", [2, 3, 12])
+def test_dead_gateway_is_no_entry_point_anywhere_after_some_seconds(zone_size):
+    simulation = FleetSimulation(zone_size=zone_size)
+    simulation.run(12)
+    victim = sorted(simulation.entry_points("b1-0", "a1"))[0].removesuffix(":80")
+    del simulation.fleets[victim]
+    simulation.run(6)
+    for vm in simulation.fleets:
+        assert f"{victim}:80" not in simulation.entry_points(vm, "a1")
--- a/packages/gooseberryport-core/tests/test_warmth.py
+++ b/packages/gooseberryport-core/tests/test_warmth.py
@@ -18,7 +18,9 @@
     warmth.record("u", 2, now=0.0, observed_here=False)
     warmth.record("u", 1, now=0.4, observed_here=True)
     assert warmth.recent_updates(now=0.4) == [("u", 1)]
-    assert warmth.recent_updates(now=0.6) == []
+    assert warmth.recent_updates(now=0.6, max_age_s=0.5) == []
+    assert warmth.recent_updates(now=1.1) == [("u", 1)]
+    assert warmth.recent_updates(now=1.3) == []
 
 
 def test_restarted_upstream_is_warm_for_no_object():
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from collections.abc import Iterable
+from math import inf
+from urllib.parse import urlencode
 
 import msgspec
 
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import VmId, ZoneName
-from gooseberryport_gateway._http_conn import open_conn
+from gooseberryport_core.types import RegionName, VmId, ZoneName
+from gooseberryport_gateway._http_conn import HttpResponse, open_conn
 from gooseberryport_gateway._relay import Relay
 from gooseberryport_gateway._state import GatewayState
-from gooseberryport_gateway._warmth_store import WarmthStore
+from gooseberryport_gateway._warmth_store import WarmthStore, warmth_key_prefix
 from gooseberryport_gateway.errors import (
     HistoryGoneError,
     LeaseGoneError,
@@ -28,6 +31,10 @@
 SNAPSHOT_TIMEOUT_S = 0.5
 """Timeout for fetching another gateway's snapshot: many times a round trip; seconds."""
 
+SNAPSHOT_CONNECT_TIMEOUT_S = 0.1
+"""Timeout for connecting to another gateway at a start, after a loss of power to many: longer than
+a round trip between regions, and short compared with a start; seconds."""
+
 WATCH_PAUSE_FRACTION = 0.4
 """Pause between watches, as a fraction of the time after which a draining upstream gets no more
 requests: upstreams report continuously, each call is billed, and a slow call must fit as well."""
@@ -36,20 +43,73 @@
 """How long the store may leave a watch unanswered while nothing changes; a watch that is unanswered
 for longer shows that the connection is dead; seconds."""
 
-LEASE_TTL_S = 3.0
-"""Lease of a gateway's own entry; a killed gateway is listed no longer than that; seconds."""
+LEASE_TTL_S = 15.0
+"""Lease of a gateway's own entry; a killed gateway is listed no longer than that. Look-ups leave
+out a silent one sooner; seconds."""
+
+RENEW_INTERVAL_S = 5.0
+"""Interval between renewals: a third of the lease, since each is billed; seconds."""
+
+START_WAIT_S = 2.5
+"""Time for which a starting gateway waits for another one's state if others answer that they have
+none yet; a start of all gateways must not read all entries once for each; seconds."""
+
+MIN_START_RETRY_DELAY_S = 0.1
+MAX_START_RETRY_DELAY_S = 0.4
+"""Bounds of the delay between two requests for another gateway's state; seconds."""
+
+MAX_SNAPSHOT_REQUESTS = 8
+"""Maximum gateways that are asked for their state at once."""
+
+COMPRESSED = b"deflate"
+COMPRESSION_LEVEL = 1
 
-RENEW_INTERVAL_S = 1.0
-"""Interval between renewals: a third of the lease; seconds."""
+MAX_SNAPSHOT_BYTES = 67_108_864
+"""Maximum size of a decompressed snapshot, many times that of the largest fleet."""
+
+SNAPSHOT_CACHE_S = 0.3
+"""Time for which an encoded snapshot is served again; seconds."""
 
 MIN_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 0.5
 """Bounds of the delay after a failed call; seconds."""
 
+MAX_LOGGED_MEMBERS = 20
+"""Maximum names in a log line on changed members."""
+
 OUTAGE_WINDOW_S = 2.5
 """Time after an outage in which removed entries are suspended instead of dropped; seconds."""
 
 
+class _CachedSnapshot(msgspec.Struct, frozen=True):
+    """An encoded snapshot for one region, and when it was made; monotonic seconds."""
+
+    at: float
+    data: bytes
+
+
+class _SnapshotAnswer(msgspec.Struct, frozen=True):
+    """Whether a gateway answered a request for its state, and its state if it has one."""
+
+    address: str
+    answered: bool
+    snapshot: StoreSnapshot | None
+
+
+def _decode_snapshot(response: HttpResponse) -> StoreSnapshot:
+    body = response.body
+    if response.header(b"content-encoding") == COMPRESSED:
+        body = zlib.decompressobj().decompress(body, MAX_SNAPSHOT_BYTES)
+    return msgspec.msgpack.decode(body, type=StoreSnapshot)
+
+
+class _LoadedSnapshot(msgspec.Struct, frozen=True):
+    """Whether another gateway's state was loaded, and whether any gateway answered at all."""
+
+    revision: int | None
+    answered: bool
+
+
 class Discovery:
     """Keep a gateway's state in sync with the store.
 
@@ -75,6 +135,11 @@
         self._reachable: bool | None = None
         self._lease: int | None = None
         self._warmth_restored = False
+        self._has_state = False
+        self._own_key = f"{codec.member_prefix}{state.me.vm}"
+        self._entry_lost = asyncio.Event()
+        self._listed: set[VmId] = set()
+        self._snapshots: dict[RegionName, _CachedSnapshot] = {}
         self._watcher: VmId | None = None
         self.relay = Relay(state=state, codec=codec)
         self.warmth_store = WarmthStore(
@@ -98,6 +163,7 @@
         """Read the store, then follow its changes, forever."""
         after: int | None = None
         pause_s = MIN_RETRY_DELAY_S
+        after = await self._load_state_at_start()
         while True:
             try:
                 if after is None:
@@ -118,7 +184,7 @@
             except StoreError as exc:
                 self._record_store_reachable(reachable=False, reason=str(exc))
                 if after is None and not self.synced:
-                    after = await self._load_peer_snapshot()
+                    after = (await self._load_peer_snapshot(max_age_s=inf)).revision
                 await asyncio.sleep(
                     max(exc.retry_after_s, pause_s * (0.5 + self._state.rng.random()))
                 )
@@ -150,45 +216,132 @@
         self._apply(page.items)
         return True
 
-    def snapshot(self) -> bytes | None:
-        """Return what was read from the store, for a gateway that can't reach it."""
-        if not self.synced:
+    def snapshot(self, *, region: RegionName) -> bytes | None:
+        """Return this gateway's state for one that starts, compressed; None if it has none.
+
+        Parameters
+        ----------
+        region
+            Region of the gateway that starts.
+        """
+        if not self._has_state:
             return None
+        now = self._loop.time()
+        cached = self._snapshots.get(region)
+        if cached is not None and now - cached.at < SNAPSHOT_CACHE_S:
+            return cached.data
+        data = zlib.compress(self.encode_snapshot(region=region), COMPRESSION_LEVEL)
+        if region in self._state.settings.regions.values():
+            self._snapshots[region] = _CachedSnapshot(at=now, data=data)
+        return data
+
+    def encode_snapshot(self, *, region: RegionName) -> bytes:
+        """Return this gateway's state for one that starts in a region."""
+        same_region = region == self._state.me.region
+        prefix = self._codec.warmth_prefix
+        saved_prefix = warmth_key_prefix(prefix, region)
         return msgspec.msgpack.encode(
-            StoreSnapshot(items=list(self._items.values()), revision=self._revision)
+            StoreSnapshot(
+                items=[
+                    item
+                    for key, item in self._items.items()
+                    if not key.startswith(prefix)
+                    or (not same_region and key.startswith(saved_prefix))
+                ],
+                revision=self._revision,
+                age_s=self.relay.state_age_s,
+                warmth=self._state.warmth_records() if same_region else {},
+            )
         )
 
-    async def _load_peer_snapshot(self) -> int | None:
-        """Load another gateway's snapshot, since the store is unavailable; return its revision."""
-        for address in self._state.peer_control_addresses(now=self._loop.time()):
-            host, _, port = address.rpartition(":")
-            request = f"GET {SNAPSHOT_PATH} HTTP/1.1\r\nhost: {address}\r\n\r\n"
-            try:
-                async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
-                    conn = await open_conn((host, int(port)), timeout_s=SNAPSHOT_TIMEOUT_S)
+    async def _load_state_at_start(self) -> int | None:
+        """Load another gateway's recent state, so that a start costs few calls to the store.
+
+        Load pattern: all gateways start together, or many are added. Each would read every entry,
+        while one that has read them is a few milliseconds away. A gateway that the settings name as
+        a seed reads the store if the other seeds have no state; the others wait for the seeds.
+        """
+        give_up_at = self._loop.time() + (0.0 if self._is_seed else START_WAIT_S)
+        delay_s = MIN_START_RETRY_DELAY_S
+        while True:
+            loaded = await self._load_peer_snapshot(max_age_s=self.relay.max_age_s)
+            if loaded.revision is not None:
+                return loaded.revision
+            if not loaded.answered or self._loop.time() >= give_up_at:
+                return None
+            await asyncio.sleep(delay_s * (0.5 + self._state.rng.random()))
+            delay_s = min(delay_s * 2.0, MAX_START_RETRY_DELAY_S)
+
+    @property
+    def _is_seed(self) -> bool:
+        return self._state.settings.control in self._state.settings.seeds
+
+    async def _load_peer_snapshot(self, *, max_age_s: float) -> _LoadedSnapshot:
+        """Load the first state no older than `max_age_s` seconds that another gateway returns."""
+        addresses = self._state.peer_control_addresses(now=self._loop.time())
+        requests = [
+            self._loop.create_task(self._request_snapshot(address))
+            for address in addresses[:MAX_SNAPSHOT_REQUESTS]
+        ]
+        answered = False
+        try:
+            for request in asyncio.as_completed(requests):
+                answer = await request
+                answered = answered or answer.answered
+                if answer.snapshot is not None and answer.snapshot.age_s <= max_age_s:
+                    self._load_snapshot(answer.snapshot, address=answer.address)
+                    return _LoadedSnapshot(revision=answer.snapshot.revision, answered=True)
+        finally:
+            for task in requests:
+                task.cancel()
+        return _LoadedSnapshot(revision=None, answered=answered)
+
+    async def _request_snapshot(self, address: str) -> _SnapshotAnswer:
+        """Request the state of the gateway at an address."""
+        host, _, port = address.rpartition(":")
+        query = urlencode({"region": self._state.me.region})
+        request = (
+            f"GET {SNAPSHOT_PATH}?{query} HTTP/1.1\r\nhost: {address}\r\n"
+            f"accept-encoding: {COMPRESSED.decode()}\r\n\r\n"
+        )
+        try:
+            async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
+                conn = await open_conn((host, int(port)), timeout_s=SNAPSHOT_CONNECT_TIMEOUT_S)
+                try:
                     response = await conn.request(request.encode())
-                conn.close()
-                if response.status != 200:
-                    continue
-                snapshot = msgspec.msgpack.decode(response.body, type=StoreSnapshot)
-            except (NotSentError, ResponseLostError, TimeoutError, msgspec.DecodeError) as exc:
-                self._state.log.write(
-                    LogNumber.GATEWAY_PEER_SILENT, address=address, reason=repr(exc)
-                )
-                continue
-            self._revision = snapshot.revision
-            self._apply(snapshot.items)
-            self.relay.reset(snapshot.items, revision=snapshot.revision)
-            self.warmth_store.restore(snapshot.items)
-            self._state.log.write(
-                LogNumber.GATEWAY_SNAPSHOT_LOADED, address=address, revision=snapshot.revision
-            )
-            return snapshot.revision
-        return None
+                finally:
+                    conn.close()
+            snapshot = _decode_snapshot(response) if response.status == 200 else None
+        except (
+            NotSentError,
+            ResponseLostError,
+            TimeoutError,
+            msgspec.DecodeError,
+            zlib.error,
+        ) as exc:
+            self._state.log.write(LogNumber.GATEWAY_PEER_SILENT, address=address, reason=repr(exc))
+            return _SnapshotAnswer(address=address, answered=False, snapshot=None)
+        return _SnapshotAnswer(address=address, answered=True, snapshot=snapshot)
+
+    def _load_snapshot(self, snapshot: StoreSnapshot, *, address: str) -> None:
+        self._revision = snapshot.revision
+        self._has_state = True
+        self._apply(snapshot.items, were_listed=True)
+        self.relay.reset(snapshot.items, revision=snapshot.revision)
+        self.warmth_store.restore(snapshot.items)
+        for upstream, record in snapshot.warmth.items():
+            self._state.restore_warmth(upstream, record)
+        self._warmth_restored = True
+        self._state.log.write(
+            LogNumber.GATEWAY_SNAPSHOT_LOADED,
+            address=address,
+            revision=snapshot.revision,
+            age_s=round(snapshot.age_s, 3),
+        )
 
     async def maintain_membership(self) -> None:
         """Keep this gateway's entry in the store, forever."""
-        key = f"{self._codec.member_prefix}{self._state.me.vm}"
+        key = self._own_key
         value = msgspec.json.encode(self._state.me)
         while True:
             try:
@@ -199,7 +352,7 @@
                     self._state.log.write(LogNumber.GATEWAY_LEASE_TAKEN, lease=lease)
                 else:
                     await self._store.renew_lease(self._lease)
-                await asyncio.sleep(RENEW_INTERVAL_S)
+                await self._wait_for_entry_loss(RENEW_INTERVAL_S)
             except LeaseGoneError:
                 self._state.log.write(LogNumber.GATEWAY_LEASE_LOST, lease=self._lease)
                 self._lease = None
@@ -208,6 +361,16 @@
                     max(exc.retry_after_s, MAX_RETRY_DELAY_S * (0.5 + self._state.rng.random()))
                 )
 
+    async def _wait_for_entry_loss(self, timeout_s: float) -> None:
+        """Wait until this gateway's entry is removed, which ends its lease, or for a time."""
+        self._entry_lost.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._entry_lost.wait()
+        except TimeoutError:
+            return
+        raise LeaseGoneError
+
     async def end_membership(self) -> None:
         """Remove this gateway's entry, so that lookups return other gateways."""
         if self._lease is None:
@@ -224,17 +387,18 @@
         upstreams = await self._store.read_range(codec.upstream_prefix)
         members = await self._store.read_range(codec.member_prefix)
         # The warmth saved before this gateway started is needed only once, for its first requests.
+        # Gateways that start after a seed get what was saved for their region from it.
+        warmth_prefix = codec.warmth_prefix if self._is_seed else self.warmth_store.prefix
         saved_warmth = (
-            ()
-            if self._warmth_restored
-            else (await self._store.read_range(self.warmth_store.prefix)).items
+            () if self._warmth_restored else (await self._store.read_range(warmth_prefix)).items
         )
         self._record_store_reachable(reachable=True, reason="")
         read = [*config.items, *upstreams.items, *members.items]
         known = {key for key in self._items if not key.startswith(codec.warmth_prefix)}
         missing_keys = known - {item.key for item in read}
         deletions = [StoreItem(key=key, value=None, revision=0) for key in missing_keys]
-        self._apply([*read, *saved_warmth, *deletions])
+        self._apply([*read, *saved_warmth, *deletions], were_listed=not self._has_state)
+        self._has_state = True
         if not self._warmth_restored:
             self.warmth_store.restore(saved_warmth)
             self._warmth_restored = True
@@ -242,7 +406,7 @@
         self.relay.reset(read, revision=self._revision)
         return self._revision
 
-    def _apply(self, items: Iterable[StoreItem]) -> None:
+    def _apply(self, items: Iterable[StoreItem], *, were_listed: bool = False) -> None:
         codec = self._codec
         members_changed = evacuations_changed = False
         for item in items:
@@ -265,12 +429,22 @@
                 self._apply_config(item)
         now = self._loop.time()
         if members_changed:
-            self._state.fleet.set_listed(self._members.values(), now=now)
-            self._state.log.write(LogNumber.GATEWAY_MEMBERS_CHANGED, listed=sorted(self._members))
+            self._set_members(now=now, were_listed=were_listed)
         if evacuations_changed:
             self._state.set_evacuated(self._evacuated.values())
         self.expire()
 
+    def _set_members(self, *, now: float, were_listed: bool) -> None:
+        self._state.fleet.set_listed(self._members.values(), now=now, were_listed=were_listed)
+        listed = {member.vm for member in self._members.values()}
+        self._state.log.write(
+            LogNumber.GATEWAY_MEMBERS_CHANGED,
+            listed=len(listed),
+            joined=sorted(listed - self._listed)[:MAX_LOGGED_MEMBERS],
+            left=sorted(self._listed - listed)[:MAX_LOGGED_MEMBERS],
+        )
+        self._listed = listed
+
     def expire(self) -> None:
         """Drop upstreams whose entries did not reappear after an outage."""
         self._state.expire_upstreams(now=self._loop.time())
@@ -308,6 +482,8 @@
     def _apply_member(self, item: StoreItem) -> None:
         if item.value is None:
             self._members.pop(item.key, None)
+            if item.key == self._own_key:
+                self._entry_lost.set()
             return
         try:
             self._members[item.key] = msgspec.json.decode(item.value, type=Member)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -10,7 +10,9 @@
 from gooseberryport_core.gateway.model import ObjectKey, Repeatability, Route
 from gooseberryport_core.gateway.placement import (
     PlacementView,
+    PreferredUpstreams,
     Verdict,
+    place_on_preferred,
     place_request,
     queue_factor,
 )
@@ -153,6 +155,7 @@
         if route is None:
             return self._reject(req, request_id, status=404, cause="no route")
         job = self._job(req, request_id, route)
+        self._state.record_client_request(now=req.arrived_at)
         self._state.retries.record_request(service=job.service, now=req.arrived_at)
         self._state.metrics.in_flight.inc()
         try:
@@ -208,12 +211,6 @@
 
     def _choose(self, job: _Job, *, now: float) -> Upstream | None:
         state = self._state
-        allowed = job.route.allowed_regions
-        candidates = [
-            upstream
-            for upstream in state.upstreams.usable(job.service)
-            if not allowed or state.region_of(upstream.entry.zone) in allowed
-        ]
         mark = hash_object_key(job.key) if job.key is not None else 0
         view = PlacementView(
             zone=state.me.zone,
@@ -224,21 +221,59 @@
             is_unused=lambda upstream: state.warmth.has_no_objects(upstream.id),
         )
         left_s = job.route.objective_s - (now - job.req.arrived_at)
-        placement = place_request(
-            candidates=candidates,
-            service=job.service,
-            key=job.key,
-            view=view,
-            queue_factor=queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route)),
-            avoided=frozenset(job.avoided),
-        )
+        factor = queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route))
+        avoided = frozenset(job.avoided)
+        placement = None
+        if job.key is not None:
+            placement = place_on_preferred(
+                preferred=self._preferred_upstreams(job, job.key, mark),
+                view=view,
+                queue_factor=factor,
+                avoided=avoided,
+            )
+        if placement is None:
+            placement = place_request(
+                candidates=[
+                    upstream
+                    for upstream in state.upstreams.usable(job.service)
+                    if self._is_allowed(upstream, job.route)
+                ],
+                service=job.service,
+                key=job.key,
+                view=view,
+                queue_factor=factor,
+                avoided=avoided,
+            )
         job.warm = placement.warm
         job.load = placement.load
         if placement.verdict is Verdict.SEND:
             return placement.upstream
-        job.cause = f"placement: {placement.verdict.value} of {len(candidates)}"
+        job.cause = f"placement: {placement.verdict.value}"
         return None
 
+    def _preferred_upstreams(self, job: _Job, key: ObjectKey, mark: int) -> PreferredUpstreams:
+        state = self._state
+        homes = [
+            upstream
+            for name in state.warmth.homes(mark)
+            if (upstream := state.upstreams.get(name)) is not None
+            and upstream.entry.service == job.service
+        ]
+        if len(homes) > 1:
+            homes = state.rankings.in_order(service=job.service, key=key, upstreams=homes)
+        return PreferredUpstreams(
+            ranked=state.rankings.preferred(
+                service=job.service, key=key, upstreams_of=state.upstreams.for_service
+            ),
+            homes=homes,
+            is_usable=lambda upstream: state.upstreams.is_usable(upstream)
+            and self._is_allowed(upstream, job.route),
+        )
+
+    def _is_allowed(self, upstream: Upstream, route: Route) -> bool:
+        allowed = route.allowed_regions
+        return not allowed or self._state.region_of(upstream.entry.zone) in allowed
+
     def _may_retry(self, job: _Job, attempt: Attempt) -> bool:
         now = self._loop.time()
         sends = len(job.sent_to)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -1,4 +1,4 @@
-"""Datagrams between gateways: liveness, readiness, and requests in flight."""
+"""Datagrams between gateways: liveness, readiness, load, and newly warm objects."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from gooseberryport_core.gateway.fleet import Audience, Listener, ReportPlan, ZoneDigest
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import VmId
 from gooseberryport_gateway._state import GatewayState
@@ -24,6 +25,17 @@
 grows with their number, so that the rate of datagrams that one gateway sends to other regions stays
 about the same, until the period reaches `MAX_REMOTE_PERIOD_ROUNDS`."""
 
+ACTIVE_ZONE_PERIOD_ROUNDS = 2
+IDLE_ZONE_PERIOD_ROUNDS = 3
+"""Period of heartbeats within an availability zone, of gateways with and without clients. Two fit
+into the time after which a silent gateway no longer counts as alive."""
+
+DIGEST_PERIOD_ROUNDS = 5
+"""Period of digests, and of warm objects to gateways of the region that have no clients."""
+
+ACTIVE_UPDATE_AGE_S = 0.5
+"""Age up to which newly warm objects are repeated to gateways with clients; seconds."""
+
 UPDATE_DELAY_S = 0.01
 """Delay before an update is sent, so that several are combined; seconds."""
 
@@ -31,8 +43,8 @@
 def remote_period_rounds(*, remote_peers: int) -> int:
     """Return how many rounds within the region pass for each round to other regions.
 
-    Load pattern: a large fleet, in which all gateways report their loads to those of other regions,
-    so that this traffic grows with the square of the fleet's size.
+    Load pattern: a large fleet, in which all gateways with clients report their loads to those of
+    other regions, so that this traffic grows with the square of their number.
     """
     return min(
         MAX_REMOTE_PERIOD_ROUNDS,
@@ -43,6 +55,30 @@
     )
 
 
+def is_due(listener: Listener, *, round_number: int, active: bool, remote_period: int) -> bool:
+    """Return whether a listener gets a report in a round.
+
+    Parameters
+    ----------
+    listener
+        The other gateway.
+    round_number
+        Number of the round.
+    active
+        Whether this gateway serves clients.
+    remote_period
+        Period of reports to other regions; rounds.
+    """
+    period = {
+        Audience.ACTIVE: 1,
+        Audience.REMOTE_ACTIVE: remote_period,
+        Audience.ZONE: ACTIVE_ZONE_PERIOD_ROUNDS if active else IDLE_ZONE_PERIOD_ROUNDS,
+        Audience.REGION: DIGEST_PERIOD_ROUNDS,
+        Audience.REPORTER: DIGEST_PERIOD_ROUNDS,
+    }[listener.audience]
+    return round_number % period == 0
+
+
 class PeerReport(msgspec.Struct, array_like=True):
     """What a gateway reports to the others.
 
@@ -58,6 +94,12 @@
         Pairs of upstream and object that became warm recently, as short hashes.
     follows_store
         Whether the store replies to it.
+    active
+        Whether it serves clients, or expects to.
+    demand_per_s
+        Requests per second that it receives.
+    digests
+        What it knows of the gateways of availability zones, its own included.
     """
 
     vm: str
@@ -66,10 +108,13 @@
     loads: dict[int, int]
     warm: list[tuple[int, int]] = []
     follows_store: bool = True
+    active: bool = True
+    demand_per_s: float = 0.0
+    digests: list[ZoneDigest] = []
 
 
 class Peers(asyncio.DatagramProtocol):
-    """Send this gateway's reports to the other gateways, and receive theirs.
+    """Send this gateway's reports to other gateways, and receive theirs.
 
     Parameters
     ----------
@@ -83,6 +128,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._update_timer: asyncio.TimerHandle | None = None
         self._decoder = msgspec.msgpack.Decoder(PeerReport)
+        self._round = state.rng.randrange(DIGEST_PERIOD_ROUNDS)
+        self._greeted: set[tuple[VmId, int]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -90,25 +137,30 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Record a report of another gateway."""
+        state = self._state
         try:
             report = self._decoder.decode(data)
         except msgspec.DecodeError as exc:
-            self._state.metrics.ignored.labels("datagram").inc()
-            self._state.log.write(
-                LogNumber.GATEWAY_DATAGRAM_IGNORED, sender=addr[0], reason=str(exc)
-            )
+            state.metrics.ignored.labels("datagram").inc()
+            state.log.write(LogNumber.GATEWAY_DATAGRAM_IGNORED, sender=addr[0], reason=str(exc))
             return
         now = self._loop.time()
-        self._state.record_sender_ip(addr[0], now=now)
-        self._state.fleet.record_datagram(
-            VmId(report.vm),
+        vm = VmId(report.vm)
+        if not state.fleet.is_in_contact(vm, now=now):
+            self._greeted.discard((vm, report.incarnation))
+        state.record_sender_ip(addr[0], now=now)
+        state.fleet.record_datagram(
+            vm,
             incarnation=report.incarnation,
             ready=report.ready,
             follows_store=report.follows_store,
+            active=report.active,
+            demand_per_s=report.demand_per_s,
             now=now,
         )
-        self._state.record_peer_loads(report.vm, report.loads, now=now)
-        self._state.record_peer_warmth(report.warm, now=now)
+        state.fleet.record_digests(report.digests, now=now)
+        state.record_peer_loads(report.vm, report.loads, now=now)
+        state.record_peer_warmth(report.warm, now=now)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore that a peer's port is closed: its missing reports show the same."""
@@ -116,54 +168,89 @@
     async def report(self) -> None:
         """Send reports periodically, forever."""
         self._state.on_warmth_update = self._schedule_update
-        rounds_since_remote = 0
         while True:
-            rounds_since_remote += 1
-            include_remote = rounds_since_remote >= self._remote_period_rounds()
-            if include_remote:
-                rounds_since_remote = 0
-            self.send(include_remote=include_remote)
+            self._round += 1
+            self.send(round_number=self._round)
             await asyncio.sleep(REPORT_INTERVAL_S)
 
-    def _remote_period_rounds(self) -> int:
-        peers = self._state.fleet.peers(now=self._loop.time())
-        remote_peers = sum(peer.region != self._state.me.region for peer in peers)
-        return remote_period_rounds(remote_peers=remote_peers)
-
     def _schedule_update(self) -> None:
         if self._update_timer is None:
             self._update_timer = self._loop.call_later(UPDATE_DELAY_S, self._send_updates)
 
     def _send_updates(self) -> None:
         self._update_timer = None
-        self.send(include_remote=False)
+        if self._transport is None:
+            return
+        plan = self._plan()
+        data = self._encode_report(plan, audience=Audience.ACTIVE, with_digests=False)
+        for listener in plan.listeners:
+            if listener.audience is Audience.ACTIVE:
+                self._transport.sendto(data, listener.member.datagrams)
 
-    def send(self, *, include_remote: bool = True) -> None:
-        """Send a report to all peers of the region, and of other regions if `include_remote`."""
+    def _plan(self) -> ReportPlan:
+        state = self._state
+        now = self._loop.time()
+        return state.fleet.report_plan(
+            ready=state.ready,
+            demand_per_s=state.request_rate.per_s(now=now),
+            busy=state.is_busy(now=now),
+            now=now,
+        )
+
+    def send(self, *, round_number: int = 0) -> None:
+        """Send the reports of a round; in round 0, and to gateways that are new, all are due."""
         if self._transport is None:
             return
+        plan = self._plan()
+        remote = sum(listener.audience is Audience.REMOTE_ACTIVE for listener in plan.listeners)
+        remote_period = remote_period_rounds(remote_peers=remote)
+        with_digests = round_number % DIGEST_PERIOD_ROUNDS == 0
+        encoded: dict[tuple[Audience, bool], bytes] = {}
+        greeted: set[tuple[VmId, int]] = set()
+        for listener in plan.listeners:
+            identity = (listener.member.vm, listener.member.incarnation)
+            is_new = identity not in self._greeted
+            greeted.add(identity)
+            if not is_new and not is_due(
+                listener,
+                round_number=round_number,
+                active=plan.active,
+                remote_period=remote_period,
+            ):
+                continue
+            kind = (listener.audience, with_digests and listener.gets_digests)
+            if kind not in encoded:
+                encoded[kind] = self._encode_report(plan, audience=kind[0], with_digests=kind[1])
+            if encoded[kind]:
+                self._transport.sendto(encoded[kind], listener.member.datagrams)
+        self._greeted = greeted
+
+    def _encode_report(self, plan: ReportPlan, *, audience: Audience, with_digests: bool) -> bytes:
+        """Return the report to an audience; empty if it would contain nothing new."""
         state = self._state
         now = self._loop.time()
-        loads = state.loads()
         # Each object is requested in one region, so only that region's gateways need its warmth.
-        local_data = msgspec.msgpack.encode(
-            self._report(loads=loads, warm=state.warm_updates(now=now))
-        )
-        remote_data = (
-            msgspec.msgpack.encode(self._report(loads=loads, warm=[])) if include_remote else b""
-        )
-        for peer in state.fleet.peers(now=now):
-            if peer.region == state.me.region:
-                self._transport.sendto(local_data, peer.datagrams)
-            elif include_remote:
-                self._transport.sendto(remote_data, peer.datagrams)
-
-    def _report(self, *, loads: dict[int, int], warm: list[tuple[int, int]]) -> PeerReport:
-        return PeerReport(
-            vm=self._state.me.vm,
-            incarnation=self._state.me.incarnation,
-            ready=self._state.ready,
-            loads=loads,
-            warm=warm,
-            follows_store=self._state.follows_store,
+        warm: list[tuple[int, int]] = []
+        if audience is Audience.ACTIVE:
+            warm = state.warm_updates(now=now, max_age_s=ACTIVE_UPDATE_AGE_S)
+        elif audience in (Audience.ZONE, Audience.REGION):
+            warm = state.warm_updates(now=now)
+        if audience is Audience.REGION and not warm:
+            return b""
+        has_loads = audience in (Audience.ACTIVE, Audience.REMOTE_ACTIVE)
+        demand_per_s = state.request_rate.per_s(now=now)
+        return msgspec.msgpack.encode(
+            PeerReport(
+                vm=state.me.vm,
+                incarnation=state.me.incarnation,
+                ready=state.ready,
+                loads=state.loads() if has_loads else {},
+                warm=warm,
+                follows_store=state.follows_store,
+                active=plan.active,
+                demand_per_s=round(demand_per_s),
+                digests=(
+                    state.fleet.digests(demand_per_s=demand_per_s, now=now) if with_digests else []
+                ),
+            )
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -167,9 +167,15 @@
         self._avoided: dict[VmId, float] = {}
 
     @property
-    def _max_age_s(self) -> float:
+    def max_age_s(self) -> float:
+        """Maximum age of another gateway's state that this one may use; seconds."""
         return self._state.settings.bounds.drain_s * MAX_AGE_FRACTION
 
+    @property
+    def state_age_s(self) -> float:
+        """How long ago the store confirmed this gateway's state; seconds."""
+        return self._loop.time() - self._up_to_date_at
+
     def reset(self, items: Iterable[StoreItem], *, revision: int) -> None:
         """Restart from a full read of the store, or from another gateway's snapshot."""
         self.log.reset(items, revision=revision, now=self._loop.time())
@@ -219,7 +225,7 @@
         except (NotSentError, ResponseLostError, TimeoutError, msgspec.DecodeError) as exc:
             self._avoid(watcher, reason=repr(exc))
             return None
-        if page is None or page.age_s > self._max_age_s:
+        if page is None or page.age_s > self.max_age_s:
             self._avoid(watcher, reason="refused, or its state is too old")
             return None
         self._up_to_date_at = self._loop.time() - page.age_s
@@ -238,8 +244,8 @@
                 async with asyncio.timeout(LONG_POLL_TIMEOUT_S):
                     await changed.wait()
             changes = self.log.since(int(after))
-        age_s = self._loop.time() - self._up_to_date_at
-        if changes is None or age_s > self._max_age_s or not self._state.ready:
+        age_s = self.state_age_s
+        if changes is None or age_s > self.max_age_s or self._state.stopping:
             return Reply(status=503, headers=[])
         page = RelayPage(
             items=changes,
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from gooseberryport_core.gateway.entry_points import RequestRate
 from gooseberryport_core.gateway.fleet import Fleet
 from gooseberryport_core.gateway.idle_limits import IdleLimits
 from gooseberryport_core.gateway.limits import ColdRateLimiter, RetryBudgetShare
@@ -20,9 +21,11 @@
     RoutingConfig,
     UpstreamEntry,
 )
+from gooseberryport_core.gateway.placement import upstream_weight
+from gooseberryport_core.gateway.ranking import ObjectRankings
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
-from gooseberryport_core.gateway.warmth import WarmthRecord, WarmthTracker
+from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, UpstreamId, ZoneName
 from gooseberryport_gateway._logs import Log
@@ -45,6 +48,9 @@
 """How long data about an upstream is kept after its entry was removed: longer than an outage in
 which entries expire; seconds."""
 
+BUSY_TTL_S = 3.0
+"""Time for which a gateway counts as serving clients after its last request; seconds."""
+
 HASH_MASK = 0xFFFFFFFF
 
 
@@ -87,6 +93,9 @@
         self.rng = random.Random(f"{me.vm}|{me.incarnation}")
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamTable()
+        self.rankings = ObjectRankings(
+            weight_of=lambda upstream: upstream_weight(upstream, local=self.is_local(upstream))
+        )
         self.splits = TrafficSplitter()
         self.fleet = Fleet(me=me)
         self.retries = RetryBudgetShare(
@@ -108,6 +117,10 @@
         self._removed: dict[UpstreamId, _RemovedUpstream] = {}
         self._sender_ips: dict[str, float] = {}
         self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
+        self._other_loads: dict[int, int] = {}
+        self._ids_by_hash: dict[int, UpstreamId] = {}
+        self.request_rate = RequestRate()
+        self._last_request_at = float("-inf")
 
     @property
     def limits(self) -> ClientLimits:
@@ -118,9 +131,14 @@
         """Return the region of an availability zone."""
         return self.settings.regions.get(zone, RegionName(zone))
 
+    def is_local(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is in this gateway's region."""
+        return self.region_of(upstream.entry.zone) == self.me.region
+
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
         bounds = settings.bounds
+        self.rankings.clear()
         self.settings = settings
         self.retries.set_bounds(
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
@@ -144,6 +162,8 @@
         before = known.entry if known is not None else None
         if not self.upstreams.put(entry, now=now):
             return
+        self._update_rankings(before, entry)
+        self._ids_by_hash[upstream_hash(entry.upstream)] = entry.upstream
         removed = self._removed.pop(entry.upstream, None)
         if removed is not None and removed.started_ms != entry.started_ms:
             self.warmth.forget(entry.upstream)
@@ -159,12 +179,27 @@
                 started_ms=entry.started_ms,
             )
 
+    def _update_rankings(self, before: UpstreamEntry | None, entry: UpstreamEntry) -> None:
+        if before is not None and (before.service, before.zone, before.slots) == (
+            entry.service,
+            entry.zone,
+            entry.slots,
+        ):
+            return
+        upstream = self.upstreams.get(entry.upstream)
+        assert upstream is not None
+        if before is not None:
+            self.rankings.remove(Upstream(entry=before))
+        self.rankings.add(upstream)
+
     def remove_upstream(self, upstream: UpstreamId, *, reason: str, now: float) -> None:
         """Remove an upstream; data about it is kept for a while in case it returns."""
         known = self.upstreams.get(upstream)
         if known is None:
             return
         self.upstreams.remove(upstream)
+        self.rankings.remove(known)
+        self._ids_by_hash.pop(upstream_hash(upstream), None)
         self._removed[upstream] = _RemovedUpstream(at=now, started_ms=known.entry.started_ms)
         self.log.write(LogNumber.GATEWAY_UPSTREAM_REMOVED, upstream=upstream, reason=reason)
 
@@ -197,6 +232,14 @@
         self.warmth.restore(upstream, record.marks)
         return True
 
+    def warmth_records(self) -> dict[UpstreamId, WarmthRecord]:
+        """Return what the known upstreams are warm for."""
+        return {
+            upstream.id: WarmthRecord(started_ms=upstream.entry.started_ms, marks=marks)
+            for upstream in self.upstreams
+            if (marks := self.warmth.objects(upstream.id))
+        }
+
     def record_unreachable(self, upstream: Upstream, *, reason: str, now: float) -> None:
         """Send an upstream no requests until a probe succeeds."""
         if upstream.record_unreachable(now):
@@ -231,9 +274,36 @@
             address for address in dict.fromkeys([*senders, *self.settings.seeds]) if address != own
         ]
 
+    def record_client_request(self, *, now: float) -> None:
+        """Count a client's request."""
+        self.request_rate.record(now=now)
+        self._last_request_at = now
+
+    def is_busy(self, *, now: float) -> bool:
+        """Return whether this gateway received requests of clients lately."""
+        return now - self._last_request_at < BUSY_TTL_S
+
     def record_peer_loads(self, vm: str, loads: dict[int, int], *, now: float) -> None:
         """Record another gateway's requests in flight, keyed by the hash of the upstream's id."""
-        self._peer_loads[vm] = (now, loads)
+        known = self._peer_loads.pop(vm, None)
+        if known is not None:
+            self._add_other_loads(known[1], sign=-1)
+        if loads:
+            self._peer_loads[vm] = (now, loads)
+            self._add_other_loads(loads, sign=1)
+
+    def expire_peer_loads(self, *, now: float) -> None:
+        """Drop the loads of gateways that have not reported for a while."""
+        for vm in [vm for vm, (at, _) in self._peer_loads.items() if now - at >= LOAD_REPORT_TTL_S]:
+            self.record_peer_loads(vm, {}, now=now)
+
+    def _add_other_loads(self, loads: dict[int, int], *, sign: int) -> None:
+        for short_hash, count in loads.items():
+            total = self._other_loads.get(short_hash, 0) + sign * count
+            if total:
+                self._other_loads[short_hash] = total
+            else:
+                self._other_loads.pop(short_hash, None)
 
     def load_of(self, upstream: Upstream, *, now: float) -> int:
         """Return the requests of all gateways that run or wait at an upstream, as far as known."""
@@ -241,12 +311,7 @@
         reported = upstream.reported_other_requests(same_region=same_region, now=now)
         if reported is not None:
             return upstream.in_flight + reported
-        short_hash = upstream_hash(upstream.id)
-        load = upstream.in_flight
-        for at, loads in self._peer_loads.values():
-            if now - at < LOAD_REPORT_TTL_S:
-                load += loads.get(short_hash, 0)
-        return load
+        return upstream.in_flight + self._other_loads.get(upstream_hash(upstream.id), 0)
 
     def loads(self) -> dict[int, int]:
         """Return this gateway's requests in flight, keyed by the hash of the upstream's id."""
@@ -256,20 +321,17 @@
             if upstream.in_flight
         }
 
-    def warm_updates(self, *, now: float) -> list[tuple[int, int]]:
+    def warm_updates(self, *, now: float, max_age_s: float = UPDATE_TTL_S) -> list[tuple[int, int]]:
         """Return pairs of upstream and object to report to other gateways, as short hashes."""
         return [
             (upstream_hash(upstream), mark)
-            for upstream, mark in self.warmth.recent_updates(now=now)
+            for upstream, mark in self.warmth.recent_updates(now=now, max_age_s=max_age_s)
         ]
 
     def record_peer_warmth(self, pairs: list[tuple[int, int]], *, now: float) -> None:
         """Record which upstreams handled which objects for other gateways."""
-        if not pairs:
-            return
-        ids = {upstream_hash(upstream.id): upstream.id for upstream in self.upstreams}
         for short_hash, mark in pairs:
-            known = ids.get(short_hash)
+            known = self._ids_by_hash.get(short_hash)
             if known is not None:
                 self.warmth.record(known, mark, now=now, observed_here=False)
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_warmth_store.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_warmth_store.py
@@ -14,7 +14,7 @@
 
 from gooseberryport_core.gateway.warmth import WarmthRecord
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import UpstreamId
+from gooseberryport_core.types import RegionName, UpstreamId
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import StoreError
 from gooseberryport_gateway.wire import MAX_KEYS_PER_CALL, StoreClient, StoreItem
@@ -26,6 +26,11 @@
 SAVE_WARMTH_TASK = "keep warmth"
 
 
+def warmth_key_prefix(prefix: str, region: RegionName) -> str:
+    """Return the prefix of the keys in which a region's warm objects are saved."""
+    return f"{prefix}{region}/"
+
+
 class WarmthStore:
     """Save and restore the objects that upstreams handled for this gateway's region.
 
@@ -56,7 +61,7 @@
         self._stored_keys = stored_keys
         self._saved: set[str] = set()
         self._loop = asyncio.get_running_loop()
-        self.prefix = f"{prefix}{state.me.region}/"
+        self.prefix = warmth_key_prefix(prefix, state.me.region)
 
     async def run(self) -> None:
         """Save changes periodically, forever."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -9,12 +9,13 @@
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
+from urllib.parse import parse_qs
 
 from gooseberryport_core.gateway.model import ClientLimits, Member
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import UpstreamId
+from gooseberryport_core.types import RegionName, UpstreamId
 from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
-from gooseberryport_gateway._discovery import SNAPSHOT_PATH, Discovery
+from gooseberryport_gateway._discovery import COMPRESSED, SNAPSHOT_PATH, Discovery
 from gooseberryport_gateway._forwarder import Forwarder
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
@@ -89,6 +90,7 @@
             datagrams=(settings.ip, settings.peer_port),
             incarnation=time.time_ns(),
             control=settings.control,
+            capacity_per_s=settings.capacity_per_s,
         )
         self.state = GatewayState(
             settings=settings,
@@ -204,8 +206,7 @@
         if req.path == self._codec.ready_path:
             return Reply(status=200 if self.state.ready else 503, headers=[])
         if req.path == SNAPSHOT_PATH:
-            snapshot = self._discovery.snapshot()
-            return Reply(status=503 if snapshot is None else 200, headers=[], body=snapshot or b"")
+            return self._snapshot(req)
         if req.path == CHANGES_PATH:
             return await self._discovery.relay.handle_request(req)
         if req.path == METRICS_PATH:
@@ -216,13 +217,27 @@
             )
         return Reply(status=404, headers=[])
 
+    def _snapshot(self, req: ClientRequest) -> Reply:
+        """Return this gateway's state; uncompressed for gateways of version 1, which ask for it."""
+        fields = parse_qs(req.target.partition(b"?")[2].decode("latin-1"))
+        region = RegionName(fields.get("region", [self.state.me.region])[0])
+        snapshot = self._discovery.snapshot(region=region)
+        if snapshot is None or self.state.stopping:
+            return Reply(status=503, headers=[])
+        if req.header(b"accept-encoding") != COMPRESSED:
+            body = self._discovery.encode_snapshot(region=region)
+            return Reply(status=200, headers=[], body=body)
+        return Reply(status=200, headers=[(b"content-encoding", COMPRESSED)], body=snapshot)
+
     def _lookup(self, req: ClientRequest) -> Reply:
         location = self._codec.decode_location(req.target.partition(b"?")[2].decode("latin-1"))
+        now = self._loop.time()
         addresses = self.state.fleet.entry_points(
             zone=location.zone or self.state.settings.zone,
             region=location.region or self.state.settings.region,
             ready=self.state.ready,
-            now=self._loop.time(),
+            demand_per_s=self.state.request_rate.per_s(now=now),
+            now=now,
         )
         if not addresses:
             return Reply(status=503, headers=[])
@@ -246,6 +261,7 @@
         was_ready = False
         while True:
             self._pool.close_expired()
+            self.state.expire_peer_loads(now=self._loop.time())
             self._discovery.expire()
             if self.state.ready and not was_ready:
                 was_ready = True
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
+from math import inf
 from typing import Protocol
 
 import msgspec
 
 from gooseberryport_core.gateway.model import RoutingConfig, UpstreamEntry
+from gooseberryport_core.gateway.warmth import WarmthRecord
 from gooseberryport_core.types import RegionName, UpstreamId, VmId, ZoneName
 
 
@@ -83,6 +85,8 @@
         Shortest lease that the store grants; milliseconds.
     bounds
         Limits of the deployment.
+    capacity_per_s
+        Requests per second that the VM can carry; 0 if its size is not known.
     """
 
     vm: VmId
@@ -99,6 +103,7 @@
     store: str
     lease_min_ms: int
     bounds: Bounds
+    capacity_per_s: float = 0.0
 
 
 MAX_KEYS_PER_CALL = 32
@@ -114,7 +119,7 @@
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True, array_like=True):
-    """What a gateway has read from the store, for a gateway that can't reach it.
+    """What a gateway knows, for a gateway that starts or can't reach the store.
 
     Parameters
     ----------
@@ -122,10 +127,16 @@
         Every item that was read.
     revision
         Revision of the store from which a watch continues.
+    age_s
+        How long ago the store confirmed the items; seconds.
+    warmth
+        Objects that upstreams handled recently for the region of the gateway that starts.
     """
 
     items: list[StoreItem]
     revision: int
+    age_s: float = inf
+    warmth: dict[UpstreamId, WarmthRecord] = {}
 
 
 class StorePage(msgspec.Struct, frozen=True):
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -1,15 +1,17 @@
 import asyncio
 import json
 
+import msgspec
 from store_standin import store_standin
 
 from gooseberryport_core.gateway.model import Member
-from gooseberryport_gateway import _discovery
+from gooseberryport_core.gateway.warmth import WarmthRecord
+from gooseberryport_gateway import _discovery, _relay
 from gooseberryport_gateway._discovery import Discovery
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
 from gooseberryport_gateway._state import GatewayState
-from gooseberryport_gateway.wire import Bounds, GatewaySettings
+from gooseberryport_gateway.wire import Bounds, GatewaySettings, StoreSnapshot
 from gooseberryport_site.codec import PlatformCodec
 from gooseberryport_site.store import PlatformStore
 
@@ -203,7 +205,7 @@
 
         async def serve_snapshot(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
-            body = discovery.snapshot()
+            body = discovery.encode_snapshot(region="A")
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await writer.drain()
             writer.close()
@@ -238,6 +240,8 @@
             "datagrams": ["10.0.0.2", 9],
             "incarnation": 5,
         }
+        await standin.put("op/config", config(1))
+        await wait_until(lambda: discovery.synced)
         await standin.put("gooseberryport/members/vm2", other)
 
         def front_addresses():
@@ -248,3 +252,117 @@
         await wait_until(lambda: "10.0.0.2:80" not in front_addresses())
 
     run_scenario(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+async def serve_pages(discovery):
+    """Serve a gateway's state as its control listener does."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        body = discovery.snapshot(region="A")
+        if body is None:
+            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+        else:
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Encoding: deflate\r\nContent-Length: %d\r\n\r\n"
+                % len(body)
+                + body
+            )
+        await writer.drain()
+        writer.close()
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+
+def test_starting_gateway_reads_another_ones_state_instead_of_the_store(tmp_path, monkeypatch):
+    monkeypatch.setattr(_relay, "MAX_AGE_FRACTION", 20.0)
+
+    async def scenario(standin, state, discovery):
+        await standin.put("op/config", config(3))
+        for index in range(60):
+            await standin.put(f"servers/u{index}", ENTRY)
+        await wait_until(lambda: len(usable_ids(state)) == 60)
+        state.warmth.record("u7", 11, now=0.0, observed_here=True)
+        server = await serve_pages(discovery)
+        port = server.sockets[0].getsockname()[1]
+        with (tmp_path / "other").open("wb") as file:
+            new_state = make_state(file.fileno(), seeds=(f"127.0.0.1:{port}",))
+            store = PlatformStore(address=f"127.0.0.1:{standin.port}")
+            new_discovery = Discovery(state=new_state, store=store, codec=PlatformCodec())
+            reads = sum("kv-range" in target for _, target in standin.calls)
+            task = asyncio.create_task(new_discovery.follow())
+            await wait_until(lambda: new_discovery.synced and len(usable_ids(new_state)) == 60)
+            assert sum("kv-range" in target for _, target in standin.calls) == reads
+            assert new_state.warmth.is_warm("u7", 11)
+            await standin.delete("servers/u3")
+            await wait_until(lambda: len(usable_ids(new_state)) == 59)
+            task.cancel()
+        server.close()
+
+    run_scenario(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_state_that_is_too_old_is_not_used_while_the_store_answers(tmp_path, monkeypatch):
+    monkeypatch.setattr(_discovery, "START_WAIT_S", 0.5)
+
+    async def scenario(standin, state, discovery):
+        await standin.put("op/config", config(3))
+        await standin.put("servers/u1", ENTRY)
+        await wait_until(lambda: usable_ids(state) == ["u1"])
+        discovery.relay._up_to_date_at = float("-inf")
+        stale = discovery.snapshot(region="A")
+        discovery.snapshot = lambda region: stale
+        await standin.delete("servers/u1")
+        server = await serve_pages(discovery)
+        port = server.sockets[0].getsockname()[1]
+        with (tmp_path / "other").open("wb") as file:
+            new_state = make_state(file.fileno(), seeds=(f"127.0.0.1:{port}",))
+            store = PlatformStore(address=f"127.0.0.1:{standin.port}")
+            new_discovery = Discovery(state=new_state, store=store, codec=PlatformCodec())
+            task = asyncio.create_task(new_discovery.follow())
+            await wait_until(lambda: new_discovery.synced)
+            assert usable_ids(new_state) == []
+            task.cancel()
+        server.close()
+
+    run_scenario(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_malformed_state_of_another_gateway_is_ignored(tmp_path, monkeypatch):
+    class Broken:
+        def snapshot(self, *, region):
+            return b"not compressed"
+
+    async def scenario(standin, state, discovery):
+        await standin.put("op/config", config(3))
+        server = await serve_pages(Broken())
+        port = server.sockets[0].getsockname()[1]
+        with (tmp_path / "other").open("wb") as file:
+            new_state = make_state(file.fileno(), seeds=(f"127.0.0.1:{port}",))
+            store = PlatformStore(address=f"127.0.0.1:{standin.port}")
+            new_discovery = Discovery(state=new_state, store=store, codec=PlatformCodec())
+            task = asyncio.create_task(new_discovery.follow())
+            await wait_until(lambda: new_discovery.synced)
+            task.cancel()
+        server.close()
+
+    run_scenario(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def test_warmth_of_another_region_is_passed_on_as_it_was_saved(tmp_path, monkeypatch):
+    monkeypatch.setattr(_relay, "MAX_AGE_FRACTION", 20.0)
+
+    async def scenario(standin, state, discovery):
+        record = msgspec.msgpack.encode(WarmthRecord(started_ms=ENTRY["born"], marks=(5, 6)))
+        await standin.put("servers/u1", ENTRY)
+        await standin.put("op/config", config(3))
+        await wait_until(lambda: discovery.synced and usable_ids(state) == ["u1"])
+        await standin.put("gooseberryport/warmth/B/u1", record)
+        await standin.put("gooseberryport/warmth/A/u1", record)
+        await wait_until(lambda: "gooseberryport/warmth/A/u1" in discovery._items)
+        snapshot = msgspec.msgpack.decode(discovery.encode_snapshot(region="B"), type=StoreSnapshot)
+        kept = [item.key for item in snapshot.items if "warmth" in item.key]
+        assert kept == ["gooseberryport/warmth/B/u1"]
+        assert snapshot.warmth == {}
+
+    run_scenario(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
