Bound what servers and clients may send that is no answer and no request

Ruled out: a limit on the time only (a fast sender fills the memory in a second); failing whoever exceeds the sum (a short answer would pay for an endless one). Change: limits on fields, their number, interim responses, framing and body of a response; the upstream then rests until a probe succeeds. Unfinished bodies share a budget, and the longest is given up. Trailers are dropped. The daemon's upstream connections (urllib3) are not bounded like this yet.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gooseberryport_core.gateway.model import ClientLimits
+from gooseberryport_gateway._byte_limits import BufferBudget
 from gooseberryport_gateway._headers import Headers, find_header
 
 MAX_PIPELINED_REQUESTS = 64
@@ -19,6 +20,15 @@
 """How long a closing connection stays open, as unread bytes would reset it before the client has
 read the last reply; seconds."""
 
+MAX_TRAILER_BYTES = 16_384
+"""Maximum bytes of a chunked body's trailers and chunk extensions, beside its chunks; bytes."""
+
+FRAMING_PER_BODY_BYTE = 8
+"""Framing accepted for each byte of a chunked body; one-byte chunks need six."""
+
+FULL_RETRY_DELAY_S = 0.5
+"""Delay after which a client retries whose body did not fit into memory; seconds."""
+
 REASON_PHRASES = {
     100: b"Continue",
     200: b"OK",
@@ -93,12 +103,21 @@
         Returns the limits in force.
     conns
         Set of open connections, which contains this one while it is open.
+    budget
+        Bounds the bodies that all connections hold; None for no bound.
     """
 
     def __init__(
-        self, *, handler: Handler, limits: Callable[[], ClientLimits], conns: set[ClientConn]
+        self,
+        *,
+        handler: Handler,
+        limits: Callable[[], ClientLimits],
+        conns: set[ClientConn],
+        budget: BufferBudget | None = None,
     ) -> None:
         self._handler = handler
+        self._budget = budget
+        self._framing_bytes = 0
         self._limits = limits
         self._conns = conns
         self._loop = asyncio.get_running_loop()
@@ -159,6 +178,15 @@
             self._header_bytes += 0 if self._head_began_in_data else len(data)
             if self._header_bytes > self._limits().max_header_bytes:
                 self._reject(431)
+        elif self._reading and not self._rejecting and not self._head_began_in_data:
+            self._check_framing(len(data))
+
+    def _check_framing(self, num_bytes: int) -> None:
+        """Reject a body that consists mostly of chunk extensions and trailers."""
+        self._framing_bytes += num_bytes
+        allowed = MAX_TRAILER_BYTES + (FRAMING_PER_BODY_BYTE + 1) * self._body_bytes
+        if self._framing_bytes > allowed:
+            self._reject(431)
 
     def eof_received(self) -> bool:
         """Close the connection when the client has closed its side."""
@@ -168,6 +196,7 @@
         """Cancel the requests that the client no longer waits for."""
         self._conns.discard(self)
         self._closing = True
+        self._free_body()
         self._cancel_timer()
         self._cancel_pending()
 
@@ -191,6 +220,7 @@
         self._head_began_in_data = True
         self._body = []
         self._body_bytes = 0
+        self._framing_bytes = 0
         self._headers_complete = False
         self._reading = True
         self._start_timer(self._limits().header_timeout_s)
@@ -200,8 +230,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        self._headers.append((name.lower(), value))
+        """Collect a header field; trailer fields are dropped."""
+        if not self._headers_complete:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the size limits, and send ``100 Continue`` if it is expected."""
@@ -226,7 +257,11 @@
         if self._body_bytes > self._limits().max_body_bytes:
             self._reject(413)
             return
+        if self._rejecting:
+            return
         self._body.append(data)
+        if self._budget is not None:
+            self._budget.add(self, len(data))
         self._start_timer(self._limits().idle_timeout_s)
 
     def on_message_complete(self) -> None:
@@ -235,6 +270,8 @@
         self._cancel_timer()
         if self._rejecting or self._closing:
             return
+        body = b"".join(self._body)
+        self._free_body()
         try:
             path = self._target.partition(b"?")[0].decode("ascii")
         except UnicodeDecodeError:
@@ -246,7 +283,7 @@
             target=self._target,
             path=path,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=body,
             arrived_at=self._loop.time(),
         )
         pending = _Pending(keep_alive=self._parser.should_keep_alive(), head_only=method == b"HEAD")
@@ -261,12 +298,23 @@
         self._flush()
         return reply
 
-    def _reject(self, status: int) -> None:
+    def discard(self, reason: str) -> None:
+        """Refuse the request whose body is being read, because all bodies exceed their memory."""
+        headers = [(b"retry-after", b"%.1f" % FULL_RETRY_DELAY_S)]
+        self._reject(503, headers=headers)
+
+    def _free_body(self) -> None:
+        self._body = []
+        if self._budget is not None:
+            self._budget.release(self)
+
+    def _reject(self, status: int, *, headers: Headers | None = None) -> None:
         """Reply with an error, after the earlier replies, to a request that is not read further."""
         self._rejecting = True
         self._reading = False
+        self._free_body()
         self._cancel_timer()
-        reply = Reply(status=status, headers=[])
+        reply = Reply(status=status, headers=headers or [])
         self._pending.append(_Pending(keep_alive=False, head_only=False, reply=reply))
         self._flush()
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -13,6 +13,7 @@
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId, ZoneName
+from gooseberryport_gateway._byte_limits import SERVICE_LIMITS
 from gooseberryport_gateway._http_conn import HttpResponse, open_conn
 from gooseberryport_gateway._relay import Relay
 from gooseberryport_gateway._state import GatewayState
@@ -306,7 +307,9 @@
         )
         try:
             async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
-                conn = await open_conn((host, int(port)), timeout_s=SNAPSHOT_CONNECT_TIMEOUT_S)
+                conn = await open_conn(
+                    (host, int(port)), timeout_s=SNAPSHOT_CONNECT_TIMEOUT_S, limits=SERVICE_LIMITS
+                )
                 try:
                     response = await conn.request(request.encode())
                 finally:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -27,7 +27,7 @@
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._silence import SilenceDetector
 from gooseberryport_gateway._state import GatewayState
-from gooseberryport_gateway.errors import NotSentError, ResponseLostError
+from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
 from gooseberryport_gateway.wire import HeaderNames
 
 NOT_READY_RETRY_DELAY_S = 0.5
@@ -312,6 +312,10 @@
         except NotSentError as exc:
             self._state.record_unreachable(upstream, reason=str(exc), now=self._loop.time())
             return Attempt(end=AttemptEnd.NOT_SENT, reason=str(exc))
+        except ResponseLimitError as exc:
+            # Each further attempt would cost as much; a probe must succeed first.
+            self._state.record_unreachable(upstream, reason=exc.reason, now=self._loop.time())
+            return Attempt(end=AttemptEnd.LOST, reason=exc.reason)
         except ResponseLostError as exc:
             return Attempt(end=AttemptEnd.LOST, reason=exc.reason)
         finally:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -8,11 +8,14 @@
 import httptools
 import msgspec
 
+from gooseberryport_gateway._byte_limits import (
+    MAX_FIELDS,
+    MAX_INTERIM_RESPONSES,
+    BufferBudget,
+    ResponseLimits,
+)
 from gooseberryport_gateway._headers import Headers, find_header
-from gooseberryport_gateway.errors import NotSentError, ResponseLostError
-
-MAX_RESPONSE_BYTES = 67_108_864
-"""Maximum body accepted from an upstream: a fifth of a small VM's memory."""
+from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
 
 DEFAULT_IDLE_TIMEOUT_S = 5.0
 """Idle timeout assumed if the server sends no keep-alive timeout; seconds."""
@@ -53,11 +56,32 @@
     """Send requests one at a time, and return complete responses only.
 
     A response with another request's id is dropped, and the connection is not used again.
+    A response that exceeds a limit is given up at once, whichever part of it is too long.
     `idle_s` is how long the connection was idle before its latest request, or 0; seconds.
+
+    Parameters
+    ----------
+    id_header
+        Header field that contains a request's id, in lower case.
+    limits
+        Limits on a response.
+    budget
+        Bounds the bodies that all connections hold; None for no bound.
     """
 
-    def __init__(self, *, id_header: bytes | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        id_header: bytes | None = None,
+        limits: ResponseLimits | None = None,
+        budget: BufferBudget | None = None,
+    ) -> None:
         self._id_header = id_header
+        self._limits = limits or ResponseLimits()
+        self._budget = budget
+        self._received_bytes = 0
+        self._num_fields = 0
+        self._num_interim = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response_future: asyncio.Future[HttpResponse] | None = None
@@ -121,12 +145,14 @@
         self._request_id = request_id
         self._head_only = head_only
         self.has_response_bytes = False
+        self._received_bytes = self._body_bytes = self._num_fields = self._num_interim = 0
         transport.write(data)
         try:
             return await self._response_future
         finally:
             unfinished = self._response_future is not None
             self._response_future = None
+            self._free_body()
             if unfinished or self._unusable:
                 self.close()
 
@@ -149,18 +175,24 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
+        if self.closed:
+            return
         if self._response_future is None and not self._in_body:
             self._mark_unusable()
             return
         self.has_response_bytes = True
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            self._mark_unusable()
-            self._fail(f"malformed response ({exc})")
+            if not self.closed:
+                self._mark_unusable()
+                self._fail(f"malformed response ({exc})")
         except httptools.HttpParserUpgrade:
             self._mark_unusable()
             self._fail("unexpected protocol upgrade")
+        else:
+            self._check_overhead()
 
     def eof_received(self) -> bool:
         """Complete a response whose end is marked by the end of the connection."""
@@ -182,15 +214,19 @@
         """Start a response."""
         self._headers = []
         self._body = []
-        self._body_bytes = 0
         self._has_explicit_length = False
         self._in_body = False
         if self._response_future is None or self._response_future.done():
             self._mark_unusable()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        self._headers.append((name.lower(), value))
+        """Collect a header field; trailer fields are counted only."""
+        self._num_fields += 1
+        if self._num_fields > MAX_FIELDS:
+            self.discard(f"more than {MAX_FIELDS} header fields")
+            raise ResponseLimitError("too many header fields")
+        if not self._in_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is marked."""
@@ -204,12 +240,15 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a chunk of the body."""
+        if self.closed:
+            return
         self._body_bytes += len(data)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            self._mark_unusable()
-            self._fail("response body too long")
+        if self._body_bytes > self._limits.max_body_bytes:
+            self.discard(f"a body of more than {self._limits.max_body_bytes} bytes")
             return
         self._body.append(data)
+        if self._budget is not None:
+            self._budget.add(self, len(data))
 
     def on_message_complete(self) -> None:
         """Complete the request, unless the response has another request's id."""
@@ -218,6 +257,9 @@
         status = self._parser.get_status_code()
         if 100 <= status < 200:
             self._in_body = False
+            self._num_interim += 1
+            if self._num_interim > MAX_INTERIM_RESPONSES:
+                self.discard(f"more than {MAX_INTERIM_RESPONSES} interim responses")
             return
         if self._id_header is not None and self._request_id is not None:
             response_id = self._build_response().header(self._id_header)
@@ -242,6 +284,7 @@
         if future is None or future.done():
             return
         response = self._build_response()
+        self._free_body()
         self._record_idle_timeout(response)
         transport = self._transport
         if transport is not None and transport.get_write_buffer_size() > 0:
@@ -259,6 +302,32 @@
             if name.lower() == b"timeout" and value.isdigit():
                 self._idle_timeout_s = float(value)
 
+    def discard(self, reason: str) -> None:
+        """Give the response up because it exceeds a limit, and close the connection."""
+        self._unusable = True
+        self._free_body()
+        future, self._response_future = self._response_future, None
+        if future is not None and not future.done():
+            future.set_exception(ResponseLimitError(reason))
+        self.close()
+
+    def _free_body(self) -> None:
+        self._body = []
+        if self._budget is not None:
+            self._budget.release(self)
+
+    def _check_overhead(self) -> None:
+        """Give the response up if its parts other than the body are too long."""
+        if self.closed or self._response_future is None:
+            return
+        overhead = self._received_bytes - self._body_bytes
+        if overhead <= self._limits.overhead_allowed(body_bytes=self._body_bytes):
+            return
+        if self._in_body:
+            self.discard(f"{overhead} bytes of chunk extensions or trailers")
+        else:
+            self.discard(f"{overhead} bytes without the end of the header")
+
     def _mark_unusable(self) -> None:
         self._unusable = True
         if self._response_future is None or self._response_future.done():
@@ -281,8 +350,10 @@
     *,
     timeout_s: float = CONNECT_TIMEOUT_S,
     id_header: bytes | None = None,
+    limits: ResponseLimits | None = None,
+    budget: BufferBudget | None = None,
 ) -> HttpConn:
-    """Open a connection.
+    """Open a connection; the parameters are those of `HttpConn`.
 
     Raises
     ------
@@ -293,7 +364,9 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, conn = await loop.create_connection(
-                lambda: HttpConn(id_header=id_header), host=address[0], port=address[1]
+                lambda: HttpConn(id_header=id_header, limits=limits, budget=budget),
+                host=address[0],
+                port=address[1],
             )
     except (OSError, TimeoutError) as exc:
         raise NotSentError(f"no connection to {address[0]}:{address[1]}: {exc!r}") from exc
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
@@ -8,6 +8,7 @@
 
 from gooseberryport_core.gateway.model import Address
 from gooseberryport_core.types import UpstreamId
+from gooseberryport_gateway._byte_limits import BufferBudget
 from gooseberryport_gateway._http_conn import HttpConn, open_conn
 
 
@@ -27,6 +28,7 @@
         self.on_last_closed = on_last_closed
         self._idle: dict[UpstreamId, list[HttpConn]] = {}
         self._open: dict[UpstreamId, int] = {}
+        self._budget = BufferBudget()
         self._loop = asyncio.get_running_loop()
         self.opened = 0
 
@@ -50,7 +52,7 @@
             The connection could not be opened.
         """
         self.opened += 1
-        conn = await open_conn(address, id_header=self._id_header)
+        conn = await open_conn(address, id_header=self._id_header, budget=self._budget)
         self._open[upstream] = self._open.get(upstream, 0) + 1
         conn.closed_future.add_done_callback(lambda _: self._record_closed(upstream, conn))
         return conn
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -20,6 +20,7 @@
 from gooseberryport_core.gateway.model import Member, UpstreamEntry
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import VmId
+from gooseberryport_gateway._byte_limits import SERVICE_LIMITS
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
 from gooseberryport_gateway._http_conn import HttpConn, open_conn
 from gooseberryport_gateway._state import GatewayState
@@ -260,7 +261,9 @@
         conn = self._conns.pop(address, None)
         if conn is None or not conn.usable:
             host, _, port = address.rpartition(":")
-            conn = await open_conn((host, int(port)), timeout_s=LONG_POLL_MARGIN_S)
+            conn = await open_conn(
+                (host, int(port)), timeout_s=LONG_POLL_MARGIN_S, limits=SERVICE_LIMITS
+            )
         request = f"GET {CHANGES_PATH}?after={after} HTTP/1.1\r\nhost: {address}\r\n\r\n"
         response = await conn.request(request.encode())
         if conn.usable:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
@@ -25,6 +25,10 @@
         self.reason = reason
 
 
+class ResponseLimitError(ResponseLostError):
+    """The server sent more than a response may contain; it is probably not sending one."""
+
+
 class SettingsError(GatewayError):
     """The settings are invalid; the message names the field and what to do."""
 
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -31,10 +31,10 @@
     return {"version": version, "listeners": listeners, "clusters": [{"name": "s"}]}
 
 
-def entry(port):
+def entry(port, *, service="s"):
     return {
         "address": f"127.0.0.1:{port}",
-        "info": {"service": "s", "version": "v1", "zone": "a", "slots": 4},
+        "info": {"service": service, "version": "v1", "zone": "a", "slots": 4},
         "status": {"state": "ready", "sequence": 1, "coldRemainingMs": 0},
         "born": 1,
     }
@@ -243,3 +243,93 @@
             assert await asyncio.wait_for(process.wait(), 6) == 0
 
     asyncio.run(asyncio.wait_for(main(), 60))
+
+
+MAX_PEAK_MB = 60
+ENDLESS_RESPONSES = [
+    (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 2000),
+    (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 16_384),
+    (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+    (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"a: b\r\n" * 2000),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", b"x" * 16_384),
+]
+
+
+@contextlib.asynccontextmanager
+async def endless_upstreams(count):
+    """Start upstreams that send bytes that are no answer until the gateway closes."""
+
+    def make_server(first, block):
+        async def serve(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(first)
+                while True:
+                    writer.write(block)
+                    await writer.drain()
+            writer.close()
+
+        return asyncio.start_server(serve, "127.0.0.1", 0)
+
+    servers = [
+        await make_server(*ENDLESS_RESPONSES[index % len(ENDLESS_RESPONSES)])
+        for index in range(count)
+    ]
+    try:
+        yield [server.sockets[0].getsockname()[1] for server in servers]
+    finally:
+        for server in servers:
+            server.close()
+
+
+def peak_mb(pid):
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    raise AssertionError("the process has ended")
+
+
+def test_endless_upstreams_take_neither_the_memory_nor_other_services_answers(tmp_path):
+    def rule(prefix, service):
+        action = {"service": service, "timeoutMs": 3000, "maxAttempts": 2}
+        return {"kind": "safe", "match": {"pathPrefix": prefix}, "action": action}
+
+    rules = [rule("/a/", "s"), rule("/b/", "t")]
+    config = {
+        "version": 1,
+        "listeners": [{"host": "h.example", "rules": rules}],
+        "clusters": [{"name": "s"}, {"name": "t"}],
+    }
+
+    async def main():
+        async with (
+            store_standin() as (standin, _),
+            endless_upstreams(20) as endless_ports,
+            slow_upstream(0.01) as good_port,
+            running_gateway(tmp_path, standin.port) as gateway,
+        ):
+            for index, port in enumerate(endless_ports):
+                await standin.put(f"servers/e{index}", entry(port))
+            await standin.put("servers/good", entry(good_port, service="t"))
+            await standin.put("op/config", config)
+            await gateway.until_ready()
+            async with asyncio.timeout(5):
+                while (await gateway.get("front", "/b/x"))[0] != 200:
+                    await asyncio.sleep(0.05)
+            loop = asyncio.get_running_loop()
+            bad = [
+                asyncio.create_task(gateway.get("front", "/a/x", request_id=f"bad{index}"))
+                for index in range(60)
+            ]
+            times = []
+            for index in range(40):
+                started = loop.time()
+                assert (await gateway.get("front", "/b/x", request_id=f"b{index}"))[0] == 200
+                times.append(loop.time() - started)
+            assert {status for status, _ in await asyncio.gather(*bad)} <= {502, 503, 504}
+            assert sorted(times)[len(times) // 2] < 0.5
+            assert peak_mb(gateway.process.pid) < MAX_PEAK_MB
+            assert gateway.process.returncode is None
+
+    asyncio.run(asyncio.wait_for(main(), 60))
