--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Iterable
 from enum import Enum
 
@@ -472,11 +473,19 @@
             if state.ready and self._is_alive(state, now=now)
         ]
 
-    def assignees(self, task: str, *, count: int, follows_store: bool, now: float) -> list[Member]:
-        """Return the gateways of this region that perform a task on behalf of all of them.
+    def assignees(
+        self,
+        task: str,
+        *,
+        count: int,
+        follows_store: bool,
+        region: RegionName | None = None,
+        now: float,
+    ) -> list[Member]:
+        """Return the gateways of a region that perform a task on behalf of all of them.
 
         Rendezvous hashing gives every gateway the same result as long as all receive each other's
-        datagrams. Two gateways that do not receive each other's may both perform the task.
+        datagrams or digests. Two gateways that do not may both perform the task.
 
         Parameters
         ----------
@@ -486,22 +495,39 @@
             Number of gateways that perform it.
         follows_store
             Whether this gateway receives replies from the store; gateways that do not are left out.
+        region
+            The region; by default this gateway's own.
         now
             Monotonic time; seconds.
         """
+        region = region if region is not None else self._me.region
         eligible = [
             state.member
             for state in self._states.values()
             if state.ready
             and state.follows_store
-            and state.member.region == self._me.region
+            and state.member.region == region
             and self._is_alive(state, now=now)
         ]
-        if follows_store:
+        if follows_store and region == self._me.region:
             eligible.append(self._me)
         eligible.sort(key=lambda member: rendezvous_weight(member.vm, task), reverse=True)
         return eligible[:count]
 
+    def region_near_store(self) -> RegionName | None:
+        """Return the region from which the store answers fastest, or None if it is not known.
+
+        Load pattern: every change of an entry is sent to each gateway that watches the store, and
+        bytes between regions are costly; most changes are of no interest to the gateways.
+        """
+        delays: dict[RegionName, list[float]] = {}
+        for state in self._states.values():
+            if state.listed and state.member.store_delay_s > 0.0:
+                delays.setdefault(state.member.region, []).append(state.member.store_delay_s)
+        if not delays:
+            return None
+        return min(sorted(delays), key=lambda region: statistics.median(delays[region]))
+
     def entry_points(
         self,
         *,
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
@@ -198,6 +198,8 @@
         Address for HTTP requests of other gateways, ``IP:port``.
     capacity_per_s
         Requests per second that its VM can carry; 0 if it does not state this.
+    store_delay_s
+        Time of its first call to the store; 0 if it does not state this; seconds.
     """
 
     vm: VmId
@@ -208,3 +210,4 @@
     incarnation: int
     control: str = ""
     capacity_per_s: float = 0.0
+    store_delay_s: float = 0.0
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import zlib
 from collections.abc import Iterable
+from enum import Enum
 from math import inf
 from urllib.parse import urlencode
 
@@ -40,6 +41,9 @@
 """Pause between watches, as a fraction of the time after which a draining upstream gets no more
 requests: upstreams report continuously, each call is billed, and a slow call must fit as well."""
 
+RELAYED_WATCH_PAUSE_FRACTION = 0.35
+"""The same for a watcher whose state other gateways use, which adds the delay of their requests."""
+
 WATCH_TIMEOUT_S = 2.0
 """How long the store may leave a watch unanswered while nothing changes; a watch that is unanswered
 for longer shows that the connection is dead; seconds."""
@@ -55,6 +59,10 @@
 """Time for which a starting gateway waits for another one's state if others answer that they have
 none yet; a start of all gateways must not read all entries once for each; seconds."""
 
+REFUSED_WAIT_S = 1.0
+"""The same if no gateway listens yet on the seeds' VMs, which start together: longer than a
+process takes to start on a small VM; seconds."""
+
 MIN_START_RETRY_DELAY_S = 0.1
 MAX_START_RETRY_DELAY_S = 0.4
 """Bounds of the delay between two requests for another gateway's state; seconds."""
@@ -89,12 +97,25 @@
     data: bytes
 
 
+class _PeerState(Enum):
+    """What a request for another gateway's state has shown."""
+
+    LOADED = "loaded"
+    STARTING = "starting"
+    """The gateway answers, but has no recent state."""
+
+    REFUSED = "refused"
+    """Its VM is up, but no gateway listens there."""
+
+    SILENT = "silent"
+
+
 class _SnapshotAnswer(msgspec.Struct, frozen=True):
-    """Whether a gateway answered a request for its state, and its state if it has one."""
+    """Result of a request for a gateway's state; `snapshot` is None if it has none."""
 
     address: str
-    answered: bool
-    snapshot: StoreSnapshot | None
+    state: _PeerState
+    snapshot: StoreSnapshot | None = None
 
 
 def _decode_snapshot(response: HttpResponse) -> StoreSnapshot:
@@ -105,10 +126,17 @@
 
 
 class _LoadedSnapshot(msgspec.Struct, frozen=True):
-    """Whether another gateway's state was loaded, and whether any gateway answered at all."""
+    """Revision of the state that was loaded, or None, and what the gateways' answers show."""
 
     revision: int | None
-    answered: bool
+    states: frozenset[_PeerState]
+
+    @property
+    def wait_s(self) -> float:
+        """How long after the start it is worth to ask again; seconds."""
+        if _PeerState.STARTING in self.states:
+            return START_WAIT_S
+        return REFUSED_WAIT_S if _PeerState.REFUSED in self.states else 0.0
 
 
 class Discovery:
@@ -158,7 +186,9 @@
 
     @property
     def _watch_pause_s(self) -> float:
-        return self._state.settings.bounds.drain_s * WATCH_PAUSE_FRACTION
+        relayed = self.relay.is_used
+        fraction = RELAYED_WATCH_PAUSE_FRACTION if relayed else WATCH_PAUSE_FRACTION
+        return self._state.settings.bounds.drain_s * fraction
 
     async def follow(self) -> None:
         """Read the store, then follow its changes, forever."""
@@ -262,13 +292,13 @@
         while one that has read them is a few milliseconds away. A gateway that the settings name as
         a seed reads the store if the other seeds have no state; the others wait for the seeds.
         """
-        give_up_at = self._loop.time() + (0.0 if self._is_seed else START_WAIT_S)
+        started_at = self._loop.time()
         delay_s = MIN_START_RETRY_DELAY_S
         while True:
             loaded = await self._load_peer_snapshot(max_age_s=self.relay.max_age_s)
             if loaded.revision is not None:
                 return loaded.revision
-            if not loaded.answered or self._loop.time() >= give_up_at:
+            if self._is_seed or self._loop.time() >= started_at + loaded.wait_s:
                 return None
             await asyncio.sleep(delay_s * (0.5 + self._state.rng.random()))
             delay_s = min(delay_s * 2.0, MAX_START_RETRY_DELAY_S)
@@ -284,18 +314,20 @@
             self._loop.create_task(self._request_snapshot(address))
             for address in addresses[:MAX_SNAPSHOT_REQUESTS]
         ]
-        answered = False
+        states: set[_PeerState] = set()
         try:
             for request in asyncio.as_completed(requests):
                 answer = await request
-                answered = answered or answer.answered
+                states.add(answer.state)
                 if answer.snapshot is not None and answer.snapshot.age_s <= max_age_s:
                     self._load_snapshot(answer.snapshot, address=answer.address)
-                    return _LoadedSnapshot(revision=answer.snapshot.revision, answered=True)
+                    return _LoadedSnapshot(
+                        revision=answer.snapshot.revision, states=frozenset(states)
+                    )
         finally:
             for task in requests:
                 task.cancel()
-        return _LoadedSnapshot(revision=None, answered=answered)
+        return _LoadedSnapshot(revision=None, states=frozenset(states))
 
     async def _request_snapshot(self, address: str) -> _SnapshotAnswer:
         """Request the state of the gateway at an address."""
@@ -323,8 +355,11 @@
             zlib.error,
         ) as exc:
             self._state.log.write(LogNumber.GATEWAY_PEER_SILENT, address=address, reason=repr(exc))
-            return _SnapshotAnswer(address=address, answered=False, snapshot=None)
-        return _SnapshotAnswer(address=address, answered=True, snapshot=snapshot)
+            refused = isinstance(exc.__cause__, ConnectionRefusedError)
+            state = _PeerState.REFUSED if refused else _PeerState.SILENT
+            return _SnapshotAnswer(address=address, state=state)
+        state = _PeerState.STARTING if snapshot is None else _PeerState.LOADED
+        return _SnapshotAnswer(address=address, state=state, snapshot=snapshot)
 
     def _load_snapshot(self, snapshot: StoreSnapshot, *, address: str) -> None:
         self._revision = snapshot.revision
@@ -345,11 +380,15 @@
     async def maintain_membership(self) -> None:
         """Keep this gateway's entry in the store, forever."""
         key = self._own_key
-        value = msgspec.json.encode(self._state.me)
         while True:
             try:
                 if self._lease is None:
+                    started_at = self._loop.time()
                     lease = await self._store.grant_lease(ttl_s=self._lease_ttl_s)
+                    entry = msgspec.structs.replace(
+                        self._state.me, store_delay_s=round(self._loop.time() - started_at, 4)
+                    )
+                    value = msgspec.json.encode(entry)
                     await self._store.put(key, value, lease=lease)
                     self._lease = lease
                     self._state.log.write(LogNumber.GATEWAY_LEASE_TAKEN, lease=lease)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -19,7 +19,7 @@
 from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core.gateway.model import Member, UpstreamEntry
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import VmId
+from gooseberryport_core.types import RegionName, VmId
 from gooseberryport_gateway._byte_limits import SERVICE_LIMITS
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
 from gooseberryport_gateway._http_conn import HttpConn, open_conn
@@ -37,8 +37,9 @@
 MIN_GATEWAYS_FOR_RELAY = 5
 """Minimum gateways of a region for using watchers; with fewer the saving is small."""
 
-LONG_POLL_TIMEOUT_S = 0.5
-"""How long a watcher holds a request while nothing changes; seconds."""
+LONG_POLL_FRACTION = 0.17
+"""How long a watcher holds a request while nothing changes, as a fraction of the time within which
+a draining upstream must get no more requests."""
 
 LONG_POLL_MARGIN_S = 0.3
 """Time for the reply beyond that: many round trips within a region; seconds."""
@@ -46,9 +47,14 @@
 AVOID_WATCHER_WINDOW_S = 2.0
 """How long a watcher that did not reply is avoided; seconds."""
 
-MAX_AGE_FRACTION = 0.55
+USED_TTL_S = 5.0
+"""Time after a request for changes for which this gateway counts as a watcher for others; seconds.
+"""
+
+MAX_AGE_FRACTION = 0.62
 """Maximum age of a watcher's state, as a fraction of the time within which a draining upstream must
-get no more requests: covers the watcher's pause between watches, and a watch by this gateway."""
+get no more requests: covers the pause between watches and a request held by another region's
+watcher, and leaves the time for an unanswered request and a watch by this gateway."""
 
 COLD_TOLERANCE_S = 0.5
 """A cold upstream's entry is relayed again if the time at which the upstream stops being cold moved
@@ -166,12 +172,22 @@
         self._changed = asyncio.Event()
         self._conns: dict[str, HttpConn] = {}
         self._avoided: dict[VmId, float] = {}
+        self._requested_at = float("-inf")
 
     @property
     def max_age_s(self) -> float:
         """Maximum age of another gateway's state that this one may use; seconds."""
         return self._state.settings.bounds.drain_s * MAX_AGE_FRACTION
 
+    @property
+    def is_used(self) -> bool:
+        """Whether other gateways requested changes from this one lately."""
+        return self._loop.time() - self._requested_at < USED_TTL_S
+
+    @property
+    def _long_poll_s(self) -> float:
+        return self._state.settings.bounds.drain_s * LONG_POLL_FRACTION
+
     @property
     def state_age_s(self) -> float:
         """How long ago the store confirmed this gateway's state; seconds."""
@@ -190,21 +206,22 @@
             self._notify_changed(now)
 
     def record_relayed_page(self, page: RelayPage) -> None:
-        """Record a relayed page, in case this gateway becomes a watcher."""
-        self.log.add(page.items, revision=page.revision, now=self._loop.time())
+        """Record a relayed page, for gateways that request changes from this one."""
+        if self.log.add(page.items, revision=page.revision, now=self._loop.time()):
+            self._wake_requests()
 
     def watcher(self) -> Member | None:
-        """Return the gateway to fetch changes from, or None if this one watches the store."""
+        """Return the gateway to fetch changes from, or None if this one watches the store.
+
+        The watchers of the region near the store watch it; those of other regions fetch changes
+        from them; and all other gateways fetch changes from the watchers of their region.
+        """
         state = self._state
+        watchers = self._watchers_of(state.me.region)
+        if any(member.vm == state.me.vm for member in watchers):
+            near = state.fleet.region_near_store()
+            watchers = self._watchers_of(near) if near not in (None, state.me.region) else []
         now = self._loop.time()
-        eligible = state.fleet.assignees(
-            WATCH_TASK, count=MIN_GATEWAYS_FOR_RELAY, follows_store=state.follows_store, now=now
-        )
-        watchers = eligible[:WATCHERS]
-        if len(eligible) < MIN_GATEWAYS_FOR_RELAY or any(
-            member.vm == state.me.vm for member in watchers
-        ):
-            return None
         usable = [
             member
             for member in watchers
@@ -215,13 +232,24 @@
             usable, key=lambda member: rendezvous_weight(member.vm, state.me.vm), default=None
         )
 
+    def _watchers_of(self, region: RegionName | None) -> list[Member]:
+        """Return the watchers of a region; none if it has too few gateways for a relay."""
+        eligible = self._state.fleet.assignees(
+            WATCH_TASK,
+            count=MIN_GATEWAYS_FOR_RELAY,
+            follows_store=self._state.follows_store,
+            region=region,
+            now=self._loop.time(),
+        )
+        return eligible[:WATCHERS] if len(eligible) >= MIN_GATEWAYS_FOR_RELAY else []
+
     async def fetch(self, watcher: Member, *, after: int) -> RelayPage | None:
         """Return a watcher's changes after a revision, possibly none.
 
         Return None if the watcher is unreachable or refuses, or if its state is too old.
         """
         try:
-            async with asyncio.timeout(LONG_POLL_TIMEOUT_S + LONG_POLL_MARGIN_S):
+            async with asyncio.timeout(self._long_poll_s + LONG_POLL_MARGIN_S):
                 page = await self._request_page(watcher, after=after)
         except (NotSentError, ResponseLostError, TimeoutError, msgspec.DecodeError) as exc:
             self._avoid(watcher, reason=repr(exc))
@@ -234,6 +262,7 @@
 
     async def handle_request(self, req: ClientRequest) -> Reply:
         """Reply to a gateway that requests changes, after waiting for one if there is none."""
+        self._requested_at = self._loop.time()
         fields = parse_qs(req.target.partition(b"?")[2].decode("latin-1"))
         after = fields.get("after", [""])[0]
         if not after.isdigit():
@@ -242,7 +271,7 @@
         if changes is not None and not changes:
             changed = self._changed
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LONG_POLL_TIMEOUT_S):
+                async with asyncio.timeout(self._long_poll_s):
                     await changed.wait()
             changes = self.log.since(int(after))
         age_s = self.state_age_s
@@ -278,5 +307,8 @@
 
     def _notify_changed(self, now: float) -> None:
         self._up_to_date_at = now
+        self._wake_requests()
+
+    def _wake_requests(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
