Decide the admission finding: the bounds of the state machine were wrong, not the start

Cause: with other names in AdmissionMachine, Hypothesis drew examples that failed check_start. Two of its bounds do not hold by design: (1) the sum over all upstreams is not bounded by the lowered slots, since requests that run when slots are lowered go on, while a start on a free upstream overloads nobody; (2) a cancelled request no longer counts once a request sent 50 ms after its cancellation was answered by the same upstream (Slots.release_cancelled_before). Ruled out: a start above an upstream's own slots or the region's cap (both are still asserted; the sum is now asserted against the cap itself).

--- a/packages/gooseberryport-core/tests/test_admission.py
+++ b/packages/gooseberryport-core/tests/test_admission.py
@@ -5,6 +5,7 @@
 
 import msgspec
 import pytest
+from hypothesis import seed
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -13,6 +14,7 @@
 from gooseberryport_core._invariants import raise_on_violation
 from gooseberryport_core._load_estimates import DEFAULT_SERVICE_TIME_S
 from gooseberryport_core._serving import GRANT_TIMEOUT_S
+from gooseberryport_core._slots import CANCEL_EFFECT_DELAY_S
 from gooseberryport_core._views import Holding, Owner, Peer, RemoteLoad
 from gooseberryport_core.config import Config, Drain, Region, Service, Upstream
 from gooseberryport_core.effects import (
@@ -272,6 +274,7 @@
 NO_CAP = 1_000
 
 
+@seed(20261204)
 class AdmissionMachine(RuleBasedStateMachine):
     """Any order of events; a naive count of what each upstream runs is kept beside."""
 
@@ -285,6 +288,8 @@
         self.ended: set[str] = set()
         self.running: dict[str, StartUpstreamAttempt] = {}
         self.gives_up_at: dict[str, float] = {}
+        self.started_at: dict[str, float] = {}
+        self.cancelled_at: dict[str, float] = {}
         self.lease_until = float("inf")
 
     @rule(
@@ -324,6 +329,7 @@
         self.owner.feed(TicketCancelled(name))
         if name not in self.running:
             self.ended.add(name)
+        self.cancelled_at.setdefault(name, self.owner.now)
         self.absorb()
 
     @precondition(lambda self: self.running)
@@ -333,10 +339,23 @@
         self.running.pop(name)
         if outcome is not AttemptOutcome.UNKNOWN:
             self.gives_up_at.pop(name)
+        if outcome is AttemptOutcome.ANSWERED:
+            self.forget_cancelled_before(name)
         self.ended.add(name)
         self.owner.finish(name, outcome)
         self.absorb()
 
+    def forget_cancelled_before(self, answered: str) -> None:
+        """Stop counting requests whose cancellation reached the upstream before this one."""
+        upstream, started_at = self.upstream_of[answered], self.started_at[answered]
+        for name in [name for name in self.gives_up_at if name not in self.running]:
+            cancelled_at = self.cancelled_at.get(name, float("inf"))
+            if (
+                self.upstream_of[name] == upstream
+                and cancelled_at + CANCEL_EFFECT_DELAY_S <= started_at
+            ):
+                del self.gives_up_at[name]
+
     @rule(seconds=st.sampled_from([0.001, 0.05, 0.3, 1.0]))
     def advance(self, seconds: float) -> None:
         self.owner.advance(seconds)
@@ -363,6 +382,7 @@
                 self.check_start(effect)
                 self.running[effect.ticket_id] = effect
                 self.gives_up_at[effect.ticket_id] = owner.now + effect.timeout_s
+                self.started_at[effect.ticket_id] = owner.now
                 self.upstream_of[effect.ticket_id] = effect.upstream
             if isinstance(effect, SendTicketReply) and isinstance(effect.reply, Refused | Moved):
                 name = effect.reply.ticket_id
@@ -385,8 +405,9 @@
         assert start.ticket_id not in self.ended
         busy = [n for n, at in self.gives_up_at.items() if at > self.owner.now or n in self.running]
         there = [n for n in busy if self.upstream_of[n] == start.upstream]
+        # Requests that run when slots are lowered go on, so other upstreams may exceed their slots.
         assert len(there) < self.slots
-        assert len(busy) < min(self.cap, self.slots * 4)
+        assert len(busy) < self.cap
 
     @invariant()
     def at_most_one_grant_each(self) -> None:
@@ -406,11 +427,42 @@
 
 
 AdmissionMachine.TestCase.settings = hypothesis_settings(
-    derandomize=True, deadline=None, database=None, max_examples=60, stateful_step_count=40
+    deadline=None, database=None, max_examples=100, stateful_step_count=40
 )
 TestAdmissionMachine = AdmissionMachine.TestCase
 
 
+@pytest.mark.parametrize("cap", [1, 3, 5])
+@pytest.mark.parametrize("slots", [1, 2, 3])
+def test_region_never_runs_more_requests_than_its_cap(slots: int, cap: int) -> None:
+    owner = SingleOwner(make_cfg(slots=slots, cap=cap))
+    for number in range(30):
+        owner.offer(2.0, POOLS[number % 2])
+    for name in owner.granted():
+        owner.start(name)
+    starts = [effect for effect in owner.effects if isinstance(effect, StartUpstreamAttempt)]
+    assert len(starts) == min(cap, 4 * slots)
+
+
+def test_upstream_above_its_lowered_slots_gets_none_while_a_free_one_does() -> None:
+    owner = SingleOwner(make_cfg(slots=3, cap=5))
+    running = [owner.offer(2.0, POOLS[0]) for _ in range(2)]
+    for name in running:
+        owner.start(name)
+    owner.configure(make_cfg(slots=1, cap=5))
+    busy_before = {e.upstream for e in owner.effects if isinstance(e, StartUpstreamAttempt)}
+    seen = len(owner.effects)
+    for _ in range(4):
+        owner.offer(2.0, POOLS[0])
+        owner.offer(2.0, POOLS[1])
+    for name in set(owner.granted()) - set(running):
+        owner.start(name)
+    started = [e for e in owner.effects[seen:] if isinstance(e, StartUpstreamAttempt)]
+    assert len({e.upstream for e in started}) == len(started)
+    assert not busy_before & {e.upstream for e in started}
+    assert {e.upstream for e in started} >= {"olten-b-0", "olten-b-1"}
+
+
 def run_all(
     owner: SingleOwner, seconds: float, outcome: AttemptOutcome, status: int
 ) -> dict[str, int]:
