--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -484,8 +484,9 @@
     ) -> list[Member]:
         """Return the gateways of a region that perform a task on behalf of all of them.
 
-        Rendezvous hashing gives every gateway the same result as long as all receive each other's
-        datagrams or digests. Two gateways that do not may both perform the task.
+        The largest are preferred. Rendezvous hashing among these gives every gateway the same
+        result as long as all receive each other's datagrams or digests. Two gateways that do not
+        may both perform the task.
 
         Parameters
         ----------
@@ -511,7 +512,10 @@
         ]
         if follows_store and region == self._me.region:
             eligible.append(self._me)
-        eligible.sort(key=lambda member: rendezvous_weight(member.vm, task), reverse=True)
+        eligible.sort(
+            key=lambda member: (member.capacity_per_s, rendezvous_weight(member.vm, task)),
+            reverse=True,
+        )
         return eligible[:count]
 
     def region_near_store(self) -> RegionName | None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -41,8 +41,13 @@
 """Pause between watches, as a fraction of the time after which a draining upstream gets no more
 requests: upstreams report continuously, each call is billed, and a slow call must fit as well."""
 
-RELAYED_WATCH_PAUSE_FRACTION = 0.35
-"""The same for a watcher whose state other gateways use, which adds the delay of their requests."""
+RELAYED_WATCH_PAUSE_FRACTION = 0.33
+"""The same for a watcher whose state other gateways use, which adds the delay of their requests. It
+pauses after every watch, so that the watches have a fixed rate."""
+
+RELAYED_WATCH_TIMEOUT_S = 0.1
+"""The same as `WATCH_TIMEOUT_S` for such a watcher: the age of its state, which other gateways
+check, must not grow while nothing changes; seconds."""
 
 WATCH_TIMEOUT_S = 2.0
 """How long the store may leave a watch unanswered while nothing changes; a watch that is unanswered
@@ -184,12 +189,6 @@
     def _lease_ttl_s(self) -> float:
         return max(LEASE_TTL_S, self._state.settings.lease_min_ms / 1000.0)
 
-    @property
-    def _watch_pause_s(self) -> float:
-        relayed = self.relay.is_used
-        fraction = RELAYED_WATCH_PAUSE_FRACTION if relayed else WATCH_PAUSE_FRACTION
-        return self._state.settings.bounds.drain_s * fraction
-
     async def follow(self) -> None:
         """Read the store, then follow its changes, forever."""
         after: int | None = None
@@ -202,13 +201,19 @@
                 if await self._poll_watcher(after):
                     after = self._revision
                     continue
-                page = await self._store.watch("", after=after, wait_s=WATCH_TIMEOUT_S)
+                is_used = self.relay.is_used
+                wait_s = RELAYED_WATCH_TIMEOUT_S if is_used else WATCH_TIMEOUT_S
+                page = await self._store.watch("", after=after, wait_s=wait_s)
                 after = self._revision = page.revision
                 self._record_store_reachable(reachable=True, reason="")
                 self.relay.record_store_page(page)
                 self._apply(page.items)
                 pause_s = MIN_RETRY_DELAY_S
-                await asyncio.sleep(self._watch_pause_s if page.items else 0.0)
+                drain_s = self._state.settings.bounds.drain_s
+                if is_used:
+                    await asyncio.sleep(drain_s * RELAYED_WATCH_PAUSE_FRACTION)
+                elif page.items:
+                    await asyncio.sleep(drain_s * WATCH_PAUSE_FRACTION)
             except HistoryGoneError:
                 self._state.log.write(LogNumber.GATEWAY_STORE_HISTORY_GONE, after=after)
                 after = None
@@ -365,7 +370,7 @@
         self._revision = snapshot.revision
         self._has_state = True
         self._apply(snapshot.items, were_listed=True)
-        self.relay.reset(snapshot.items, revision=snapshot.revision)
+        self.relay.reset(snapshot.items, revision=snapshot.revision, age_s=snapshot.age_s)
         self.warmth_store.restore(snapshot.items)
         for upstream, record in snapshot.warmth.items():
             self._state.restore_warmth(upstream, record)
@@ -425,6 +430,7 @@
 
     async def _read_all(self) -> int:
         codec = self._codec
+        started_at = self._loop.time()
         config = await self._store.read_range(codec.config_prefix)
         upstreams = await self._store.read_range(codec.upstream_prefix)
         members = await self._store.read_range(codec.member_prefix)
@@ -445,7 +451,8 @@
             self.warmth_store.restore(saved_warmth)
             self._warmth_restored = True
         self._revision = min(config.revision, upstreams.revision, members.revision)
-        self.relay.reset(read, revision=self._revision)
+        age_s = self._loop.time() - started_at
+        self.relay.reset(read, revision=self._revision, age_s=age_s)
         return self._revision
 
     def _apply(self, items: Iterable[StoreItem], *, were_listed: bool = False) -> None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -193,9 +193,21 @@
         """How long ago the store confirmed this gateway's state; seconds."""
         return self._loop.time() - self._up_to_date_at
 
-    def reset(self, items: Iterable[StoreItem], *, revision: int) -> None:
-        """Restart from a full read of the store, or from another gateway's snapshot."""
-        self.log.reset(items, revision=revision, now=self._loop.time())
+    def reset(self, items: Iterable[StoreItem], *, revision: int, age_s: float) -> None:
+        """Restart from a full read of the store, or from another gateway's snapshot.
+
+        Parameters
+        ----------
+        items
+            Items that were read.
+        revision
+            Revision of the store up to which they contain all changes.
+        age_s
+            How long ago the store confirmed them; seconds.
+        """
+        now = self._loop.time()
+        self.log.reset(items, revision=revision, now=now)
+        self._up_to_date_at = now - age_s
 
     def record_store_page(self, page: StorePage) -> None:
         """Record a page that this gateway received from the store."""
