--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -279,6 +279,9 @@
         after = fields.get("after", [""])[0]
         if not after.isdigit():
             return Reply(status=400, headers=[])
+        if self.state_age_s > self.max_age_s:
+            # It does not become recent by waiting: this gateway may be cut off from the store.
+            return Reply(status=503, headers=[])
         changes = self.log.since(int(after))
         if changes is not None and not changes:
             changed = self._changed
