Place first homes where fewer objects are, and in the clients' region if it has the capacity

Load pattern: the first seconds. Change: of the two best candidates the one with fewer objects gets a cold object; both are in the region if it has 0.8 of the mean slots of a region; if they are full an idle upstream anywhere gets the object instead of a refusal. Tests: 442 objects on 345 upstreams (at most three each instead of more), region, and idle upstreams.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from enum import Enum
 
 import msgspec
@@ -27,6 +27,9 @@
 INITIAL_HOME_CANDIDATES = 2
 """Highest-ranked upstreams among which a cold object's first home is chosen by load."""
 
+LOCAL_CAPACITY_FRACTION = 0.8
+"""Fraction of the mean slots of a region from which a region has the capacity for its clients."""
+
 MAX_HOMES = 3
 """Maximum number of upstreams on which an object is warmed to avoid refusing its requests."""
 
@@ -96,6 +99,11 @@
         Returns whether an upstream handled the request's object recently.
     is_unused
         Returns whether an upstream is not known to have handled any object.
+    objects_of
+        Returns the number of objects that an upstream handled recently.
+    prefers_local
+        Whether this region has the capacity for its clients' requests, so that objects get their
+        first home there.
     """
 
     zone: ZoneName
@@ -104,6 +112,8 @@
     can_send: Callable[[Upstream], bool]
     is_warm: Callable[[Upstream], bool]
     is_unused: Callable[[Upstream], bool]
+    objects_of: Callable[[Upstream], int] = lambda _: 0
+    prefers_local: bool = False
 
     def is_local(self, upstream: Upstream) -> bool:
         """Return whether an upstream is in this gateway's region."""
@@ -233,9 +243,7 @@
     queue_factor: float,
 ) -> Placement:
     if not homes:
-        return _least_loaded(
-            candidates=ranked[:INITIAL_HOME_CANDIDATES], view=view, queue_factor=queue_factor
-        )
+        return _first_home(ranked=ranked, view=view, queue_factor=queue_factor)
     if len(homes) < MAX_HOMES:
         # A new upstream receives its first object from those for which it ranks high.
         for upstream in ranked[:NEW_UPSTREAM_RANKS]:
@@ -252,6 +260,53 @@
     return placement
 
 
+def _first_home(
+    *, ranked: Sequence[Upstream], view: PlacementView, queue_factor: float
+) -> Placement:
+    """Choose the upstream that handles a cold object's first request.
+
+    Load pattern: many objects are placed in the first seconds, before load shows where requests
+    accumulate. Of two candidates the one with fewer objects is chosen, which spreads objects far
+    more evenly than the hash alone.
+    """
+    candidates = ranked[:INITIAL_HOME_CANDIDATES]
+    if view.prefers_local:
+        local = [upstream for upstream in ranked if view.is_local(upstream)]
+        candidates = local[:INITIAL_HOME_CANDIDATES] or candidates
+    chosen = min(
+        candidates,
+        key=lambda upstream: (
+            _queued_load(upstream, view=view),
+            view.objects_of(upstream) / upstream.entry.slots,
+        ),
+    )
+    placement = _send_unless_full(chosen, view=view, queue_factor=queue_factor)
+    if placement.verdict is Verdict.FULL:
+        idle = _first_idle(ranked, view=view)
+        if idle is not None:
+            return _send(idle, view=view)
+    return placement
+
+
+def has_local_capacity(*, slots_by_region: Mapping[RegionName, int], region: RegionName) -> bool:
+    """Return whether a region has about its share of a service's slots, or more.
+
+    Load pattern: regions of similar demand but different size. Bytes between regions are costly, so
+    objects are placed where their clients are, unless that region is too small for them.
+
+    Parameters
+    ----------
+    slots_by_region
+        Slots of the usable upstreams of each region.
+    region
+        Region of the clients.
+    """
+    if not slots_by_region:
+        return False
+    mean = sum(slots_by_region.values()) / len(slots_by_region)
+    return slots_by_region.get(region, 0) >= mean * LOCAL_CAPACITY_FRACTION
+
+
 def _first_idle(ranked: Sequence[Upstream], *, view: PlacementView) -> Upstream | None:
     """Return the first upstream that is idle enough to warm another object."""
     for upstream in ranked:
@@ -280,12 +335,14 @@
     *, candidates: Sequence[Upstream], view: PlacementView, queue_factor: float
 ) -> Placement:
     """Choose the first upstream with a free slot, or else the one with the lowest load per slot."""
+    chosen = min(candidates, key=lambda upstream: _queued_load(upstream, view=view))
+    return _send_unless_full(chosen, view=view, queue_factor=queue_factor)
 
-    def queued_load(upstream: Upstream) -> float:
-        load = view.load_of(upstream)
-        return 0.0 if load < upstream.entry.slots else load / upstream.entry.slots
 
-    return _send_unless_full(min(candidates, key=queued_load), view=view, queue_factor=queue_factor)
+def _queued_load(upstream: Upstream, *, view: PlacementView) -> float:
+    """Return an upstream's load per slot, or 0 if a slot is free."""
+    load = view.load_of(upstream)
+    return 0.0 if load < upstream.entry.slots else load / upstream.entry.slots
 
 
 def _nearest(
--- a/packages/gooseberryport-core/tests/gateway_builders.py
+++ b/packages/gooseberryport-core/tests/gateway_builders.py
@@ -19,8 +19,18 @@
     ]
 
 
-def view(*, loads=None, warm=(), unused=(), sendable=lambda upstream: True, zone="a1"):
+def view(
+    *,
+    loads=None,
+    warm=(),
+    unused=(),
+    sendable=lambda upstream: True,
+    zone="a1",
+    objects=None,
+    prefers_local=False,
+):
     loads = loads or {}
+    objects = objects or {}
     return PlacementView(
         zone=zone,
         region_of=lambda zone: REGIONS[zone],
@@ -28,6 +38,8 @@
         can_send=sendable,
         is_warm=lambda upstream: upstream.id in warm,
         is_unused=lambda upstream: upstream.id in unused,
+        objects_of=lambda upstream: objects.get(upstream.id, 0),
+        prefers_local=prefers_local,
     )
 
 
--- a/packages/gooseberryport-core/tests/test_placement.py
+++ b/packages/gooseberryport-core/tests/test_placement.py
@@ -6,6 +6,7 @@
     MAX_QUEUE_FACTOR,
     MIN_QUEUE_FACTOR,
     Verdict,
+    has_local_capacity,
     place_request,
     queue_factor,
     rank_upstreams,
@@ -138,3 +139,55 @@
 )
 def test_queue_factor_follows_from_the_latency_objective(objective_s, warm_s, low, high):
     assert low <= queue_factor(objective_s=objective_s, warm_s=warm_s) <= high
+
+
+def place_first_touches(candidates, *, objects, count_objects):
+    """Place the first request of each object as gateways do in the first seconds of a load."""
+    counts = dict.fromkeys((upstream.id for upstream in candidates), 0)
+    for number in range(objects):
+        seen = view(objects=counts) if count_objects else view()
+        counts[placed(candidates, seen, key=f"o{number}").upstream.id] += 1
+    return counts
+
+
+def test_first_homes_are_spread_more_evenly_than_by_the_hash_alone():
+    candidates = upstreams(345)
+    naive = place_first_touches(candidates, objects=442, count_objects=False)
+    counts = place_first_touches(candidates, objects=442, count_objects=True)
+    assert max(counts.values()) <= 3 < max(naive.values())
+    assert sum(count == 0 for count in counts.values()) < 0.75 * sum(
+        count == 0 for count in naive.values()
+    )
+
+
+def test_first_home_is_in_the_clients_region_if_that_has_the_capacity():
+    candidates = upstreams(24, zones=("a1", "b1"))
+    keys = [f"o{number}" for number in range(60)]
+    near = [
+        placed(candidates, view(prefers_local=True), key=key).upstream.entry.zone for key in keys
+    ]
+    anywhere = [placed(candidates, view(), key=key).upstream.entry.zone for key in keys]
+    assert set(near) == {"a1"} and set(anywhere) == {"a1", "b1"}
+
+
+def test_cold_object_is_not_refused_while_another_region_is_idle():
+    candidates = upstreams(8, zones=("a1", "b1"))
+    loads = {upstream.id: 8 for upstream in candidates if upstream.entry.zone == "a1"}
+    placement = placed(candidates, view(loads=loads, prefers_local=True))
+    assert (placement.verdict, placement.upstream.entry.zone) == (Verdict.SEND, "b1")
+    everywhere = {upstream.id: 8 for upstream in candidates}
+    assert placed(candidates, view(loads=everywhere)).verdict is Verdict.FULL
+
+
+@pytest.mark.parametrize(
+    ("slots", "expected"),
+    [
+        ({"A": 16, "B": 16, "C": 16}, True),
+        ({"A": 140, "B": 564, "C": 676}, False),
+        ({"A": 564, "B": 676, "C": 140}, True),
+        ({"A": 0, "B": 8}, False),
+        ({}, False),
+    ],
+)
+def test_region_has_local_capacity_if_it_has_about_its_share(slots, expected):
+    assert has_local_capacity(slots_by_region=slots, region="A") is expected
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -219,6 +219,8 @@
             can_send=lambda upstream: state.can_send(upstream, now=now),
             is_warm=lambda upstream: state.warmth.is_warm(upstream.id, mark),
             is_unused=lambda upstream: state.warmth.has_no_objects(upstream.id),
+            objects_of=lambda upstream: state.warmth.object_count(upstream.id),
+            prefers_local=state.has_local_capacity(job.service, now=now),
         )
         left_s = job.route.objective_s - (now - job.req.arrived_at)
         factor = queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route))
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -21,13 +21,13 @@
     RoutingConfig,
     UpstreamEntry,
 )
-from gooseberryport_core.gateway.placement import upstream_weight
+from gooseberryport_core.gateway.placement import has_local_capacity, upstream_weight
 from gooseberryport_core.gateway.ranking import ObjectRankings
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import RegionName, UpstreamId, ZoneName
+from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, ZoneName
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
 from gooseberryport_gateway.wire import GatewaySettings
@@ -48,6 +48,9 @@
 """How long data about an upstream is kept after its entry was removed: longer than an outage in
 which entries expire; seconds."""
 
+LOCAL_CAPACITY_TTL_S = 0.5
+"""Time for which the comparison of the regions' capacities is kept; seconds."""
+
 BUSY_TTL_S = 3.0
 """Time for which a gateway counts as serving clients after its last request; seconds."""
 
@@ -121,6 +124,7 @@
         self._ids_by_hash: dict[int, UpstreamId] = {}
         self.request_rate = RequestRate()
         self._last_request_at = float("-inf")
+        self._local_capacity: dict[ServiceName, tuple[float, bool]] = {}
 
     @property
     def limits(self) -> ClientLimits:
@@ -335,6 +339,19 @@
             if known is not None:
                 self.warmth.record(known, mark, now=now, observed_here=False)
 
+    def has_local_capacity(self, service: ServiceName, *, now: float) -> bool:
+        """Return whether this region has the capacity for its clients' requests to a service."""
+        known = self._local_capacity.get(service)
+        if known is not None and now - known[0] < LOCAL_CAPACITY_TTL_S:
+            return known[1]
+        slots: dict[RegionName, int] = dict.fromkeys(self.settings.regions.values(), 0)
+        for upstream in self.upstreams.usable(service):
+            region = self.region_of(upstream.entry.zone)
+            slots[region] = slots.get(region, 0) + upstream.entry.slots
+        has_capacity = has_local_capacity(slots_by_region=slots, region=self.me.region)
+        self._local_capacity[service] = (now, has_capacity)
+        return has_capacity
+
     def warm_s(self, route: Route) -> float:
         """Return how long a request of a route takes where its object is warm; seconds."""
         return self.warm_times.get(route.name, route.objective_s * INITIAL_WARM_FRACTION)
