Keep reporting periods in the core, and send digests of other zones within the own zone only

The periods of reports were decided beside the socket. Change: core/gateway/reporting.py decides who is due; a reporter sends its own zone's digest to other reporters, and theirs to its own zone.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -118,6 +118,17 @@
     """A reporter of another availability zone: digests."""
 
 
+class Digests(Enum):
+    """Which digests a report contains."""
+
+    NONE = "none"
+    OWN = "own"
+    """That of the sender's availability zone, for a reporter of another one."""
+
+    RECEIVED = "received"
+    """Those of other availability zones, for the sender's own."""
+
+
 class Listener(msgspec.Struct, frozen=True):
     """Another gateway that this one reports to.
 
@@ -127,13 +138,13 @@
         The other gateway.
     audience
         What its reports contain, and how often they are sent.
-    gets_digests
-        Whether some of its reports contain the digests of availability zones.
+    digests
+        Which digests some of its reports contain.
     """
 
     member: Member
     audience: Audience
-    gets_digests: bool
+    digests: Digests
 
 
 class ReportPlan(msgspec.Struct, frozen=True):
@@ -309,8 +320,8 @@
                 demand_per_s=digest.demand_per_s,
             )
 
-    def digests(self, *, demand_per_s: float, now: float) -> list[ZoneDigest]:
-        """Return the digest of this gateway's zone, and those received from other zones.
+    def own_digest(self, *, demand_per_s: float, now: float) -> ZoneDigest:
+        """Return the digest of this gateway's zone, for the reporters of other zones.
 
         Parameters
         ----------
@@ -326,23 +337,25 @@
             and state.member.zone == self._me.zone
             and not (state.ready and self._is_alive(state, now=now))
         ]
-        own = ZoneDigest(
+        return ZoneDigest(
             zone=self._me.zone,
             age_s=0.0,
             absent=absent,
             demand_per_s=self._zone_demand(self._me.zone, own_per_s=demand_per_s, now=now),
         )
-        received = [
+
+    def received_digests(self, *, now: float) -> list[ZoneDigest]:
+        """Return the recent digests of other zones, for the gateways of this zone."""
+        return [
             ZoneDigest(
                 zone=zone,
-                age_s=now - digest.made_at,
+                age_s=round(now - digest.made_at, 3),
                 absent=sorted(digest.absent),
                 demand_per_s=digest.demand_per_s,
             )
             for zone, digest in self._digests.items()
             if now - digest.made_at < ZONE_DIGEST_TTL_S
         ]
-        return [own, *received]
 
     def _zone_demand(self, zone: ZoneName, *, own_per_s: float, now: float) -> float:
         if zone == self._me.zone:
@@ -415,14 +428,12 @@
                 both_report=both_report,
             )
             if audience is not None:
-                same_zone = state.member.zone == self._me.zone
-                listeners.append(
-                    Listener(
-                        member=state.member,
-                        audience=audience,
-                        gets_digests=both_report or (me_reporter and same_zone),
-                    )
-                )
+                digests = Digests.NONE
+                if me_reporter and state.member.zone == self._me.zone:
+                    digests = Digests.RECEIVED
+                elif both_report:
+                    digests = Digests.OWN
+                listeners.append(Listener(member=state.member, audience=audience, digests=digests))
         return ReportPlan(at=now, ready=ready, active=me_active, listeners=tuple(listeners))
 
     def _audience(
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -7,32 +7,17 @@
 
 import msgspec
 
-from gooseberryport_core.gateway.fleet import Audience, Listener, ReportPlan, ZoneDigest
+from gooseberryport_core.gateway.fleet import Audience, Digests, ReportPlan, ZoneDigest
+from gooseberryport_core.gateway.reporting import (
+    DIGEST_PERIOD_ROUNDS,
+    REPORT_INTERVAL_S,
+    is_due,
+    remote_period_rounds,
+)
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import VmId
 from gooseberryport_gateway._state import GatewayState
 
-REPORT_INTERVAL_S = 0.2
-"""Interval between datagrams within a region: the time of a warm request; seconds."""
-
-MIN_REMOTE_PERIOD_ROUNDS = 2
-MAX_REMOTE_PERIOD_ROUNDS = 4
-"""Bounds of the period of datagrams to other regions, counted in rounds within the region. Bytes to
-other regions are costly, but load reports and gateways expire after a few seconds."""
-
-MAX_PEERS_AT_MIN_REMOTE_PERIOD = 8
-"""Number of gateways in other regions up to which the period is the minimum. Beyond it the period
-grows with their number, so that the rate of datagrams that one gateway sends to other regions stays
-about the same, until the period reaches `MAX_REMOTE_PERIOD_ROUNDS`."""
-
-ACTIVE_ZONE_PERIOD_ROUNDS = 2
-IDLE_ZONE_PERIOD_ROUNDS = 3
-"""Period of heartbeats within an availability zone, of gateways with and without clients. Two fit
-into the time after which a silent gateway no longer counts as alive."""
-
-DIGEST_PERIOD_ROUNDS = 5
-"""Period of digests, and of warm objects to gateways of the region that have no clients."""
-
 ACTIVE_UPDATE_AGE_S = 0.5
 """Age up to which newly warm objects are repeated to gateways with clients; seconds."""
 
@@ -40,45 +25,6 @@
 """Delay before an update is sent, so that several are combined; seconds."""
 
 
-def remote_period_rounds(*, remote_peers: int) -> int:
-    """Return how many rounds within the region pass for each round to other regions.
-
-    Load pattern: a large fleet, in which all gateways with clients report their loads to those of
-    other regions, so that this traffic grows with the square of their number.
-    """
-    return min(
-        MAX_REMOTE_PERIOD_ROUNDS,
-        max(
-            MIN_REMOTE_PERIOD_ROUNDS,
-            MIN_REMOTE_PERIOD_ROUNDS * remote_peers // MAX_PEERS_AT_MIN_REMOTE_PERIOD,
-        ),
-    )
-
-
-def is_due(listener: Listener, *, round_number: int, active: bool, remote_period: int) -> bool:
-    """Return whether a listener gets a report in a round.
-
-    Parameters
-    ----------
-    listener
-        The other gateway.
-    round_number
-        Number of the round.
-    active
-        Whether this gateway serves clients.
-    remote_period
-        Period of reports to other regions; rounds.
-    """
-    period = {
-        Audience.ACTIVE: 1,
-        Audience.REMOTE_ACTIVE: remote_period,
-        Audience.ZONE: ACTIVE_ZONE_PERIOD_ROUNDS if active else IDLE_ZONE_PERIOD_ROUNDS,
-        Audience.REGION: DIGEST_PERIOD_ROUNDS,
-        Audience.REPORTER: DIGEST_PERIOD_ROUNDS,
-    }[listener.audience]
-    return round_number % period == 0
-
-
 class PeerReport(msgspec.Struct, array_like=True):
     """What a gateway reports to the others.
 
@@ -182,7 +128,7 @@
         if self._transport is None:
             return
         plan = self._plan()
-        data = self._encode_report(plan, audience=Audience.ACTIVE, with_digests=False)
+        data = self._encode_report(plan, audience=Audience.ACTIVE, digests=Digests.NONE)
         for listener in plan.listeners:
             if listener.audience is Audience.ACTIVE:
                 self._transport.sendto(data, listener.member.datagrams)
@@ -205,7 +151,7 @@
         remote = sum(listener.audience is Audience.REMOTE_ACTIVE for listener in plan.listeners)
         remote_period = remote_period_rounds(remote_peers=remote)
         with_digests = round_number % DIGEST_PERIOD_ROUNDS == 0
-        encoded: dict[tuple[Audience, bool], bytes] = {}
+        encoded: dict[tuple[Audience, Digests], bytes] = {}
         greeted: set[tuple[VmId, int]] = set()
         for listener in plan.listeners:
             identity = (listener.member.vm, listener.member.incarnation)
@@ -218,14 +164,14 @@
                 remote_period=remote_period,
             ):
                 continue
-            kind = (listener.audience, with_digests and listener.gets_digests)
+            kind = (listener.audience, listener.digests if with_digests else Digests.NONE)
             if kind not in encoded:
-                encoded[kind] = self._encode_report(plan, audience=kind[0], with_digests=kind[1])
+                encoded[kind] = self._encode_report(plan, audience=kind[0], digests=kind[1])
             if encoded[kind]:
                 self._transport.sendto(encoded[kind], listener.member.datagrams)
         self._greeted = greeted
 
-    def _encode_report(self, plan: ReportPlan, *, audience: Audience, with_digests: bool) -> bytes:
+    def _encode_report(self, plan: ReportPlan, *, audience: Audience, digests: Digests) -> bytes:
         """Return the report to an audience; empty if it would contain nothing new."""
         state = self._state
         now = self._loop.time()
@@ -239,6 +185,11 @@
             return b""
         has_loads = audience in (Audience.ACTIVE, Audience.REMOTE_ACTIVE)
         demand_per_s = state.request_rate.per_s(now=now)
+        included: list[ZoneDigest] = []
+        if digests is Digests.OWN:
+            included = [state.fleet.own_digest(demand_per_s=demand_per_s, now=now)]
+        elif digests is Digests.RECEIVED:
+            included = state.fleet.received_digests(now=now)
         return msgspec.msgpack.encode(
             PeerReport(
                 vm=state.me.vm,
@@ -249,8 +200,6 @@
                 follows_store=state.follows_store,
                 active=plan.active,
                 demand_per_s=round(demand_per_s),
-                digests=(
-                    state.fleet.digests(demand_per_s=demand_per_s, now=now) if with_digests else []
-                ),
+                digests=included,
             )
         )
