--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -9,6 +9,7 @@
 import sys
 from pathlib import Path
 
+import pytest
 from store_standin import store_standin
 
 ROOT = Path(__file__).parents[1]
@@ -223,6 +224,27 @@
     return set()
 
 
+@pytest.mark.parametrize("ignored_by_supervisor", [False, True])
+def test_only_the_supervisor_can_protect_a_process_before_its_first_line(
+    ignored_by_supervisor, tmp_path
+):
+    """A SIGHUP that comes while the interpreter starts kills the process unless it is ignored."""
+
+    def ignore():
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    async def main():
+        path = tmp_path / "settings.json"
+        path.write_text('{"nodeName": 5}')
+        options = {"preexec_fn": ignore} if ignored_by_supervisor else {}
+        process = await start_gateway(path, stderr=asyncio.subprocess.PIPE, **options)
+        process.send_signal(signal.SIGHUP)
+        await asyncio.wait_for(process.communicate(), 20)
+        return process.returncode
+
+    assert asyncio.run(main()) == (2 if ignored_by_supervisor else -signal.SIGHUP)
+
+
 def test_signals_during_startup_do_not_kill_the_process(tmp_path):
     async def main():
         async with (
