Bound header, framing and trailer lines in the daemon and the platform clients

Cause: the standard library and urllib3 read interim responses, chunk extensions and trailers line by line without a limit. A new test of endless answers passed for the request itself (the attempt's deadline closes the socket), but the read of the same upstream's load report never ended: its thread stayed busy and the process could not exit (the test run hung until its timeout of 120 s). Ruled out: urllib3's total timeout (it holds for each read, not for their sum). Change: responses of both read through a file object that bounds lines and their sum. A service that sends a body slowly is still bounded by size and timeout only.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_attempt.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_attempt.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 import urllib3
-from urllib3.connection import HTTPConnection
+
+from gooseberryport_platform.bounded_http import BoundedConnection
 
 
 class AttemptCancelledError(Exception):
@@ -74,7 +75,7 @@
             self.sent = True
 
 
-class AttemptConnection(HTTPConnection):
+class AttemptConnection(BoundedConnection):
     """A connection that reports its socket and its sends to the current thread's attempt."""
 
     def request(self, *args: Any, **kwargs: Any) -> None:
--- a/packages/gooseberryport-daemon/tests/test_upstreams.py
+++ b/packages/gooseberryport-daemon/tests/test_upstreams.py
@@ -1,5 +1,7 @@
+import contextlib
 import http.client
 import socket
+import time
 from collections.abc import Callable
 from contextlib import ExitStack
 
@@ -7,6 +9,7 @@
 from daemon_harness import WAIT_TIMEOUT_S, Deployment, RawUpstream, call
 
 from gooseberryport_daemon._attempt import Attempt, AttemptConnectionPool, current
+from gooseberryport_standins._bench_report import resident_bytes
 from gooseberryport_standins.faults import Outage, UpstreamFaults
 from gooseberryport_standins.upstream import UpstreamSpec
 
@@ -66,6 +69,50 @@
         assert len(upstream.requests) == 1
 
 
+def sending_without_end(first: bytes, block: bytes) -> Callable[[socket.socket, bytes], None]:
+    def serve(conn: socket.socket, request: bytes) -> None:
+        with contextlib.suppress(OSError):
+            conn.sendall(first)
+            while True:
+                conn.sendall(block)
+
+    return serve
+
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_ANSWERS = {
+    "status line": (b"HTTP/1.1 200 ", b"x" * 16_384),
+    "header value": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 16_384),
+    "header fields": (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 1_000),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+    "chunk extension": (CHUNKED_HEAD + b"5;", b"x" * 16_384),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"a: b\r\n" * 1_000),
+    "chunks": (CHUNKED_HEAD, b"4000\r\n" + b"x" * 16_384 + b"\r\n"),
+    "body": (b"HTTP/1.1 200 OK\r\nContent-Length: 500000000\r\n\r\n", b"x" * 16_384),
+}
+MAX_GROWTH_BYTES = 60_000_000
+
+
+@pytest.mark.parametrize("kind", sorted(ENDLESS_ANSWERS))
+def test_endless_answer_ends_as_unknown_and_takes_little_memory(
+    deployment: Deployment, kind: str
+) -> None:
+    upstream = deployment.start_raw_upstream(sending_without_end(*ENDLESS_ANSWERS[kind]))
+    daemon = deployment.start_daemon_for(upstream, max_timeout_s=1.5, default_timeout_s=1.5)
+    before = resident_bytes()
+    started = time.monotonic()
+    if kind in ("body", "chunks"):
+        # A long answer is forwarded while it arrives, so it can only be cut off.
+        with pytest.raises(http.client.IncompleteRead):
+            call(daemon.http, PATH, "POST", b"x")
+    else:
+        reply = call(daemon.http, PATH, "POST", b"x")
+        assert (reply.status, reply.problem["outcome"]) in ((502, "unknown"), (504, "unknown"))
+    assert time.monotonic() - started < 3.0
+    assert sum(request.startswith(b"POST") for request in upstream.requests) == 1
+    assert resident_bytes() - before < MAX_GROWTH_BYTES
+
+
 def test_refused_connection_is_not_run(single_daemon: Deployment) -> None:
     single_daemon.fleet.upstreams["up-1"].set_faults(UpstreamFaults(outage=Outage.REFUSE))
     reply = call(single_daemon.daemons[0].http, PATH, "POST", b"x", {"Request-Timeout": "0.5"})
--- a/packages/gooseberryport-platform/src/gooseberryport_platform/_http.py
+++ b/packages/gooseberryport-platform/src/gooseberryport_platform/_http.py
@@ -24,6 +24,7 @@
     NewConnectionError,
 )
 
+from gooseberryport_platform.bounded_http import BoundedConnection
 from gooseberryport_platform.calls import CallCounter, CallKind, CallOutcome, CallRecord
 from gooseberryport_platform.errors import (
     AddressInvalidError,
@@ -104,6 +105,7 @@
         self._max_answer_bytes = max_answer_bytes
         self._counter = counter
         self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=connections, retries=False)
+        self._pool.ConnectionCls = BoundedConnection
 
     def call(self, call: Call) -> Result[Answer, ServiceError]:
         """Make one call; it returns within about its timeout, whatever the service does."""
--- /dev/null
+++ b/packages/gooseberryport-platform/src/gooseberryport_platform/bounded_http.py
@@ -0,0 +1,82 @@
+"""HTTP connections whose responses can't consist of header lines without end.
+
+Failure pattern: a server in trouble sends interim responses, chunk extensions or trailers and never
+stops. The standard library and urllib3 read these line by line without a limit, so a thread that
+waits for the response is busy until the server closes the connection.
+"""
+
+from __future__ import annotations
+
+import http.client
+import socket
+from typing import Any
+
+from urllib3.connection import HTTPConnection
+
+MAX_LINE_BYTES = 65_536
+"""Maximum length of a line of a response's head, chunk framing or trailers; bytes."""
+
+MAX_LINES_BYTES = 262_144
+"""Maximum length of all these lines, beside what `LINE_BYTES_PER_BODY_BYTE` allows; bytes."""
+
+LINE_BYTES_PER_BODY_BYTE = 8
+"""Framing accepted for each byte of a chunked body; one-byte chunks need five."""
+
+
+class EndlessResponseError(http.client.HTTPException):
+    """The server sends lines without end; the connection can't be used any more."""
+
+
+class _BoundedReader:
+    """File object of a connection that bounds what is read line by line."""
+
+    def __init__(self, raw: Any) -> None:
+        self._raw = raw
+        self._line_bytes = 0
+        self._body_bytes = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._raw, name)
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return a line, as a binary file does; raises `EndlessResponseError`."""
+        allowed = MAX_LINE_BYTES + 1
+        line: bytes = self._raw.readline(min(limit, allowed) if limit >= 0 else allowed)
+        self._line_bytes += len(line)
+        if len(line) > MAX_LINE_BYTES:
+            raise EndlessResponseError(f"a line of more than {MAX_LINE_BYTES} bytes")
+        if self._line_bytes > MAX_LINES_BYTES + LINE_BYTES_PER_BODY_BYTE * self._body_bytes:
+            raise EndlessResponseError(f"{self._line_bytes} bytes of header or trailer lines")
+        return line
+
+    def read(self, size: int = -1) -> bytes:
+        """Return bytes of the body."""
+        return self._count(self._raw.read(size))
+
+    def read1(self, size: int = -1) -> bytes:
+        """Return bytes of the body that have arrived."""
+        return self._count(self._raw.read1(size))
+
+    def readinto(self, buffer: Any) -> int:
+        """Read bytes of the body into a buffer, and return their number."""
+        num_bytes: int = self._raw.readinto(buffer)
+        self._body_bytes += num_bytes
+        return num_bytes
+
+    def _count(self, data: bytes) -> bytes:
+        self._body_bytes += len(data)
+        return data
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """A response with bounded header, chunk framing and trailer lines."""
+
+    def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self.fp = _BoundedReader(self.fp)  # type: ignore[assignment]
+
+
+class BoundedConnection(HTTPConnection):
+    """A connection whose responses are bounded."""
+
+    response_class = BoundedResponse
