Say in a refusal how many upstreams could be used, without counting them for each request

Cause: with kept rankings a refusal no longer knew the number of usable upstreams, which OPERATIONS uses to tell overload from lost upstreams. Change: the summary of a service's upstreams, kept for 0.5 s for the choice of the region, holds the number.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -212,6 +212,7 @@
     def _choose(self, job: _Job, *, now: float) -> Upstream | None:
         state = self._state
         mark = hash_object_key(job.key) if job.key is not None else 0
+        capacity = state.service_capacity(job.service, now=now)
         view = PlacementView(
             zone=state.me.zone,
             region_of=state.region_of,
@@ -220,7 +221,7 @@
             is_warm=lambda upstream: state.warmth.is_warm(upstream.id, mark),
             is_unused=lambda upstream: state.warmth.has_no_objects(upstream.id),
             objects_of=lambda upstream: state.warmth.object_count(upstream.id),
-            prefers_local=state.has_local_capacity(job.service, now=now),
+            prefers_local=capacity.is_local,
         )
         left_s = job.route.objective_s - (now - job.req.arrived_at)
         factor = queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route))
@@ -250,7 +251,7 @@
         job.load = placement.load
         if placement.verdict is Verdict.SEND:
             return placement.upstream
-        job.cause = f"placement: {placement.verdict.value}"
+        job.cause = f"placement: {placement.verdict.value} of {capacity.usable}"
         return None
 
     def _preferred_upstreams(self, job: _Job, key: ObjectKey, mark: int) -> PreferredUpstreams:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -48,8 +48,8 @@
 """How long data about an upstream is kept after its entry was removed: longer than an outage in
 which entries expire; seconds."""
 
-LOCAL_CAPACITY_TTL_S = 0.5
-"""Time for which the comparison of the regions' capacities is kept; seconds."""
+CAPACITY_TTL_S = 0.5
+"""Time for which a summary of a service's upstreams is kept; seconds."""
 
 BUSY_TTL_S = 3.0
 """Time for which a gateway counts as serving clients after its last request; seconds."""
@@ -64,6 +64,24 @@
     started_ms: int
 
 
+class ServiceCapacity(msgspec.Struct, frozen=True):
+    """A summary of a service's upstreams.
+
+    Parameters
+    ----------
+    at
+        When it was made; monotonic seconds.
+    usable
+        Number of upstreams that accept requests.
+    is_local
+        Whether this gateway's region has the capacity for its clients' requests.
+    """
+
+    at: float
+    usable: int
+    is_local: bool
+
+
 class GatewayState:
     """State of one gateway.
 
@@ -124,7 +142,7 @@
         self._ids_by_hash: dict[int, UpstreamId] = {}
         self.request_rate = RequestRate()
         self._last_request_at = float("-inf")
-        self._local_capacity: dict[ServiceName, tuple[float, bool]] = {}
+        self._capacities: dict[ServiceName, ServiceCapacity] = {}
 
     @property
     def limits(self) -> ClientLimits:
@@ -339,18 +357,22 @@
             if known is not None:
                 self.warmth.record(known, mark, now=now, observed_here=False)
 
-    def has_local_capacity(self, service: ServiceName, *, now: float) -> bool:
-        """Return whether this region has the capacity for its clients' requests to a service."""
-        known = self._local_capacity.get(service)
-        if known is not None and now - known[0] < LOCAL_CAPACITY_TTL_S:
-            return known[1]
+    def service_capacity(self, service: ServiceName, *, now: float) -> ServiceCapacity:
+        """Return what upstreams a service has; at most `CAPACITY_TTL_S` old."""
+        known = self._capacities.get(service)
+        if known is not None and now - known.at < CAPACITY_TTL_S:
+            return known
         slots: dict[RegionName, int] = dict.fromkeys(self.settings.regions.values(), 0)
-        for upstream in self.upstreams.usable(service):
+        usable = self.upstreams.usable(service)
+        for upstream in usable:
             region = self.region_of(upstream.entry.zone)
             slots[region] = slots.get(region, 0) + upstream.entry.slots
-        has_capacity = has_local_capacity(slots_by_region=slots, region=self.me.region)
-        self._local_capacity[service] = (now, has_capacity)
-        return has_capacity
+        capacity = self._capacities[service] = ServiceCapacity(
+            at=now,
+            usable=len(usable),
+            is_local=has_local_capacity(slots_by_region=slots, region=self.me.region),
+        )
+        return capacity
 
     def warm_s(self, route: Route) -> float:
         """Return how long a request of a route takes where its object is warm; seconds."""
