Answer look-ups without a loop over all gateways, and bound what a fleet remembers

Change: an answer is kept for 0.1 s and dropped when a gateway joins, leaves, falls silent or changes its readiness; departed members are dropped with their share of the limits; at most 256 zones. The types of plans and digests are in reports.py. Figures: one computation for 50 look-ups in 50 ms (counted by the test) instead of 50.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -13,10 +13,8 @@
 
 import statistics
 from collections.abc import Iterable
-from enum import Enum
 
 import msgspec
-import xxhash
 
 from gooseberryport_core._hashing import rendezvous_weight
 from gooseberryport_core.gateway.entry_points import (
@@ -25,6 +23,14 @@
     choose_entry_points,
 )
 from gooseberryport_core.gateway.model import Member
+from gooseberryport_core.gateway.reports import (
+    Audience,
+    Digests,
+    Listener,
+    ReportPlan,
+    ZoneDigest,
+    vm_hash,
+)
 from gooseberryport_core.types import RegionName, VmId, ZoneName
 
 LOCAL_REGION_TIMEOUT_S = 1.5
@@ -57,117 +63,29 @@
 PLAN_TTL_S = 0.5
 """Time for which a report plan is kept while the members stay the same; seconds."""
 
+LOOKUP_TTL_S = 0.1
+"""Time for which the answer to a look-up is kept while the members stay the same; seconds."""
+
+MAX_LOOKUPS_KEPT = 256
+"""Maximum answers kept: clients state their zone and region, which may be any text."""
+
+MAX_ZONES = 256
+"""Maximum availability zones whose digests are kept."""
+
 SHARING_TTL_S = 0.1
 """Time for which the set of gateways that share limits is kept unless one joins; seconds."""
 
-VM_HASH_MASK = 0xFFFFFFFF
-
 DEPARTED_MEMBER_TTL_S = 10.0
 """Time for which a departed gateway still counts as one that shares limits, the length of the
 window of the retry budget; seconds."""
 
 
-class ZoneDigest(msgspec.Struct, frozen=True, array_like=True):
-    """What the reporters of an availability zone say of its gateways.
-
-    Parameters
-    ----------
-    zone
-        The availability zone.
-    age_s
-        Age of the digest when it is sent; seconds.
-    absent
-        Short hashes of the VMs whose gateways are listed but do not serve clients.
-    demand_per_s
-        Requests per second that the zone's gateways receive.
-    """
-
-    zone: ZoneName
-    age_s: float
-    absent: list[int]
-    demand_per_s: float
-
-
 class _ReceivedDigest(msgspec.Struct, frozen=True):
     made_at: float
     absent: frozenset[int]
     demand_per_s: float
 
 
-def vm_hash(vm: VmId) -> int:
-    """Return a short hash of a VM's name that is the same in every process."""
-    return xxhash.xxh3_64_intdigest(vm.encode()) & VM_HASH_MASK
-
-
-class Audience(Enum):
-    """What a report to another gateway contains, and how often it is sent."""
-
-    ACTIVE = "active"
-    """Both gateways serve clients of one region: loads and warm objects, at the shortest period."""
-
-    REMOTE_ACTIVE = "remote-active"
-    """Both serve clients, in different regions: loads."""
-
-    ZONE = "zone"
-    """Another gateway of the availability zone: heartbeat and warm objects."""
-
-    REGION = "region"
-    """Another gateway of the region, which does not serve clients: warm objects, if any."""
-
-    REPORTER = "reporter"
-    """A reporter of another availability zone: digests."""
-
-
-class Digests(Enum):
-    """Which digests a report contains."""
-
-    NONE = "none"
-    OWN = "own"
-    """That of the sender's availability zone, for a reporter of another one."""
-
-    RECEIVED = "received"
-    """Those of other availability zones, for the sender's own."""
-
-
-class Listener(msgspec.Struct, frozen=True):
-    """Another gateway that this one reports to.
-
-    Parameters
-    ----------
-    member
-        The other gateway.
-    audience
-        What its reports contain, and how often they are sent.
-    digests
-        Which digests some of its reports contain.
-    """
-
-    member: Member
-    audience: Audience
-    digests: Digests
-
-
-class ReportPlan(msgspec.Struct, frozen=True):
-    """What this gateway is to the others, and which of them it reports to.
-
-    Parameters
-    ----------
-    at
-        Time at which the plan was made; monotonic seconds.
-    ready
-        Whether this gateway was ready to serve clients.
-    active
-        Whether this gateway serves clients, or expects to.
-    listeners
-        Gateways that it reports to.
-    """
-
-    at: float
-    ready: bool
-    active: bool
-    listeners: tuple[Listener, ...]
-
-
 class _MemberState(msgspec.Struct):
     """What this gateway knows of another one.
 
@@ -222,6 +140,7 @@
         self._digests: dict[ZoneName, _ReceivedDigest] = {}
         self._demands: dict[ZoneName, PeakDemand] = {}
         self._plan: ReportPlan | None = None
+        self._lookups: dict[tuple[ZoneName, RegionName, bool], tuple[float, list[str]]] = {}
         self._sharing: frozenset[VmId] = frozenset([me.vm])
         self._sharing_at = float("-inf")
 
@@ -241,9 +160,13 @@
             long ago. They do not count as alive until a datagram or a digest says so.
         """
         listed = {member.vm: member for member in members if member.vm != self._me.vm}
+        self._lookups.clear()
         for vm, old in self._states.items():
             if vm not in listed:
                 old.listed = False
+        self._states = {
+            vm: state for vm, state in self._states.items() if _is_counted(state, now=now)
+        }
         for vm, member in listed.items():
             state = self._states.get(vm)
             if state is None or state.member.incarnation != member.incarnation:
@@ -300,6 +223,7 @@
             state.member = msgspec.structs.replace(state.member, incarnation=incarnation)
         if not self._is_in_contact(state, now=now) or state.ready != ready:
             self._plan = None
+            self._lookups.clear()
         state.last_received_at = state.last_seen_at = now
         state.ready = ready
         state.follows_store = follows_store
@@ -314,6 +238,9 @@
             known = self._digests.get(digest.zone)
             if digest.zone == self._me.zone or (known is not None and known.made_at >= made_at):
                 continue
+            if known is None and len(self._digests) >= MAX_ZONES:
+                continue
+            self._lookups.clear()
             self._digests[digest.zone] = _ReceivedDigest(
                 made_at=made_at,
                 absent=frozenset(digest.absent),
@@ -569,6 +496,20 @@
         now
             Monotonic time; seconds.
         """
+        key = (zone, region, ready)
+        kept = self._lookups.get(key)
+        if kept is not None and 0.0 <= now - kept[0] < LOOKUP_TTL_S:
+            return kept[1]
+        addresses = self._find_entry_points(key, demand_per_s=demand_per_s, now=now)
+        if len(self._lookups) >= MAX_LOOKUPS_KEPT:
+            self._lookups.clear()
+        self._lookups[key] = (now, addresses)
+        return addresses
+
+    def _find_entry_points(
+        self, key: tuple[ZoneName, RegionName, bool], *, demand_per_s: float, now: float
+    ) -> list[str]:
+        zone, region, ready = key
         by_zone = _by_zone(self.serving_members(now=now) + ([self._me] if ready else []))
         nearby = {zone: by_zone.get(zone, [])}
         if len(nearby[zone]) < MIN_ZONE_GATEWAYS:
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/reporting.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/reporting.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from gooseberryport_core.gateway.fleet import Audience, Listener
+from gooseberryport_core.gateway.reports import Audience, Listener
 
 REPORT_INTERVAL_S = 0.2
 """Interval between datagrams within a region: the time of a warm request; seconds."""
--- a/packages/gooseberryport-core/tests/test_fleet.py
+++ b/packages/gooseberryport-core/tests/test_fleet.py
@@ -3,14 +3,13 @@
 
 from gooseberryport_core.gateway.entry_points import MIN_ENTRY_POINTS
 from gooseberryport_core.gateway.fleet import (
+    LOOKUP_TTL_S,
+    MAX_ZONES,
     REPORTERS,
     ZONE_DIGEST_TTL_S,
-    Audience,
-    Digests,
     Fleet,
-    ZoneDigest,
-    vm_hash,
 )
+from gooseberryport_core.gateway.reports import Audience, Digests, ZoneDigest, vm_hash
 
 
 def entry_points(fleet, *, zone="a1", region="A", ready=True, now=0.0):
@@ -330,3 +329,36 @@
     simulation.run(6)
     for vm in simulation.fleets:
         assert f"{victim}:80" not in simulation.entry_points(vm, "a1")
+
+
+def test_lookups_are_answered_without_looking_at_all_gateways_each_time(monkeypatch):
+    fleet = large_fleet(member("a1-0"))
+    heartbeats(fleet, "a1", now=1.0)
+    calls = []
+    serving = fleet.serving_members
+    monkeypatch.setattr(
+        fleet, "serving_members", lambda **options: calls.append(1) or serving(**options)
+    )
+    answers = [entry_points(fleet, now=1.0 + n / 1_000) for n in range(50)]
+    assert len(calls) == 1 and len({tuple(answer) for answer in answers}) == 1
+    entry_points(fleet, now=1.0 + LOOKUP_TTL_S)
+    assert len(calls) == 2
+
+
+def test_lookup_after_a_change_of_members_is_not_an_old_one():
+    fleet = fleet_of(member("x"))
+    assert entry_points(fleet, now=0.5) == ["me:80", "x:80"]
+    fleet.record_datagram("x", incarnation=1, ready=False, now=0.51)
+    assert entry_points(fleet, now=0.52) == ["me:80"]
+    fleet.set_listed([member("x"), member("y")], now=0.53)
+    assert entry_points(fleet, now=0.54) == ["me:80", "y:80"]
+
+
+def test_memory_of_departed_gateways_and_unknown_zones_is_bounded():
+    fleet = Fleet(me=member("me"))
+    for number in range(200):
+        fleet.set_listed([member(f"x{number}")], now=100.0 * number)
+    assert len(fleet._states) <= 2
+    for number in range(2 * MAX_ZONES):
+        fleet.record_digests([ZoneDigest(f"z{number}", 0.0, [], 0.0)], now=1.0)
+    assert len(fleet._digests) == MAX_ZONES
--- a/packages/gooseberryport-core/tests/test_reporting.py
+++ b/packages/gooseberryport-core/tests/test_reporting.py
@@ -3,13 +3,7 @@
 import pytest
 from gateway_builders import member
 
-from gooseberryport_core.gateway.fleet import (
-    LOCAL_REGION_TIMEOUT_S,
-    REMOTE_REGION_TIMEOUT_S,
-    Audience,
-    Digests,
-    Listener,
-)
+from gooseberryport_core.gateway.fleet import LOCAL_REGION_TIMEOUT_S, REMOTE_REGION_TIMEOUT_S
 from gooseberryport_core.gateway.reporting import (
     DIGEST_PERIOD_ROUNDS,
     IDLE_ZONE_PERIOD_ROUNDS,
@@ -19,6 +13,7 @@
     is_due,
     remote_period_rounds,
 )
+from gooseberryport_core.gateway.reports import Audience, Digests, Listener
 
 
 @pytest.mark.parametrize(
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from gooseberryport_core.gateway.fleet import Audience, Digests, ReportPlan, ZoneDigest
 from gooseberryport_core.gateway.reporting import (
     DIGEST_PERIOD_ROUNDS,
     REPORT_INTERVAL_S,
     is_due,
     remote_period_rounds,
 )
+from gooseberryport_core.gateway.reports import Audience, Digests, ReportPlan, ZoneDigest
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import VmId
 from gooseberryport_gateway._state import GatewayState
--- a/standins/src/gooseberryport_standins/bench_gateway.py
+++ b/standins/src/gooseberryport_standins/bench_gateway.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from gooseberryport_core.gateway.fleet import Audience, Digests, Fleet, ReportPlan
+from gooseberryport_core.gateway.fleet import Fleet
 from gooseberryport_core.gateway.model import Member, ObjectKey
 from gooseberryport_core.gateway.placement import (
     PlacementView,
@@ -24,6 +24,7 @@
     is_due,
     remote_period_rounds,
 )
+from gooseberryport_core.gateway.reports import Audience, Digests, ReportPlan
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_core.types import RegionName, UpstreamId, VmId, ZoneName
 from gooseberryport_standins._bench_report import BenchReport, BenchRow, seconds_of
