Notice the return of a silent store sooner

Change: after a failed call the next watch waits 0.1 s for changes. Figures: test with a silent store: new configuration within 2 s of its return; it failed before.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -45,9 +45,10 @@
 """The same for a watcher whose state other gateways use, which adds the delay of their requests. It
 pauses after every watch, so that the watches have a fixed rate."""
 
-RELAYED_WATCH_TIMEOUT_S = 0.1
-"""The same as `WATCH_TIMEOUT_S` for such a watcher: the age of its state, which other gateways
-check, must not grow while nothing changes; seconds."""
+SHORT_WATCH_TIMEOUT_S = 0.1
+"""The same as `WATCH_TIMEOUT_S` for such a watcher, since the age of its state, which other
+gateways check, must not grow while nothing changes; and after a failed call, since a call that the
+store lost in an outage is never answered and hides that the store is available again; seconds."""
 
 WATCH_TIMEOUT_S = 2.0
 """How long the store may leave a watch unanswered while nothing changes; a watch that is unanswered
@@ -194,6 +195,7 @@
         after: int | None = None
         pause_s = MIN_RETRY_DELAY_S
         after = await self._load_state_at_start()
+        has_failed = False
         while True:
             try:
                 if after is None:
@@ -202,8 +204,9 @@
                     after = self._revision
                     continue
                 is_used = self.relay.is_used
-                wait_s = RELAYED_WATCH_TIMEOUT_S if is_used else WATCH_TIMEOUT_S
+                wait_s = SHORT_WATCH_TIMEOUT_S if is_used or has_failed else WATCH_TIMEOUT_S
                 page = await self._store.watch("", after=after, wait_s=wait_s)
+                has_failed = False
                 after = self._revision = page.revision
                 self._record_store_reachable(reachable=True, reason="")
                 self.relay.record_store_page(page)
@@ -218,6 +221,7 @@
                 self._state.log.write(LogNumber.GATEWAY_STORE_HISTORY_GONE, after=after)
                 after = None
             except StoreError as exc:
+                has_failed = True
                 self._record_store_reachable(reachable=False, reason=str(exc))
                 if after is None and not self.synced:
                     after = (await self._load_peer_snapshot(max_age_s=inf)).revision
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -12,9 +12,10 @@
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
 from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway.errors import StoreError
 from gooseberryport_gateway.wire import Bounds, GatewaySettings, StoreSnapshot
 from gooseberryport_site.codec import PlatformCodec
-from gooseberryport_site.store import PlatformStore
+from gooseberryport_site.store import CALL_TIMEOUT_S, PlatformStore
 
 ENTRY = {
     "address": "10.128.0.9:8080",
@@ -394,3 +395,47 @@
         server.close()
 
     run_scenario(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+class SilentStore:
+    """A store that answers nothing while it is down, not even calls sent before it returns."""
+
+    def __init__(self, store):
+        self._store = store
+        self.is_down = False
+        self.watches = []
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    async def watch(self, prefix, *, after, wait_s):
+        self.watches.append(wait_s)
+        if self.is_down:
+            await asyncio.sleep(wait_s + CALL_TIMEOUT_S)
+            raise StoreError("no answer")
+        return await self._store.watch(prefix, after=after, wait_s=wait_s)
+
+
+def test_return_of_a_silent_store_is_noticed_within_two_seconds(tmp_path):
+    async def main():
+        with (tmp_path / "log").open("wb") as file:
+            async with store_standin() as (standin, store):
+                silent = SilentStore(store)
+                state = make_state(file.fileno())
+                discovery = Discovery(state=state, store=silent, codec=PlatformCodec())
+                await standin.put("op/config", config(3))
+                task = asyncio.create_task(discovery.follow())
+                await wait_until(lambda: discovery.synced and silent.watches)
+                silent.is_down = True
+                await standin.put("op/evacuate/b9", {})
+                await wait_until(lambda: len(silent.watches) >= 3, within_s=8.0)
+                silent.is_down = False
+                await standin.put("op/config", config(9))
+                await wait_until(lambda: state.routes.config.version == 9, within_s=2.0)
+                assert silent.watches[0] == _discovery.WATCH_TIMEOUT_S
+                await wait_until(
+                    lambda: silent.watches[-1] == _discovery.WATCH_TIMEOUT_S, within_s=2.0
+                )
+                task.cancel()
+
+    asyncio.run(asyncio.wait_for(main(), 20))
