Make the test of an early SIGHUP independent of timing

Ruled out: a fault of the gateway (it ignored the signal, as it should from its first line on). Change: a module that the interpreter imports before the gateway's first line holds it for 2 s. Conclusion: same assertion, now at a fixed point of the start.

--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -41,8 +41,9 @@
     }
 
 
-def start_gateway(settings_path, **streams):
-    variables = {"GOOSEBERRYPORT_BOOT": str(settings_path), "PYTHONPATH": str(ROOT / "platform")}
+def start_gateway(settings_path, *, python_path=(), **streams):
+    paths = [str(path) for path in (*python_path, ROOT / "platform")]
+    variables = {"GOOSEBERRYPORT_BOOT": str(settings_path), "PYTHONPATH": os.pathsep.join(paths)}
     return asyncio.create_subprocess_exec(
         sys.executable, "-m", "gooseberryport_site", env=os.environ | variables, **streams
     )
@@ -236,8 +237,18 @@
     async def main():
         path = tmp_path / "settings.json"
         path.write_text('{"nodeName": 5}')
+        # The interpreter imports this module before the gateway's first line.
+        started = tmp_path / "started"
+        (tmp_path / "sitecustomize.py").write_text(
+            f"import pathlib, time\npathlib.Path({str(started)!r}).touch()\ntime.sleep(2)\n"
+        )
         options = {"preexec_fn": ignore} if ignored_by_supervisor else {}
-        process = await start_gateway(path, stderr=asyncio.subprocess.PIPE, **options)
+        process = await start_gateway(
+            path, python_path=[tmp_path], stderr=asyncio.subprocess.PIPE, **options
+        )
+        async with asyncio.timeout(READY_S):
+            while not started.exists():
+                await asyncio.sleep(0.01)
         process.send_signal(signal.SIGHUP)
         await asyncio.wait_for(process.communicate(), 20)
         return process.returncode
