Log and count the rate limits that upstreams state

Change: the adapter names the header field; the gateway reads it from each response of the expected upstream, and logs a change with the request's id, both values and its own sends in the last 4 s (event 1135, bounded as lines on requests are). A gauge counts the upstreams that state a limit. Values that are no rate are ignored. No decision uses the limit yet.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/limits.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/limits.py
@@ -27,7 +27,7 @@
 """Window of the limit on requests to a cold upstream; seconds."""
 
 
-class _SlidingWindow:
+class SlidingWindow:
     """Counts the events of the last `length_s` seconds."""
 
     def __init__(self, *, length_s: float) -> None:
@@ -72,8 +72,8 @@
         self._slack = slack
         self._window_s = window_s
         self._slack_from = slack_from
-        self._requests: dict[ServiceName, _SlidingWindow] = {}
-        self._retries: dict[ServiceName, _SlidingWindow] = {}
+        self._requests: dict[ServiceName, SlidingWindow] = {}
+        self._retries: dict[ServiceName, SlidingWindow] = {}
 
     def set_bounds(self, *, ratio: float, slack: float, window_s: float) -> None:
         """Change the bounds; the requests and retries counted so far still count."""
@@ -118,11 +118,11 @@
         return len(self._window(self._requests, service))
 
     def _window(
-        self, windows: dict[ServiceName, _SlidingWindow], service: ServiceName
-    ) -> _SlidingWindow:
+        self, windows: dict[ServiceName, SlidingWindow], service: ServiceName
+    ) -> SlidingWindow:
         window = windows.get(service)
         if window is None:
-            window = windows[service] = _SlidingWindow(length_s=self._window_s)
+            window = windows[service] = SlidingWindow(length_s=self._window_s)
         return window
 
 
@@ -142,7 +142,7 @@
         self._vm = vm
         self._overage = overage
         self._slack = slack
-        self._sent: dict[UpstreamId, _SlidingWindow] = {}
+        self._sent: dict[UpstreamId, SlidingWindow] = {}
         self._allowances: dict[UpstreamId, tuple[float, frozenset[VmId], int]] = {}
 
     def set_bounds(self, *, overage: float, slack: float) -> None:
@@ -195,7 +195,7 @@
         """Record a request that is sent to an upstream, whether it is cold or not."""
         window = self._sent.get(upstream)
         if window is None:
-            window = self._sent[upstream] = _SlidingWindow(length_s=COLD_WINDOW_S)
+            window = self._sent[upstream] = SlidingWindow(length_s=COLD_WINDOW_S)
         window.add(now)
 
     def forget(self, upstream: UpstreamId) -> None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from enum import Enum
 
 import msgspec
@@ -327,6 +328,7 @@
     async def _send(self, job: _Job, upstream: Upstream, conn: HttpConn) -> Attempt:
         now = self._loop.time()
         self._state.cold_rate_limiter.record_sent(upstream=upstream.id, now=now)
+        self._state.rate_limits.record_sent(upstream.id, now=now)
         if job.key is not None:
             mark = hash_object_key(job.key)
             if self._state.warmth.record(upstream.id, mark, now=now, observed_here=True):
@@ -351,6 +353,8 @@
         load = self._reported_load(response)
         if load is not None:
             upstream.record_load(load.running + load.waiting, now=self._loop.time())
+        if response.status != 421:
+            self._record_rate_limit(job, upstream, response)
         return self._classify(response)
 
     def _reported_load(self, response: HttpResponse) -> ReportedLoad | None:
@@ -361,6 +365,23 @@
             return None
         return ReportedLoad(running=int(numbers[0]), waiting=int(numbers[1]))
 
+    def _record_rate_limit(self, job: _Job, upstream: Upstream, response: HttpResponse) -> None:
+        value = response.header(self._names.rate_limit)
+        per_s: float | None = None
+        if value is not None:
+            try:
+                per_s = float(value)
+            except ValueError:
+                return
+            if not math.isfinite(per_s) or per_s < 0.0:
+                return
+        self._state.record_rate_limit(
+            upstream.id,
+            per_s=per_s,
+            request=job.request_id.decode("latin-1"),
+            now=self._loop.time(),
+        )
+
     def _record_stale_reset(
         self, job: _Job, upstream: Upstream, conn: HttpConn, *, reason: str
     ) -> Attempt:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -55,6 +55,11 @@
             ("kind",),
             registry=self.registry,
         )
+        self.limited_upstreams = Gauge(
+            "gooseberryport_limited_upstreams",
+            "Upstreams that state a rate limit",
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "gooseberryport_in_flight", "Requests being answered", registry=self.registry
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -23,6 +23,7 @@
 )
 from gooseberryport_core.gateway.placement import has_local_capacity, upstream_weight
 from gooseberryport_core.gateway.ranking import ObjectRankings
+from gooseberryport_core.gateway.rate_limits import UpstreamRateLimits
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
@@ -128,6 +129,7 @@
         self.cold_rate_limiter = ColdRateLimiter(
             vm=me.vm, overage=bounds.cold_overage, slack=bounds.cold_slack
         )
+        self.rate_limits = UpstreamRateLimits()
         self.idle_limits = IdleLimits()
         self.warmth = WarmthTracker()
         self.warm_times: dict[RouteName, float] = {}
@@ -244,6 +246,7 @@
         self._removed.pop(upstream, None)
         self.warmth.forget(upstream)
         self.cold_rate_limiter.forget(upstream)
+        self.rate_limits.forget(upstream)
         self.idle_limits.forget(upstream)
 
     def restore_warmth(self, upstream: UpstreamId, record: WarmthRecord) -> bool:
@@ -262,6 +265,36 @@
             if (marks := self.warmth.objects(upstream.id))
         }
 
+    def record_rate_limit(
+        self, upstream: UpstreamId, *, per_s: float | None, request: str, now: float
+    ) -> None:
+        """Record the rate limit that a response states; None if it states none.
+
+        Parameters
+        ----------
+        upstream
+            Upstream that responded.
+        per_s
+            Requests per second that it accepts from all gateways together.
+        request
+            Id of the request that it responded to.
+        now
+            Monotonic time; seconds.
+        """
+        known_per_s = self.rate_limits.limit(upstream)
+        if not self.rate_limits.record_stated(upstream, per_s=per_s):
+            return
+        self.metrics.limited_upstreams.set(len(self.rate_limits))
+        self.log.write_request(
+            LogNumber.GATEWAY_UPSTREAM_RATE_LIMITED,
+            now=now,
+            upstream=upstream,
+            limit_per_s=per_s,
+            was_per_s=known_per_s,
+            sent=self.rate_limits.sent_count(upstream, now=now),
+            request=request,
+        )
+
     def record_unreachable(self, upstream: Upstream, *, reason: str, now: float) -> None:
         """Send an upstream no requests until a probe succeeds."""
         if upstream.record_unreachable(now):
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -32,6 +32,8 @@
         Present in the response to a request that did not run.
     load
         Running requests, waiting requests and slots of an upstream, separated by commas.
+    rate_limit
+        Requests per second that an upstream accepts from all gateways together.
     cold_ms
         Time for which an upstream remains cold; milliseconds.
     object_cookie
@@ -45,6 +47,7 @@
     signature: bytes
     not_executed: bytes
     load: bytes
+    rate_limit: bytes
     cold_ms: bytes
     object_cookie: bytes
 
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -27,6 +27,7 @@
     signature=b"x-signature",
     not_executed=b"x-not-run",
     load=b"x-load",
+    rate_limit=b"x-rate-limit",
     cold_ms=b"x-cold",
     object_cookie=b"Object",
 )
