Show that an upstream which states a rate limit gets more from all gateways

Seen by the users (LIMIT): 18 requests in 4 s at an upstream that had named 1.9 a second, from gateways that it had told; 16 are allowed.

The test runs four gateways with datagrams between them, one upstream that states 2 requests a second and one that states nothing, and counts as the rule does: arrivals from gateways that were told half a second before, in any 4 s from 3 s after the first statement.

--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import socket
 
 from gooseberryport_core.gateway.model import (
     ClientLimits,
@@ -14,6 +15,7 @@
 from gooseberryport_gateway._forwarder import Forwarder
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
+from gooseberryport_gateway._peers import Peers
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.wire import Bounds, GatewaySettings, HeaderNames
@@ -153,11 +155,11 @@
 class GatewayHarness:
     """A gateway's state and forwarder; `start_gateway` adds a listener on loopback."""
 
-    def __init__(self):
+    def __init__(self, *, vm="vm1", datagrams=("127.0.0.1", 1)):
         self.log_fd = os.open(os.devnull, os.O_WRONLY)
-        member = Member("vm1", "a1", "A", "127.0.0.1:1", ("127.0.0.1", 1), 1)
+        member = Member(vm, "a1", "A", "127.0.0.1:1", datagrams, 1)
         self.state = GatewayState(
-            settings=SETTINGS, me=member, log=Log(vm="vm1", fd=self.log_fd), metrics=Metrics()
+            settings=SETTINGS, me=member, log=Log(vm=vm, fd=self.log_fd), metrics=Metrics()
         )
         self.pool = ConnPool(id_header=HEADER_NAMES.request_id, on_last_closed=lambda _: None)
         self.forwarder = Forwarder(state=self.state, pool=self.pool, names=HEADER_NAMES)
@@ -170,8 +172,8 @@
 
 
 @contextlib.asynccontextmanager
-async def start_gateway(*routes, limits=None):
-    gateway = GatewayHarness()
+async def start_gateway(*routes, limits=None, **location):
+    gateway = GatewayHarness(**location)
     if routes:
         gateway.state.apply_config(make_config(*routes, limits=limits))
     loop = asyncio.get_running_loop()
@@ -194,12 +196,45 @@
         os.close(gateway.log_fd)
 
 
+@contextlib.asynccontextmanager
+async def start_fleet(count, *routes):
+    """Start gateways that send each other datagrams; yield them by the names of their VMs."""
+    loop = asyncio.get_running_loop()
+    async with contextlib.AsyncExitStack() as stack:
+        gateways = {}
+        for number in range(1, count + 1):
+            with contextlib.closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as probe:
+                probe.bind(("127.0.0.1", 0))
+                address = probe.getsockname()
+            vm = f"vm{number}"
+            gateways[vm] = await stack.enter_async_context(
+                start_gateway(*routes, vm=vm, datagrams=address)
+            )
+        members = [gateway.state.me for gateway in gateways.values()]
+        for gateway in gateways.values():
+            gateway.state.fleet.set_listed(members, now=loop.time())
+            peers = Peers(state=gateway.state)
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda peers=peers: peers, local_addr=gateway.state.me.datagrams
+            )
+            stack.callback(transport.close)
+            stack.callback(loop.create_task(peers.report()).cancel)
+        yield gateways
+
+
 def make_request(
-    *, method=b"GET", path=b"/a/x", request_id=b"id1", deadline_ms=900, body=b"", extra=b""
+    *,
+    method=b"GET",
+    path=b"/a/x",
+    request_id=b"id1",
+    object_key=b"7",
+    deadline_ms=900,
+    body=b"",
+    extra=b"",
 ):
     lines = [method + b" " + path + b" HTTP/1.1", b"Host: h.example", b"X-Id: " + request_id]
     lines.append(b"X-Deadline: %d" % deadline_ms)
-    lines.append(b"Cookie: Object=7")
+    lines.append(b"Cookie: Object=" + object_key)
     if body or method == b"POST":
         lines.append(b"Content-Length: %d" % len(body))
     if extra:
--- a/packages/gooseberryport-gateway/tests/test_rate_limits.py
+++ b/packages/gooseberryport-gateway/tests/test_rate_limits.py
@@ -1,12 +1,15 @@
+import asyncio
 import json
 import os
 
 import pytest
 from gateway_harness import (
+    header_value,
     make_request,
     make_response,
     run,
     send_request,
+    start_fleet,
     start_gateway,
     start_upstream,
 )
@@ -45,3 +48,43 @@
         (event["request"], event["limit_per_s"], event["was_per_s"], event["sent"])
         for event in events
     ] == [("id0", 2.5, None, 1), ("id3", None, 2.5, 4)]
+
+
+def test_gateways_together_send_an_upstream_no_more_than_the_rate_it_states():
+    """The platform allows half more than the stated rate and five requests, in any 4 s."""
+    rate_per_s, settling_s, window_s = 2.0, 3.0, 4.0
+    allowed = 1.5 * rate_per_s * window_s + 5.0
+    arrived, statuses = [], []
+
+    def state_limit(head, _):
+        now = asyncio.get_running_loop().time()
+        arrived.append((now, header_value(head, b"x-id").split(b"-")[0]))
+        return make_response(head, extra=b"x-rate-limit: %.1f" % rate_per_s)
+
+    async def send_requests(vm, gateway):
+        for number in range(120):
+            vm_and_number = b"%s-%d" % (vm.encode(), number)
+            request = make_request(request_id=vm_and_number, object_key=b"%d" % (number % 16))
+            statuses.append((await send_request(gateway, request))[0])
+            await asyncio.sleep(0.08)
+
+    async def main():
+        async with (
+            start_upstream(state_limit) as limited,
+            start_upstream(lambda head, _: make_response(head)) as other,
+            start_fleet(4, make_route()) as gateways,
+        ):
+            for gateway in gateways.values():
+                gateway.put_upstream("u1", limited.port)
+                gateway.put_upstream("u2", other.port)
+            await asyncio.gather(*(send_requests(vm, gw) for vm, gw in gateways.items()))
+
+    run(main())
+    told_at = {}
+    for at, vm in arrived:
+        told_at.setdefault(vm, at)
+    counted = [at for at, vm in arrived if at > told_at[vm] + 0.5]
+    starts = [at for at in counted if at >= arrived[0][0] + settling_s]
+    assert starts
+    assert max(sum(start <= at < start + window_s for at in counted) for start in starts) <= allowed
+    assert set(statuses) == {200}
