Close the streams of stand-ins and tests before their event loop ends

Cause: handlers of stand-in servers were cancelled at the end of the loop without closing their stream, and clients closed theirs without waiting. Ruled out: the product; its processes use protocols of their own, no StreamWriter.

Tests, harnesses and the soak use it; the soak's clients close what they keep. The warning stays an error.

--- a/packages/gooseberryport-daemon/tests/test_peer_streams.py
+++ b/packages/gooseberryport-daemon/tests/test_peer_streams.py
@@ -34,6 +34,7 @@
     request_frames,
     ticket_frames,
 )
+from gooseberryport_standins.streams import open_stream, start_stream_server
 
 WAIT_TIMEOUT_S = 10.0
 BODY = b"dress" * 30_000
@@ -234,11 +235,15 @@
                 frozen.set()
 
     async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        owner_reader, owner_writer = await asyncio.open_connection(host, int(port))
-        tasks.add(asyncio.create_task(pump(reader, owner_writer)))
-        tasks.add(asyncio.create_task(pump(owner_reader, writer)))
-
-    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        async with open_stream(int(port), host=host) as (owner_reader, owner_writer):
+            pumps = {
+                asyncio.create_task(pump(reader, owner_writer)),
+                asyncio.create_task(pump(owner_reader, writer)),
+            }
+            tasks.update(pumps)
+            await asyncio.wait(pumps)
+
+    server = await start_stream_server(accept)
     try:
         relay_host, relay_port = server.sockets[0].getsockname()
         yield f"{relay_host}:{relay_port}"
--- a/packages/gooseberryport-daemon/tests/test_sockets.py
+++ b/packages/gooseberryport-daemon/tests/test_sockets.py
@@ -6,6 +6,7 @@
 from gooseberryport_daemon._sockets import bind_peer_port
 from gooseberryport_daemon.errors import AddressInUseError
 from gooseberryport_daemon.settings import Endpoint
+from gooseberryport_standins.streams import open_stream
 
 ANY = Endpoint("127.0.0.1", 0)
 
@@ -30,9 +31,8 @@
 
         with bind_peer_port(ANY) as sockets:
             server = await asyncio.start_server(talk, sock=sockets.stream)
-            _, writer = await asyncio.open_connection("127.0.0.1", sockets.address.port)
-            assert await accepted == 1
-            writer.close()
+            async with open_stream(sockets.address.port):
+                assert await accepted == 1
             server.close()
 
     asyncio.run(run())
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -20,6 +20,7 @@
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.wire import Bounds, GatewaySettings, HeaderNames
 from gooseberryport_standins.samples import make_entry
+from gooseberryport_standins.streams import open_stream, start_stream_server
 
 HEADER_NAMES = HeaderNames(
     request_id=b"x-id",
@@ -113,7 +114,6 @@
             self.open_connections -= 1
             self.disconnected.set()
             self._writers.discard(writer)
-            writer.close()
 
     def stop_listening(self):
         self.server.close()
@@ -143,7 +143,7 @@
 @contextlib.asynccontextmanager
 async def start_upstream(script):
     scripted = ScriptedUpstream(script)
-    server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+    server = await start_stream_server(scripted.serve)
     scripted.server = server
     scripted.port = server.sockets[0].getsockname()[1]
     try:
@@ -266,12 +266,8 @@
 
 @contextlib.asynccontextmanager
 async def connect_client(gateway):
-    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
-    client = Client(reader, writer)
-    try:
-        yield client
-    finally:
-        client.close()
+    async with open_stream(gateway.port) as (reader, writer):
+        yield Client(reader, writer)
 
 
 async def send_request(gateway, data):
--- a/packages/gooseberryport-gateway/tests/test_endless_bytes.py
+++ b/packages/gooseberryport-gateway/tests/test_endless_bytes.py
@@ -19,6 +19,7 @@
 from gooseberryport_gateway._http_conn import HttpConn
 from gooseberryport_gateway.errors import ResponseLimitError
 from gooseberryport_standins.samples import make_route
+from gooseberryport_standins.streams import start_stream_server
 
 BLOCK = 16_384
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -131,7 +132,7 @@
                     writer.write(block)
                     await writer.drain()
             except (ConnectionError, asyncio.IncompleteReadError):
-                writer.close()
+                return
 
         async def serve_good(reader, writer):
             try:
@@ -139,10 +140,10 @@
                     head = await reader.readuntil(b"\r\n\r\n")
                     writer.write(make_response(head))
             except (ConnectionError, asyncio.IncompleteReadError):
-                writer.close()
+                return
 
-        endless = await asyncio.start_server(serve_endless, "127.0.0.1", 0)
-        good = await asyncio.start_server(serve_good, "127.0.0.1", 0)
+        endless = await start_stream_server(serve_endless)
+        good = await start_stream_server(serve_good)
         async with start_gateway(make_route(max_attempts=2, objective_s=1.0)) as gateway:
             gateway.put_upstream("u1", endless.sockets[0].getsockname()[1])
             gateway.put_upstream("u2", good.sockets[0].getsockname()[1])
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -27,6 +27,8 @@
 from soak_harness import FaultyLink, PromiseChecker, SoakUpstream  # noqa: E402
 from store_standin import store_standin  # noqa: E402
 
+from gooseberryport_standins.streams import open_stream  # noqa: E402
+
 GRACE_S = 5
 DRAIN_S = 2.0
 RECOVERY_TIMEOUT_S = 15.0
@@ -122,12 +124,9 @@
             self.process.send_signal(number)
 
     async def get(self, role, path):
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[role])
-        try:
+        async with open_stream(self.ports[role]) as (reader, writer):
             writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
             data = await reader.read()
-        finally:
-            writer.transport.abort()
         return int(data.split(b" ")[1]), data.partition(b"\r\n\r\n")[2]
 
 
@@ -505,6 +504,7 @@
     await check_recovery(env)
     for task in client_tasks:
         task.cancel()
+    await asyncio.gather(*client_tasks, return_exceptions=True)
     await asyncio.gather(*(stop_gateway(env, gateway) for gateway in env.gateways))
     for task in background_tasks:
         task.cancel()
@@ -532,6 +532,8 @@
         )
         fraction = sum(result == 200 for result in results) / len(results)
         await asyncio.sleep(0.3)
+    for probe in probes:
+        probe.close()
     if fraction < MIN_SERVED_FRACTION:
         env.checker.record_violation(
             "recover",
--- a/tests/soak_clients.py
+++ b/tests/soak_clients.py
@@ -65,10 +65,19 @@
 
     async def run(self):
         """Send bursts of requests at random intervals until cancelled."""
-        while True:
-            await asyncio.sleep(self._rng.expovariate(self._env.rate_per_client))
-            with contextlib.suppress(OSError, TimeoutError, NoAnswerError):
-                await self.send_burst()
+        try:
+            while True:
+                await asyncio.sleep(self._rng.expovariate(self._env.rate_per_client))
+                with contextlib.suppress(OSError, TimeoutError, NoAnswerError):
+                    await self.send_burst()
+        finally:
+            self.close()
+
+    def close(self):
+        """Close the connection, if there is one."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
 
     async def send_burst(self, *, kind=None):
         """Send one burst of requests; return the last status, or None without a gateway."""
@@ -87,8 +96,7 @@
                     break
         finally:
             if conn.closing or len(statuses) < len(burst):
-                conn.close()
-                self._conn = None
+                self.close()
         return statuses[-1]
 
     def _burst_size(self, kind):
@@ -146,6 +154,7 @@
     async def _connection(self):
         if self._conn is not None and not self._conn.reader.at_eof():
             return self._conn
+        self.close()
         for address in await self._look_up():
             host, _, port = address.rpartition(":")
             try:
--- a/tests/soak_harness.py
+++ b/tests/soak_harness.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from gooseberryport_standins.streams import start_stream_server
+
 FAULT_RECOVERY_S = 3.0
 """Time after an unplanned fault during which time limits are not checked, in seconds."""
 
@@ -190,7 +192,7 @@
         self.restore()
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await start_stream_server(self._serve)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
@@ -276,7 +278,7 @@
 
     async def start(self, *, port=0):
         """Listen; the address that others get is that of the link in front of this upstream."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self._server = await start_stream_server(self._serve, port=port)
         own_port = self._server.sockets[0].getsockname()[1]
         if self.link is None:
             self.link = await FaultyLink(own_port).start()
@@ -316,7 +318,6 @@
             return
         finally:
             self._writers.discard(writer)
-            writer.close()
 
     async def _answer(self, reader, writer, method, target, fields, body):
         request_id = fields.get("request-id", "")
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from gooseberryport_site.store import PlatformStore
+from gooseberryport_standins.streams import start_stream_server
 
 
 class StoreStandIn:
@@ -97,7 +98,6 @@
                 data = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data)))
                 writer.write(data)
-        writer.close()
 
     async def _answer(self, method, target, body):
         parts = urlsplit(target)
@@ -164,7 +164,7 @@
 @contextlib.asynccontextmanager
 async def store_standin():
     standin = StoreStandIn()
-    server = await asyncio.start_server(standin.serve, "127.0.0.1", 0)
+    server = await start_stream_server(standin.serve)
     standin.port = server.sockets[0].getsockname()[1]
     try:
         yield standin, PlatformStore(address=f"127.0.0.1:{standin.port}")
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -16,6 +16,7 @@
 from gooseberryport_gateway.wire import Bounds, GatewaySettings, StoreSnapshot
 from gooseberryport_site.codec import PlatformCodec
 from gooseberryport_site.store import CALL_TIMEOUT_S, PlatformStore
+from gooseberryport_standins.streams import start_stream_server
 
 ENTRY = {
     "address": "10.128.0.9:8080",
@@ -210,9 +211,8 @@
             body = discovery.encode_snapshot(region="A")
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await writer.drain()
-            writer.close()
 
-        server = await asyncio.start_server(serve_snapshot, "127.0.0.1", 0)
+        server = await start_stream_server(serve_snapshot)
         port = server.sockets[0].getsockname()[1]
         standin.fault = lambda method, target: 503
         with (tmp_path / "other").open("wb") as file:
@@ -271,9 +271,8 @@
                 + body
             )
         await writer.drain()
-        writer.close()
 
-    return await asyncio.start_server(serve, "127.0.0.1", port)
+    return await start_stream_server(serve, port=port)
 
 
 def test_starting_gateway_reads_another_ones_state_instead_of_the_store(tmp_path, monkeypatch):
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -12,6 +12,8 @@
 import pytest
 from store_standin import store_standin
 
+from gooseberryport_standins.streams import open_stream, start_stream_server
+
 ROOT = Path(__file__).parents[1]
 READY_S = 15.0
 
@@ -60,11 +62,10 @@
         self.settings_path.write_text(json.dumps(settings | fields))
 
     async def get(self, role, path, *, request_id="id1"):
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[role])
         head = f"GET {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request_id}\r\n"
-        writer.write(f"{head}Request-Deadline: 3000\r\nConnection: close\r\n\r\n".encode())
-        data = await reader.read()
-        writer.close()
+        async with open_stream(self.ports[role]) as (reader, writer):
+            writer.write(f"{head}Request-Deadline: 3000\r\nConnection: close\r\n\r\n".encode())
+            data = await reader.read()
         status = int(data.split(b" ")[1]) if data else 0
         return status, data.partition(b"\r\n\r\n")[2]
 
@@ -117,7 +118,7 @@
                     b"Request-Id: " + request_id + b"\r\n\r\nbody"
                 )
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    server = await start_stream_server(serve)
     try:
         yield server.sockets[0].getsockname()[1]
     finally:
@@ -306,9 +307,8 @@
                 while True:
                     writer.write(block)
                     await writer.drain()
-            writer.close()
 
-        return asyncio.start_server(serve, "127.0.0.1", 0)
+        return start_stream_server(serve)
 
     servers = [
         await make_server(*ENDLESS_RESPONSES[index % len(ENDLESS_RESPONSES)])
