Divide a stated rate by what each gateway wants of it

Cause: equal shares. Most requests to an upstream come from few gateways; the others took a share for a request now and then, and each home of an object counted as wanted.

Change: gateways report their demand: requests whose first choice, without limits, was the upstream. Shares are max-min fair, what nobody wants is divided in proportion. A request is placed without limits first, and again with them if its first choice has no share left.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/rate_limits.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/rate_limits.py
@@ -1,9 +1,10 @@
 """Rate limits that upstreams state in their responses, kept by all gateways together.
 
 Load pattern: an upstream in need accepts fewer requests per second than it receives, and many
-gateways send to it. The stated rate is for their sum, so each gateway keeps to a share: whole
-requests in a sliding window, divided among the gateways that want to send to the upstream. The
-shares of a window add up to no more than the rate, even if all are used at the same moment.
+gateways send to it, most requests coming from few of them. The stated rate is for their sum, so
+each gateway keeps to a share: whole requests in a sliding window, divided by max-min fairness among
+the gateways that want to send to the upstream. The shares of a window add up to no more than the
+rate, even if all are used at the same moment.
 
 Gateways report to each other which limited upstreams they want, with the limit that they know. A
 gateway that joins sends only after the others had time to learn of it, since they would otherwise
@@ -14,7 +15,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 
 import msgspec
 
@@ -63,11 +64,32 @@
         has no limit any more.
     age_s
         Age of the response that stated it; seconds.
+    demand
+        Requests in the last `RATE_WINDOW_S` that would have gone to the upstream without a limit.
     """
 
     upstream: int
     per_s: float | None
     age_s: float
+    demand: int
+
+
+class _Other(msgspec.Struct):
+    """Another gateway that wants an upstream.
+
+    Parameters
+    ----------
+    weight
+        Its rendezvous weight for the upstream.
+    demand
+        Its demand, as last reported.
+    reported_at
+        Time of that report; monotonic seconds.
+    """
+
+    weight: int
+    demand: int
+    reported_at: float
 
 
 class _Limit(msgspec.Struct):
@@ -82,9 +104,11 @@
     wanted_at, wanted_since
         When this gateway last had a request that would have gone to the upstream, and since when
         it has had them; monotonic seconds.
+    demand, reported_demand
+        This gateway's requests that would have gone to the upstream, and their number in its last
+        report, which the others use.
     others
-        Other gateways that want the upstream, with the time of their last report that said so;
-        monotonic seconds.
+        Other gateways that want the upstream.
     share, share_of
         This gateway's share of a window, and the members that it was computed for; None if it must
         be computed again.
@@ -94,7 +118,11 @@
     stated_at: float
     wanted_at: float = float("-inf")
     wanted_since: float = float("-inf")
-    others: dict[VmId, float] = msgspec.field(default_factory=dict)
+    demand: SlidingWindow = msgspec.field(
+        default_factory=lambda: SlidingWindow(length_s=RATE_WINDOW_S)
+    )
+    reported_demand: int = 0
+    others: dict[VmId, _Other] = msgspec.field(default_factory=dict)
     share: int = 0
     share_of: frozenset[VmId] | None = None
 
@@ -180,11 +208,16 @@
             )
         ]
         for upstream, limit in self._limits.items():
-            if upstream in reported:
-                if vm not in limit.others:
+            report, other = reported.get(upstream), limit.others.get(vm)
+            if report is not None and other is None:
+                weight = rendezvous_weight(vm, upstream)
+                limit.others[vm] = _Other(weight=weight, demand=report.demand, reported_at=now)
+                limit.share_of = None
+            elif report is not None and other is not None:
+                if other.demand != report.demand:
                     limit.share_of = None
-                limit.others[vm] = now
-            elif now - limit.others.get(vm, now) > NOT_REPORTED_TTL_S:
+                other.demand, other.reported_at = report.demand, now
+            elif other is not None and now - other.reported_at > NOT_REPORTED_TTL_S:
                 del limit.others[vm]
                 limit.share_of = None
         return changed
@@ -204,14 +237,21 @@
             for upstream, limit in self._limits.items()
             if now - limit.wanted_at < WANTED_TTL_S
         )
-        return [
-            RateLimitReport(
-                upstream=hash_of(upstream),
-                per_s=limit.per_s,
-                age_s=round(now - limit.stated_at, 3),
+        reports = []
+        for upstream, limit in itertools.islice(wanted, MAX_REPORTED):
+            demand = limit.demand.count(now)
+            if demand != limit.reported_demand:
+                limit.reported_demand = demand
+                limit.share_of = None
+            reports.append(
+                RateLimitReport(
+                    upstream=hash_of(upstream),
+                    per_s=limit.per_s,
+                    age_s=round(now - limit.stated_at, 3),
+                    demand=demand,
+                )
             )
-            for upstream, limit in itertools.islice(wanted, MAX_REPORTED)
-        ]
+        return reports
 
     def can_send(self, upstream: UpstreamId, *, gateways: frozenset[VmId], now: float) -> bool:
         """Return whether a request may be sent to an upstream now.
@@ -238,16 +278,13 @@
         return self.sent_count(upstream, now=now) < allowed
 
     def _compute_share(self, upstream: UpstreamId, limit: _Limit, gateways: frozenset[VmId]) -> int:
-        """Return how many requests this gateway may send in one window.
-
-        The remainder of the division goes to the gateways that rank highest for the upstream.
-        """
-        limit.others = {vm: at for vm, at in limit.others.items() if vm in gateways}
-        total = max(int((limit.per_s or 0.0) * limit.window_s), 1)
-        share, rest = divmod(total, len(limit.others) + 1)
-        own_weight = rendezvous_weight(self._vm, upstream)
-        rank = sum(rendezvous_weight(vm, upstream) > own_weight for vm in limit.others)
-        return share + 1 if rank < rest else share
+        """Return how many requests this gateway may send in one window."""
+        limit.others = {vm: other for vm, other in limit.others.items() if vm in gateways}
+        return fair_share(
+            total=max(round((limit.per_s or 0.0) * limit.window_s), 1),
+            own=(limit.reported_demand, rendezvous_weight(self._vm, upstream)),
+            others=[(other.demand, other.weight) for other in limit.others.values()],
+        )
 
     def limited(self) -> Iterator[UpstreamId]:
         """Yield the upstreams that state a limit."""
@@ -255,14 +292,27 @@
             if limit.per_s is not None:
                 yield upstream
 
-    def record_wanted(self, upstream: UpstreamId, *, now: float) -> None:
-        """Record that a request would have gone to an upstream if that stated no limit."""
+    def record_wanted(self, upstream: UpstreamId, *, now: float, as_first: bool = True) -> None:
+        """Record that a request would have gone to an upstream if that stated no limit.
+
+        Parameters
+        ----------
+        upstream
+            The upstream.
+        now
+            Monotonic time; seconds.
+        as_first
+            Whether it was the first choice. If it was not, the gateway gets a share of what the
+            others leave, and no more.
+        """
         limit = self._limits.get(upstream)
         if limit is None:
             return
         if now - limit.wanted_at >= WANTED_TTL_S:
             limit.wanted_since = now
         limit.wanted_at = now
+        if as_first:
+            limit.demand.add(now)
 
     def record_sent(self, upstream: UpstreamId, *, now: float) -> None:
         """Record a request that is sent to an upstream, whether it states a limit or not."""
@@ -273,7 +323,6 @@
         if limit is not None:
             window.length_s = limit.window_s if limit.per_s is not None else RATE_WINDOW_S
         window.add(now)
-        self.record_wanted(upstream, now=now)
 
     def sent_count(self, upstream: UpstreamId, *, now: float) -> int:
         """Return the number of requests sent in the upstream's window."""
@@ -301,3 +350,38 @@
         """Drop what is known of an upstream that was removed."""
         self._limits.pop(upstream, None)
         self._sent.pop(upstream, None)
+
+
+def fair_share(*, total: int, own: tuple[int, int], others: Sequence[tuple[int, int]]) -> int:
+    """Return this gateway's share of the requests that all gateways may send in a window.
+
+    No gateway gets less than it wants while another one gets more than that. What nobody wants is
+    divided in proportion to the demand, so that a burst is served at once.
+
+    Parameters
+    ----------
+    total
+        Requests that all gateways may send.
+    own, others
+        Demand and rendezvous weight of this gateway and of the others; the weights decide who gets
+        the remainder of a division.
+    """
+    own_demand, own_weight = own
+    demands = [own_demand, *(demand for demand, _ in others)]
+    excess = total - sum(demands)
+    if excess >= 0:
+        parts = sum(demands) + len(demands)
+        extra = [excess * (demand + 1) // parts for demand in demands]
+        rank = sum(weight > own_weight for _, weight in others)
+        return own_demand + extra[0] + (rank < excess - sum(extra))
+    rest, waiting = total, len(others) + 1
+    for demand in sorted(demands):
+        level = rest // waiting
+        if demand > level:
+            break
+        rest -= demand
+        waiting -= 1
+    if own_demand <= level:
+        return own_demand
+    rank = sum(weight > own_weight for demand, weight in others if demand > level)
+    return level + (rank < rest - level * waiting)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
 
 from gooseberryport_core.gateway.model import ObjectKey, Repeatability, Route
 from gooseberryport_core.gateway.placement import (
+    Placement,
     PlacementView,
     PreferredUpstreams,
     Verdict,
@@ -211,6 +213,26 @@
                 return self._reply_failed(job)
 
     def _choose(self, job: _Job, *, now: float) -> Upstream | None:
+        state = self._state
+        placement = self._place(job, now=now, can_send=state.can_send_cold)
+        if placement.upstream is not None:
+            state.rate_limits.record_wanted(placement.upstream.id, now=now)
+            if not state.can_send_limited(placement.upstream, now=now):
+                placement = self._place(job, now=now, can_send=state.can_send)
+        job.warm = placement.warm
+        job.load = placement.load
+        if placement.upstream is not None and placement.verdict is Verdict.SEND:
+            # Counted before any wait, so that requests meanwhile see it.
+            state.rate_limits.record_sent(placement.upstream.id, now=now)
+            return placement.upstream
+        usable = state.service_capacity(job.service, now=now).usable
+        job.cause = f"placement: {placement.verdict.value} of {usable}"
+        limited = self._want_limited(job, now=now)
+        if limited:
+            job.cause += f"; {limited} with a rate limit"
+        return None
+
+    def _place(self, job: _Job, *, now: float, can_send: Callable[..., bool]) -> Placement:
         state = self._state
         mark = hash_object_key(job.key) if job.key is not None else 0
         capacity = state.service_capacity(job.service, now=now)
@@ -218,7 +240,7 @@
             zone=state.me.zone,
             region_of=state.region_of,
             load_of=lambda upstream: state.load_of(upstream, now=now),
-            can_send=lambda upstream: state.can_send(upstream, now=now),
+            can_send=lambda upstream: can_send(upstream, now=now),
             is_warm=lambda upstream: state.warmth.is_warm(upstream.id, mark),
             is_unused=lambda upstream: state.warmth.has_no_objects(upstream.id),
             objects_of=lambda upstream: state.warmth.object_count(upstream.id),
@@ -248,17 +270,7 @@
                 queue_factor=factor,
                 avoided=avoided,
             )
-        job.warm = placement.warm
-        job.load = placement.load
-        if placement.upstream is not None and placement.verdict is Verdict.SEND:
-            # Counted before any wait, so that requests meanwhile see it.
-            state.rate_limits.record_sent(placement.upstream.id, now=now)
-            return placement.upstream
-        job.cause = f"placement: {placement.verdict.value} of {capacity.usable}"
-        limited = self._want_limited(job, now=now)
-        if limited:
-            job.cause += f"; {limited} with a rate limit"
-        return None
+        return placement
 
     def _preferred_upstreams(self, job: _Job, key: ObjectKey, mark: int) -> PreferredUpstreams:
         state = self._state
@@ -268,8 +280,6 @@
             if (upstream := state.upstreams.get(name)) is not None
             and upstream.entry.service == job.service
         ]
-        for upstream in homes:
-            state.rate_limits.record_wanted(upstream.id, now=self._loop.time())
         if len(homes) > 1:
             homes = state.rankings.in_order(service=job.service, key=key, upstreams=homes)
         return PreferredUpstreams(
@@ -288,7 +298,7 @@
         for name in state.rate_limits.limited():
             upstream = state.upstreams.get(name)
             if upstream is not None and upstream.entry.service == job.service:
-                state.rate_limits.record_wanted(name, now=now)
+                state.rate_limits.record_wanted(name, now=now, as_first=False)
                 wanted += 1
         return wanted
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -437,24 +437,28 @@
 
     def can_send(self, upstream: Upstream, *, now: float) -> bool:
         """Return whether an upstream may get a request now: cold and limited ones take few."""
-        is_limited = self.rate_limits.limit(upstream.id) is not None
-        is_cold = upstream.is_cold(now) and self.routes is not None
-        if not is_limited and not is_cold:
-            return True
-        gateways = self.fleet.gateways_sharing_limits(now=now)
-        if not self.rate_limits.can_send(upstream.id, gateways=gateways, now=now):
-            return False
-        if not is_cold:
+        return self.can_send_cold(upstream, now=now) and self.can_send_limited(upstream, now=now)
+
+    def can_send_cold(self, upstream: Upstream, *, now: float) -> bool:
+        """Return whether an upstream may get a request now, as far as it is cold."""
+        if not upstream.is_cold(now) or self.routes is None:
             return True
-        assert self.routes is not None
         spec = self.routes.config.services.get(upstream.entry.service)
         return self.cold_rate_limiter.can_send(
             upstream=upstream.id,
             cold_rate_per_s=spec.cold_rate_per_s if spec is not None else 0.0,
-            gateways=gateways,
+            gateways=self.fleet.gateways_sharing_limits(now=now),
             now=now,
         )
 
+    def can_send_limited(self, upstream: Upstream, *, now: float) -> bool:
+        """Return whether an upstream may get a request now, as far as it states a rate limit."""
+        if self.rate_limits.limit(upstream.id) is None:
+            return True
+        return self.rate_limits.can_send(
+            upstream.id, gateways=self.fleet.gateways_sharing_limits(now=now), now=now
+        )
+
 
 @lru_cache(maxsize=4096)
 def upstream_hash(upstream: UpstreamId) -> int:
