Count a request to a cold upstream when it is decided, not when it is sent

Callers' view: a burst to a cold upstream passes its limit (FAILBACK), and the upstream crashes at a rate well above it.

The count came after the wait for a new connection, up to 0.5 s; requests decided meanwhile did not see each other.

Change: both limits count a send with its decision.

Test: 40 requests at once to a cold upstream were all sent (11 allowed); now the share is kept and the rest refused.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -224,6 +224,7 @@
         if placement.upstream is not None and placement.verdict is Verdict.SEND:
             # Counted before any wait, so that requests meanwhile see it.
             state.rate_limits.record_sent(placement.upstream.id, now=now)
+            state.cold_rate_limiter.record_sent(upstream=placement.upstream.id, now=now)
             return placement.upstream
         usable = state.service_capacity(job.service, now=now).usable
         job.cause = f"placement: {placement.verdict.value} of {usable}"
@@ -355,7 +356,6 @@
 
     async def _send(self, job: _Job, upstream: Upstream, conn: HttpConn) -> Attempt:
         now = self._loop.time()
-        self._state.cold_rate_limiter.record_sent(upstream=upstream.id, now=now)
         if job.key is not None:
             mark = hash_object_key(job.key)
             if self._state.warmth.record(upstream.id, mark, now=now, observed_here=True):
--- a/packages/gooseberryport-gateway/tests/test_rate_limits.py
+++ b/packages/gooseberryport-gateway/tests/test_rate_limits.py
@@ -88,3 +88,29 @@
     assert starts
     assert max(sum(start <= at < start + window_s for at in counted) for start in starts) <= allowed
     assert set(statuses) == {200}
+
+
+def test_burst_does_not_pass_the_cold_limit_while_connections_are_opened():
+    """The platform allows a cold upstream half more than its rate and five requests, in any 1 s."""
+    cold_rate_per_s = 4.0
+    arrived = []
+
+    async def serve_slowly(head, _):
+        arrived.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(0.5)
+        return make_response(head)
+
+    async def main():
+        async with (
+            start_upstream(serve_slowly) as cold,
+            start_gateway(make_route(max_attempts=1)) as gateway,
+        ):
+            gateway.put_upstream("u1", cold.port, cold_s=30.0, slots=40)
+            requests = [
+                send_request(gateway, make_request(request_id=b"id%d" % number))
+                for number in range(40)
+            ]
+            assert {status for status, _, _ in await asyncio.gather(*requests)} == {200, 503}
+
+    run(main())
+    assert len(arrived) <= 1.5 * cold_rate_per_s + 5.0
