Never take a repeated refusal for the response to a later send

Cause: a request that an upstream refused at random is sent there again, mostly on the same kept connection and with the same id. A faulty upstream that writes its refusal once more is believed: the ids agree. A response without an id was taken for any request. Ruled out: other requests' refusals with an id, which are told apart; the daemon, which closes a connection after each refusal.

Change: a request is never sent twice on one connection, and on a connection that has had a response the next one must carry the id; without it the outcome is unknown.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -105,6 +105,9 @@
         Upstreams to which the request was sent, in order.
     avoided
         Upstreams to which the request is not sent again.
+    conns
+        Connections on which it was sent. An upstream may repeat its refusal there, and the id would
+        not tell that from the response to another send.
     may_have_run
         Whether an upstream may have run the request.
     """
@@ -117,6 +120,7 @@
     deadline: float
     sent_to: list[UpstreamId] = msgspec.field(default_factory=list)
     avoided: set[UpstreamId] = msgspec.field(default_factory=set)
+    conns: list[HttpConn] = msgspec.field(default_factory=list)
     may_have_run: bool = False
     sending: bool = False
     load: int = 0
@@ -337,7 +341,7 @@
             max_idle_s = self._state.idle_limits.max_idle_s(
                 service=job.service, upstream=upstream.id, now=self._loop.time()
             )
-            conn = self._pool.acquire(upstream.id, max_idle_s=max_idle_s)
+            conn = self._pool.acquire(upstream.id, max_idle_s=max_idle_s, excluded=job.conns)
             if conn is None:
                 conn = await self._pool.connect(upstream.id, upstream.entry.address)
                 self._state.metrics.connections.inc()
@@ -361,6 +365,7 @@
             if self._state.warmth.record(upstream.id, mark, now=now, observed_here=True):
                 self._state.on_warmth_update()
         job.sending = True
+        job.conns.append(conn)
         expected_s = self._state.warm_s(job.route) if job.warm else None
         repeatable = job.route.repeatability is Repeatability.IDEMPOTENT
         with self._silence.watching(upstream, conn, expected_s=expected_s, repeatable=repeatable):
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -96,6 +96,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since = 0.0
         self._used = False
+        self._answered = False
         self.idle_s = 0.0
         self.closed = False
         self.closed_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -124,7 +125,7 @@
         data
             The request as bytes.
         request_id
-            Id that the response must have if it has an id at all.
+            Id that the response must have; the first one on a connection may have none.
         head_only
             Whether the response has no body, whatever its headers say.
 
@@ -263,6 +264,12 @@
             return
         if self._id_header is not None and self._request_id is not None:
             response_id = self._build_response().header(self._id_header)
+            if response_id is None and self._answered:
+                # It may repeat the response to an earlier request.
+                self._in_body = False
+                self._mark_unusable()
+                self._fail("a response without an id on a connection that had others")
+                return
             if response_id is not None and response_id != self._request_id:
                 self._in_body = False
                 self._unusable = True
@@ -280,6 +287,7 @@
 
     def _complete(self) -> None:
         self._in_body = False
+        self._answered = True
         future = self._response_future
         if future is None or future.done():
             return
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from math import inf
 
 from gooseberryport_core.gateway.model import Address
@@ -32,12 +32,33 @@
         self._loop = asyncio.get_running_loop()
         self.opened = 0
 
-    def acquire(self, upstream: UpstreamId, *, max_idle_s: float = inf) -> HttpConn | None:
-        """Return a connection that has been idle for no longer than a limit, or None."""
-        idle = self._idle.get(upstream)
+    def acquire(
+        self,
+        upstream: UpstreamId,
+        *,
+        max_idle_s: float = inf,
+        excluded: Collection[HttpConn] = (),
+    ) -> HttpConn | None:
+        """Return a connection that has been idle for no longer than a limit, or None.
+
+        Parameters
+        ----------
+        upstream
+            Upstream that the connection leads to.
+        max_idle_s
+            Longest idle time; seconds.
+        excluded
+            Connections that are not returned.
+        """
+        idle = self._idle.get(upstream, [])
         now = self._loop.time()
-        while idle and idle[-1].idle_time_s(now) <= max_idle_s:
-            conn = idle.pop()
+        for position in range(len(idle) - 1, -1, -1):
+            conn = idle[position]
+            if conn.idle_time_s(now) > max_idle_s:
+                break
+            if conn in excluded:
+                continue
+            del idle[position]
             if conn.usable and not conn.expired(now):
                 return conn
             conn.close()
