Do not take the end of a connection for the end of a response's head

Cause: the standard library's client ends a head at the end of the connection. A cut head with a length of 0, a 204, or a refusal then looked complete. The clients of the store, the VM list and the load reports read through the same classes.

Change: a line of a head or of chunk framing that the connection's end cuts off is an error, so the outcome is unknown.

--- a/packages/gooseberryport-daemon/tests/test_upstreams.py
+++ b/packages/gooseberryport-daemon/tests/test_upstreams.py
@@ -20,6 +20,9 @@
 CHUNKS = ENDLESS_CHUNKS + b"0\r\n\r\n"
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nsome"
 SHED = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+EMPTY_CUT_IN_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Re"
+NO_CONTENT_CUT_IN_HEAD = b"HTTP/1.1 204 No Content\r\nX-Re"
+SHED_CUT_IN_HEAD = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nConte"
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"
 
 
@@ -54,6 +57,9 @@
         (WITHOUT_LENGTH, "unknown"),
         (b"", "unknown"),
         (b"HTTP/1.1 abc\r\n\r\n", "unknown"),
+        (EMPTY_CUT_IN_HEAD, "unknown"),
+        (NO_CONTENT_CUT_IN_HEAD, "unknown"),
+        (SHED_CUT_IN_HEAD, "unknown"),
         (SHED, "not-run"),
     ],
 )
--- a/packages/gooseberryport-platform/src/gooseberryport_platform/bounded_http.py
+++ b/packages/gooseberryport-platform/src/gooseberryport_platform/bounded_http.py
@@ -1,8 +1,9 @@
-"""HTTP connections whose responses can't consist of header lines without end.
+"""HTTP connections whose responses have complete header lines, and not without end.
 
 Failure pattern: a server in trouble sends interim responses, chunk extensions or trailers and never
-stops. The standard library and urllib3 read these line by line without a limit, so a thread that
-waits for the response is busy until the server closes the connection.
+stops, or closes the connection in the middle of a response's head. The standard library and urllib3
+read lines without a limit, so a thread that waits for the response is busy until the server closes
+the connection; and they take the end of the connection for the end of the head.
 """
 
 from __future__ import annotations
@@ -27,6 +28,10 @@
     """The server sends lines without end; the connection can't be used any more."""
 
 
+class CutResponseError(http.client.HTTPException):
+    """The connection ended within a line, or before the last one, of a head or of chunk framing."""
+
+
 class _BoundedReader:
     """File object of a connection that bounds what is read line by line."""
 
@@ -39,12 +44,23 @@
         return getattr(self._raw, name)
 
     def readline(self, limit: int = -1) -> bytes:
-        """Return a line, as a binary file does; raises `EndlessResponseError`."""
+        """Return a line, or nothing if the connection ended before the first one.
+
+        Raises
+        ------
+        CutResponseError
+            The connection ended before the end of the line.
+        EndlessResponseError
+            The lines are too long.
+        """
         allowed = MAX_LINE_BYTES + 1
-        line: bytes = self._raw.readline(min(limit, allowed) if limit >= 0 else allowed)
+        wanted = min(limit, allowed) if limit >= 0 else allowed
+        line: bytes = self._raw.readline(wanted)
         self._line_bytes += len(line)
         if len(line) > MAX_LINE_BYTES:
             raise EndlessResponseError(f"a line of more than {MAX_LINE_BYTES} bytes")
+        if len(line) < wanted and not line.endswith(b"\n") and self._line_bytes:
+            raise CutResponseError("the connection ended within the response's lines")
         if self._line_bytes > MAX_LINES_BYTES + LINE_BYTES_PER_BODY_BYTE * self._body_bytes:
             raise EndlessResponseError(f"{self._line_bytes} bytes of header or trailer lines")
         return line
