Check the id of responses that end with their connection or have no body

The id was compared only where a response's end is marked; two other ways to complete one skipped it. Ruled out: responses with a length or chunks (compared before).

Change: each way that completes a response compares the id.

Test: a response without a length and one to HEAD with another request's id were passed on as 200 before; now the outcome is unknown (502).

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -199,7 +199,8 @@
         """Complete a response whose end is marked by the end of the connection."""
         if self._response_future is not None and self._in_body and not self._has_explicit_length:
             self._unusable = True
-            self._complete()
+            if self._is_own_response():
+                self._complete()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -237,7 +238,10 @@
         status = self._parser.get_status_code()
         if self._head_only and status >= 200:
             self._unusable = True
-            self._complete()
+            if self._is_own_response():
+                self._complete()
+            else:
+                self._fail("the response to another request")
 
     def on_body(self, data: bytes) -> None:
         """Collect a chunk of the body."""
@@ -262,22 +266,25 @@
             if self._num_interim > MAX_INTERIM_RESPONSES:
                 self.discard(f"more than {MAX_INTERIM_RESPONSES} interim responses")
             return
-        if self._id_header is not None and self._request_id is not None:
-            response_id = self._build_response().header(self._id_header)
-            if response_id is None and self._answered:
-                # It may repeat the response to an earlier request.
-                self._in_body = False
-                self._mark_unusable()
-                self._fail("a response without an id on a connection that had others")
-                return
-            if response_id is not None and response_id != self._request_id:
-                self._in_body = False
-                self._unusable = True
-                return
+        if not self._is_own_response():
+            self._in_body = False
+            self._unusable = True
+            return
         if not self._parser.should_keep_alive():
             self._unusable = True
         self._complete()
 
+    def _is_own_response(self) -> bool:
+        """Return whether the response is to the current request; without an id, fail that."""
+        if self._id_header is None or self._request_id is None:
+            return True
+        response_id = find_header(self._headers, self._id_header)
+        if response_id is None and self._answered:
+            # It may repeat the response to an earlier request.
+            self._fail("a response without an id on a connection that had others")
+            return False
+        return response_id in (None, self._request_id)
+
     def _build_response(self) -> HttpResponse:
         return HttpResponse(
             status=self._parser.get_status_code(),
--- a/packages/gooseberryport-gateway/tests/test_cut_responses.py
+++ b/packages/gooseberryport-gateway/tests/test_cut_responses.py
@@ -1,5 +1,5 @@
 import pytest
-from gateway_harness import make_request, run, send_request, start_gateway
+from gateway_harness import make_request, run, send_request, start_gateway, start_upstream
 
 from gooseberryport_standins.samples import make_route
 from gooseberryport_standins.streams import start_stream_server
@@ -36,3 +36,20 @@
         server.close()
 
     run(main())
+
+
+@pytest.mark.parametrize(("method", "body"), [(b"GET", b"body"), (b"HEAD", b"")])
+def test_response_without_length_is_not_taken_for_another_requests(method, body):
+    other = (
+        b"HTTP/1.1 200 OK\r\nx-id: other\r\nx-signature: sig\r\nconnection: close\r\n\r\n" + body
+    )
+
+    async def main():
+        async with (
+            start_upstream(lambda head, _: other) as upstream,
+            start_gateway(make_route(max_attempts=1)) as gateway,
+        ):
+            gateway.put_upstream("u1", upstream.port)
+            assert (await send_request(gateway, make_request(method=method)))[0] == 502
+
+    run(main())
