Take no requests late in a planned stop that the end would cut

Callers' view (reported by other operators; it happened here): in a calm planned stop, requests that came late in the grace time were passed on and then cut without an answer when the process ended, among them requests that may not be repeated (LOST).

Cause: a connection that closes when it is idle never is while its client sends on before the last reply. Its requests were taken until the end. Ruled out: new connections (the listener closes after 0.35 of the grace time), requests taken before that.

Change: from then on requests behind one without a reply are not read, and the last reply closes the connection, so clients send them elsewhere. A request that was being read is refused with 503 and `Retry-After: 0`, and logged with its id (cause `stopping`).

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -143,7 +143,11 @@
         return bool(self._pending) or self._reading
 
     def close_when_idle(self) -> None:
-        """Close the connection as soon as no request is being read or served."""
+        """Close the connection as soon as no request is being read or served.
+
+        Requests that a client sends behind one without a reply are not read: the last reply closes
+        the connection, and the client sends them again elsewhere.
+        """
         self.closing_when_idle = True
         if not self.busy:
             self._close()
@@ -214,6 +218,9 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        if self.closing_when_idle and self._pending:
+            self._rejecting = True
+            return
         self._target = b""
         self._headers = []
         self._header_bytes = 0
@@ -236,6 +243,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the size limits, and send ``100 Continue`` if it is expected."""
+        if self._rejecting:
+            return
         self._headers_complete = True
         size = len(self._target) + sum(len(name) + len(value) + 4 for name, value in self._headers)
         limits = self._limits()
@@ -253,12 +262,12 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a chunk of the body."""
+        if self._rejecting:
+            return
         self._body_bytes += len(data)
         if self._body_bytes > self._limits().max_body_bytes:
             self._reject(413)
             return
-        if self._rejecting:
-            return
         self._body.append(data)
         if self._budget is not None:
             self._budget.add(self, len(data))
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -36,6 +36,10 @@
 NOT_READY_RETRY_DELAY_S = 0.5
 """Delay after which clients retry at a gateway that has no configuration yet; seconds."""
 
+STOPPING_RETRY_DELAY_S = 0.0
+"""Delay after which clients retry that a stopping gateway refused: others can serve them at once;
+seconds."""
+
 MAX_SENDS = 4
 """Sends of one request, including those that upstreams refused to run."""
 
@@ -154,9 +158,19 @@
     async def handle(self, req: ClientRequest) -> Reply:
         """Forward a request and return the reply to the client."""
         request_id = req.header(self._names.request_id) or b""
+        if not self._state.accepting:
+            return self._reject(
+                req, request_id, status=503, cause="stopping", retry_s=STOPPING_RETRY_DELAY_S
+            )
         routes = self._state.routes
         if routes is None:
-            return self._reject(req, request_id, status=503, cause="no configuration yet")
+            return self._reject(
+                req,
+                request_id,
+                status=503,
+                cause="no configuration yet",
+                retry_s=NOT_READY_RETRY_DELAY_S,
+            )
         host = (req.header(b"host") or b"").decode("latin-1")
         route = routes.find(host=host, path=req.path)
         if route is None:
@@ -535,7 +549,15 @@
         self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=504)
         return self._empty_reply(504, job.request_id)
 
-    def _reject(self, req: ClientRequest, request_id: bytes, *, status: int, cause: str) -> Reply:
+    def _reject(
+        self,
+        req: ClientRequest,
+        request_id: bytes,
+        *,
+        status: int,
+        cause: str,
+        retry_s: float | None = None,
+    ) -> Reply:
         now = self._loop.time()
         self._state.metrics.requests.labels("", str(status)).inc()
         self._state.log.write_request(
@@ -547,9 +569,7 @@
             cause=cause,
             config=self._state.routes.config.version if self._state.routes else None,
         )
-        return self._empty_reply(
-            status, request_id, retry_s=NOT_READY_RETRY_DELAY_S if status == 503 else None
-        )
+        return self._empty_reply(status, request_id, retry_s=retry_s)
 
     def _log(self, job: _Job, event: LogNumber, *, status: int) -> None:
         now = self._loop.time()
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -134,6 +134,7 @@
         self.warmth = WarmthTracker()
         self.warm_times: dict[RouteName, float] = {}
         self.stopping = False
+        self.accepting = True
         self.follows_store = False
         self.store_available_since = float("-inf")
         self.on_warmth_update: Callable[[], None] = lambda: None
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -50,7 +50,8 @@
 """Maximum connections that wait to be accepted: a burst of new clients on one VM."""
 
 STOP_ACCEPTING_FRACTION = 0.35
-"""Fraction of the grace time for which a stopping gateway still accepts connections."""
+"""Fraction of the grace time for which a stopping gateway still accepts connections and requests.
+Later ones might not end before the process does."""
 
 EXIT_MARGIN_S = 0.8
 """How long before the end of the grace time a stopping gateway exits; seconds."""
@@ -287,6 +288,7 @@
         self._start(self._discovery.end_membership())
         await asyncio.sleep(grace_s * STOP_ACCEPTING_FRACTION)
         front.close()
+        self.state.accepting = False
         for conn in list(self._conns):
             conn.close_when_idle()
         while self._conns and self._loop.time() - started < grace_s - EXIT_MARGIN_S:
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -371,3 +371,55 @@
             assert gateway.process.returncode is None
 
     asyncio.run(asyncio.wait_for(main(), 60))
+
+
+def test_requests_that_come_late_in_a_stop_are_not_taken_and_then_cut(tmp_path):
+    """A client that keeps its connection busy: each request that ran gets its whole answer."""
+    ran = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = head.lower().partition(b"request-id: ")[2].partition(b"\r\n")[0]
+                ran.append(request_id)
+                await asyncio.sleep(0.4)
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nResponse-Signature: s\r\n"
+                    b"Request-Id: " + request_id + b"\r\n\r\nbody"
+                )
+
+    async def send_requests(writer):
+        with contextlib.suppress(ConnectionError):
+            for number in range(200):
+                head = f"POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: late{number}\r\n"
+                head += "Request-Deadline: 3000\r\nContent-Length: 0\r\n\r\n"
+                writer.write(head.encode())
+                await asyncio.sleep(0.1)
+
+    async def main():
+        server = await start_stream_server(serve)
+        async with (
+            store_standin() as (standin, _),
+            running_gateway(tmp_path, standin.port) as gateway,
+        ):
+            await standin.put("op/config", routing_config())
+            slots = {"service": "s", "version": "v1", "zone": "a", "slots": 20}
+            await standin.put(
+                "servers/u1", entry(server.sockets[0].getsockname()[1]) | {"info": slots}
+            )
+            await gateway.until_ready()
+            async with open_stream(gateway.ports["front"]) as (reader, writer):
+                sender = asyncio.create_task(send_requests(writer))
+                await asyncio.sleep(1.0)
+                gateway.process.send_signal(signal.SIGTERM)
+                answers = await reader.read()
+                sender.cancel()
+            assert await asyncio.wait_for(gateway.process.wait(), 5) == 0
+        server.close()
+        answered = answers.lower().count(b"response-signature: s\r\n")
+        assert answers.endswith(b"body")
+        assert len(ran) > 10
+        assert answered == len(ran)
+
+    asyncio.run(asyncio.wait_for(main(), 60))
