--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -310,8 +310,10 @@
             )
         request = f"GET {CHANGES_PATH}?after={after} HTTP/1.1\r\nhost: {address}\r\n\r\n"
         response = await conn.request(request.encode())
-        if conn.usable:
+        if conn.usable and address not in self._conns:
             self._conns[address] = conn
+        else:
+            conn.close()
         if response.status != 200:
             return None
         return msgspec.msgpack.decode(response.body, type=RelayPage)
--- a/tests/test_site_store.py
+++ b/tests/test_site_store.py
@@ -5,6 +5,8 @@
 
 from gooseberryport_gateway.errors import HistoryGoneError, LeaseGoneError, StoreError
 from gooseberryport_site import store as site_store
+from gooseberryport_site.store import PlatformStore
+from gooseberryport_standins.streams import start_stream_server
 
 
 def run(coroutine):
@@ -112,3 +114,29 @@
             await site_store.PlatformStore(address="127.0.0.1:1").read_range("")
 
     run(main())
+
+
+def test_calls_at_the_same_time_leave_one_connection_open():
+    open_count = 0
+
+    async def serve(reader, writer):
+        nonlocal open_count
+        open_count += 1
+        body = b'{"items":[],"hasMore":false,"storeRevision":1}'
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                await asyncio.sleep(0.05)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        except asyncio.IncompleteReadError:
+            open_count -= 1
+
+    async def main():
+        server = await start_stream_server(serve)
+        store = PlatformStore(address=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        await asyncio.gather(*(store.read_range("servers/") for _ in range(3)))
+        async with asyncio.timeout(2):
+            while open_count != 1:
+                await asyncio.sleep(0.01)
+        server.close()
+
+    asyncio.run(main())
