Close all streams when a gateway stops

Callers' view: none; the process ended right after. Ruled out: requests in progress; their tasks are cancelled and close the connection that they use, as before.

Change: the gateway closes idle and page connections after its tasks.

`StoreClient` gains `close`.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
@@ -98,6 +98,11 @@
         for conn in self._idle.pop(upstream, []):
             conn.close()
 
+    def close(self) -> None:
+        """Close all idle connections."""
+        for upstream in list(self._idle):
+            self.drop(upstream)
+
     def _record_closed(self, upstream: UpstreamId, conn: HttpConn) -> None:
         left = self._open.get(upstream, 1) - 1
         self._open[upstream] = left
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -318,6 +318,12 @@
             return None
         return msgspec.msgpack.decode(response.body, type=RelayPage)
 
+    def close(self) -> None:
+        """Close the idle connections to watchers."""
+        for conn in self._conns.values():
+            conn.close()
+        self._conns.clear()
+
     def _avoid(self, watcher: Member, *, reason: str) -> None:
         self._avoided[watcher.vm] = self._loop.time() + AVOID_WATCHER_WINDOW_S
         self._state.log.write(LogNumber.GATEWAY_WATCHER_AVOIDED, watcher=watcher.vm, reason=reason)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -111,9 +111,11 @@
         )
         self._forwarder = Forwarder(state=self.state, pool=self._pool, names=names)
         self._prober = Prober(state=self.state, pool=self._pool, names=names)
+        self._store = store
         self._discovery = Discovery(state=self.state, store=store, codec=codec)
         self._peers = Peers(state=self.state)
         self._conns: set[ClientConn] = set()
+        self._page_conns: set[ClientConn] = set()
         self._client_budget = BufferBudget(max_bytes=MAX_CLIENT_BODY_BYTES)
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
@@ -128,9 +130,8 @@
         self._loop.add_signal_handler(signal.SIGHUP, lambda: self._reloader.reload(signalled=True))
         async with self._peer_socket():
             front = await self._listen(settings.front, self._handle_front, self._conns)
-            pages: set[ClientConn] = set()
             for address in {settings.ready, settings.lookup, settings.control} - {""}:
-                await self._listen(address, self._handle_page, pages)
+                await self._listen(address, self._handle_page, self._page_conns)
             self._start(self._discovery.follow())
             membership = self._start(self._discovery.maintain_membership())
             self._start(self._discovery.warmth_store.run())
@@ -143,6 +144,7 @@
             await self._shut_down(front)
         for task in self._tasks:
             task.cancel()
+        self._close_streams()
         self.log.write(LogNumber.GATEWAY_STOPPED)
         self.log.flush()
 
@@ -296,6 +298,14 @@
         for server in self._servers:
             server.close()
 
+    def _close_streams(self) -> None:
+        """Close what is still open; tasks that are cancelled close the streams that they use."""
+        for conn in [*self._conns, *self._page_conns]:
+            conn.abort()
+        self._pool.close()
+        self._discovery.relay.close()
+        self._store.close()
+
 
 def run_gateway(start: Callable[[], Gateway]) -> None:
     """Run the gateway that `start` creates inside the event loop."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -181,6 +181,9 @@
     async def save(self, values: Mapping[str, bytes], *, deletes: Sequence[str] = ()) -> None:
         """Write and delete keys without a lease, at most `MAX_KEYS_PER_CALL` in one call."""
 
+    def close(self) -> None:
+        """Close the idle connections to the store; raises nothing."""
+
 
 class ClientLocation(msgspec.Struct, frozen=True):
     """Location of a client that looks up gateways; None for parts that it does not state."""
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -79,7 +79,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_gateway(tmp_path, store_port, *, grace_s=4):
+async def running_gateway(tmp_path, store_port, *, grace_s=4, stderr=None):
     ports = {role: free_port() for role in ("front", "ready", "directory", "control")}
     settings = {
         "nodeName": "vm1",
@@ -96,7 +96,7 @@
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(settings))
     with (tmp_path / "log").open("wb") as log:
-        process = await start_gateway(path, stdout=log)
+        process = await start_gateway(path, stdout=log, stderr=stderr)
         try:
             yield RunningGateway(process, ports, path)
         finally:
@@ -423,3 +423,28 @@
         assert answered == len(ran)
 
     asyncio.run(asyncio.wait_for(main(), 60))
+
+
+def test_stopped_gateway_leaves_no_stream_open(tmp_path, monkeypatch):
+    """In development mode the interpreter reports transports that were not closed."""
+    monkeypatch.setenv("PYTHONDEVMODE", "1")
+
+    async def main():
+        async with (
+            store_standin() as (standin, _),
+            slow_upstream(0.01) as upstream_port,
+            running_gateway(tmp_path, standin.port, stderr=asyncio.subprocess.PIPE) as gateway,
+        ):
+            await standin.put("op/config", routing_config())
+            await standin.put("servers/u1", entry(upstream_port))
+            await gateway.until_ready()
+            async with asyncio.timeout(5):
+                while (await gateway.get("front", "/a/x"))[0] != 200:
+                    await asyncio.sleep(0.05)
+            async with open_stream(gateway.ports["front"]), open_stream(gateway.ports["ready"]):
+                gateway.process.send_signal(signal.SIGTERM)
+                _, errors = await asyncio.wait_for(gateway.process.communicate(), 8)
+            assert gateway.process.returncode == 0
+            assert errors.decode().splitlines() == []
+
+    asyncio.run(asyncio.wait_for(main(), 60))
