Let only a signed response end a rate limit

Callers' view: none seen. An upstream in need that refuses requests, too, would get all requests again for a moment if its refusals state no limit.

Change: the field is read from every response of the upstream; its absence counts in a signed one only.

Test: fails without the change (the limit was gone after one refusal).

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -414,6 +414,9 @@
     def _record_rate_limit(self, job: _Job, upstream: Upstream, response: HttpResponse) -> None:
         value = response.header(self._names.rate_limit)
         per_s: float | None = None
+        if value is None and response.header(self._names.signature) is None:
+            # A refusal or a faulty response does not show that the limit has ended.
+            return
         if value is not None:
             try:
                 per_s = float(value)
--- a/packages/gooseberryport-gateway/tests/test_rate_limits.py
+++ b/packages/gooseberryport-gateway/tests/test_rate_limits.py
@@ -50,6 +50,23 @@
     ]
 
 
+def test_refusal_that_states_no_limit_does_not_end_it():
+    def script(head, count):
+        if count == 1:
+            return make_response(head, extra=b"x-rate-limit: 2.5")
+        return make_response(head, status=b"503 Busy", signed=False, extra=b"x-not-run: 1")
+
+    async def main():
+        async with start_upstream(script) as upstream, start_gateway(make_route()) as gateway:
+            gateway.put_upstream("u1", upstream.port)
+            assert (await send_request(gateway, make_request(request_id=b"id1")))[0] == 200
+            assert (await send_request(gateway, make_request(request_id=b"id2")))[0] == 503
+            assert len(upstream.requests_received) > 1
+            assert gateway.state.rate_limits.limit("u1") == 2.5
+
+    run(main())
+
+
 def test_gateways_together_send_an_upstream_no_more_than_the_rate_it_states():
     """The platform allows half more than the stated rate and five requests, in any 4 s."""
     rate_per_s, settling_s, window_s = 2.0, 3.0, 4.0
