Log that an upstream's restart ended its rate limit, and keep the gauge true

Cause: reading the change as a newcomer: a restart dropped a limit without a line, the gauge kept counting it, and the expiry of ended limits hid in a method about loads. Change: a line with the reason, the gauge follows, the housekeeping expires limits itself. No decision changes.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/rate_limits.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/rate_limits.py
@@ -49,7 +49,7 @@
 """Time for which the end of a limit is reported; seconds."""
 
 MAX_REPORTED = 256
-"""Maximum upstreams in one report, which bounds its datagram to some 5 KB."""
+"""Maximum upstreams in one report, which bounds its datagram to some 7 KB."""
 
 
 class RateLimitReport(msgspec.Struct, frozen=True, array_like=True):
@@ -329,13 +329,12 @@
         window = self._sent.get(upstream)
         return window.count(now) if window is not None else 0
 
-    def restart(self, upstream: UpstreamId, *, now: float) -> None:
-        """Drop the limit of an upstream that restarted, and reports from before."""
-        known = self._limits.get(upstream)
-        if known is not None:
-            known.per_s = None
-            known.stated_at = now
-            known.share_of = None
+    def restart(self, upstream: UpstreamId, *, now: float) -> bool:
+        """Drop the limit of an upstream that restarted; return whether it had one.
+
+        Later reports about the time before the restart are ignored.
+        """
+        return self.record_stated(upstream, per_s=None, stated_at=now)
 
     def expire(self, *, now: float) -> None:
         """Drop limits whose end has been reported for long enough."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -193,7 +193,8 @@
         earlier = before or removed
         if earlier is not None and earlier.started_ms != entry.started_ms:
             self.warmth.forget(entry.upstream)
-            self.rate_limits.restart(entry.upstream, now=now)
+            if self.rate_limits.restart(entry.upstream, now=now):
+                self._log_rate_limit(entry.upstream, now=now, reason="restarted")
         if before is None or (before.state, before.started_ms) != (entry.state, entry.started_ms):
             self.log.write(
                 LogNumber.GATEWAY_UPSTREAM_CHANGED,
@@ -248,6 +249,7 @@
         self.warmth.forget(upstream)
         self.cold_rate_limiter.forget(upstream)
         self.rate_limits.forget(upstream)
+        self.metrics.limited_upstreams.set(len(self.rate_limits))
         self.idle_limits.forget(upstream)
 
     def restore_warmth(self, upstream: UpstreamId, record: WarmthRecord) -> bool:
@@ -367,8 +369,7 @@
             self._add_other_loads(loads, sign=1)
 
     def expire_peer_loads(self, *, now: float) -> None:
-        """Drop the loads of gateways that have not reported for a while, and ended limits."""
-        self.rate_limits.expire(now=now)
+        """Drop the loads of gateways that have not reported for a while."""
         for vm in [vm for vm, (at, _) in self._peer_loads.items() if now - at >= LOAD_REPORT_TTL_S]:
             self.record_peer_loads(vm, {}, now=now)
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -274,6 +274,7 @@
         while True:
             self._pool.close_expired()
             self.state.expire_peer_loads(now=self._loop.time())
+            self.state.rate_limits.expire(now=self._loop.time())
             self._discovery.expire()
             if self.state.ready and not was_ready:
                 was_ready = True
