Ignore reports with an impossible rate, and keep huge rates computable

Callers' view: none seen. One malformed datagram, or an upstream that states 1e308, would have made each request to that upstream fail with 500.

Cause: found by reading the change: a rate times the window can overflow, and reports of peers were not checked. Change: fields of a report have bounds, so a bad one is ignored as any bad datagram is; a stated rate above 1,000,000 is kept as that.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/rate_limits.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/rate_limits.py
@@ -16,6 +16,7 @@
 
 import itertools
 from collections.abc import Callable, Iterator, Sequence
+from typing import Annotated
 
 import msgspec
 
@@ -51,6 +52,13 @@
 MAX_REPORTED = 256
 """Maximum upstreams in one report, which bounds its datagram to some 7 KB."""
 
+MAX_RATE_PER_S = 1_000_000.0
+"""Highest rate that is kept: far more than a gateway sends, and safe to compute with; requests per
+second."""
+
+MAX_REPORTED_AGE_S = 1_000_000.0
+"""Maximum age in a report; seconds."""
+
 
 class RateLimitReport(msgspec.Struct, frozen=True, array_like=True):
     """What a gateway reports about a limited upstream that it wants to send to.
@@ -69,9 +77,9 @@
     """
 
     upstream: int
-    per_s: float | None
-    age_s: float
-    demand: int
+    per_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE_PER_S)] | None
+    age_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_REPORTED_AGE_S)]
+    demand: Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _Other(msgspec.Struct):
@@ -164,11 +172,14 @@
         upstream
             Upstream that responded.
         per_s
-            Requests per second that it accepts from all gateways; None for no limit.
+            Requests per second that it accepts from all gateways, at least 0; None for no limit.
+            Above `MAX_RATE_PER_S`, that is kept.
         stated_at
             Time of the response; monotonic seconds. If a newer one is known, nothing changes.
         """
         known = self._limits.get(upstream)
+        if per_s is not None:
+            per_s = min(per_s, MAX_RATE_PER_S)
         if known is None:
             if per_s is None:
                 return False
@@ -247,7 +258,7 @@
                 RateLimitReport(
                     upstream=hash_of(upstream),
                     per_s=limit.per_s,
-                    age_s=round(now - limit.stated_at, 3),
+                    age_s=min(round(now - limit.stated_at, 3), MAX_REPORTED_AGE_S),
                     demand=demand,
                 )
             )
--- a/packages/gooseberryport-gateway/tests/test_rate_limits.py
+++ b/packages/gooseberryport-gateway/tests/test_rate_limits.py
@@ -2,6 +2,7 @@
 import json
 import os
 
+import msgspec
 import pytest
 from gateway_harness import (
     header_value,
@@ -15,6 +16,8 @@
 )
 
 from gooseberryport_gateway._logs import Log
+from gooseberryport_gateway._peers import Peers
+from gooseberryport_gateway._state import upstream_hash
 from gooseberryport_standins.samples import make_route
 
 
@@ -131,3 +134,46 @@
 
     run(main())
     assert len(arrived) <= 1.5 * cold_rate_per_s + 5.0
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        [1, float("nan"), 0.0, 1],
+        [1, float("inf"), 0.0, 1],
+        [1, -1.0, 0.0, 1],
+        [1, 2.0, float("nan"), 1],
+        [1, 2.0, -5.0, 1],
+        [1, 2.0, 0.0, -2],
+        [1, "many", 0.0, 1],
+    ],
+)
+def test_report_with_an_impossible_rate_limit_is_ignored(report):
+    async def main():
+        async with start_fleet(2, make_route()) as gateways:
+            state = gateways["vm1"].state
+            gateways["vm1"].put_upstream("u1", 1)
+            peers = Peers(state=state)
+            datagram = ["vm2", 1, True, {}, [], True, True, 0.0, []]
+            report[0] = upstream_hash("u1")
+            peers.datagram_received(msgspec.msgpack.encode([*datagram, [report]]), ("peer", 1))
+            assert state.rate_limits.limit("u1") is None
+            report[1:] = [2.0, 0.0, 1]
+            peers.datagram_received(msgspec.msgpack.encode([*datagram, [report]]), ("peer", 1))
+            assert state.rate_limits.limit("u1") == 2.0
+
+    run(main())
+
+
+def test_huge_rate_limit_is_served():
+    async def main():
+        async with (
+            start_upstream(lambda head, _: make_response(head, extra=b"x-rate-limit: 1e308")) as up,
+            start_gateway(make_route()) as gateway,
+        ):
+            gateway.put_upstream("u1", up.port)
+            for number in range(3):
+                request = make_request(request_id=b"id%d" % number)
+                assert (await send_request(gateway, request))[0] == 200
+
+    run(main())
