--- a/review/harness.py
+++ b/review/harness.py
@@ -466,6 +466,8 @@
                 return
             self.own_ends.append((time.monotonic(), status))
             await asyncio.sleep(0.5)
+            if self.stopped_by_script:
+                return
             await self._spawn()
 
     def signal(self, number: int) -> None:
@@ -497,16 +499,13 @@
         return 0.0
 
     async def end(self) -> None:
-        """End the process for good."""
+        """End the process for good, also one that is being started again."""
         self.stopped_by_script = True
-        if self._keeper is not None and self._keeper.done():
-            return
-        if self.process is not None and self.process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self.process.kill()
-            await self.process.wait()
-        if self._keeper is not None:
-            self._keeper.cancel()
+        while self._keeper is not None and not self._keeper.done():
+            if self.process is not None and self.process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    self.process.kill()
+            await asyncio.wait({self._keeper}, timeout=0.1)
 
 
 def deploy_command() -> list[str]:
