Judge each value of the store by itself where it is decoded

Cause: callers of the decoders expected DecodeError. A value that nests too deep raises RecursionError, and integers of any length pass the decoder and fail later (OverflowError in rankings, in open_conn, in encoders). Either ended the task that follows the store, and with it the process, again after each start.

Ruled out: that the place named in the claim is the only one; slots, born, sequence, configurations and gateways' own entries failed elsewhere, each with another error.

Discovery applies items one by one; one that can't be used is ignored, logged once for each reason, and its upstream gets no requests. Found on the same path: keys of other programs and unreadable values were kept and relayed whole, at each write again; known keys only, long unreadable values without their bytes, and kept changes bounded in bytes.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/reports.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/reports.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from gooseberryport_core.decoding import RatePerS, Seconds
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.types import VmId, ZoneName
 
@@ -29,9 +30,9 @@
     """
 
     zone: ZoneName
-    age_s: float
+    age_s: Seconds
     absent: list[int]
-    demand_per_s: float
+    demand_per_s: RatePerS
 
 
 def vm_hash(vm: VmId) -> int:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -11,12 +11,13 @@
 
 import msgspec
 
+from gooseberryport_core.decoding import InputError, decode_json, decode_with, parse_address
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId, ZoneName
 from gooseberryport_gateway._byte_limits import SERVICE_LIMITS
 from gooseberryport_gateway._http_conn import HttpResponse, open_conn
-from gooseberryport_gateway._relay import Relay
+from gooseberryport_gateway._relay import Relay, known_prefixes
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway._warmth_store import WarmthStore, warmth_key_prefix
 from gooseberryport_gateway.errors import (
@@ -26,7 +27,13 @@
     ResponseLostError,
     StoreError,
 )
-from gooseberryport_gateway.wire import Codec, StoreClient, StoreItem, StoreSnapshot
+from gooseberryport_gateway.wire import (
+    Codec,
+    StoreClient,
+    StoreItem,
+    StoreSnapshot,
+    shorten_unreadable,
+)
 
 SNAPSHOT_PATH = "/v1/snapshot"
 
@@ -96,6 +103,14 @@
 """Time after an outage in which removed entries are suspended instead of dropped; seconds."""
 
 
+class _Change(Enum):
+    """What must be updated after an item was applied."""
+
+    NOTHING = "nothing"
+    MEMBERS = "members"
+    EVACUATIONS = "evacuations"
+
+
 class _CachedSnapshot(msgspec.Struct, frozen=True):
     """An encoded snapshot for one region, and when it was made; monotonic seconds."""
 
@@ -124,11 +139,24 @@
     snapshot: StoreSnapshot | None = None
 
 
+_snapshot_decoder = msgspec.msgpack.Decoder(StoreSnapshot)
+
+
 def _decode_snapshot(response: HttpResponse) -> StoreSnapshot:
     body = response.body
     if response.header(b"content-encoding") == COMPRESSED:
         body = zlib.decompressobj().decompress(body, MAX_SNAPSHOT_BYTES)
-    return msgspec.msgpack.decode(body, type=StoreSnapshot)
+    return decode_with(_snapshot_decoder.decode, body)
+
+
+def _decode_member(value: bytes) -> Member:
+    """Return a gateway's entry; raises `InputError` if it or an address in it is malformed."""
+    member = decode_json(value, expected_type=Member)
+    host, port = member.datagrams
+    for address in (member.front, f"{host}:{port}", member.control):
+        if address:
+            parse_address(address)
+    return member
 
 
 class _LoadedSnapshot(msgspec.Struct, frozen=True):
@@ -162,10 +190,13 @@
         self._state = state
         self._store = store
         self._codec = codec
+        self._prefixes = known_prefixes(codec)
         self._loop = asyncio.get_running_loop()
         self._evacuated: dict[str, ZoneName] = {}
         self._members: dict[str, Member] = {}
         self._items: dict[str, StoreItem] = {}
+        # Why items are ignored, by key; each reason is logged once.
+        self._ignored: dict[str, str] = {}
         self._revision = 0
         self._reachable: bool | None = None
         self._lease: int | None = None
@@ -340,7 +371,6 @@
 
     async def _request_snapshot(self, address: str) -> _SnapshotAnswer:
         """Request the state of the gateway at an address."""
-        host, _, port = address.rpartition(":")
         query = urlencode({"region": self._state.me.region})
         request = (
             f"GET {SNAPSHOT_PATH}?{query} HTTP/1.1\r\nhost: {address}\r\n"
@@ -349,7 +379,9 @@
         try:
             async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
                 conn = await open_conn(
-                    (host, int(port)), timeout_s=SNAPSHOT_CONNECT_TIMEOUT_S, limits=SERVICE_LIMITS
+                    parse_address(address),
+                    timeout_s=SNAPSHOT_CONNECT_TIMEOUT_S,
+                    limits=SERVICE_LIMITS,
                 )
                 try:
                     response = await conn.request(request.encode())
@@ -360,7 +392,7 @@
             NotSentError,
             ResponseLostError,
             TimeoutError,
-            msgspec.DecodeError,
+            InputError,
             zlib.error,
         ) as exc:
             self._state.log.write(LogNumber.GATEWAY_PEER_SILENT, address=address, reason=repr(exc))
@@ -460,26 +492,24 @@
         return self._revision
 
     def _apply(self, items: Iterable[StoreItem], *, were_listed: bool = False) -> None:
-        codec = self._codec
         members_changed = evacuations_changed = False
         for item in items:
+            if not item.key.startswith(self._prefixes):
+                continue
             if item.value is None:
                 self._items.pop(item.key, None)
             else:
                 self._items[item.key] = item
-            if item.key.startswith(codec.upstream_prefix):
-                self._apply_upstream(item)
-            elif item.key.startswith(codec.member_prefix):
-                members_changed = True
-                self._apply_member(item)
-            elif (zone := codec.evacuated_zone(item.key)) is not None:
-                evacuations_changed = True
-                if item.value is None:
-                    self._evacuated.pop(item.key, None)
-                else:
-                    self._evacuated[item.key] = zone
-            elif item.key.startswith(codec.config_prefix):
-                self._apply_config(item)
+            try:
+                changed = self._apply_item(item)
+            except Exception as exc:
+                # One item that can't be used says nothing about the others.
+                self._ignore(item, exc)
+                changed = _Change.NOTHING
+            else:
+                self._ignored.pop(item.key, None)
+            members_changed = members_changed or changed is _Change.MEMBERS
+            evacuations_changed = evacuations_changed or changed is _Change.EVACUATIONS
         now = self._loop.time()
         if members_changed:
             self._set_members(now=now, were_listed=were_listed)
@@ -487,6 +517,51 @@
             self._state.set_evacuated(self._evacuated.values())
         self.expire()
 
+    def _apply_item(self, item: StoreItem) -> _Change:
+        """Apply one item, and return what must be updated after all items of its page.
+
+        Raises
+        ------
+        InputError
+            The item can't be used.
+        """
+        codec = self._codec
+        if item.key.startswith(codec.upstream_prefix):
+            self._apply_upstream(item)
+        elif item.key.startswith(codec.member_prefix):
+            self._apply_member(item)
+            return _Change.MEMBERS
+        elif (zone := codec.evacuated_zone(item.key)) is not None:
+            if item.value is None:
+                self._evacuated.pop(item.key, None)
+            else:
+                self._evacuated[item.key] = zone
+            return _Change.EVACUATIONS
+        elif item.key.startswith(codec.config_prefix):
+            config = codec.config(item)
+            if config is not None:
+                self._state.apply_config(config)
+        return _Change.NOTHING
+
+    def _ignore(self, item: StoreItem, exc: Exception) -> None:
+        """Ignore an item that can't be used; an upstream whose entry it is gets no requests."""
+        reason = str(exc) if isinstance(exc, InputError) else repr(exc)
+        codec = self._codec
+        kind, event = "entry", LogNumber.GATEWAY_ENTRY_IGNORED
+        if item.key.startswith(codec.upstream_prefix):
+            self._items[item.key] = shorten_unreadable(item)
+            self._state.remove_upstream(
+                codec.upstream_id(item.key), reason="unreadable entry", now=self._loop.time()
+            )
+        elif item.key.startswith(codec.member_prefix):
+            kind = "member"
+        elif item.key.startswith(codec.config_prefix):
+            kind, event = "config", LogNumber.GATEWAY_CONFIG_IGNORED
+        self._state.metrics.ignored.labels(kind).inc()
+        if self._ignored.get(item.key) != reason:
+            self._ignored[item.key] = reason
+            self._state.log.write(event, key=item.key, revision=item.revision, reason=reason)
+
     def _set_members(self, *, now: float, were_listed: bool) -> None:
         self._state.fleet.set_listed(self._members.values(), now=now, were_listed=were_listed)
         listed = {member.vm for member in self._members.values()}
@@ -502,16 +577,6 @@
         """Drop upstreams whose entries did not reappear after an outage."""
         self._state.expire_upstreams(now=self._loop.time())
 
-    def _apply_config(self, item: StoreItem) -> None:
-        try:
-            config = self._codec.config(item)
-        except ValueError as exc:
-            self._state.metrics.ignored.labels("config").inc()
-            self._state.log.write(LogNumber.GATEWAY_CONFIG_IGNORED, key=item.key, reason=str(exc))
-            return
-        if config is not None:
-            self._state.apply_config(config)
-
     def _apply_upstream(self, item: StoreItem) -> None:
         now = self._loop.time()
         upstream = self._codec.upstream_id(item.key)
@@ -523,14 +588,7 @@
             else:
                 self._state.remove_upstream(upstream, reason="entry removed", now=now)
             return
-        try:
-            entry = self._codec.upstream(item)
-        except ValueError as exc:
-            self._state.metrics.ignored.labels("entry").inc()
-            self._state.log.write(LogNumber.GATEWAY_ENTRY_IGNORED, key=item.key, reason=str(exc))
-            self._state.remove_upstream(upstream, reason="unreadable entry", now=now)
-            return
-        self._state.put_upstream(entry, now=now)
+        self._state.put_upstream(self._codec.upstream(item), now=now)
 
     def _apply_member(self, item: StoreItem) -> None:
         if item.value is None:
@@ -538,11 +596,7 @@
             if item.key == self._own_key:
                 self._entry_lost.set()
             return
-        try:
-            self._members[item.key] = msgspec.json.decode(item.value, type=Member)
-        except msgspec.DecodeError as exc:
-            self._state.metrics.ignored.labels("member").inc()
-            self._state.log.write(LogNumber.GATEWAY_ENTRY_IGNORED, key=item.key, reason=str(exc))
+        self._members[item.key] = _decode_member(item.value)
 
     def _record_store_reachable(self, *, reachable: bool, reason: str) -> None:
         if reachable == self._reachable:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from gooseberryport_core.decoding import InputError, RatePerS, decode_with
 from gooseberryport_core.gateway.rate_limits import RateLimitReport
 from gooseberryport_core.gateway.reporting import (
     DIGEST_PERIOD_ROUNDS,
@@ -58,7 +59,7 @@
     warm: list[tuple[int, int]] = []
     follows_store: bool = True
     active: bool = True
-    demand_per_s: float = 0.0
+    demand_per_s: RatePerS = 0.0
     digests: list[ZoneDigest] = []
     rate_limits: list[RateLimitReport] = []
 
@@ -89,8 +90,8 @@
         """Record a report of another gateway."""
         state = self._state
         try:
-            report = self._decoder.decode(data)
-        except msgspec.DecodeError as exc:
+            report = decode_with(self._decoder.decode, data)
+        except InputError as exc:
             state.metrics.ignored.labels("datagram").inc()
             state.log.write(LogNumber.GATEWAY_DATAGRAM_IGNORED, sender=addr[0], reason=str(exc))
             return
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -17,6 +17,14 @@
 import msgspec
 
 from gooseberryport_core._hashing import rendezvous_weight
+from gooseberryport_core.decoding import (
+    Count,
+    InputError,
+    Seconds,
+    decode_with,
+    parse_address,
+    parse_count,
+)
 from gooseberryport_core.gateway.model import Member, UpstreamEntry
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId
@@ -25,7 +33,7 @@
 from gooseberryport_gateway._http_conn import HttpConn, open_conn
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import NotSentError, ResponseLostError
-from gooseberryport_gateway.wire import Codec, StoreItem, StorePage
+from gooseberryport_gateway.wire import Codec, StoreItem, StorePage, shorten_unreadable
 
 CHANGES_PATH = "/v1/changes"
 
@@ -63,6 +71,9 @@
 MAX_CHANGES_KEPT = 4_096
 """Changes that a watcher keeps; a gateway that is further behind reads the store."""
 
+MAX_CHANGE_BYTES_KEPT = 8_388_608
+"""Maximum size of the values of the kept changes, some of which are large configurations; bytes."""
+
 
 class RelayPage(msgspec.Struct, frozen=True, array_like=True):
     """Reply of a watcher.
@@ -80,11 +91,24 @@
     """
 
     items: list[StoreItem]
-    revision: int
-    age_s: float
+    revision: Count
+    age_s: Seconds
     regained_s: float
 
 
+_page_decoder = msgspec.msgpack.Decoder(RelayPage)
+
+
+def known_prefixes(codec: Codec) -> tuple[str, ...]:
+    """Return the prefixes of the keys that gateways use; the store has keys of others as well."""
+    return (
+        codec.config_prefix,
+        codec.upstream_prefix,
+        codec.member_prefix,
+        codec.warmth_prefix,
+    )
+
+
 class ChangeLog:
     """Keep the relevant changes, and drop reports that contain nothing new.
 
@@ -96,27 +120,40 @@
 
     def __init__(self, *, codec: Codec) -> None:
         self._codec = codec
+        self._prefixes = known_prefixes(codec)
         self._changes: deque[StoreItem] = deque()
-        self._last_relayed: dict[str, tuple[UpstreamEntry, float]] = {}
+        self._change_bytes = 0
+        # An upstream's entry and the time at which it stops being cold; None if it is unreadable.
+        self._last_relayed: dict[str, tuple[UpstreamEntry, float] | None] = {}
         self._complete_from: int | None = None
         self.revision = 0
 
     def reset(self, items: Iterable[StoreItem], *, revision: int, now: float) -> None:
         """Restart from a full read of the store."""
         self._changes.clear()
+        self._change_bytes = 0
         self._last_relayed.clear()
         for item in items:
-            self._record_if_relevant(item, now=now)
+            self._relevant(item, now=now)
         self._complete_from = self.revision = revision
 
     def add(self, items: Iterable[StoreItem], *, revision: int, now: float) -> bool:
         """Add changes; return whether any of them is relevant."""
-        relevant = [item for item in items if self._record_if_relevant(item, now=now)]
-        self._changes.extend(relevant)
-        while len(self._changes) > MAX_CHANGES_KEPT:
-            self._complete_from = self._changes.popleft().revision
+        has_relevant = False
+        for item in items:
+            relevant = self._relevant(item, now=now)
+            if relevant is not None:
+                has_relevant = True
+                self._changes.append(relevant)
+                self._change_bytes += len(relevant.value or b"")
+        while self._changes and (
+            len(self._changes) > MAX_CHANGES_KEPT or self._change_bytes > MAX_CHANGE_BYTES_KEPT
+        ):
+            oldest = self._changes.popleft()
+            self._change_bytes -= len(oldest.value or b"")
+            self._complete_from = oldest.revision
         self.revision = max(self.revision, revision)
-        return bool(relevant)
+        return has_relevant
 
     def since(self, after: int) -> list[StoreItem] | None:
         """Return the changes after a revision, or None if some are no longer kept."""
@@ -124,21 +161,28 @@
             return None
         return [item for item in self._changes if item.revision > after]
 
-    def _record_if_relevant(self, item: StoreItem, *, now: float) -> bool:
-        """Return whether a change is to be relayed; keep each upstream's last relayed entry."""
-        if item.key.startswith(self._codec.warmth_prefix):
+    def _relevant(self, item: StoreItem, *, now: float) -> StoreItem | None:
+        """Return what to relay of a change, or None; keep each upstream's last relayed entry."""
+        codec = self._codec
+        if not item.key.startswith(self._prefixes):
+            return None
+        if item.key.startswith(codec.warmth_prefix):
             # Only a starting gateway needs the warmth, and reads it from the store.
-            return False
-        if not item.key.startswith(self._codec.upstream_prefix):
-            return True
+            return None
+        if not item.key.startswith(codec.upstream_prefix):
+            return item
+        was_relayed = item.key in self._last_relayed
         last_relayed = self._last_relayed.pop(item.key, None)
         if item.value is None:
-            return True
+            return item
         try:
-            entry = self._codec.upstream(item)
-        except ValueError:
+            entry = codec.upstream(item)
+        except InputError:
             # The gateway that applies the entry logs what is wrong with it.
-            return True
+            self._last_relayed[item.key] = None
+            if was_relayed and last_relayed is None:
+                return None
+            return shorten_unreadable(item)
         cold_until = now + entry.cold_s if entry.cold_s > 0 else 0.0
         if last_relayed is not None:
             last_entry, relayed_cold_until = last_relayed
@@ -148,9 +192,9 @@
             same_cold = cold_until == 0.0 or abs(cold_until - relayed_cold_until) < COLD_TOLERANCE_S
             if comparable == last_entry and same_cold:
                 self._last_relayed[item.key] = last_relayed
-                return False
+                return None
         self._last_relayed[item.key] = (entry, cold_until)
-        return True
+        return item
 
 
 class Relay:
@@ -263,7 +307,7 @@
         try:
             async with asyncio.timeout(self._long_poll_s + LONG_POLL_MARGIN_S):
                 page = await self._request_page(watcher, after=after)
-        except (NotSentError, ResponseLostError, TimeoutError, msgspec.DecodeError) as exc:
+        except (NotSentError, ResponseLostError, TimeoutError, InputError) as exc:
             self._avoid(watcher, reason=repr(exc))
             return None
         if page is None or page.age_s > self.max_age_s:
@@ -276,19 +320,19 @@
         """Reply to a gateway that requests changes, after waiting for one if there is none."""
         self._requested_at = self._loop.time()
         fields = parse_qs(req.target.partition(b"?")[2].decode("latin-1"))
-        after = fields.get("after", [""])[0]
-        if not after.isdigit():
+        after = parse_count(fields.get("after", [""])[0].encode())
+        if after is None:
             return Reply(status=400, headers=[])
         if self.state_age_s > self.max_age_s:
             # It does not become recent by waiting: this gateway may be cut off from the store.
             return Reply(status=503, headers=[])
-        changes = self.log.since(int(after))
+        changes = self.log.since(after)
         if changes is not None and not changes:
             changed = self._changed
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._long_poll_s):
                     await changed.wait()
-            changes = self.log.since(int(after))
+            changes = self.log.since(after)
         age_s = self.state_age_s
         if changes is None or age_s > self.max_age_s or self._state.stopping:
             return Reply(status=503, headers=[])
@@ -304,9 +348,8 @@
         address = watcher.control
         conn = self._conns.pop(address, None)
         if conn is None or not conn.usable:
-            host, _, port = address.rpartition(":")
             conn = await open_conn(
-                (host, int(port)), timeout_s=LONG_POLL_MARGIN_S, limits=SERVICE_LIMITS
+                parse_address(address), timeout_s=LONG_POLL_MARGIN_S, limits=SERVICE_LIMITS
             )
         request = f"GET {CHANGES_PATH}?after={after} HTTP/1.1\r\nhost: {address}\r\n\r\n"
         response = await conn.request(request.encode())
@@ -316,7 +359,7 @@
             conn.close()
         if response.status != 200:
             return None
-        return msgspec.msgpack.decode(response.body, type=RelayPage)
+        return decode_with(_page_decoder.decode, response.body)
 
     def close(self) -> None:
         """Close the idle connections to watchers."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_warmth_store.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_warmth_store.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from gooseberryport_core.decoding import InputError, decode_msgpack
 from gooseberryport_core.gateway.warmth import WarmthRecord
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, UpstreamId
@@ -81,8 +82,8 @@
             if item.value is None or not item.key.startswith(self.prefix):
                 continue
             try:
-                record = msgspec.msgpack.decode(item.value, type=WarmthRecord)
-            except msgspec.DecodeError as exc:
+                record = decode_msgpack(item.value, expected_type=WarmthRecord)
+            except InputError as exc:
                 self._state.metrics.ignored.labels("warmth").inc()
                 self._state.log.write(
                     LogNumber.GATEWAY_ENTRY_IGNORED, key=item.key, reason=str(exc)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -113,6 +113,13 @@
 """Maximum keys that one call may write and delete; the platform's limit."""
 
 
+UNREADABLE_VALUE = b""
+"""Stands for the value of an item that can't be read; no decoder accepts it."""
+
+MAX_UNREADABLE_BYTES = 1_024
+"""Maximum size of a value that can't be read and is kept all the same; bytes."""
+
+
 class StoreItem(msgspec.Struct, frozen=True, array_like=True):
     """One key of the store; `value` is None if it was deleted."""
 
@@ -121,6 +128,16 @@
     revision: int
 
 
+def shorten_unreadable(item: StoreItem) -> StoreItem:
+    """Return an item that can't be read without its value, if that is long.
+
+    Another gateway comes to the same conclusion from `UNREADABLE_VALUE`.
+    """
+    if len(item.value or b"") <= MAX_UNREADABLE_BYTES:
+        return item
+    return msgspec.structs.replace(item, value=UNREADABLE_VALUE)
+
+
 class StoreSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """What a gateway knows, for a gateway that starts or can't reach the store.
 
@@ -209,7 +226,7 @@
         """Encode the reply to a lookup as JSON."""
 
     def config(self, item: StoreItem) -> RoutingConfig | None:
-        """Decode a configuration, or return None if the item is not one."""
+        """Decode a configuration, or return None if the item is not one; raises `InputError`."""
 
     def evacuated_zone(self, key: str) -> ZoneName | None:
         """Return the availability zone that a key marks as evacuated, or None."""
@@ -218,4 +235,4 @@
         """Return the upstream whose entry a key holds."""
 
     def upstream(self, item: StoreItem) -> UpstreamEntry:
-        """Decode an upstream's entry; raises ValueError if it is malformed."""
+        """Decode an upstream's entry; raises `InputError` if it is malformed."""
--- /dev/null
+++ b/tests/gateway_process.py
@@ -0,0 +1,130 @@
+"""The gateway's process with stand-ins of the store and of upstreams on loopback."""
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import sys
+from pathlib import Path
+
+from gooseberryport_standins.streams import open_stream, start_stream_server
+
+ROOT = Path(__file__).parents[1]
+READY_S = 15.0
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def routing_config(version=1):
+    rule = {
+        "kind": "unsafe",
+        "match": {"pathPrefix": "/a/"},
+        "action": {"service": "s", "timeoutMs": 3000, "maxAttempts": 2},
+    }
+    listeners = [{"host": "h.example", "rules": [rule]}]
+    return {"version": version, "listeners": listeners, "clusters": [{"name": "s"}]}
+
+
+def entry(port, *, service="s"):
+    return {
+        "address": f"127.0.0.1:{port}",
+        "info": {"service": service, "version": "v1", "zone": "a", "slots": 4},
+        "status": {"state": "ready", "sequence": 1, "coldRemainingMs": 0},
+        "born": 1,
+    }
+
+
+def start_gateway(settings_path, *, python_path=(), **streams):
+    paths = [str(path) for path in (*python_path, ROOT / "platform")]
+    variables = {"GOOSEBERRYPORT_BOOT": str(settings_path), "PYTHONPATH": os.pathsep.join(paths)}
+    return asyncio.create_subprocess_exec(
+        sys.executable, "-m", "gooseberryport_site", env=os.environ | variables, **streams
+    )
+
+
+class RunningGateway:
+    def __init__(self, process, ports, settings_path):
+        self.process = process
+        self.ports = ports
+        self.settings_path = settings_path
+
+    def change_settings(self, **fields):
+        settings = json.loads(self.settings_path.read_text())
+        self.settings_path.write_text(json.dumps(settings | fields))
+
+    async def get(self, role, path, *, request_id="id1"):
+        head = f"GET {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request_id}\r\n"
+        async with open_stream(self.ports[role]) as (reader, writer):
+            writer.write(f"{head}Request-Deadline: 3000\r\nConnection: close\r\n\r\n".encode())
+            data = await reader.read()
+        status = int(data.split(b" ")[1]) if data else 0
+        return status, data.partition(b"\r\n\r\n")[2]
+
+    async def until_ready(self):
+        async with asyncio.timeout(READY_S):
+            while True:
+                with contextlib.suppress(OSError):
+                    if (await self.get("ready", "/v1/ready"))[0] == 200:
+                        return
+                await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def running_gateway(tmp_path, store_port, *, grace_s=4, stderr=None):
+    ports = {role: free_port() for role in ("front", "ready", "directory", "control")}
+    settings = {
+        "nodeName": "vm1",
+        "ip": "127.0.0.1",
+        "zone": "a",
+        "region": "A",
+        "zones": {"a": "A"},
+        "listen": {role: f"127.0.0.1:{port}" for role, port in ports.items()},
+        "portRange": [free_port(), 65535],
+        "seeds": [],
+        "platform": {"address": f"127.0.0.1:{store_port}", "ttlMinMs": 1000},
+        "bounds": {"graceS": grace_s, "drainMs": 200},
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings))
+    with (tmp_path / "log").open("wb") as log:
+        process = await start_gateway(path, stdout=log, stderr=stderr)
+        try:
+            yield RunningGateway(process, ports, path)
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+@contextlib.asynccontextmanager
+async def slow_upstream(delay_s):
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = head.lower().partition(b"request-id: ")[2].partition(b"\r\n")[0]
+                await asyncio.sleep(delay_s)
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nResponse-Signature: s\r\n"
+                    b"Request-Id: " + request_id + b"\r\n\r\nbody"
+                )
+
+    server = await start_stream_server(serve)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+async def status_once_listening(gateway, role, path):
+    async with asyncio.timeout(READY_S):
+        while True:
+            try:
+                return (await gateway.get(role, path))[0]
+            except OSError:
+                await asyncio.sleep(0.05)
