--- a/packages/gooseberryport-cli/src/gooseberryport_cli/_report_commands.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/_report_commands.py
@@ -7,7 +7,6 @@
 from typing import Annotated
 
 import cappa
-import msgspec
 from rich.table import Table
 from rich.text import Text
 
@@ -67,7 +66,7 @@
         try:
             record = decode_burn_record(value)
             histories[record.region] = BurnHistory.decode(record.history)
-        except (msgspec.MsgspecError, ValueError) as exc:
+        except ValueError as exc:
             raise StoredValueInvalidError(key=key, detail=str(exc)) from exc
     return histories
 
--- a/packages/gooseberryport-cli/src/gooseberryport_cli/daemon_client.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/daemon_client.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from gooseberryport_cli.errors import DaemonError
+from gooseberryport_core.decoding import InputError, decode_json
 from gooseberryport_core.status import Explanation, StatusPage
 
 REQUEST_TIMEOUT_S = 2.0
@@ -70,9 +71,9 @@
             try:
                 resp = self._http.request("GET", f"http://{address}{path}")
                 if resp.status == 200:
-                    return msgspec.json.decode(resp.data, type=page_type)
+                    return decode_json(resp.data, expected_type=page_type)
                 failures[address] = f"status {resp.status}"
-            except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as exc:
+            except (urllib3.exceptions.HTTPError, InputError) as exc:
                 failures[address] = str(exc)
         raise DaemonError(failures=failures)
 
--- a/packages/gooseberryport-cli/src/gooseberryport_cli/publishing.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/publishing.py
@@ -33,6 +33,7 @@
     part_key,
     plan_publication,
 )
+from gooseberryport_core.decoding import InputError
 from gooseberryport_core.types import ConfigVersion, Revision
 from gooseberryport_platform import ServiceError, Store, SwapOutcome, confirmed_swap
 
@@ -195,7 +196,7 @@
         current = _unwrap(self._store.get(HEAD_KEY))
         try:
             return decode_head(current.value), current.revision
-        except msgspec.MsgspecError as exc:
+        except InputError as exc:
             raise StoredValueInvalidError(key=HEAD_KEY, detail=str(exc)) from exc
 
     def _read_change(self, version: ConfigVersion) -> Change:
@@ -203,14 +204,14 @@
         current = _unwrap(self._store.get(key))
         try:
             return decode_change(current.value)
-        except msgspec.MsgspecError as exc:
+        except InputError as exc:
             raise StoredValueInvalidError(key=key, detail=str(exc)) from exc
 
 
 def _change_token(value: bytes) -> str:
     try:
         change = decode_head(value).change
-    except msgspec.MsgspecError:
+    except InputError:
         return ""
     return change.token if change else ""
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/_burn_history.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_burn_history.py
@@ -10,6 +10,7 @@
 from numpy.typing import NDArray
 
 from gooseberryport_core._burn_counts import RequestCounts
+from gooseberryport_core.decoding import InputError, decode_with
 from gooseberryport_core.types import ServiceName
 
 FINE_INTERVAL_S = 60
@@ -121,10 +122,10 @@
         if not data:
             return history
         try:
-            fine, coarse = msgspec.msgpack.decode(data, type=tuple[_EncodedRing, _EncodedRing])
+            fine, coarse = decode_with(_rings_decoder.decode, data)
             history._fine = _decode_ring(fine, MAX_FINE_SAMPLES)
             history._coarse = _decode_ring(coarse, MAX_COARSE_SAMPLES)
-        except (msgspec.MsgspecError, zlib.error) as exc:
+        except (InputError, zlib.error) as exc:
             raise ValueError(f"damaged history: {exc}") from exc
         return history
 
@@ -137,6 +138,9 @@
     columns: bytes
 
 
+_rings_decoder = msgspec.msgpack.Decoder(tuple[_EncodedRing, _EncodedRing])
+
+
 def _encode_ring(ring: _Ring) -> _EncodedRing:
     services = tuple(sorted(ring.rows))
     rows = [ring.times]
--- a/packages/gooseberryport-core/src/gooseberryport_core/_config_candidate.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_config_candidate.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Mapping
 
-import msgspec
-
 from gooseberryport_core.config_store import (
     Head,
     decode_head,
@@ -13,6 +11,7 @@
     join_files,
     missing_parts,
 )
+from gooseberryport_core.decoding import InputError
 from gooseberryport_core.types import ConfigVersion
 
 
@@ -41,7 +40,7 @@
         """Accept an encoded head of this version or a newer one; return whether it was accepted."""
         try:
             head = decode_head(value)
-        except msgspec.MsgspecError:
+        except InputError:
             return False
         if head.version < self.version:
             return False
--- a/packages/gooseberryport-core/src/gooseberryport_core/_lease_table.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_lease_table.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gooseberryport_core.decoding import InputError, decode_with
 from gooseberryport_core.types import (
     Epoch,
     Incarnation,
@@ -154,8 +155,8 @@
 def decode_table(data: bytes) -> Table | None:
     """Return the table in a stored value, or None if the value is not a valid table."""
     try:
-        return _decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+        return decode_with(_decoder.decode, data)
+    except InputError:
         return None
 
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/burn.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/burn.py
@@ -30,6 +30,7 @@
 from gooseberryport_core._store_calls import StoreCall, StoreUser
 from gooseberryport_core._views import Peers
 from gooseberryport_core.config import Config
+from gooseberryport_core.decoding import InputError, decode_msgpack
 from gooseberryport_core.effects import Effect, FinishRequest, SendMessage, StoreGet, StoreSwap
 from gooseberryport_core.events import (
     Event,
@@ -111,8 +112,8 @@
 
 
 def decode_burn_record(value: bytes) -> BurnRecord:
-    """Return the burn record in a value; raises `msgspec.MsgspecError` if it is not one."""
-    return msgspec.msgpack.decode(value, type=BurnRecord)
+    """Return the burn record in a value; raises `InputError` if it is not one."""
+    return decode_msgpack(value, expected_type=BurnRecord)
 
 
 class BurnCounters:
@@ -276,7 +277,7 @@
         """Return the stored record, or a new one if there is none or it is damaged."""
         try:
             return decode_burn_record(value) if value else BurnRecord(self._settings.region)
-        except msgspec.MsgspecError:
+        except InputError:
             return BurnRecord(self._settings.region)
 
     def _forget_written(self, written: BurnRecord) -> None:
--- a/packages/gooseberryport-core/src/gooseberryport_core/config_store.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/config_store.py
@@ -15,6 +15,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from gooseberryport_core.decoding import decode_json
 from gooseberryport_core.types import ConfigVersion
 
 HEAD_KEY = "config/head"
@@ -169,14 +170,14 @@
 def decode_head(value: bytes) -> Head:
     """Return the head in a stored value; an absent key's empty value is the head of version 0.
 
-    Raises `msgspec.DecodeError` if it is not a head.
+    Raises `InputError` if it is not a head.
     """
-    return msgspec.json.decode(value, type=Head) if value else Head()
+    return decode_json(value, expected_type=Head) if value else Head()
 
 
 def decode_change(value: bytes) -> Change:
-    """Return the change in a stored value; raises `msgspec.DecodeError` if it is not one."""
-    return msgspec.json.decode(value, type=Change)
+    """Return the change in a stored value; raises `InputError` if it is not one."""
+    return decode_json(value, expected_type=Change)
 
 
 def make_file_entry(content: bytes) -> FileEntry:
--- a/packages/gooseberryport-core/src/gooseberryport_core/messages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gooseberryport_core.decoding import InputError, decode_with
 from gooseberryport_core.types import (
     ClaimVerdict,
     ConfigVersion,
@@ -466,6 +467,6 @@
 def decode_message(data: bytes) -> Message | None:
     """Return the message in a datagram, or None if it is not a valid message."""
     try:
-        return _message_decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+        return decode_with(_message_decoder.decode, data)
+    except InputError:
         return None
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_wire.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_wire.py
@@ -7,6 +7,7 @@
 import msgspec
 from grpclib.config import Configuration
 
+from gooseberryport_core.decoding import InputError, decode_with
 from gooseberryport_core.messages import Ticket, TicketReply
 from gooseberryport_core.types import AttemptOutcome
 from gooseberryport_daemon import _peer_pb2 as pb
@@ -101,16 +102,16 @@
 def read_ticket(frame: pb.EntryFrame) -> Ticket:
     """Return the ticket in a frame; raises `FrameInvalidError`."""
     try:
-        return _ticket_decoder.decode(frame.ticket)
-    except msgspec.MsgspecError as exc:
+        return decode_with(_ticket_decoder.decode, frame.ticket)
+    except InputError as exc:
         raise FrameInvalidError(str(exc)) from exc
 
 
 def read_reply(frame: pb.OwnerFrame) -> TicketReply:
     """Return the reply in a frame; raises `FrameInvalidError`."""
     try:
-        return _reply_decoder.decode(frame.reply)
-    except msgspec.MsgspecError as exc:
+        return decode_with(_reply_decoder.decode, frame.reply)
+    except InputError as exc:
         raise FrameInvalidError(str(exc)) from exc
 
 
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/settings.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gooseberryport_core.decoding import InputError, decode_json
 from gooseberryport_core.settings import Timing
 from gooseberryport_core.types import RegionName, VmId, ZoneName
 from gooseberryport_daemon.errors import SettingsInvalidError, SettingsUnreadableError
@@ -126,8 +127,8 @@
 def parse_settings(data: bytes, *, source: str) -> DaemonSettings:
     """Return the checked settings in a JSON text; raises `SettingsInvalidError`."""
     try:
-        settings = msgspec.json.decode(data, type=DaemonSettings)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        settings = decode_json(data, expected_type=DaemonSettings)
+    except InputError as exc:
         raise SettingsInvalidError(subject=source, detail=str(exc)) from None
     _check(settings)
     return settings
--- a/packages/gooseberryport-platform/src/gooseberryport_platform/_consul.py
+++ b/packages/gooseberryport-platform/src/gooseberryport_platform/_consul.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from gooseberryport_core.decoding import decode_with
 from gooseberryport_core.events import StoreValue
 from gooseberryport_core.types import Revision
 from gooseberryport_platform._http import Answer, Call, HttpCaller
@@ -135,12 +136,12 @@
         if answer.status != 200:
             return Failure(self._status_error(answer))
         try:
-            pairs = _pairs_decoder.decode(answer.body)
+            pairs = decode_with(_pairs_decoder.decode, answer.body)
             values = tuple(
                 sorted((_to_store_value(pair) for pair in pairs), key=lambda value: value.key)
             )
             return Success(_ReadResult(values, int(index)))
-        except (msgspec.MsgspecError, ValueError) as exc:
+        except ValueError as exc:
             return Failure(AnswerMalformedError(address=self._http.address, detail=str(exc)))
 
     def _decode_swap(self, answer: Answer) -> Result[bool, ServiceError]:
--- a/packages/gooseberryport-platform/tests/test_vm_list.py
+++ b/packages/gooseberryport-platform/tests/test_vm_list.py
@@ -85,6 +85,25 @@
     assert [entry.vm for entry in entries] == ["a"]
 
 
+# Guards against one odd entry for which the whole list is no longer read.
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b'{"targets":["10.0.0.2:1"],"labels":{"more":' + b"[" * 4096 + b"]" * 4096 + b"}}",
+        b'{"targets":["10.0.0.2:1"],"labels":{"incarnation":"' + b"9" * 400 + b'"}}',
+        b'{"targets":["10.0.0.2:1"],"labels":{"incarnation":' + b"9" * 400 + b"}}",
+        b'{"targets":["10.0.0.2:70000"]}',
+        b'{"targets":"10.0.0.2:1"}',
+        b"17",
+        b'"]"',
+    ],
+)
+def test_one_odd_group_leaves_the_others(odd: bytes) -> None:
+    groups = [b'{"targets":["10.0.0.1:1"]}', odd, b'{"targets":["10.0.0.3:1"]}']
+    entries = read_body(b"[" + b",".join(groups) + b"]").unwrap()
+    assert [entry.vm for entry in entries] == ["10.0.0.1:1", "10.0.0.3:1"]
+
+
 def test_unknown_format_and_truncated_list_are_errors() -> None:
     assert "wire format" in str(read_body(b'{"vms": []}').failure())
     assert "IncompleteRead" in str(read_body(b"[]" + b" " * 500, 0.5).failure())
