Ignore numbers in headers that can't be computed with

Callers saw: after one response with a load report of 400 digits each further request got 500; a request with such a deadline got 500; an upstream whose health check states such a cold time stayed out of use.

Cause: digits were converted without a range; OverflowError in the placement, in the deadline and in the probe, and ValueError beyond 4,300 digits.

Ruled out: the rate limit, which was bounded already.

Change: parse_count with a stated maximum; what is beyond it is ignored, a deadline beyond it is none.

Conclusion: numbers of clients and upstreams are bounded where they are decoded.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from gooseberryport_core.decoding import parse_count
 from gooseberryport_core.gateway.model import ObjectKey, Repeatability, Route
 from gooseberryport_core.gateway.placement import (
     Placement,
@@ -47,6 +48,9 @@
 """Time after a send within which a reset shows that the idle connection was stale: longer than a
 round trip between regions, and far shorter than a request takes to run; seconds."""
 
+MAX_REPORTED_REQUESTS = 1_000_000
+"""Highest number of requests that an upstream may report; it accepts far fewer connections."""
+
 MIN_TIME_LEFT_S = 0.02
 """Time left until the deadline below which a request is not sent; seconds."""
 
@@ -198,9 +202,9 @@
         )
         part = self._state.splits.choose(route=route, key=key, draw=self._state.rng.random())
         wait_s = route.timeout_s
-        deadline_ms = req.header(self._names.deadline_ms)
-        if deadline_ms is not None and deadline_ms.isdigit():
-            wait_s = min(wait_s, int(deadline_ms) / 1000.0)
+        deadline_ms = parse_count(req.header(self._names.deadline_ms) or b"")
+        if deadline_ms is not None:
+            wait_s = min(wait_s, deadline_ms / 1000.0)
         return _Job(
             req=req,
             request_id=request_id,
@@ -406,10 +410,13 @@
     def _reported_load(self, response: HttpResponse) -> ReportedLoad | None:
         """Return the load that an upstream reported in its response, or None."""
         value = response.header(self._names.load)
-        numbers = [number.strip() for number in value.split(b",")] if value is not None else []
-        if len(numbers) < 2 or not (numbers[0].isdigit() and numbers[1].isdigit()):
+        numbers = [
+            parse_count(number.strip(), max_count=MAX_REPORTED_REQUESTS)
+            for number in (value or b"").split(b",")[:2]
+        ]
+        if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
             return None
-        return ReportedLoad(running=int(numbers[0]), waiting=int(numbers[1]))
+        return ReportedLoad(running=numbers[0], waiting=numbers[1])
 
     def _record_rate_limit(self, job: _Job, upstream: Upstream, response: HttpResponse) -> None:
         value = response.header(self._names.rate_limit)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -8,6 +8,7 @@
 import httptools
 import msgspec
 
+from gooseberryport_core.decoding import MAX_DURATION_S, parse_count
 from gooseberryport_gateway._byte_limits import (
     MAX_FIELDS,
     MAX_INTERIM_RESPONSES,
@@ -314,8 +315,9 @@
             return
         for part in keep_alive.split(b","):
             name, _, value = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
-                self._idle_timeout_s = float(value)
+            timeout_s = parse_count(value, max_count=int(MAX_DURATION_S))
+            if name.lower() == b"timeout" and timeout_s is not None:
+                self._idle_timeout_s = float(timeout_s)
 
     def discard(self, reason: str) -> None:
         """Give the response up because it exceeds a limit, and close the connection."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -5,6 +5,7 @@
 import asyncio
 from functools import partial
 
+from gooseberryport_core.decoding import MAX_DURATION_S, parse_count
 from gooseberryport_core.gateway.upstreams import Reachability, Upstream, UpstreamTable
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import UpstreamId
@@ -106,9 +107,11 @@
             )
             return
         self._state.metrics.probes.labels("well").inc()
-        cold_ms_value = response.header(self._names.cold_ms)
-        if cold_ms_value is not None and cold_ms_value.isdigit():
-            upstream.cold_until = max(upstream.cold_until, now + int(cold_ms_value) / 1000.0)
+        cold_ms = parse_count(
+            response.header(self._names.cold_ms) or b"", max_count=int(MAX_DURATION_S * 1000.0)
+        )
+        if cold_ms is not None:
+            upstream.cold_until = max(upstream.cold_until, now + cold_ms / 1000.0)
         upstream.record_reachable()
         self._state.log.write(
             LogNumber.GATEWAY_UPSTREAM_BACK,
