Place no request in a planned stop that can't end before the exit

Cause: a stopping gateway placed requests as at any other time, up to 2.5 for each slot, and nothing compared the wait with the time left; what was open at the end was cut.

Ruled out: the accepting time alone; with 2.2 s of work a request that comes right at the signal ends 5.5 s later.

Change: core.gateway.stopping learns how long requests take that find a free slot (0.9 quantile; the route's timeout while unknown); while stopping, a request is placed only where the time left covers wait and work and refused at once otherwise, Retry-After 0. Upstreams get a deadline that ends before the exit, so what they have not begun is refused with their word that it did not run. What is open at the end gets a final reply (503 if never sent, 504 otherwise).

Conclusion: what is taken in a stop is begun or refused before the exit; work longer than the grace time gets 504.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/refusals.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/refusals.py
@@ -20,12 +20,17 @@
     TURNED_AWAY = "turned-away"
     """An upstream with free capacity refused the request, and the retry budget is used up."""
 
+    STOPPING = "stopping"
+    """The gateway exits before the request would end."""
+
 
 RETRY_AFTER_BOUNDS_S = {
     # About the duration of one warm request, after which queues have advanced.
     RefusalCause.FULL: (0.2, 0.5),
     # Longer than a round trip to the client, but short compared with every latency objective.
     RefusalCause.TURNED_AWAY: (0.02, 0.1),
+    # Other gateways can serve the client at once.
+    RefusalCause.STOPPING: (0.0, 0.0),
 }
 """Minimum and maximum time after which the client may retry; seconds."""
 
--- /dev/null
+++ b/packages/gooseberryport-core/tests/test_stopping.py
@@ -0,0 +1,107 @@
+"""Replays of a planned stop under load: what is admitted, and whether it ends before the exit."""
+
+import heapq
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberryport_core.gateway.stopping import WorkTimes, stop_queue_factor
+from gooseberryport_standins.samples import make_route
+
+EXIT_S = 5.2
+ACCEPTED_FOR_S = 2.1
+ROUTE = make_route(timeout_s=60.0)
+
+
+class Queue:
+    """An upstream with slots and a queue in order of arrival; times in seconds."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.ends = []
+
+    def load(self, now):
+        while self.ends and self.ends[0] <= now:
+            heapq.heappop(self.ends)
+        return len(self.ends)
+
+    def add(self, now, work_s):
+        """Return when a request begins and ends."""
+        self.load(now)
+        running = heapq.nlargest(self.slots, self.ends)
+        begins = running[-1] if len(running) == self.slots else now
+        heapq.heappush(self.ends, begins + work_s)
+        return begins, begins + work_s
+
+
+def replay(*, slots, work_s, per_s, times, draw):
+    """Return (begin, end) of the requests that a stopping gateway admits; it stops at 0."""
+    queue, admitted = Queue(slots), []
+    now = -4.0 * work_s
+    while now < ACCEPTED_FOR_S:
+        now += draw.expovariate(per_s)
+        load = queue.load(now)
+        if now < 0.0:
+            if load < slots * 2.5:
+                queue.add(now, work_s)
+            continue
+        factor = stop_queue_factor(left_s=EXIT_S - now, work_s=times.expected_s(ROUTE))
+        if now < ACCEPTED_FOR_S and factor is not None and load < slots * min(factor, 2.5):
+            admitted.append(queue.add(now, work_s))
+    return admitted
+
+
+def known_times(work_s, count=20):
+    times = WorkTimes()
+    for _ in range(count):
+        times.record(ROUTE, work_s)
+    return times
+
+
+# Guards against requests that still wait at an upstream when the gateway exits (review/4).
+@given(
+    st.integers(1, 8),
+    st.floats(0.05, 6.0),
+    st.floats(1.0, 60.0),
+    st.integers(0, 2**32),
+)
+def test_what_is_admitted_begins_before_the_exit(slots, work_s, per_s, seed):
+    admitted = replay(
+        slots=slots,
+        work_s=work_s,
+        per_s=per_s,
+        times=known_times(work_s),
+        draw=random.Random(seed),
+    )
+    assert all(begins < EXIT_S for begins, _ in admitted)
+
+
+def test_short_work_is_admitted_until_the_listener_closes():
+    admitted = replay(slots=4, work_s=0.3, per_s=8.0, times=known_times(0.3), draw=random.Random(3))
+    assert len(admitted) > 10
+    assert all(ends < EXIT_S for _, ends in admitted)
+
+
+def test_work_that_does_not_fit_is_refused_at_once():
+    assert stop_queue_factor(left_s=5.2, work_s=5.2) is None
+    assert stop_queue_factor(left_s=0.05, work_s=0.0) is None
+
+
+def test_an_unknown_duration_is_the_timeout_of_the_route():
+    route = make_route(timeout_s=3.0)
+    times = WorkTimes()
+    assert times.expected_s(route) == 3.0
+    times.record(route, 0.2)
+    assert times.expected_s(route) == 0.2
+
+
+def test_nine_of_ten_recent_durations_are_covered():
+    times = WorkTimes()
+    route = make_route(timeout_s=9.0)
+    for number in range(1_000):
+        times.record(route, 1.0 + number % 10 / 10.0)
+    assert times.expected_s(route) == pytest.approx(1.9)
+    times.forget_other_than(frozenset())
+    assert times.expected_s(route) == 9.0
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -21,6 +21,7 @@
     queue_factor,
 )
 from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
+from gooseberryport_core.gateway.stopping import ANSWER_MARGIN_S, stop_queue_factor
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_core.gateway.warmth import hash_object_key
 from gooseberryport_core.log_events import LogNumber
@@ -37,10 +38,6 @@
 NOT_READY_RETRY_DELAY_S = 0.5
 """Delay after which clients retry at a gateway that has no configuration yet; seconds."""
 
-STOPPING_RETRY_DELAY_S = 0.0
-"""Delay after which clients retry that a stopping gateway refused: others can serve them at once;
-seconds."""
-
 MAX_SENDS = 4
 """Sends of one request, including those that upstreams refused to run."""
 
@@ -118,6 +115,8 @@
         not tell that from the response to another send.
     may_have_run
         Whether an upstream may have run the request.
+    given_up
+        Whether it gets a final reply because the process exits.
     """
 
     req: ClientRequest
@@ -136,6 +135,8 @@
     cause: str = ""
     refusal_cause: RefusalCause = RefusalCause.FULL
     last_failure: HttpResponse | None = None
+    timeout: asyncio.Timeout | None = None
+    given_up: bool = False
 
 
 class Forwarder:
@@ -157,6 +158,7 @@
         self._names = names
         self._silence = SilenceDetector(state=state, pool=pool)
         self._loop = asyncio.get_running_loop()
+        self._jobs: set[_Job] = set()
         self._rewritten_headers = frozenset([names.deadline_ms, names.expected_upstream])
 
     async def handle(self, req: ClientRequest) -> Reply:
@@ -164,7 +166,11 @@
         request_id = req.header(self._names.request_id) or b""
         if not self._state.accepting:
             return self._reject(
-                req, request_id, status=503, cause="stopping", retry_s=STOPPING_RETRY_DELAY_S
+                req,
+                request_id,
+                status=503,
+                cause="stopping",
+                retry_s=retry_after(reason=RefusalCause.STOPPING, draw=0.0),
             )
         routes = self._state.routes
         if routes is None:
@@ -183,8 +189,9 @@
         self._state.record_client_request(now=req.arrived_at)
         self._state.retries.record_request(service=job.service, now=req.arrived_at)
         self._state.metrics.in_flight.inc()
+        self._jobs.add(job)
         try:
-            async with asyncio.timeout_at(job.deadline):
+            async with asyncio.timeout_at(job.deadline) as job.timeout:
                 return await self._serve(job)
         except TimeoutError:
             return self._reply_timed_out(job)
@@ -192,8 +199,17 @@
             self._log(job, LogNumber.GATEWAY_REQUEST_CANCELLED, status=0)
             raise
         finally:
+            self._jobs.discard(job)
             self._state.metrics.in_flight.dec()
 
+    def give_up(self) -> int:
+        """Give every open request its final reply now; return their number."""
+        for job in self._jobs:
+            job.given_up = True
+            if job.timeout is not None and not job.timeout.expired():
+                job.timeout.reschedule(self._loop.time())
+        return len(self._jobs)
+
     def _job(self, req: ClientRequest, request_id: bytes, route: Route) -> _Job:
         key = (
             object_key(req.headers, cookie=self._names.object_cookie)
@@ -236,6 +252,10 @@
 
     def _choose(self, job: _Job, *, now: float) -> Upstream | None:
         state = self._state
+        if self._stop_factor(job, now=now) is None:
+            job.refusal_cause = RefusalCause.STOPPING
+            job.cause = f"the stop leaves {state.exits_at - now:.2f} s"
+            return None
         placement = self._place(job, now=now, can_send=state.can_send_cold)
         if placement.upstream is not None:
             state.rate_limits.record_wanted(placement.upstream.id, now=now)
@@ -249,12 +269,23 @@
             state.cold_rate_limiter.record_sent(upstream=placement.upstream.id, now=now)
             return placement.upstream
         usable = state.service_capacity(job.service, now=now).usable
+        if state.stopping:
+            job.refusal_cause = RefusalCause.STOPPING
         job.cause = f"placement: {placement.verdict.value} of {usable}"
         limited = self._want_limited(job, now=now)
         if limited:
             job.cause += f"; {limited} with a rate limit"
         return None
 
+    def _stop_factor(self, job: _Job, *, now: float) -> float | None:
+        """Return the load per slot up to which a request ends before the exit, or None."""
+        state = self._state
+        if not state.stopping:
+            return math.inf
+        return stop_queue_factor(
+            left_s=state.exits_at - now, work_s=state.work_times.expected_s(job.route)
+        )
+
     def _place(self, job: _Job, *, now: float, can_send: Callable[..., bool]) -> Placement:
         state = self._state
         mark = hash_object_key(job.key) if job.key is not None else 0
@@ -270,7 +301,10 @@
             prefers_local=capacity.is_local,
         )
         left_s = job.route.objective_s - (now - job.req.arrived_at)
-        factor = queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route))
+        factor = min(
+            queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route)),
+            self._stop_factor(job, now=now) or 0.0,
+        )
         avoided = frozenset(job.avoided)
         placement = None
         if job.key is not None:
@@ -487,8 +521,10 @@
         elif job.key is not None and not job.warm:
             self._state.warmth.remove(upstream.id, hash_object_key(job.key))
         if attempt.end is AttemptEnd.ANSWERED:
-            if job.warm and job.load < upstream.entry.slots:
-                self._state.record_warm_duration(job.route, now - sent_at)
+            if job.load < upstream.entry.slots:
+                self._state.work_times.record(job.route, now - sent_at)
+                if job.warm:
+                    self._state.record_warm_duration(job.route, now - sent_at)
             return
         if attempt.end is AttemptEnd.MISDIRECTED:
             self._state.record_unreachable(upstream, reason=attempt.reason, now=now)
@@ -554,6 +590,9 @@
 
     def _reply_timed_out(self, job: _Job) -> Reply:
         job.cause = "no answer within the route's timeout"
+        if job.given_up:
+            job.cause = "no answer before the stop ended"
+            job.refusal_cause = RefusalCause.STOPPING
         if not job.may_have_run and not job.sending:
             return self._reply_not_run(job)
         self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=504)
@@ -615,7 +654,9 @@
 
     def _encode(self, job: _Job, upstream: Upstream, *, now: float) -> bytes:
         req = job.req
-        left_ms = max(int((job.deadline - now) * 1000), 1)
+        # An upstream that has not begun the request by then says that it did not run it.
+        deadline = min(job.deadline, self._state.exits_at - ANSWER_MARGIN_S)
+        left_ms = max(int((deadline - now) * 1000), 1)
         lines = [req.method + b" " + req.target + b" HTTP/1.1"]
         lines.extend(
             name + b": " + value
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Iterable
 from functools import lru_cache
+from math import inf
 
 import msgspec
 import xxhash
@@ -25,6 +26,7 @@
 from gooseberryport_core.gateway.ranking import ObjectRankings
 from gooseberryport_core.gateway.rate_limits import RateLimitReport, UpstreamRateLimits
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
+from gooseberryport_core.gateway.stopping import WorkTimes
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
 from gooseberryport_core.log_events import LogNumber
@@ -133,8 +135,11 @@
         self.idle_limits = IdleLimits()
         self.warmth = WarmthTracker()
         self.warm_times: dict[RouteName, float] = {}
+        self.work_times = WorkTimes()
         self.stopping = False
         self.accepting = True
+        # Monotonic time at which the process exits, in a planned stop; seconds.
+        self.exits_at = inf
         self.follows_store = False
         self.store_available_since = float("-inf")
         self.on_warmth_update: Callable[[], None] = lambda: None
@@ -175,6 +180,7 @@
         if self.routes is not None and config.version <= self.routes.config.version:
             return False
         self.routes = RouteTable(config)
+        self.work_times.forget_other_than(frozenset(route.name for route in config.routes))
         self.metrics.config_version.set(config.version)
         self.log.write(
             LogNumber.GATEWAY_CONFIG_APPLIED, version=config.version, routes=len(config.routes)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -54,7 +54,14 @@
 Later ones might not end before the process does."""
 
 EXIT_MARGIN_S = 0.8
-"""How long before the end of the grace time a stopping gateway exits; seconds."""
+"""How long before the end of the grace time a stopping gateway gives its open requests their final
+replies, and exits; seconds."""
+
+LAST_REPLIES_S = 0.3
+"""Time for writing those replies; seconds."""
+
+STOP_POLL_INTERVAL_S = 0.05
+"""Interval between checks of whether clients are still connected to a stopping gateway; seconds."""
 
 
 class Gateway:
@@ -286,6 +293,7 @@
         started = self._loop.time()
         grace_s = self.state.settings.bounds.grace_s
         self.state.stopping = True
+        self.state.exits_at = started + grace_s - EXIT_MARGIN_S
         self.log.write(LogNumber.GATEWAY_STOPPING, connections=len(self._conns))
         self._peers.send()
         self._start(self._discovery.end_membership())
@@ -294,8 +302,12 @@
         self.state.accepting = False
         for conn in list(self._conns):
             conn.close_when_idle()
-        while self._conns and self._loop.time() - started < grace_s - EXIT_MARGIN_S:
-            await asyncio.sleep(0.05)
+        while self._conns and self._loop.time() < self.state.exits_at:
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        if given_up := self._forwarder.give_up():
+            self.log.write(LogNumber.GATEWAY_REQUESTS_GIVEN_UP, requests=given_up)
+        while self._conns and self._loop.time() < self.state.exits_at + LAST_REPLIES_S:
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
         for server in self._servers:
             server.close()
 
