Serve on without a reader of the log, and without an output

Callers saw: both gateways of a deployment ended when the reader of their output went away, and at each start with a closed output.

Cause: a failed write of a log line left the task that flushes the log, and an ended task ends the process. With a closed output the descriptor 1 belongs to the event loop or to a connection, and lines were written there.

Ruled out: SIGPIPE (the interpreter ignores it); a reader that pauses: 8 clients for 6 s, all served before as well.

Change: a write that fails for good drops the buffered lines and counts them; the next flush tries again. Standard streams that are closed are opened on the null device before the event loop starts. Errors and warnings of the event loop go to the log, which never blocks, instead of standard error, which may.

Conclusion: the log no longer decides whether requests are served.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_logs.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_logs.py
@@ -1,8 +1,14 @@
-"""Structured log lines on standard output, with a bounded buffer and without blocking."""
+"""Structured log lines on standard output, with a bounded buffer and without blocking.
+
+Failure pattern: the reader of the output pauses, goes away, or was never there. Lines are lost
+then, and nothing else: whether requests are served never depends on the log.
+"""
 
 from __future__ import annotations
 
+import logging
 import os
+import time
 from collections import deque
 from typing import Any
 
@@ -17,6 +23,9 @@
 MAX_REQUEST_LINES_PER_S = 150
 """Maximum request lines per second: roughly a tenth of a small VM's CPU; more are only counted."""
 
+MAX_MESSAGE_CHARS = 1_000
+"""Maximum length of a library's message."""
+
 PIPE_CHUNK_BYTES = 4_096
 """Maximum bytes per write; a pipe accepts this many entirely or not at all."""
 
@@ -41,7 +50,7 @@
     info = warning = error = debug = msg
 
     def flush(self) -> None:
-        """Write what the reader accepts now."""
+        """Write what the reader accepts now; without a reader, drop all lines."""
         while self._lines:
             chunk = bytearray()
             while self._lines and len(chunk) + len(self._lines[0]) <= PIPE_CHUNK_BYTES:
@@ -52,6 +61,11 @@
                 written = os.write(self._fd, chunk)
             except BlockingIOError:
                 written = 0
+            except OSError:
+                self.dropped += 1 + len(self._lines)
+                self._lines.clear()
+                self._buffered_bytes = 0
+                return
             self._buffered_bytes -= written
             if written < len(chunk):
                 self._lines.appendleft(bytes(chunk[written:]))
@@ -109,5 +123,44 @@
         self._buffer.flush()
 
 
+class LibraryLogHandler(logging.Handler):
+    """Write lines of libraries to the log of the gateway, since standard error may block.
+
+    Parameters
+    ----------
+    log
+        Log of the gateway.
+    """
+
+    def __init__(self, *, log: Log) -> None:
+        super().__init__(level=logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line."""
+        self._log.write_request(
+            LogNumber.GATEWAY_LIBRARY_WARNING,
+            now=time.monotonic(),
+            library=record.name,
+            message=record.getMessage()[:MAX_MESSAGE_CHARS],
+        )
+
+
+def reserve_standard_streams() -> None:
+    """Open the null device in place of standard streams that are closed.
+
+    A file or connection that is opened later would get the number of the closed stream, and the
+    lines of the log with it.
+    """
+    for fd in range(3):
+        try:
+            os.fstat(fd)
+        except OSError:
+            null_fd = os.open(os.devnull, os.O_RDWR)
+            if null_fd != fd:
+                os.dup2(null_fd, fd)
+                os.close(null_fd)
+
+
 def _encode(fields: Any, **_: Any) -> bytes:
     return msgspec.json.encode(fields)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import signal
 import time
@@ -18,7 +19,12 @@
 from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
 from gooseberryport_gateway._discovery import COMPRESSED, SNAPSHOT_PATH, Discovery
 from gooseberryport_gateway._forwarder import Forwarder
-from gooseberryport_gateway._logs import Log
+from gooseberryport_gateway._logs import (
+    MAX_MESSAGE_CHARS,
+    LibraryLogHandler,
+    Log,
+    reserve_standard_streams,
+)
 from gooseberryport_gateway._metrics import Metrics
 from gooseberryport_gateway._peers import Peers
 from gooseberryport_gateway._pool import ConnPool
@@ -95,6 +101,10 @@
         self._loop = asyncio.get_running_loop()
         self.metrics = Metrics()
         self.log = Log(vm=settings.vm, fd=STDOUT)
+        self._loop.set_exception_handler(self._on_loop_error)
+        loop_logger = logging.getLogger("asyncio")
+        loop_logger.handlers[:] = [LibraryLogHandler(log=self.log)]
+        loop_logger.propagate = False
         me = Member(
             vm=settings.vm,
             zone=settings.zone,
@@ -216,6 +226,16 @@
             )
             self._stop.set()
 
+    def _on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Log an error that no task handles, without writing to standard error."""
+        exc = context.get("exception")
+        self.log.write_request(
+            LogNumber.GATEWAY_TASK_FAILED,
+            now=loop.time(),
+            task="event loop",
+            error=f"{context.get('message', '')}: {exc!r}"[:MAX_MESSAGE_CHARS],
+        )
+
     async def _handle_front(self, req: ClientRequest) -> Reply:
         return await self._forwarder.handle(req)
 
@@ -326,4 +346,6 @@
     async def main() -> None:
         await start().run()
 
+    # Before the event loop opens files of its own.
+    reserve_standard_streams()
     asyncio.run(main())
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -39,12 +39,14 @@
     }
 
 
-def start_gateway(settings_path, *, python_path=(), **streams):
+def start_gateway(settings_path, *, python_path=(), redirections="", **streams):
+    """Start the gateway's process, with redirections of a shell if there are any."""
     paths = [str(path) for path in (*python_path, ROOT / "platform")]
     variables = {"GOOSEBERRYPORT_BOOT": str(settings_path), "PYTHONPATH": os.pathsep.join(paths)}
-    return asyncio.create_subprocess_exec(
-        sys.executable, "-m", "gooseberryport_site", env=os.environ | variables, **streams
-    )
+    command = [sys.executable, "-m", "gooseberryport_site"]
+    if redirections:
+        command = ["/bin/sh", "-c", f'exec "$0" "$@" {redirections}', *command]
+    return asyncio.create_subprocess_exec(*command, env=os.environ | variables, **streams)
 
 
 class RunningGateway:
@@ -75,16 +77,17 @@
 
 
 @contextlib.asynccontextmanager
-async def running_gateway(tmp_path, store_port, *, grace_s=4, stderr=None):
-    ports = {role: free_port() for role in ("front", "ready", "directory", "control")}
+async def running_gateway(tmp_path, store_port, *, grace_s=4, ports=None, **options):
+    roles = ("front", "ready", "directory", "control", "peer")
+    ports = {role: free_port() for role in roles} | (ports or {})
     settings = {
         "nodeName": "vm1",
         "ip": "127.0.0.1",
         "zone": "a",
         "region": "A",
         "zones": {"a": "A"},
-        "listen": {role: f"127.0.0.1:{port}" for role, port in ports.items()},
-        "portRange": [free_port(), 65535],
+        "listen": {role: f"127.0.0.1:{port}" for role, port in ports.items() if role != "peer"},
+        "portRange": [ports["peer"], 65535],
         "seeds": [],
         "platform": {"address": f"127.0.0.1:{store_port}", "ttlMinMs": 1000},
         "bounds": {"graceS": grace_s, "drainMs": 200},
@@ -92,7 +95,7 @@
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(settings))
     with (tmp_path / "log").open("wb") as log:
-        process = await start_gateway(path, stdout=log, stderr=stderr)
+        process = await start_gateway(path, **({"stdout": log} | options))
         try:
             yield RunningGateway(process, ports, path)
         finally:
--- /dev/null
+++ b/tests/test_own_ends.py
@@ -0,0 +1,108 @@
+"""Conditions of a machine under which a gateway's process must go on, or start in the end."""
+
+import asyncio
+import contextlib
+import os
+import signal
+
+import pytest
+from gateway_process import (
+    entry,
+    routing_config,
+    running_gateway,
+    slow_upstream,
+)
+from store_standin import store_standin
+
+SERVED_S = 10.0
+"""Time within which a gateway serves again after a condition has ended; seconds."""
+
+
+@contextlib.asynccontextmanager
+async def deployment(tmp_path, **options):
+    """Run a store, an upstream and a gateway's process; yield the gateway and the store."""
+    async with (
+        store_standin() as (standin, _),
+        slow_upstream(0.01) as upstream_port,
+    ):
+        await standin.put("op/config", routing_config())
+        await standin.put("servers/u1", entry(upstream_port))
+        async with running_gateway(tmp_path, standin.port, **options) as gateway:
+            yield gateway, standin
+
+
+async def until_served(gateway):
+    async with asyncio.timeout(SERVED_S):
+        while True:
+            with contextlib.suppress(OSError):
+                if (await gateway.get("front", "/a/x"))[0] == 200:
+                    return
+            await asyncio.sleep(0.05)
+
+
+async def served(gateway, *, for_s):
+    """Send a request every 20 ms; return the statuses."""
+    statuses = []
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + for_s
+    while loop.time() < ends_at:
+        statuses.append((await gateway.get("front", "/a/x", request_id=f"r{len(statuses)}"))[0])
+        await asyncio.sleep(0.02)
+    return statuses
+
+
+def run(coroutine):
+    asyncio.run(asyncio.wait_for(coroutine, 60))
+
+
+# Guards against a process that ends because nobody reads its log any more (OWN-ENDS).
+def test_a_gateway_serves_on_when_the_reader_of_its_log_goes_away(tmp_path):
+    async def main():
+        reader, writer = os.pipe()
+        async with deployment(tmp_path, stdout=writer, stderr=writer) as (gateway, _):
+            os.close(writer)
+            await gateway.until_ready()
+            await until_served(gateway)
+            os.close(reader)
+            statuses = await served(gateway, for_s=2.0)
+            assert set(statuses) == {200}
+            assert gateway.process.returncode is None
+            gateway.process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(gateway.process.wait(), 6) == 0
+
+    run(main())
+
+
+# Guards against a log, or an error of the event loop, that waits for a reader who has stopped.
+def test_a_gateway_serves_on_when_the_reader_of_its_log_pauses(tmp_path):
+    async def main():
+        reader, writer = os.pipe()
+        async with deployment(tmp_path, stdout=writer, stderr=writer) as (gateway, _):
+            os.close(writer)
+            await gateway.until_ready()
+            await until_served(gateway)
+            statuses = []
+            async with asyncio.TaskGroup() as group:
+                clients = [group.create_task(served(gateway, for_s=6.0)) for _ in range(8)]
+            for client in clients:
+                statuses.extend(client.result())
+            assert set(statuses) == {200}
+            assert len(statuses) > 500
+        os.close(reader)
+
+    run(main())
+
+
+# Guards against log lines that go to a connection which has the number of a closed output.
+@pytest.mark.parametrize("closed", [">&-", "2>&-", ">&- 2>&-", "<&- >&- 2>&-"])
+def test_a_gateway_starts_and_serves_without_output(closed, tmp_path):
+    async def main():
+        async with deployment(tmp_path, redirections=closed) as (gateway, _):
+            await gateway.until_ready()
+            await until_served(gateway)
+            assert set(await served(gateway, for_s=1.0)) == {200}
+            assert gateway.process.returncode is None
+            gateway.process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(gateway.process.wait(), 6) == 0
+
+    run(main())
