Wait at the start for ports that are still taken

Callers saw nothing of a gateway that started while its predecessor, or another process, had one of its ports: it ended with OSError 98 at each try, and the platform counts three such ends as broken.

Cause: listeners and the socket for datagrams were opened once, and the error left the process.

Ruled out: waiting connections of the predecessor (addresses are reused).

Change: each socket is opened when it can be, with a delay of 0.05 to 0.5 s between tries, until the process is told to stop; the gateway is not ready meanwhile, and each reason is logged once (GATEWAY_ADDRESS_TAKEN). A malformed address and a missing permission can't be mended by waiting: they end the start with a message and status 2.

Conclusion: a restart that comes too early costs the time until the port is free.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -19,6 +19,7 @@
 from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
 from gooseberryport_gateway._discovery import COMPRESSED, SNAPSHOT_PATH, Discovery
 from gooseberryport_gateway._forwarder import Forwarder
+from gooseberryport_gateway._listeners import listener_address, open_when_free
 from gooseberryport_gateway._logs import (
     MAX_MESSAGE_CHARS,
     LibraryLogHandler,
@@ -32,7 +33,6 @@
 from gooseberryport_gateway._relay import CHANGES_PATH
 from gooseberryport_gateway._reload import Reloader
 from gooseberryport_gateway._state import GatewayState
-from gooseberryport_gateway.errors import SettingsError
 from gooseberryport_gateway.wire import Codec, GatewaySettings, HeaderNames, StoreClient
 
 STDOUT = 1
@@ -145,10 +145,10 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop.set)
         self._loop.add_signal_handler(signal.SIGHUP, lambda: self._reloader.reload(signalled=True))
-        async with self._peer_socket():
-            front = await self._listen(settings.front, self._handle_front, self._conns)
-            for address in {settings.ready, settings.lookup, settings.control} - {""}:
-                await self._listen(address, self._handle_page, self._page_conns)
+        async with self._peer_socket() as is_open:
+            if not is_open or not await self._listen_on_all():
+                self._end()
+                return
             self._start(self._discovery.follow())
             membership = self._start(self._discovery.maintain_membership())
             self._start(self._discovery.warmth_store.run())
@@ -158,7 +158,10 @@
             self._start(self._check_settings())
             await self._stop.wait()
             membership.cancel()
-            await self._shut_down(front)
+            await self._shut_down()
+        self._end()
+
+    def _end(self) -> None:
         for task in self._tasks:
             task.cancel()
         self._close_streams()
@@ -166,35 +169,58 @@
         self.log.flush()
 
     @contextlib.asynccontextmanager
-    async def _peer_socket(self) -> AsyncIterator[None]:
-        transport, _ = await self._loop.create_datagram_endpoint(
-            lambda: self._peers, local_addr=self.state.me.datagrams
+    async def _peer_socket(self) -> AsyncIterator[bool]:
+        """Open the socket for datagrams; yield False if the process is told to stop before."""
+        host, port = listener_address("{}:{}".format(*self.state.me.datagrams))
+        opened = await open_when_free(
+            lambda: self._loop.create_datagram_endpoint(
+                lambda: self._peers, local_addr=(host, port)
+            ),
+            name=f"udp {host}:{port}",
+            log=self.log,
+            stop=self._stop,
         )
         try:
-            yield
+            yield opened is not None
         finally:
-            transport.close()
-
-    async def _listen(
-        self, address: str, handler: Handler, conns: set[ClientConn]
-    ) -> asyncio.Server:
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
-            raise SettingsError(f"listener address {address!r} is not IP:port; correct it")
-        server = await self._loop.create_server(
-            lambda: ClientConn(
-                handler=self._with_error_reply(handler),
-                limits=self._limits,
-                conns=conns,
-                budget=self._client_budget,
+            if opened is not None:
+                opened[0].close()
+
+    async def _listen_on_all(self) -> bool:
+        """Open all listeners; return False if the process is told to stop before."""
+        settings = self.state.settings
+        pages = {settings.ready, settings.lookup, settings.control} - {""}
+        if not await self._listen(settings.front, self._handle_front, self._conns):
+            return False
+        for address in sorted(pages):
+            if not await self._listen(address, self._handle_page, self._page_conns):
+                return False
+        return True
+
+    async def _listen(self, address: str, handler: Handler, conns: set[ClientConn]) -> bool:
+        """Open a listener; return False if the process is told to stop before."""
+        host, port = listener_address(address)
+        server = await open_when_free(
+            lambda: self._loop.create_server(
+                lambda: ClientConn(
+                    handler=self._with_error_reply(handler),
+                    limits=self._limits,
+                    conns=conns,
+                    budget=self._client_budget,
+                ),
+                host=host,
+                port=port,
+                backlog=LISTEN_BACKLOG,
+                reuse_address=True,
             ),
-            host=host,
-            port=int(port),
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
+            name=address,
+            log=self.log,
+            stop=self._stop,
         )
+        if server is None:
+            return False
         self._servers.append(server)
-        return server
+        return True
 
     def _limits(self) -> ClientLimits:
         return self.state.limits
@@ -309,7 +335,7 @@
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
 
-    async def _shut_down(self, front: asyncio.Server) -> None:
+    async def _shut_down(self) -> None:
         started = self._loop.time()
         grace_s = self.state.settings.bounds.grace_s
         self.state.stopping = True
@@ -318,7 +344,8 @@
         self._peers.send()
         self._start(self._discovery.end_membership())
         await asyncio.sleep(grace_s * STOP_ACCEPTING_FRACTION)
-        front.close()
+        # The first listener is the one for clients' requests.
+        self._servers[0].close()
         self.state.accepting = False
         for conn in list(self._conns):
             conn.close_when_idle()
@@ -328,11 +355,11 @@
             self.log.write(LogNumber.GATEWAY_REQUESTS_GIVEN_UP, requests=given_up)
         while self._conns and self._loop.time() < self.state.exits_at + LAST_REPLIES_S:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        for server in self._servers:
-            server.close()
 
     def _close_streams(self) -> None:
         """Close what is still open; tasks that are cancelled close the streams that they use."""
+        for server in self._servers:
+            server.close()
         for conn in [*self._conns, *self._page_conns]:
             conn.abort()
         self._pool.close()
--- a/tests/test_own_ends.py
+++ b/tests/test_own_ends.py
@@ -4,13 +4,16 @@
 import contextlib
 import os
 import signal
+import socket
 
 import pytest
 from gateway_process import (
     entry,
+    free_port,
     routing_config,
     running_gateway,
     slow_upstream,
+    status_once_listening,
 )
 from store_standin import store_standin
 
@@ -106,3 +109,61 @@
             assert await asyncio.wait_for(gateway.process.wait(), 6) == 0
 
     run(main())
+
+
+# Guards against a process that ends again and again while an earlier one still has its ports.
+@pytest.mark.parametrize("role", ["front", "ready", "directory", "control", "peer"])
+def test_a_start_waits_for_ports_that_are_still_taken(role, tmp_path):
+    async def main():
+        port = free_port()
+        kind = socket.SOCK_DGRAM if role == "peer" else socket.SOCK_STREAM
+        with socket.socket(socket.AF_INET, kind) as other:
+            other.bind(("127.0.0.1", port))
+            if role != "peer":
+                other.listen()
+            async with deployment(tmp_path, ports={role: port}) as (gateway, _):
+                with pytest.raises(TimeoutError):
+                    await asyncio.wait_for(gateway.process.wait(), 3.0)
+                other.close()
+                await gateway.until_ready()
+                await until_served(gateway)
+
+    run(main())
+
+
+# Guards against a start that neither ends nor serves once it was told to stop.
+def test_a_start_that_waits_for_its_ports_ends_when_told_to(tmp_path):
+    async def main():
+        port = free_port()
+        with socket.socket() as other:
+            other.bind(("127.0.0.1", port))
+            other.listen()
+            async with deployment(tmp_path, ports={"front": port}) as (gateway, _):
+                await asyncio.sleep(1.5)
+                gateway.process.send_signal(signal.SIGHUP)
+                gateway.process.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(gateway.process.wait(), 3) == 0
+
+    run(main())
+
+
+# Guards against a start that fails for good because the store is not there yet.
+def test_a_start_waits_for_a_store_that_is_not_there_yet(tmp_path):
+    async def main():
+        async with slow_upstream(0.01) as upstream_port, store_standin() as (standin, _):
+            held = socket.socket()
+            held.bind(("127.0.0.1", 0))
+            async with running_gateway(tmp_path, held.getsockname()[1]) as gateway:
+                assert (await status_once_listening(gateway, "front", "/a/x")) == 503
+                await asyncio.sleep(3.0)
+                assert gateway.process.returncode is None
+                assert (await gateway.get("ready", "/v1/ready"))[0] == 503
+            held.close()
+            await standin.put("servers/u1", entry(upstream_port))
+            async with running_gateway(tmp_path, standin.port) as gateway:
+                await asyncio.sleep(1.0)
+                assert (await gateway.get("ready", "/v1/ready"))[0] == 503
+                await standin.put("op/config", routing_config())
+                await until_served(gateway)
+
+    run(main())
