Start a failed background task again instead of ending the process

Callers saw: any unexpected error in a background task ended the gateway, again at each start while its cause was there (odd entries, a lost log reader); the same error in the last report of a stop ended it with a stack trace.

Cause: the end of any background task set the event that stops the process.

Ruled out: errors of requests and of probes, which were handled one by one.

Change: a supervisor runs the tasks. While a task without which the gateway must not get clients is down (following the store, reports to the other gateways), it is not ready.

Conclusion: only settings that are invalid at the start, or a signal, end a gateway.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -55,6 +55,12 @@
             ("kind",),
             registry=self.registry,
         )
+        self.task_failures = Counter(
+            "gooseberryport_task_failures",
+            "Unexpected errors of background tasks",
+            ("task",),
+            registry=self.registry,
+        )
         self.limited_upstreams = Gauge(
             "gooseberryport_limited_upstreams",
             "Upstreams that state a rate limit",
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -138,6 +138,8 @@
         self.work_times = WorkTimes()
         self.stopping = False
         self.accepting = True
+        # Background tasks that are down, and without which this gateway must not get clients.
+        self.failed_tasks: set[str] = set()
         # Monotonic time at which the process exits, in a planned stop; seconds.
         self.exits_at = inf
         self.follows_store = False
@@ -339,7 +341,7 @@
     @property
     def ready(self) -> bool:
         """Whether the gateway serves clients."""
-        return self.routes is not None and not self.stopping
+        return self.routes is not None and not self.stopping and not self.failed_tasks
 
     def record_sender_ip(self, ip: str, *, now: float) -> None:
         """Record the address of a gateway that sent a datagram."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -33,10 +33,12 @@
 from gooseberryport_gateway._relay import CHANGES_PATH
 from gooseberryport_gateway._reload import Reloader
 from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway._supervisor import Supervisor
 from gooseberryport_gateway.wire import Codec, GatewaySettings, HeaderNames, StoreClient
 
 STDOUT = 1
 METRICS_PATH = "/metrics"
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 LOOKUP_TTL_S = 2.0
 """How long clients cache a lookup's result; a stopping gateway serves for longer; seconds."""
@@ -134,7 +136,7 @@
         self._conns: set[ClientConn] = set()
         self._page_conns: set[ClientConn] = set()
         self._client_budget = BufferBudget(max_bytes=MAX_CLIENT_BODY_BYTES)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = Supervisor(state=self.state)
         self._servers: list[asyncio.Server] = []
         self._stop = asyncio.Event()
 
@@ -142,28 +144,29 @@
         """Serve until a signal to stop, then shut down without losing a reply."""
         settings = self.state.settings
         self.log.write(LogNumber.GATEWAY_STARTED, zone=settings.zone, region=settings.region)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             self._loop.add_signal_handler(number, self._stop.set)
         self._loop.add_signal_handler(signal.SIGHUP, lambda: self._reloader.reload(signalled=True))
         async with self._peer_socket() as is_open:
             if not is_open or not await self._listen_on_all():
                 self._end()
                 return
-            self._start(self._discovery.follow())
-            membership = self._start(self._discovery.maintain_membership())
-            self._start(self._discovery.warmth_store.run())
-            self._start(self._peers.report())
-            self._start(self._prober.run())
-            self._start(self._housekeeping())
-            self._start(self._check_settings())
+            start = self._supervisor.start
+            start("follow store", self._discovery.follow, essential=True)
+            membership = start("membership", self._discovery.maintain_membership)
+            start("warmth", self._discovery.warmth_store.run)
+            # Limits that gateways keep together depend on the reports.
+            start("reports", self._peers.report, essential=True)
+            start("probes", self._prober.run)
+            start("housekeeping", self._housekeeping)
+            start("settings", self._check_settings)
             await self._stop.wait()
             membership.cancel()
             await self._shut_down()
         self._end()
 
     def _end(self) -> None:
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.stop()
         self._close_streams()
         self.log.write(LogNumber.GATEWAY_STOPPED)
         self.log.flush()
@@ -235,23 +238,6 @@
 
         return handle
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = self._loop.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-        return task
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if task.cancelled():
-            return
-        exc = task.exception()
-        if exc is not None:
-            self.log.write(
-                LogNumber.GATEWAY_TASK_FAILED, task=str(task.get_coro()), error=repr(exc)
-            )
-            self._stop.set()
-
     def _on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """Log an error that no task handles, without writing to standard error."""
         exc = context.get("exception")
@@ -341,8 +327,8 @@
         self.state.stopping = True
         self.state.exits_at = started + grace_s - EXIT_MARGIN_S
         self.log.write(LogNumber.GATEWAY_STOPPING, connections=len(self._conns))
-        self._peers.send()
-        self._start(self._discovery.end_membership())
+        self._supervisor.start("last report", self._send_last_report)
+        self._supervisor.start("end of membership", self._discovery.end_membership)
         await asyncio.sleep(grace_s * STOP_ACCEPTING_FRACTION)
         # The first listener is the one for clients' requests.
         self._servers[0].close()
@@ -356,6 +342,10 @@
         while self._conns and self._loop.time() < self.state.exits_at + LAST_REPLIES_S:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
 
+    async def _send_last_report(self) -> None:
+        """Tell the other gateways that this one is not ready."""
+        self._peers.send()
+
     def _close_streams(self) -> None:
         """Close what is still open; tasks that are cancelled close the streams that they use."""
         for server in self._servers:
--- a/tests/test_own_ends.py
+++ b/tests/test_own_ends.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
 import socket
+import sys
 
 import pytest
 from gateway_process import (
+    READY_S,
+    ROOT,
     entry,
     free_port,
     routing_config,
@@ -167,3 +171,105 @@
                 await until_served(gateway)
 
     run(main())
+
+
+# Guards against a background task whose unexpected error ends the process.
+def test_a_failed_background_task_is_started_again(tmp_path):
+    module = tmp_path / "failing" / "sitecustomize.py"
+    module.parent.mkdir()
+    module.write_text(FAILING_TASKS)
+
+    async def main():
+        python_path = (module.parent,)
+        async with deployment(tmp_path, python_path=python_path) as (gateway, _):
+            await gateway.until_ready()
+            await until_served(gateway)
+            statuses = await served(gateway, for_s=3.0)
+            assert set(statuses) == {200}
+            assert gateway.process.returncode is None
+
+    run(main())
+    lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+    failed = [line for line in lines if line["event"] == "gateway_task_failed"]
+    assert {line["task"] for line in failed} == {
+        "follow store",
+        "membership",
+        "reports",
+        "probes",
+        "warmth",
+        "housekeeping",
+        "settings",
+    }
+    assert all("injected" in line["error"] for line in failed)
+
+
+FAILING_TASKS = '''
+"""Let each background task of the gateway fail twice, at its first steps."""
+import builtins
+import sys
+
+real_import = builtins.__import__
+patched = set()
+
+
+def fail_twice(owner, name):
+    real = getattr(owner, name)
+    left = [2]
+
+    def failing(self, *args, **kwargs):
+        if left[0]:
+            left[0] -= 1
+            raise RuntimeError("injected")
+        return real(self, *args, **kwargs)
+
+    setattr(owner, name, failing)
+
+
+def patch(name, *args, **kwargs):
+    module = real_import(name, *args, **kwargs)
+    gateway = sys.modules.get("gooseberryport_gateway.gateway")
+    if gateway is not None and hasattr(gateway, "run_gateway") and not patched:
+        patched.add(1)
+        fail_twice(gateway.Discovery, "_poll_watcher")
+        fail_twice(gateway.Discovery, "_wait_for_entry_loss")
+        fail_twice(gateway.Peers, "_plan")
+        fail_twice(gateway.ConnPool, "close_expired")
+        fail_twice(gateway.Reloader, "reload")
+        warmth = sys.modules["gooseberryport_gateway._warmth_store"].WarmthStore
+        fail_twice(warmth, "_is_chosen")
+        prober = gateway.Prober
+        table = prober._table
+        left = [2]
+
+        def failing_table(self):
+            if left[0]:
+                left[0] -= 1
+                raise RuntimeError("injected")
+            return table.fget(self)
+
+        prober._table = property(failing_table)
+    return module
+
+
+builtins.__import__ = patch
+'''
+
+
+# Guards against settings that end a start with a stack trace and no status.
+def test_settings_that_are_invalid_at_the_start_end_it_with_a_status_of_their_own(tmp_path):
+    async def main():
+        path = tmp_path / "settings.json"
+        path.write_text('{"nodeName": ' + "[" * 5_000)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "gooseberryport_site",
+            env=os.environ
+            | {"GOOSEBERRYPORT_BOOT": str(path), "PYTHONPATH": str(ROOT / "platform")},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, errors = await asyncio.wait_for(process.communicate(), READY_S)
+        assert process.returncode == 2
+        assert "invalid settings" in errors.decode()
+
+    run(main())
