Ignore signals between the end of the event loop and that of the process

Callers saw nothing; a SIGHUP in the last moments of a planned stop killed the process with status -1.

Cause: closing the event loop restores the default actions of its signals, and the interpreter takes some more milliseconds to end.

Ruled out: SIGHUP during the start, from 0.3 s after the interpreter's (60 in a row).

Change: signals are blocked while their handlers are removed, ignored, and unblocked, before the loop is closed.

Conclusion: a planned stop that is under way ends with 0.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -166,11 +166,21 @@
         self._end()
 
     def _end(self) -> None:
+        self._ignore_signals()
         self._supervisor.stop()
         self._close_streams()
         self.log.write(LogNumber.GATEWAY_STOPPED)
         self.log.flush()
 
+    def _ignore_signals(self) -> None:
+        """Ignore signals until the process has ended, since their defaults would kill it."""
+        numbers = (*STOP_SIGNALS, signal.SIGHUP)
+        signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+        for number in numbers:
+            self._loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
+
     @contextlib.asynccontextmanager
     async def _peer_socket(self) -> AsyncIterator[bool]:
         """Open the socket for datagrams; yield False if the process is told to stop before."""
--- a/tests/test_own_ends.py
+++ b/tests/test_own_ends.py
@@ -255,6 +255,35 @@
 '''
 
 
+# Guards against signals in series that end a starting process other than by a stop.
+def test_signals_in_series_during_a_start_end_it_only_by_a_stop(tmp_path):
+    async def main():
+        async with deployment(tmp_path) as (gateway, _):
+            while "python" not in command_of(gateway.process.pid):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.3)
+            for _ in range(60):
+                gateway.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.02)
+            await until_served(gateway)
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                gateway.process.send_signal(number)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(5.0):
+                    while gateway.process.returncode is None:
+                        gateway.process.send_signal(signal.SIGHUP)
+                        await asyncio.sleep(0.01)
+            assert gateway.process.returncode == 0
+
+    run(main())
+
+
+def command_of(pid):
+    with contextlib.suppress(OSError), open(f"/proc/{pid}/cmdline") as file:
+        return file.read()
+    return ""
+
+
 # Guards against settings that end a start with a stack trace and no status.
 def test_settings_that_are_invalid_at_the_start_end_it_with_a_status_of_their_own(tmp_path):
     async def main():
