Write the daemon's log in a thread of its own, which may lose its reader

Callers saw: a daemon whose log reader paused stopped handling events; one whose reader had gone away handled events half-way.

Cause: the loop wrote each event to standard error and flushed it there; errors of the write left the handler of the event, and the loop's handler of errors wrote to the same place.

Ruled out: the statsd socket, which never blocks.

The ready line and the last flushes ignore a missing reader.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import random
 import signal
-import sys
 import time
 import traceback
 from collections.abc import AsyncIterator, Callable
@@ -27,7 +28,7 @@
 from gooseberryport_daemon._frontend import Frontend, FrontendSnapshot, LoopCallbacks
 from gooseberryport_daemon._frontend_snapshot import frontend_snapshot
 from gooseberryport_daemon._http_server import HttpServer, open_http_server
-from gooseberryport_daemon._logs import WriteLog, log_writer
+from gooseberryport_daemon._logs import WriteLog, open_log
 from gooseberryport_daemon._metrics import FLUSH_INTERVAL_S, Metrics, open_metrics
 from gooseberryport_daemon._page_source import LoopPageSource
 from gooseberryport_daemon._pages import Pages
@@ -62,6 +63,8 @@
     ready: Addresses
 
 
+STDOUT = 1
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 """Signals that request a graceful stop; they are ignored once the daemon has stopped."""
 
@@ -76,17 +79,16 @@
 
 def run_daemon(settings: DaemonSettings) -> None:
     """Run a daemon until SIGTERM or SIGINT; raises `DaemonError` if it can't start."""
-    asyncio.run(_run(settings))
+    with open_log(vm=settings.vm) as log:
+        asyncio.run(_run(settings, log))
 
 
-async def _run(settings: DaemonSettings) -> None:
+async def _run(settings: DaemonSettings, log: WriteLog) -> None:
     loop = asyncio.get_running_loop()
-    log = log_writer(vm=settings.vm)
     async with open_daemon(settings, log=log) as running:
         for signum in STOP_SIGNALS:
             loop.add_signal_handler(signum, running.stop)
-        sys.stdout.write(msgspec.json.encode(Ready(running.addresses)).decode() + "\n")
-        sys.stdout.flush()
+        _print_ready(running.addresses)
         await running.driver.done.wait()
     for signum in STOP_SIGNALS:
         loop.remove_signal_handler(signum)
@@ -94,6 +96,12 @@
     log(LogEvent(LogNumber.DAEMON_STOPPED, LogLevel.INFO, "daemon stopped"))
 
 
+def _print_ready(addresses: Addresses) -> None:
+    """Tell who started the daemon that it listens, if there is still a reader."""
+    with contextlib.suppress(OSError):
+        os.write(STDOUT, msgspec.json.encode(Ready(addresses)) + b"\n")
+
+
 @asynccontextmanager
 async def open_daemon(settings: DaemonSettings, *, log: WriteLog) -> AsyncIterator[RunningDaemon]:
     """Start a daemon on the running loop; raises `DaemonError` if it can't start."""
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/main.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import sys
 from dataclasses import dataclass
@@ -44,8 +45,9 @@
 
 def _exit_immediately(code: int) -> NoReturn:
     """End the process without waiting for threads that still watch the key-value store."""
-    sys.stdout.flush()
-    sys.stderr.flush()
+    for stream in (sys.stdout, sys.stderr):
+        with contextlib.suppress(OSError, AttributeError):
+            stream.flush()
     os._exit(code)
 
 
--- a/tests/test_daemon_ends.py
+++ b/tests/test_daemon_ends.py
@@ -1,13 +1,17 @@
+import json
 import signal
 import subprocess
+import sys
 import threading
+import time
 from contextlib import suppress
+from pathlib import Path
 
 import pytest
 import urllib3
 
 from gooseberryport_standins.caller import CallEnd, KeyKind, LoadPlan, Traffic
-from gooseberryport_standins.daemons import DaemonPlan, start_daemon
+from gooseberryport_standins.daemons import BINARY, SETTINGS_PATH, DaemonPlan, start_daemon
 from gooseberryport_standins.faults import UpstreamFaults
 from gooseberryport_standins.local_cluster import LIMITS, SERVICE, LocalCluster, open_local_cluster
 from gooseberryport_standins.upstream import RunEnd
@@ -130,3 +134,23 @@
     assert (code, used_address in output, "free port" in output) == (1, True, True)
     code, output = run_until_exit(trial.plan("vm-8", tick_s=-1))
     assert (code, "tick_s" in output) == (2, True)
+
+
+# Guards against a daemon that fails because nobody reads its output any more.
+def test_a_daemon_serves_and_stops_when_the_readers_of_its_output_go_away() -> None:
+    with open_local_cluster(daemons=1) as trial:
+        command = [str(Path(sys.executable).with_name(BINARY)), SETTINGS_PATH]
+        streams = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE, "stderr": subprocess.PIPE}
+        with subprocess.Popen(command, **streams) as process:
+            process.stdin.write(trial.plan("vm-7").encoded())
+            process.stdin.close()
+            address = json.loads(process.stdout.readline())["ready"]["http"]
+            process.stdout.close()
+            process.stderr.close()
+            url = f"http://{address}/healthz"
+            for _ in range(20):
+                assert urllib3.request("GET", url, retries=False).status == 200
+                time.sleep(0.05)
+            assert process.poll() is None
+            process.terminate()
+            assert process.wait(LIMITS.lookup_max_age_s + 20.0) == 0
