Bound what the store and other gateways send, all together

Callers saw nothing yet; a store and four seeds that answer without end took a gateway to 347 MB within 6 s, where VMs have 200 MB and more, and its end would have been that of all its clients' requests.

Cause: each body of these services was bounded by 64 MB and their sum by nothing; up to eight states are asked for at once.

Ruled out: upstreams; their heads, bodies and framing are bounded in the gateway and in the daemon, and so is their sum.

Change: one budget of 32 MB for unfinished bodies of these services, 16 MB for one body, 32 MB for a decompressed state.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_byte_limits.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_byte_limits.py
@@ -14,8 +14,13 @@
 MAX_RESPONSE_BODY_BYTES = 8_388_608
 """Maximum body accepted from an upstream; bytes."""
 
-MAX_STORE_BODY_BYTES = 67_108_864
-"""Maximum body accepted from the store or another gateway, which hold all entries; bytes."""
+MAX_SERVICE_BODY_BYTES = 16_777_216
+"""Maximum body accepted from the store or another gateway, which hold all entries: many times that
+of the largest fleet; bytes."""
+
+MAX_SERVICE_BUFFERED_BYTES = 33_554_432
+"""Maximum bytes of unfinished bodies of the store and of other gateways in this process, of which
+several are asked at once: a sixth of a small VM's memory; bytes."""
 
 MAX_OVERHEAD_BYTES = 65_536
 """Maximum bytes of a response apart from its body and the framing of its chunks: status line,
@@ -82,12 +87,15 @@
         while self.total_bytes > self._max_bytes:
             longest = max(self._held, key=self._held.__getitem__)
             self.release(longest)
-            longest.discard("bodies of all upstreams exceed the memory for them")
+            longest.discard("all unfinished bodies exceed the memory for them")
 
     def release(self, holder: BufferHolder) -> None:
         """Stop counting a holder's bytes."""
         self.total_bytes -= self._held.pop(holder, 0)
 
 
-SERVICE_LIMITS = ResponseLimits(max_body_bytes=MAX_STORE_BODY_BYTES)
+SERVICE_LIMITS = ResponseLimits(max_body_bytes=MAX_SERVICE_BODY_BYTES)
 """Limits on a response of the store or of another gateway."""
+
+SERVICE_BUDGET = BufferBudget(max_bytes=MAX_SERVICE_BUFFERED_BYTES)
+"""Bounds the unfinished bodies of the store and of other gateways, whoever asks for them."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -15,7 +15,7 @@
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId, ZoneName
-from gooseberryport_gateway._byte_limits import SERVICE_LIMITS
+from gooseberryport_gateway._byte_limits import SERVICE_BUDGET, SERVICE_LIMITS
 from gooseberryport_gateway._http_conn import HttpResponse, open_conn
 from gooseberryport_gateway._relay import Relay, known_prefixes
 from gooseberryport_gateway._state import GatewayState
@@ -86,7 +86,7 @@
 COMPRESSED = b"deflate"
 COMPRESSION_LEVEL = 1
 
-MAX_SNAPSHOT_BYTES = 67_108_864
+MAX_SNAPSHOT_BYTES = 33_554_432
 """Maximum size of a decompressed snapshot, many times that of the largest fleet."""
 
 SNAPSHOT_CACHE_S = 0.3
@@ -382,6 +382,7 @@
                     parse_address(address),
                     timeout_s=SNAPSHOT_CONNECT_TIMEOUT_S,
                     limits=SERVICE_LIMITS,
+                    budget=SERVICE_BUDGET,
                 )
                 try:
                     response = await conn.request(request.encode())
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -28,7 +28,7 @@
 from gooseberryport_core.gateway.model import Member, UpstreamEntry
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId
-from gooseberryport_gateway._byte_limits import SERVICE_LIMITS
+from gooseberryport_gateway._byte_limits import SERVICE_BUDGET, SERVICE_LIMITS
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
 from gooseberryport_gateway._http_conn import HttpConn, open_conn
 from gooseberryport_gateway._state import GatewayState
@@ -349,7 +349,10 @@
         conn = self._conns.pop(address, None)
         if conn is None or not conn.usable:
             conn = await open_conn(
-                parse_address(address), timeout_s=LONG_POLL_MARGIN_S, limits=SERVICE_LIMITS
+                parse_address(address),
+                timeout_s=LONG_POLL_MARGIN_S,
+                limits=SERVICE_LIMITS,
+                budget=SERVICE_BUDGET,
             )
         request = f"GET {CHANGES_PATH}?after={after} HTTP/1.1\r\nhost: {address}\r\n\r\n"
         response = await conn.request(request.encode())
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -172,6 +172,8 @@
 
 
 MAX_PEAK_MB = 60
+MAX_SERVICES_PEAK_MB = 133
+"""Two thirds of the memory of the smallest VM of the users."""
 ENDLESS_RESPONSES = [
     (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 2000),
     (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 16_384),
@@ -260,6 +262,25 @@
     asyncio.run(asyncio.wait_for(main(), 60))
 
 
+# Guards against other gateways' addresses, or the store, that answer without end.
+def test_endless_answers_of_services_do_not_take_the_memory(tmp_path):
+    async def main():
+        async with (
+            endless_upstreams(24) as endless_ports,
+            running_gateway(tmp_path, endless_ports[3]) as gateway,
+        ):
+            await status_once_listening(gateway, "ready", "/v1/ready")
+            endless_bodies = endless_ports[3::6]
+            gateway.change_settings(seeds=[f"127.0.0.1:{port}" for port in endless_bodies])
+            gateway.process.send_signal(signal.SIGHUP)
+            for _ in range(12):
+                await asyncio.sleep(0.5)
+                assert gateway.process.returncode is None
+            assert peak_mb(gateway.process.pid) < MAX_SERVICES_PEAK_MB
+
+    asyncio.run(asyncio.wait_for(main(), 60))
+
+
 def test_requests_that_come_late_in_a_stop_are_not_taken_and_then_cut(tmp_path):
     """A client that keeps its connection busy: each request that ran gets its whole answer."""
     ran = []
