Send nothing to upstreams that announce in their answers that they leave or pause

Callers saw: requests sent to an upstream that had said that it leaves, and its 503 while others had room, once it had named a time for which it wants nothing.

Cause: neither field was read; only the entry in the store, and a health check, took an upstream out of use.

Ruled out: a slow store; the entry of such an upstream stays ready.

Change: platform/ decodes both into an Announcement; core.gateway.announcements keeps them for one incarnation and is asked for each placement and again after the wait for a connection. Leaving acts as a drain by the store would. A pause is a gate on a clock that counts suspended time; one request is sent first after it, and returns are spread. A refusal with a pause is no attempt and no failure. While all pause, callers are refused at once with the time of the first return. Spoiled and malformed fields are ignored with a line.

The property of the pure part holds.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
@@ -207,6 +207,13 @@
         if known is not None:
             self._remove_from_index(known)
 
+    def mark_draining(self, upstream: UpstreamId) -> None:
+        """Send an upstream no new requests, as if its entry said that it is draining."""
+        known = self._upstreams.get(upstream)
+        if known is not None and known.entry.state is not UpstreamState.DRAINING:
+            known.entry = msgspec.structs.replace(known.entry, state=UpstreamState.DRAINING)
+            self._has_lost_most.clear()
+
     def mark_missing(self, upstream: UpstreamId, *, store_available_at: float) -> None:
         """Schedule the removal of an upstream whose entry disappeared during a store outage.
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gooseberryport_core.decoding import parse_count
+from gooseberryport_core.gateway.announcements import NOTHING_ANNOUNCED, Announcement, Gate
 from gooseberryport_core.gateway.model import ObjectKey, Repeatability, Route
 from gooseberryport_core.gateway.placement import (
     Placement,
@@ -31,7 +32,7 @@
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._silence import SilenceDetector
-from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway._state import GatewayState, awake_time
 from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
 from gooseberryport_gateway.wire import HeaderNames
 
@@ -80,6 +81,8 @@
     end: AttemptEnd
     response: HttpResponse | None = None
     reason: str = ""
+    paused: bool = False
+    """Whether the upstream wants no more requests for a time."""
 
     @property
     def was_received(self) -> bool:
@@ -115,6 +118,8 @@
         not tell that from the response to another send.
     may_have_run
         Whether an upstream may have run the request.
+    return_s
+        Time until the first upstream of the service ends its pause, if all pause; seconds.
     given_up
         Whether it gets a final reply because the process exits.
     """
@@ -133,6 +138,7 @@
     load: int = 0
     warm: bool = False
     cause: str = ""
+    return_s: float | None = None
     refusal_cause: RefusalCause = RefusalCause.FULL
     last_failure: HttpResponse | None = None
     timeout: asyncio.Timeout | None = None
@@ -150,12 +156,22 @@
         Connections to upstreams.
     names
         Header fields of clients and upstreams.
+    announcement
+        Decodes what a response says about its upstream.
     """
 
-    def __init__(self, *, state: GatewayState, pool: ConnPool, names: HeaderNames) -> None:
+    def __init__(
+        self,
+        *,
+        state: GatewayState,
+        pool: ConnPool,
+        names: HeaderNames,
+        announcement: Callable[[HttpResponse], Announcement] = lambda _: NOTHING_ANNOUNCED,
+    ) -> None:
         self._state = state
         self._pool = pool
         self._names = names
+        self._announcement = announcement
         self._silence = SilenceDetector(state=state, pool=pool)
         self._loop = asyncio.get_running_loop()
         self._jobs: set[_Job] = set()
@@ -249,6 +265,8 @@
                 return self._reply_failed(job)
             if not self._may_retry(job, attempt):
                 return self._reply_failed(job)
+            if attempt.paused:
+                self._state.metrics.placed_anew.labels(Gate.PAUSED.value).inc()
 
     def _choose(self, job: _Job, *, now: float) -> Upstream | None:
         state = self._state
@@ -256,7 +274,7 @@
             job.refusal_cause = RefusalCause.STOPPING
             job.cause = f"the stop leaves {state.exits_at - now:.2f} s"
             return None
-        placement = self._place(job, now=now, can_send=state.can_send_cold)
+        placement = self._place(job, now=now, can_send=state.can_send_unlimited)
         if placement.upstream is not None:
             state.rate_limits.record_wanted(placement.upstream.id, now=now)
             if not state.can_send_limited(placement.upstream, now=now):
@@ -267,16 +285,31 @@
             # Counted before any wait, so that requests meanwhile see it.
             state.rate_limits.record_sent(placement.upstream.id, now=now)
             state.cold_rate_limiter.record_sent(upstream=placement.upstream.id, now=now)
+            state.announcements.record_sent(placement.upstream.id, now=awake_time())
             return placement.upstream
         usable = state.service_capacity(job.service, now=now).usable
         if state.stopping:
             job.refusal_cause = RefusalCause.STOPPING
+        else:
+            job.return_s = self._return_s(job)
         job.cause = f"placement: {placement.verdict.value} of {usable}"
         limited = self._want_limited(job, now=now)
         if limited:
             job.cause += f"; {limited} with a rate limit"
         return None
 
+    def _return_s(self, job: _Job) -> float | None:
+        """Return when the first upstream ends its pause, if all that may serve a request pause."""
+        state = self._state
+        if not state.announcements.paused_count:
+            return None
+        allowed = [
+            upstream.id
+            for upstream in state.upstreams.usable(job.service)
+            if self._is_allowed(upstream, job.route)
+        ]
+        return state.announcements.return_s(allowed, now=awake_time())
+
     def _stop_factor(self, job: _Job, *, now: float) -> float | None:
         """Return the load per slot up to which a request ends before the exit, or None."""
         state = self._state
@@ -366,7 +399,9 @@
     def _may_retry(self, job: _Job, attempt: Attempt) -> bool:
         now = self._loop.time()
         sends = len(job.sent_to)
-        attempts_used = len(set(job.sent_to)) >= job.route.max_attempts
+        # An upstream that pauses has not run the request, so it was no attempt.
+        is_refusal = attempt.paused and attempt.end is AttemptEnd.SHED
+        attempts_used = not is_refusal and len(set(job.sent_to)) >= job.route.max_attempts
         if sends >= MAX_SENDS or (attempts_used and job.sent_to[-1] in job.avoided):
             job.cause = f"{attempt.end.value}: {attempt.reason}; no attempts left"
             return False
@@ -397,6 +432,12 @@
             if conn is None:
                 conn = await self._pool.connect(upstream.id, upstream.entry.address)
                 self._state.metrics.connections.inc()
+                gate = self._state.gate(upstream)
+                if gate in (Gate.LEAVING, Gate.PAUSED):
+                    # It announced this while the connection was opened.
+                    self._pool.release(upstream.id, conn)
+                    self._state.metrics.placed_anew.labels(gate.value).inc()
+                    return Attempt(end=AttemptEnd.NOT_SENT, reason=f"the upstream is {gate.value}")
             return await self._send(job, upstream, conn)
         except NotSentError as exc:
             self._state.record_unreachable(upstream, reason=str(exc), now=self._loop.time())
@@ -412,6 +453,7 @@
 
     async def _send(self, job: _Job, upstream: Upstream, conn: HttpConn) -> Attempt:
         now = self._loop.time()
+        started_ms = upstream.entry.started_ms
         if job.key is not None:
             mark = hash_object_key(job.key)
             if self._state.warmth.record(upstream.id, mark, now=now, observed_here=True):
@@ -439,7 +481,17 @@
             upstream.record_load(load.running + load.waiting, now=self._loop.time())
         if response.status != 421:
             self._record_rate_limit(job, upstream, response)
-        return self._classify(response)
+        attempt = self._classify(response)
+        attempt.paused = self._state.record_announcement(
+            upstream,
+            self._announcement(response),
+            started_ms=started_ms,
+            request=job.request_id.decode("latin-1"),
+            now=self._loop.time(),
+        )
+        if self._state.gate(upstream) is Gate.LEAVING:
+            self._pool.drop(upstream.id)
+        return attempt
 
     def _reported_load(self, response: HttpResponse) -> ReportedLoad | None:
         """Return the load that an upstream reported in its response, or None."""
@@ -517,7 +569,8 @@
         if self._must_avoid(attempt, upstream, job):
             job.avoided.add(upstream.id)
         if attempt.was_received:
-            upstream.record_answer(good=attempt.end is AttemptEnd.ANSWERED)
+            if not attempt.paused:
+                upstream.record_answer(good=attempt.end is AttemptEnd.ANSWERED)
         elif job.key is not None and not job.warm:
             self._state.warmth.remove(upstream.id, hash_object_key(job.key))
         if attempt.end is AttemptEnd.ANSWERED:
@@ -541,7 +594,7 @@
 
     def _must_avoid(self, attempt: Attempt, upstream: Upstream, job: _Job) -> bool:
         """Return whether the request must not be sent to the same upstream again."""
-        if attempt.end is AttemptEnd.SHED:
+        if attempt.end is AttemptEnd.SHED and not attempt.paused:
             return self._is_full(attempt, upstream, job)
         return attempt.end is not AttemptEnd.STALE_CONNECTION
 
@@ -584,9 +637,10 @@
     def _reply_not_run(self, job: _Job) -> Reply:
         self._log(job, LogNumber.GATEWAY_REQUEST_REFUSED, status=503)
         draw = self._state.rng.random()
-        return self._empty_reply(
-            503, job.request_id, retry_s=retry_after(reason=job.refusal_cause, draw=draw)
-        )
+        retry_s = retry_after(reason=job.refusal_cause, draw=draw)
+        if job.return_s is not None:
+            retry_s += job.return_s
+        return self._empty_reply(503, job.request_id, retry_s=retry_s)
 
     def _reply_timed_out(self, job: _Job) -> Reply:
         job.cause = "no answer within the route's timeout"
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -66,6 +66,22 @@
             "Upstreams that state a rate limit",
             registry=self.registry,
         )
+        self.leaving_upstreams = Gauge(
+            "gooseberryport_leaving_upstreams",
+            "Upstreams that announced in a response that they leave",
+            registry=self.registry,
+        )
+        self.paused_upstreams = Gauge(
+            "gooseberryport_paused_upstreams",
+            "Upstreams that want no requests from this gateway for a time",
+            registry=self.registry,
+        )
+        self.placed_anew = Counter(
+            "gooseberryport_placed_anew",
+            "Requests placed anew because their upstream leaves or pauses",
+            ("gate",),
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "gooseberryport_in_flight", "Requests being answered", registry=self.registry
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 
 from gooseberryport_core.decoding import MAX_DURATION_S, parse_count
+from gooseberryport_core.gateway.announcements import NOTHING_ANNOUNCED, Announcement, Gate
 from gooseberryport_core.gateway.upstreams import Reachability, Upstream, UpstreamTable
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import UpstreamId
@@ -35,12 +37,22 @@
         Connections to upstreams; the connection of a probe is returned to it.
     names
         Header fields of upstreams.
+    announcement
+        Decodes what a response says about its upstream.
     """
 
-    def __init__(self, *, state: GatewayState, pool: ConnPool, names: HeaderNames) -> None:
+    def __init__(
+        self,
+        *,
+        state: GatewayState,
+        pool: ConnPool,
+        names: HeaderNames,
+        announcement: Callable[[HttpResponse], Announcement] = lambda _: NOTHING_ANNOUNCED,
+    ) -> None:
         self._state = state
         self._pool = pool
         self._names = names
+        self._announcement = announcement
         self._loop = asyncio.get_running_loop()
         self._running: dict[UpstreamId, asyncio.Task[None]] = {}
 
@@ -54,7 +66,11 @@
             now = self._loop.time()
             for upstream in self._table:
                 due = upstream.reachability is Reachability.UNPROVEN and now >= upstream.probe_at
-                if due and upstream.id not in self._running:
+                if (
+                    due
+                    and self._state.gate(upstream) is not Gate.PAUSED
+                    and upstream.id not in self._running
+                ):
                     task = self._loop.create_task(self._probe(upstream))
                     self._running[upstream.id] = task
                     task.add_done_callback(partial(self._on_probe_done, upstream.id))
@@ -99,6 +115,13 @@
                 upstream, reason="health check: another upstream has the address", now=now
             )
             return
+        self._state.record_announcement(
+            upstream,
+            self._announcement(response),
+            started_ms=upstream.entry.started_ms,
+            request="health check",
+            now=now,
+        )
         full = response.header(self._names.not_executed) is not None
         if response.status != 200 and not full:
             self._state.metrics.probes.labels("unwell").inc()
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Callable, Iterable
 from functools import lru_cache
 from math import inf
@@ -10,6 +11,11 @@
 import msgspec
 import xxhash
 
+from gooseberryport_core.gateway.announcements import (
+    Announcement,
+    Gate,
+    UpstreamAnnouncements,
+)
 from gooseberryport_core.gateway.entry_points import RequestRate
 from gooseberryport_core.gateway.fleet import Fleet
 from gooseberryport_core.gateway.idle_limits import IdleLimits
@@ -21,6 +27,7 @@
     RouteName,
     RoutingConfig,
     UpstreamEntry,
+    UpstreamState,
 )
 from gooseberryport_core.gateway.placement import has_local_capacity, upstream_weight
 from gooseberryport_core.gateway.ranking import ObjectRankings
@@ -132,6 +139,7 @@
             vm=me.vm, overage=bounds.cold_overage, slack=bounds.cold_slack
         )
         self.rate_limits = UpstreamRateLimits(vm=me.vm)
+        self.announcements = UpstreamAnnouncements()
         self.idle_limits = IdleLimits()
         self.warmth = WarmthTracker()
         self.warm_times: dict[RouteName, float] = {}
@@ -192,6 +200,9 @@
     def put_upstream(self, entry: UpstreamEntry, *, now: float) -> None:
         """Record an upstream's report."""
         known = self.upstreams.get(entry.upstream)
+        self.announcements.restart(entry.upstream, started_ms=entry.started_ms)
+        if self.announcements.is_leaving(entry.upstream, started_ms=entry.started_ms):
+            entry = msgspec.structs.replace(entry, state=UpstreamState.DRAINING)
         before = known.entry if known is not None else None
         if not self.upstreams.put(entry, now=now):
             return
@@ -257,6 +268,8 @@
         self.warmth.forget(upstream)
         self.cold_rate_limiter.forget(upstream)
         self.rate_limits.forget(upstream)
+        self.announcements.forget(upstream)
+        self._count_announcements()
         self.metrics.limited_upstreams.set(len(self.rate_limits))
         self.idle_limits.forget(upstream)
 
@@ -295,6 +308,69 @@
         if self.rate_limits.record_stated(upstream, per_s=per_s, stated_at=now):
             self._log_rate_limit(upstream, now=now, request=request)
 
+    def record_announcement(
+        self,
+        upstream: Upstream,
+        announcement: Announcement,
+        *,
+        started_ms: int,
+        request: str,
+        now: float,
+    ) -> bool:
+        """Record what a response says about its upstream; return whether the upstream pauses.
+
+        Parameters
+        ----------
+        upstream, started_ms
+            The upstream that responded, and its incarnation when the request was sent.
+        announcement
+            What the response says.
+        request
+            Id of the request that it responded to.
+        now
+            Monotonic time; seconds.
+        """
+        if started_ms != upstream.entry.started_ms:
+            return False
+        if announcement.ignored:
+            self.log.write_request(
+                LogNumber.GATEWAY_ANNOUNCEMENT_IGNORED,
+                now=now,
+                upstream=upstream.id,
+                request=request,
+                reason=announcement.ignored,
+            )
+        change = self.announcements.record(
+            upstream.id,
+            announcement,
+            started_ms=started_ms,
+            now=awake_time(),
+            draw=self.rng.random(),
+        )
+        if change is not None:
+            if change is Gate.LEAVING:
+                self.upstreams.mark_draining(upstream.id)
+            self._count_announcements()
+            self.log.write(
+                LogNumber.GATEWAY_UPSTREAM_ANNOUNCED,
+                upstream=upstream.id,
+                started_ms=started_ms,
+                gate=change.value,
+                pause_s=announcement.pause_s,
+                request=request,
+            )
+        return announcement.pause_s is not None
+
+    def gate(self, upstream: Upstream) -> Gate:
+        """Return whether an upstream may get a request, as far as it announced otherwise."""
+        return self.announcements.gate(
+            upstream.id, started_ms=upstream.entry.started_ms, now=awake_time()
+        )
+
+    def _count_announcements(self) -> None:
+        self.metrics.leaving_upstreams.set(self.announcements.leaving_count)
+        self.metrics.paused_upstreams.set(self.announcements.paused_count)
+
     def record_peer_rate_limits(
         self, vm: str, reports: list[RateLimitReport], *, now: float
     ) -> None:
@@ -447,7 +523,13 @@
 
     def can_send(self, upstream: Upstream, *, now: float) -> bool:
         """Return whether an upstream may get a request now: cold and limited ones take few."""
-        return self.can_send_cold(upstream, now=now) and self.can_send_limited(upstream, now=now)
+        return self.can_send_unlimited(upstream, now=now) and self.can_send_limited(
+            upstream, now=now
+        )
+
+    def can_send_unlimited(self, upstream: Upstream, *, now: float) -> bool:
+        """Return whether an upstream may get a request now, but for a rate limit that it states."""
+        return self.gate(upstream) is Gate.OPEN and self.can_send_cold(upstream, now=now)
 
     def can_send_cold(self, upstream: Upstream, *, now: float) -> bool:
         """Return whether an upstream may get a request now, as far as it is cold."""
@@ -470,6 +552,11 @@
         )
 
 
+def awake_time() -> float:
+    """Return the time of a clock that also counts while the VM is suspended; seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @lru_cache(maxsize=4096)
 def upstream_hash(upstream: UpstreamId) -> int:
     """Return a short hash of an upstream's id, the same in every process."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -128,8 +128,12 @@
         self._pool = ConnPool(
             id_header=names.request_id, on_last_closed=self._on_last_connection_closed
         )
-        self._forwarder = Forwarder(state=self.state, pool=self._pool, names=names)
-        self._prober = Prober(state=self.state, pool=self._pool, names=names)
+        self._forwarder = Forwarder(
+            state=self.state, pool=self._pool, names=names, announcement=codec.announcement
+        )
+        self._prober = Prober(
+            state=self.state, pool=self._pool, names=names, announcement=codec.announcement
+        )
         self._store = store
         self._discovery = Discovery(state=self.state, store=store, codec=codec)
         self._peers = Peers(state=self.state)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -8,9 +8,11 @@
 
 import msgspec
 
+from gooseberryport_core.gateway.announcements import Announcement
 from gooseberryport_core.gateway.model import RoutingConfig, UpstreamEntry
 from gooseberryport_core.gateway.warmth import WarmthRecord
 from gooseberryport_core.types import RegionName, UpstreamId, VmId, ZoneName
+from gooseberryport_gateway._http_conn import HttpResponse
 
 
 class HeaderNames(msgspec.Struct, frozen=True):
@@ -222,6 +224,9 @@
     def decode_location(self, query: str) -> ClientLocation:
         """Decode the query of a lookup."""
 
+    def announcement(self, response: HttpResponse) -> Announcement:
+        """Decode what an upstream's response says about the upstream itself."""
+
     def lookup_answer(self, addresses: list[str], *, ttl_s: float) -> bytes:
         """Encode the reply to a lookup as JSON."""
 
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -77,21 +77,25 @@
 
 
 @contextlib.asynccontextmanager
-async def running_gateway(tmp_path, store_port, *, grace_s=4, ports=None, **options):
+async def running_gateway(
+    tmp_path, store_port, *, name="vm1", grace_s=4, ports=None, seeds=(), **options
+):
     roles = ("front", "ready", "directory", "control", "peer")
     ports = {role: free_port() for role in roles} | (ports or {})
     settings = {
-        "nodeName": "vm1",
+        "nodeName": name,
         "ip": "127.0.0.1",
         "zone": "a",
         "region": "A",
         "zones": {"a": "A"},
         "listen": {role: f"127.0.0.1:{port}" for role, port in ports.items() if role != "peer"},
         "portRange": [ports["peer"], 65535],
-        "seeds": [],
+        "seeds": list(seeds),
         "platform": {"address": f"127.0.0.1:{store_port}", "ttlMinMs": 1000},
         "bounds": {"graceS": grace_s, "drainMs": 200},
     }
+    tmp_path = tmp_path / name if name != "vm1" else tmp_path
+    tmp_path.mkdir(exist_ok=True)
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(settings))
     with (tmp_path / "log").open("wb") as log:
