Look at the clock only for upstreams that announced something

Cause: the gate is asked for each upstream that a placement looks at, and read the clock each time, though nearly all announce nothing.

Change: a look-up in two tables first.

Figures: the gain was not measured; 30 tests of announcements pass as before.

Conclusion: the cost of a placement without announcements is that of two look-ups for each upstream.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/announcements.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/announcements.py
@@ -79,6 +79,10 @@
         self._leaving: dict[UpstreamId, int] = {}
         self._pauses: dict[UpstreamId, _Pause] = {}
 
+    def __contains__(self, upstream: UpstreamId) -> bool:
+        """Return whether anything is known of an upstream; most announce nothing."""
+        return upstream in self._leaving or upstream in self._pauses
+
     @property
     def leaving_count(self) -> int:
         """Number of upstreams that announced that they leave."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -363,6 +363,8 @@
 
     def gate(self, upstream: Upstream) -> Gate:
         """Return whether an upstream may get a request, as far as it announced otherwise."""
+        if upstream.id not in self.announcements:
+            return Gate.OPEN
         return self.announcements.gate(
             upstream.id, started_ms=upstream.entry.started_ms, now=awake_time()
         )
