Read a client's connection whenever there is room for another request

Cause: reading paused at 64 open requests and was resumed only if exactly 63 were left; one call may write many replies.

Ruled out: lost replies.

Change: one function decides after each change: read if and only if fewer than 64 requests are open and the client reads its replies. A connection that closes is read, so that unread bytes don't reset it.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -134,6 +134,8 @@
         self._reading = False
         self._rejecting = False
         self._closing = False
+        self._write_paused = False
+        self._read_paused = False
         self._timer: asyncio.TimerHandle | None = None
         self.closing_when_idle = False
 
@@ -206,12 +208,28 @@
 
     def pause_writing(self) -> None:
         """Pause reading from a client that does not read its replies."""
-        if self._transport is not None and not self._closing:
-            self._transport.pause_reading()
+        self._write_paused = True
+        self._update_reading()
 
     def resume_writing(self) -> None:
-        """Resume reading."""
-        if self._transport is not None and not self._closing:
+        """Resume reading, unless too many requests are open."""
+        self._write_paused = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read if and only if there is room for another request and for its reply.
+
+        Called after each change of either; requests end in any order, and several at once.
+        """
+        if self._transport is None or self._closing:
+            return
+        wanted = self._write_paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
+        if wanted == self._read_paused:
+            return
+        self._read_paused = wanted
+        if wanted:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     # Callbacks from the parser.
@@ -298,8 +316,7 @@
         pending = _Pending(keep_alive=self._parser.should_keep_alive(), head_only=method == b"HEAD")
         self._pending.append(pending)
         pending.task = self._loop.create_task(self._handle(req, pending))
-        if len(self._pending) >= MAX_PIPELINED_REQUESTS and self._transport is not None:
-            self._transport.pause_reading()
+        self._update_reading()
 
     async def _handle(self, req: ClientRequest, pending: _Pending) -> Reply:
         reply = await self._handler(req)
@@ -340,8 +357,7 @@
                 return
         if not self._pending and not self._reading and not self._closing:
             self._start_timer(self._limits().idle_timeout_s)
-        if len(self._pending) == MAX_PIPELINED_REQUESTS - 1 and self._transport is not None:
-            self._transport.resume_reading()
+        self._update_reading()
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._closing:
@@ -357,6 +373,9 @@
         transport = self._transport
         if transport is None:
             return
+        if self._read_paused:
+            self._read_paused = False
+            transport.resume_reading()
         try:
             transport.write_eof()
         except OSError:
--- a/packages/gooseberryport-gateway/tests/test_client_conn.py
+++ b/packages/gooseberryport-gateway/tests/test_client_conn.py
@@ -10,9 +10,12 @@
     start_gateway,
     start_upstream,
 )
+from hypothesis import given
+from hypothesis import strategies as st
 
 from gooseberryport_core.gateway.model import ClientLimits
-from gooseberryport_gateway._client_conn import ClientConn
+from gooseberryport_gateway import _client_conn
+from gooseberryport_gateway._client_conn import ClientConn, Reply
 from gooseberryport_standins.samples import make_route
 
 
@@ -217,3 +220,109 @@
         assert transport.aborted
 
     run(main())
+
+
+# Guards against a connection that stays unread after many requests at once (review/5).
+def test_requests_after_many_at_once_are_read_and_answered():
+    async def main():
+        async def script(head):
+            await asyncio.sleep(0.3 if header_value(head, b"x-id") == b"r0" else 0.01)
+            return make_response(head)
+
+        async with (
+            start_upstream(lambda head, _: script(head)) as upstream,
+            start_gateway(make_route(timeout_s=5.0)) as gateway,
+            connect_client(gateway) as client,
+        ):
+            gateway.put_upstream("u1", upstream.port, slots=200)
+            for count in (100, 20, 70, 1):
+                client.send(b"".join(make_request(request_id=b"r%d" % n) for n in range(count)))
+                statuses = [(await client.read_reply())[0] for _ in range(count)]
+                assert statuses == [200] * count
+
+    run(main())
+
+
+MAX_OPEN = 4
+
+
+class FakeTransport(asyncio.Transport):
+    def __init__(self):
+        super().__init__()
+        self.reading = True
+
+    def pause_reading(self):
+        assert self.reading
+        self.reading = False
+
+    def resume_reading(self):
+        assert not self.reading
+        self.reading = True
+
+    def write(self, data):
+        pass
+
+    def write_eof(self):
+        pass
+
+    def abort(self):
+        pass
+
+
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("send"), st.integers(1, 6)),
+        st.tuples(st.just("answer"), st.integers(0, 30)),
+        st.tuples(st.sampled_from(["pause", "resume"]), st.just(0)),
+    ),
+    max_size=40,
+)
+
+
+# Guards against a connection that is paused though there is room, whatever ends first.
+@given(steps)
+def test_a_connection_is_read_whenever_there_is_room(events):
+    async def main():
+        open_requests = []
+
+        async def handler(req):
+            done = asyncio.get_running_loop().create_future()
+            open_requests.append(done)
+            return await done
+
+        conn = ClientConn(handler=handler, limits=ClientLimits, conns=set())
+        transport = FakeTransport()
+        conn.connection_made(transport)
+        write_paused = False
+
+        async def check():
+            for _ in range(4):
+                await asyncio.sleep(0)
+            has_room = len(conn._pending) < MAX_OPEN
+            assert transport.reading is (has_room and not write_paused)
+
+        for event, number in events:
+            if event == "send" and transport.reading:
+                conn.data_received(make_request() * number)
+            elif event == "answer" and open_requests:
+                open_requests.pop(number % len(open_requests)).set_result(Reply(200, []))
+            elif event == "pause" and not write_paused:
+                write_paused = True
+                conn.pause_writing()
+            elif event == "resume" and write_paused:
+                write_paused = False
+                conn.resume_writing()
+            await check()
+        for done in open_requests:
+            done.set_result(Reply(200, []))
+        open_requests.clear()
+        if write_paused:
+            write_paused = False
+            conn.resume_writing()
+        await check()
+        assert transport.reading
+        conn.connection_lost(None)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(_client_conn, "MAX_PIPELINED_REQUESTS", MAX_OPEN)
+        run(main())
