Keep the word of an upstream that leaves when an older entry arrives

Callers saw nothing yet; found in reading: an old or relayed entry of an earlier incarnation dropped what the present one had announced, and the next entry of the present one brought it back.

Cause: announcements of other incarnations were dropped before it was decided whether the entry is newer.

Change: they are dropped only where a newer entry shows a restart.

Conclusion: only a later incarnation ends the leaving.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -200,7 +200,6 @@
     def put_upstream(self, entry: UpstreamEntry, *, now: float) -> None:
         """Record an upstream's report."""
         known = self.upstreams.get(entry.upstream)
-        self.announcements.restart(entry.upstream, started_ms=entry.started_ms)
         if self.announcements.is_leaving(entry.upstream, started_ms=entry.started_ms):
             entry = msgspec.structs.replace(entry, state=UpstreamState.DRAINING)
         before = known.entry if known is not None else None
@@ -212,6 +211,8 @@
         earlier = before or removed
         if earlier is not None and earlier.started_ms != entry.started_ms:
             self.warmth.forget(entry.upstream)
+            self.announcements.restart(entry.upstream, started_ms=entry.started_ms)
+            self._count_announcements()
             if self.rate_limits.restart(entry.upstream, now=now):
                 self._log_rate_limit(entry.upstream, now=now, reason="restarted")
         if before is None or (before.state, before.started_ms) != (entry.state, entry.started_ms):
