Write the final replies of a planned stop after a pause of the process

Cause: the time for writing the final replies was counted from the planned exit. A process that did not run for 0.3 s at that point closed all connections before one reply was written.

Evidence: the new test stops the process with SIGSTOP over its exit. Before the change 4 of 4 connections were closed without an answer ([None] * 4), after it 4 of 4 get 504.

The checks for written replies are counted now, so that the event loop runs between making the replies and closing, whatever the clock says.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -65,12 +65,12 @@
 """How long before the end of the grace time a stopping gateway gives its open requests their final
 replies, and exits; seconds."""
 
-LAST_REPLIES_S = 0.3
-"""Time for writing those replies; seconds."""
-
 STOP_POLL_INTERVAL_S = 0.05
 """Interval between checks of whether clients are still connected to a stopping gateway; seconds."""
 
+LAST_REPLIES_POLLS = 6
+"""Number of such checks after the final replies were made, within which they are written."""
+
 
 class Gateway:
     """One gateway process.
@@ -353,7 +353,10 @@
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         if given_up := self._forwarder.give_up():
             self.log.write(LogNumber.GATEWAY_REQUESTS_GIVEN_UP, requests=given_up)
-        while self._conns and self._loop.time() < self.state.exits_at + LAST_REPLIES_S:
+        # Polls are counted instead of time, which a pause of the machine may have used up.
+        for _ in range(LAST_REPLIES_POLLS):
+            if not self._conns:
+                break
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
 
     async def _send_last_report(self) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,6 +8,11 @@
 from gateway_process import entry, running_gateway
 from store_standin import store_standin
 
+from gooseberryport_gateway.gateway import (
+    EXIT_MARGIN_S,
+    LAST_REPLIES_POLLS,
+    STOP_POLL_INTERVAL_S,
+)
 from gooseberryport_standins.streams import open_stream, start_stream_server
 
 WORK_S = 2.0
@@ -15,6 +20,13 @@
 GRACE_S = 4
 PER_S = 12.0
 STOP_AT_S = 4.0
+ACTION = {"service": "s", "timeoutMs": 8000, "maxAttempts": 2}
+RULE = {"kind": "safe", "aimMs": 6000, "match": {"pathPrefix": "/a/"}, "action": ACTION}
+CONFIG = {
+    "version": 1,
+    "listeners": [{"host": "h.example", "rules": [RULE]}],
+    "clusters": [{"name": "s"}],
+}
 
 
 class QueueingUpstream:
@@ -62,14 +74,6 @@
 
 # Guards against requests that wait at an upstream, unanswered, when the process exits (review/4).
 def test_no_request_that_was_passed_on_loses_its_answer_in_a_planned_stop(tmp_path):
-    action = {"service": "s", "timeoutMs": 8000, "maxAttempts": 2}
-    rule = {"kind": "safe", "aimMs": 6000, "match": {"pathPrefix": "/a/"}, "action": action}
-    config = {
-        "version": 1,
-        "listeners": [{"host": "h.example", "rules": [rule]}],
-        "clusters": [{"name": "s"}],
-    }
-
     async def main():
         upstream = QueueingUpstream()
         server = await start_stream_server(upstream.serve)
@@ -77,7 +81,7 @@
             store_standin() as (standin, _),
             running_gateway(tmp_path, standin.port, grace_s=GRACE_S) as gateway,
         ):
-            await standin.put("op/config", config)
+            await standin.put("op/config", CONFIG)
             await standin.put("servers/u1", entry(server.sockets[0].getsockname()[1]))
             await gateway.until_ready()
             tasks, sent_at, term_at = {}, {}, None
@@ -105,3 +109,37 @@
         ]
 
     asyncio.run(asyncio.wait_for(main(), 60))
+
+
+# Guards against connections that are closed without an answer because the machine was busy or
+# paused at the end of the stop, when open requests get their final replies (review/4).
+def test_a_process_that_is_paused_over_its_last_replies_still_writes_them(tmp_path):
+    async def main():
+        upstream = QueueingUpstream()
+        upstream.slots = asyncio.Semaphore(0)
+        server = await start_stream_server(upstream.serve)
+        async with (
+            store_standin() as (standin, _),
+            running_gateway(tmp_path, standin.port, grace_s=GRACE_S) as gateway,
+        ):
+            await standin.put("op/config", CONFIG)
+            await standin.put("servers/u1", entry(server.sockets[0].getsockname()[1]))
+            await gateway.until_ready()
+            tasks = [
+                asyncio.create_task(send(gateway.ports["front"], f"w{number}"))
+                for number in range(SLOTS)
+            ]
+            async with asyncio.timeout(5):
+                while len(upstream.arrived) < len(tasks):
+                    await asyncio.sleep(0.02)
+            gateway.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(GRACE_S - EXIT_MARGIN_S - 0.3)
+            gateway.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.6 + LAST_REPLIES_POLLS * STOP_POLL_INTERVAL_S)
+            gateway.process.send_signal(signal.SIGCONT)
+            statuses = [await task for task in tasks]
+            assert await asyncio.wait_for(gateway.process.wait(), GRACE_S) == 0
+        server.close()
+        assert statuses == [504] * len(tasks)
+
+    asyncio.run(asyncio.wait_for(main(), 60))
