--- a/standins/tests/test_pauses.py
+++ b/standins/tests/test_pauses.py
@@ -12,19 +12,6 @@
 PAUSE = "ctypes.PyDLL(None).usleep(900_000)"
 """Blocks every thread of the process for 0.9 s, because `PyDLL` holds the interpreter lock."""
 
-FIRST_RUN = """
-import ctypes
-from gooseberryport_standins.checks import SafetyViolationError
-
-runs = []
-
-def test_it():
-    runs.append(1)
-    if len(runs) == 1:
-        {pause}
-        {fault}
-"""
-
 
 class FakeTime:
     def __init__(self) -> None:
@@ -58,39 +45,27 @@
     assert time.now == pytest.approx(4 * CHECK_INTERVAL_S + pause_s)
 
 
-def test_only_lost_requests_are_excused_by_a_pause() -> None:
+def test_lost_requests_alone_are_no_safety_violation() -> None:
     raise_if_unsafe([])
     raise_if_unsafe([f"2 × {LOST}: a-1, a-2"])
     with pytest.raises(SafetyViolationError, match="reported as not-run"):
         raise_if_unsafe([f"2 × {LOST}: a-1, a-2", "1 × reported as not-run, but it ran: a-3"])
 
 
-@pytest.mark.parametrize(
-    ("pause", "fault", "ends"),
-    [
-        ("pass", "pass", {"passed": 1}),
-        (PAUSE, "pass", {"passed": 1}),
-        ("pass", "assert False", {"failed": 1}),
-        (PAUSE, "assert False", {"passed": 1, "rerun": 1}),
-        (PAUSE, "raise SafetyViolationError('ran twice')", {"failed": 1}),
-    ],
-)
-def test_only_a_test_that_fails_during_a_pause_is_rerun(
-    pytester: pytest.Pytester, pause: str, fault: str, ends: dict[str, int]
+# Guards against a failure that a rerun hides, and against a pause that its report does not name.
+@pytest.mark.parametrize("pause", [PAUSE, "pass"])
+def test_failure_during_a_pause_is_final_and_names_the_pause(
+    pytester: pytest.Pytester, pause: str
 ) -> None:
     pytester.makeconftest(CONFTEST.read_text())
     pytester.makefile(".txt", **{"KNOWN-RED": ""})
-    pytester.makepyfile(FIRST_RUN.format(pause=pause, fault=fault))
+    pytester.makepyfile(
+        f"import ctypes\n\nruns = []\n\ndef test_it():\n    runs.append(1)\n    {pause}\n"
+        "    assert len(runs) > 1"
+    )
     result = pytester.runpytest_subprocess()
-    assert result.parseoutcomes() == ends
-    assert ("rerun after a pause" in result.stdout.str()) == ("rerun" in ends)
-
-
-def test_failure_counts_if_every_rerun_fails_during_a_pause(pytester: pytest.Pytester) -> None:
-    pytester.makeconftest(CONFTEST.read_text())
-    pytester.makefile(".txt", **{"KNOWN-RED": ""})
-    pytester.makepyfile(f"import ctypes\n\ndef test_it():\n    {PAUSE}\n    assert False")
-    assert pytester.runpytest_subprocess().parseoutcomes() == {"failed": 1, "rerun": 3}
+    assert result.parseoutcomes() == {"failed": 1}
+    assert ("the machine was paused for up to 0." in result.stdout.str()) == (pause == PAUSE)
 
 
 def test_only_listed_tests_are_expected_to_fail(pytester: pytest.Pytester) -> None:
