--- /dev/null
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -0,0 +1,145 @@
+"""A client's request while it is served, its sends to upstreams, and how these end."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+
+import msgspec
+
+from gooseberryport_core.decoding import parse_count
+from gooseberryport_core.gateway.model import ObjectKey, Route
+from gooseberryport_core.gateway.refusals import RefusalCause
+from gooseberryport_core.types import ServiceName, UpstreamId
+from gooseberryport_gateway._client_conn import ClientRequest
+from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
+from gooseberryport_gateway.wire import HeaderNames
+
+MAX_REPORTED_REQUESTS = 1_000_000
+"""Highest number of requests that an upstream may report; it accepts far fewer connections."""
+
+
+class AttemptEnd(Enum):
+    """How a send to an upstream ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    """The upstream ran the request and responded with a failure."""
+
+    SHED = "shed"
+    """The upstream reported that it did not run the request."""
+
+    MISDIRECTED = "misdirected"
+    """The address belongs to another upstream now."""
+
+    NOT_SENT = "not-sent"
+    LOST = "lost"
+    """Bytes of the request were sent, and no complete response was received."""
+
+    STALE_CONNECTION = "forgotten"
+    """A connection that had been idle was reset soon after the request was sent on it; the upstream
+    may have read the request."""
+
+
+class Attempt(msgspec.Struct):
+    """One send to an upstream."""
+
+    end: AttemptEnd
+    response: HttpResponse | None = None
+    reason: str = ""
+    paused: bool = False
+    """Whether the upstream wants no more requests for a time."""
+
+    @property
+    def was_received(self) -> bool:
+        """Whether the upstream received the request, as far as can be known."""
+        return self.end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.LOST)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the upstream may have run the request."""
+        return self.was_received or self.end is AttemptEnd.STALE_CONNECTION
+
+
+class ReportedLoad(msgspec.Struct, frozen=True):
+    """Requests running and waiting at an upstream when it responded."""
+
+    running: int
+    waiting: int
+
+
+class Job(msgspec.Struct, eq=False):
+    """A client's request while it is being served.
+
+    Parameters
+    ----------
+    deadline
+        Monotonic time at which the client gets a reply at the latest; seconds.
+    sent_to
+        Upstreams to which the request was sent, in order.
+    avoided
+        Upstreams to which the request is not sent again.
+    conns
+        Connections on which it was sent. An upstream may repeat its refusal there, and the id would
+        not tell that from the response to another send.
+    may_have_run
+        Whether an upstream may have run the request.
+    return_s
+        Time until the first upstream of the service ends its pause, if all pause; seconds.
+    given_up
+        Whether it gets a final reply because the process exits.
+    """
+
+    req: ClientRequest
+    request_id: bytes
+    route: Route
+    service: ServiceName
+    key: ObjectKey | None
+    deadline: float
+    sent_to: list[UpstreamId] = msgspec.field(default_factory=list)
+    avoided: set[UpstreamId] = msgspec.field(default_factory=set)
+    conns: list[HttpConn] = msgspec.field(default_factory=list)
+    may_have_run: bool = False
+    sending: bool = False
+    load: int = 0
+    warm: bool = False
+    cause: str = ""
+    return_s: float | None = None
+    refusal_cause: RefusalCause = RefusalCause.FULL
+    last_failure: HttpResponse | None = None
+    timeout: asyncio.Timeout | None = None
+    given_up: bool = False
+
+
+def classify(response: HttpResponse, *, names: HeaderNames) -> Attempt:
+    """Return how a send ended, by its complete response."""
+    if response.status == 421:
+        return Attempt(end=AttemptEnd.MISDIRECTED, reason="another upstream has the address")
+    if response.header(names.not_executed) is not None:
+        return Attempt(
+            end=AttemptEnd.SHED,
+            response=response,
+            reason=f"status {response.status}, not executed",
+        )
+    is_signed = response.header(names.signature) is not None
+    if response.header(b"content-encoding") is not None:
+        return Attempt(end=AttemptEnd.LOST, reason="an encoded body that was not asked for")
+    if 200 <= response.status < 300:
+        if not is_signed:
+            return Attempt(end=AttemptEnd.LOST, reason="a success without a signature")
+        return Attempt(end=AttemptEnd.ANSWERED, response=response)
+    if response.status >= 500 or not is_signed:
+        return Attempt(end=AttemptEnd.FAILED, response=response, reason=f"status {response.status}")
+    return Attempt(end=AttemptEnd.ANSWERED, response=response)
+
+
+def reported_load(response: HttpResponse, *, names: HeaderNames) -> ReportedLoad | None:
+    """Return the load that an upstream reported in its response, or None."""
+    value = response.header(names.load)
+    numbers = [
+        parse_count(number.strip(), max_count=MAX_REPORTED_REQUESTS)
+        for number in (value or b"").split(b",")[:2]
+    ]
+    if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
+        return None
+    return ReportedLoad(running=numbers[0], waiting=numbers[1])
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -5,9 +5,6 @@
 import asyncio
 import math
 from collections.abc import Callable
-from enum import Enum
-
-import msgspec
 
 from gooseberryport_core.decoding import parse_count
 from gooseberryport_core.gateway.announcements import NOTHING_ANNOUNCED, Announcement, Gate
@@ -26,11 +23,18 @@
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_core.gateway.warmth import hash_object_key
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import ServiceName, UpstreamId
+from gooseberryport_gateway._attempts import (
+    Attempt,
+    AttemptEnd,
+    Job,
+    classify,
+    reported_load,
+)
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
-from gooseberryport_gateway._headers import Headers, end_to_end_headers, object_key
+from gooseberryport_gateway._headers import end_to_end_headers, object_key
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
 from gooseberryport_gateway._pool import ConnPool
+from gooseberryport_gateway._replies import Replies
 from gooseberryport_gateway._silence import SilenceDetector
 from gooseberryport_gateway._state import GatewayState, awake_time
 from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
@@ -46,105 +50,10 @@
 """Time after a send within which a reset shows that the idle connection was stale: longer than a
 round trip between regions, and far shorter than a request takes to run; seconds."""
 
-MAX_REPORTED_REQUESTS = 1_000_000
-"""Highest number of requests that an upstream may report; it accepts far fewer connections."""
-
 MIN_TIME_LEFT_S = 0.02
 """Time left until the deadline below which a request is not sent; seconds."""
 
 
-class AttemptEnd(Enum):
-    """How a send to an upstream ended."""
-
-    ANSWERED = "answered"
-    FAILED = "failed"
-    """The upstream ran the request and responded with a failure."""
-
-    SHED = "shed"
-    """The upstream reported that it did not run the request."""
-
-    MISDIRECTED = "misdirected"
-    """The address belongs to another upstream now."""
-
-    NOT_SENT = "not-sent"
-    LOST = "lost"
-    """Bytes of the request were sent, and no complete response was received."""
-
-    STALE_CONNECTION = "forgotten"
-    """A connection that had been idle was reset soon after the request was sent on it; the upstream
-    may have read the request."""
-
-
-class Attempt(msgspec.Struct):
-    """One send to an upstream."""
-
-    end: AttemptEnd
-    response: HttpResponse | None = None
-    reason: str = ""
-    paused: bool = False
-    """Whether the upstream wants no more requests for a time."""
-
-    @property
-    def was_received(self) -> bool:
-        """Whether the upstream received the request, as far as can be known."""
-        return self.end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED, AttemptEnd.LOST)
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether the upstream may have run the request."""
-        return self.was_received or self.end is AttemptEnd.STALE_CONNECTION
-
-
-class ReportedLoad(msgspec.Struct, frozen=True):
-    """Requests running and waiting at an upstream when it responded."""
-
-    running: int
-    waiting: int
-
-
-class _Job(msgspec.Struct, eq=False):
-    """A client's request while it is being served.
-
-    Parameters
-    ----------
-    deadline
-        Monotonic time at which the client gets a reply at the latest; seconds.
-    sent_to
-        Upstreams to which the request was sent, in order.
-    avoided
-        Upstreams to which the request is not sent again.
-    conns
-        Connections on which it was sent. An upstream may repeat its refusal there, and the id would
-        not tell that from the response to another send.
-    may_have_run
-        Whether an upstream may have run the request.
-    return_s
-        Time until the first upstream of the service ends its pause, if all pause; seconds.
-    given_up
-        Whether it gets a final reply because the process exits.
-    """
-
-    req: ClientRequest
-    request_id: bytes
-    route: Route
-    service: ServiceName
-    key: ObjectKey | None
-    deadline: float
-    sent_to: list[UpstreamId] = msgspec.field(default_factory=list)
-    avoided: set[UpstreamId] = msgspec.field(default_factory=set)
-    conns: list[HttpConn] = msgspec.field(default_factory=list)
-    may_have_run: bool = False
-    sending: bool = False
-    load: int = 0
-    warm: bool = False
-    cause: str = ""
-    return_s: float | None = None
-    refusal_cause: RefusalCause = RefusalCause.FULL
-    last_failure: HttpResponse | None = None
-    timeout: asyncio.Timeout | None = None
-    given_up: bool = False
-
-
 class Forwarder:
     """Serve clients' requests.
 
@@ -172,16 +81,17 @@
         self._pool = pool
         self._names = names
         self._announcement = announcement
+        self._replies = Replies(state=state, names=names)
         self._silence = SilenceDetector(state=state, pool=pool)
         self._loop = asyncio.get_running_loop()
-        self._jobs: set[_Job] = set()
+        self._jobs: set[Job] = set()
         self._rewritten_headers = frozenset([names.deadline_ms, names.expected_upstream])
 
     async def handle(self, req: ClientRequest) -> Reply:
         """Forward a request and return the reply to the client."""
         request_id = req.header(self._names.request_id) or b""
         if not self._state.accepting:
-            return self._reject(
+            return self._replies.reject(
                 req,
                 request_id,
                 status=503,
@@ -190,7 +100,7 @@
             )
         routes = self._state.routes
         if routes is None:
-            return self._reject(
+            return self._replies.reject(
                 req,
                 request_id,
                 status=503,
@@ -200,7 +110,7 @@
         host = (req.header(b"host") or b"").decode("latin-1")
         route = routes.find(host=host, path=req.path)
         if route is None:
-            return self._reject(req, request_id, status=404, cause="no route")
+            return self._replies.reject(req, request_id, status=404, cause="no route")
         job = self._job(req, request_id, route)
         self._state.record_client_request(now=req.arrived_at)
         self._state.retries.record_request(service=job.service, now=req.arrived_at)
@@ -210,9 +120,9 @@
             async with asyncio.timeout_at(job.deadline) as job.timeout:
                 return await self._serve(job)
         except TimeoutError:
-            return self._reply_timed_out(job)
+            return self._replies.timed_out(job)
         except asyncio.CancelledError:
-            self._log(job, LogNumber.GATEWAY_REQUEST_CANCELLED, status=0)
+            self._replies.log(job, LogNumber.GATEWAY_REQUEST_CANCELLED, status=0)
             raise
         finally:
             self._jobs.discard(job)
@@ -226,7 +136,7 @@
                 job.timeout.reschedule(self._loop.time())
         return len(self._jobs)
 
-    def _job(self, req: ClientRequest, request_id: bytes, route: Route) -> _Job:
+    def _job(self, req: ClientRequest, request_id: bytes, route: Route) -> Job:
         key = (
             object_key(req.headers, cookie=self._names.object_cookie)
             if route.object_affinity
@@ -237,7 +147,7 @@
         deadline_ms = parse_count(req.header(self._names.deadline_ms) or b"")
         if deadline_ms is not None:
             wait_s = min(wait_s, deadline_ms / 1000.0)
-        return _Job(
+        return Job(
             req=req,
             request_id=request_id,
             route=route,
@@ -246,29 +156,29 @@
             deadline=req.arrived_at + wait_s,
         )
 
-    async def _serve(self, job: _Job) -> Reply:
+    async def _serve(self, job: Job) -> Reply:
         while True:
             now = self._loop.time()
             upstream = self._choose(job, now=now)
             if upstream is None:
-                return self._reply_failed(job)
+                return self._replies.failed(job)
             job.sent_to.append(upstream.id)
             attempt = await self._attempt(job, upstream)
             self._record_attempt(job, upstream, attempt, sent_at=now)
             if attempt.end is AttemptEnd.ANSWERED:
                 assert attempt.response is not None
-                return self._pass_on(job, attempt.response)
+                return self._replies.pass_on(job, attempt.response)
             if attempt.response is not None and attempt.end is AttemptEnd.FAILED:
                 job.last_failure = attempt.response
             at_most_once = job.route.repeatability is Repeatability.AT_MOST_ONCE
             if at_most_once and job.may_have_run:
-                return self._reply_failed(job)
+                return self._replies.failed(job)
             if not self._may_retry(job, attempt):
-                return self._reply_failed(job)
+                return self._replies.failed(job)
             if attempt.paused:
                 self._state.metrics.placed_anew.labels(Gate.PAUSED.value).inc()
 
-    def _choose(self, job: _Job, *, now: float) -> Upstream | None:
+    def _choose(self, job: Job, *, now: float) -> Upstream | None:
         state = self._state
         if self._stop_factor(job, now=now) is None:
             job.refusal_cause = RefusalCause.STOPPING
@@ -298,7 +208,7 @@
             job.cause += f"; {limited} with a rate limit"
         return None
 
-    def _return_s(self, job: _Job) -> float | None:
+    def _return_s(self, job: Job) -> float | None:
         """Return when the first upstream ends its pause, if all that may serve a request pause."""
         state = self._state
         if not state.announcements.paused_count:
@@ -310,7 +220,7 @@
         ]
         return state.announcements.return_s(allowed, now=awake_time())
 
-    def _stop_factor(self, job: _Job, *, now: float) -> float | None:
+    def _stop_factor(self, job: Job, *, now: float) -> float | None:
         """Return the load per slot up to which a request ends before the exit, or None."""
         state = self._state
         if not state.stopping:
@@ -319,7 +229,7 @@
             left_s=state.exits_at - now, work_s=state.work_times.expected_s(job.route)
         )
 
-    def _place(self, job: _Job, *, now: float, can_send: Callable[..., bool]) -> Placement:
+    def _place(self, job: Job, *, now: float, can_send: Callable[..., bool]) -> Placement:
         state = self._state
         mark = hash_object_key(job.key) if job.key is not None else 0
         capacity = state.service_capacity(job.service, now=now)
@@ -362,7 +272,7 @@
             )
         return placement
 
-    def _preferred_upstreams(self, job: _Job, key: ObjectKey, mark: int) -> PreferredUpstreams:
+    def _preferred_upstreams(self, job: Job, key: ObjectKey, mark: int) -> PreferredUpstreams:
         state = self._state
         homes = [
             upstream
@@ -381,7 +291,7 @@
             and self._is_allowed(upstream, job.route),
         )
 
-    def _want_limited(self, job: _Job, *, now: float) -> int:
+    def _want_limited(self, job: Job, *, now: float) -> int:
         """Ask for shares of the service's limited upstreams; return their number."""
         state = self._state
         wanted = 0
@@ -396,7 +306,7 @@
         allowed = route.allowed_regions
         return not allowed or self._state.region_of(upstream.entry.zone) in allowed
 
-    def _may_retry(self, job: _Job, attempt: Attempt) -> bool:
+    def _may_retry(self, job: Job, attempt: Attempt) -> bool:
         now = self._loop.time()
         sends = len(job.sent_to)
         # An upstream that pauses has not run the request, so it was no attempt.
@@ -422,7 +332,7 @@
             return False
         return True
 
-    async def _attempt(self, job: _Job, upstream: Upstream) -> Attempt:
+    async def _attempt(self, job: Job, upstream: Upstream) -> Attempt:
         upstream.in_flight += 1
         try:
             max_idle_s = self._state.idle_limits.max_idle_s(
@@ -451,7 +361,7 @@
         finally:
             upstream.in_flight -= 1
 
-    async def _send(self, job: _Job, upstream: Upstream, conn: HttpConn) -> Attempt:
+    async def _send(self, job: Job, upstream: Upstream, conn: HttpConn) -> Attempt:
         now = self._loop.time()
         started_ms = upstream.entry.started_ms
         if job.key is not None:
@@ -476,12 +386,12 @@
                 return self._record_stale_reset(job, upstream, conn, reason=exc.reason)
         job.sending = False
         self._pool.release(upstream.id, conn)
-        load = self._reported_load(response)
+        load = reported_load(response, names=self._names)
         if load is not None:
             upstream.record_load(load.running + load.waiting, now=self._loop.time())
         if response.status != 421:
             self._record_rate_limit(job, upstream, response)
-        attempt = self._classify(response)
+        attempt = classify(response, names=self._names)
         attempt.paused = self._state.record_announcement(
             upstream,
             self._announcement(response),
@@ -493,18 +403,7 @@
             self._pool.drop(upstream.id)
         return attempt
 
-    def _reported_load(self, response: HttpResponse) -> ReportedLoad | None:
-        """Return the load that an upstream reported in its response, or None."""
-        value = response.header(self._names.load)
-        numbers = [
-            parse_count(number.strip(), max_count=MAX_REPORTED_REQUESTS)
-            for number in (value or b"").split(b",")[:2]
-        ]
-        if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
-            return None
-        return ReportedLoad(running=numbers[0], waiting=numbers[1])
-
-    def _record_rate_limit(self, job: _Job, upstream: Upstream, response: HttpResponse) -> None:
+    def _record_rate_limit(self, job: Job, upstream: Upstream, response: HttpResponse) -> None:
         value = response.header(self._names.rate_limit)
         per_s: float | None = None
         if value is None and response.header(self._names.signature) is None:
@@ -525,7 +424,7 @@
         )
 
     def _record_stale_reset(
-        self, job: _Job, upstream: Upstream, conn: HttpConn, *, reason: str
+        self, job: Job, upstream: Upstream, conn: HttpConn, *, reason: str
     ) -> Attempt:
         self._state.idle_limits.record_reset(
             service=job.service,
@@ -536,31 +435,8 @@
         detail = f"{reason} after the connection was idle for {conn.idle_s:.3f} s"
         return Attempt(end=AttemptEnd.STALE_CONNECTION, reason=detail)
 
-    def _classify(self, response: HttpResponse) -> Attempt:
-        names = self._names
-        if response.status == 421:
-            return Attempt(end=AttemptEnd.MISDIRECTED, reason="another upstream has the address")
-        if response.header(names.not_executed) is not None:
-            return Attempt(
-                end=AttemptEnd.SHED,
-                response=response,
-                reason=f"status {response.status}, not executed",
-            )
-        is_signed = response.header(names.signature) is not None
-        if response.header(b"content-encoding") is not None:
-            return Attempt(end=AttemptEnd.LOST, reason="an encoded body that was not asked for")
-        if 200 <= response.status < 300:
-            if not is_signed:
-                return Attempt(end=AttemptEnd.LOST, reason="a success without a signature")
-            return Attempt(end=AttemptEnd.ANSWERED, response=response)
-        if response.status >= 500 or not is_signed:
-            return Attempt(
-                end=AttemptEnd.FAILED, response=response, reason=f"status {response.status}"
-            )
-        return Attempt(end=AttemptEnd.ANSWERED, response=response)
-
     def _record_attempt(
-        self, job: _Job, upstream: Upstream, attempt: Attempt, *, sent_at: float
+        self, job: Job, upstream: Upstream, attempt: Attempt, *, sent_at: float
     ) -> None:
         job.sending = False
         job.may_have_run = job.may_have_run or attempt.may_have_run
@@ -592,121 +468,27 @@
             left_ms=round((job.deadline - now) * 1000),
         )
 
-    def _must_avoid(self, attempt: Attempt, upstream: Upstream, job: _Job) -> bool:
+    def _must_avoid(self, attempt: Attempt, upstream: Upstream, job: Job) -> bool:
         """Return whether the request must not be sent to the same upstream again."""
         if attempt.end is AttemptEnd.SHED and not attempt.paused:
             return self._is_full(attempt, upstream, job)
         return attempt.end is not AttemptEnd.STALE_CONNECTION
 
-    def _is_full(self, attempt: Attempt, upstream: Upstream, job: _Job) -> bool:
+    def _is_full(self, attempt: Attempt, upstream: Upstream, job: Job) -> bool:
         """Return whether an upstream refused a request because it is full, and not at random.
 
         An upstream that refuses at random is tried again, since the object is warm there.
         """
-        load = self._reported_load(attempt.response) if attempt.response is not None else None
+        load = (
+            reported_load(attempt.response, names=self._names)
+            if attempt.response is not None
+            else None
+        )
         if load is not None:
             return load.running >= upstream.entry.slots
         return job.load >= upstream.entry.slots
 
-    def _pass_on(self, job: _Job, response: HttpResponse) -> Reply:
-        self._log(job, LogNumber.GATEWAY_REQUEST_ENDED, status=response.status)
-        return Reply(
-            status=response.status, headers=end_to_end_headers(response.headers), body=response.body
-        )
-
-    def _reply_failed(self, job: _Job) -> Reply:
-        if job.last_failure is not None:
-            status = job.last_failure.status
-            if status in (408, 421, 429, 503):
-                status = 502
-                job.cause += (
-                    "; upstream status replaced, as it would mean that the request did not run"
-                )
-            else:
-                self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=status)
-                return Reply(
-                    status=status,
-                    headers=end_to_end_headers(job.last_failure.headers),
-                    body=job.last_failure.body,
-                )
-        if job.may_have_run:
-            self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=502)
-            return self._empty_reply(502, job.request_id)
-        return self._reply_not_run(job)
-
-    def _reply_not_run(self, job: _Job) -> Reply:
-        self._log(job, LogNumber.GATEWAY_REQUEST_REFUSED, status=503)
-        draw = self._state.rng.random()
-        retry_s = retry_after(reason=job.refusal_cause, draw=draw)
-        if job.return_s is not None:
-            retry_s += job.return_s
-        return self._empty_reply(503, job.request_id, retry_s=retry_s)
-
-    def _reply_timed_out(self, job: _Job) -> Reply:
-        job.cause = "no answer within the route's timeout"
-        if job.given_up:
-            job.cause = "no answer before the stop ended"
-            job.refusal_cause = RefusalCause.STOPPING
-        if not job.may_have_run and not job.sending:
-            return self._reply_not_run(job)
-        self._log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=504)
-        return self._empty_reply(504, job.request_id)
-
-    def _reject(
-        self,
-        req: ClientRequest,
-        request_id: bytes,
-        *,
-        status: int,
-        cause: str,
-        retry_s: float | None = None,
-    ) -> Reply:
-        now = self._loop.time()
-        self._state.metrics.requests.labels("", str(status)).inc()
-        self._state.log.write_request(
-            LogNumber.GATEWAY_REQUEST_REFUSED,
-            now=now,
-            request=request_id.decode("latin-1"),
-            path=req.path[:100],
-            status=status,
-            cause=cause,
-            config=self._state.routes.config.version if self._state.routes else None,
-        )
-        return self._empty_reply(status, request_id, retry_s=retry_s)
-
-    def _log(self, job: _Job, event: LogNumber, *, status: int) -> None:
-        now = self._loop.time()
-        took_s = now - job.req.arrived_at
-        outcome = str(status) if status else "cancelled"
-        self._state.metrics.requests.labels(job.route.name, outcome).inc()
-        self._state.metrics.latency.labels(job.route.name).observe(took_s)
-        self._state.log.write_request(
-            event,
-            now=now,
-            request=job.request_id.decode("latin-1"),
-            route=job.route.name,
-            service=job.service,
-            object=job.key,
-            upstreams=job.sent_to,
-            load=job.load,
-            warm=job.warm,
-            status=status,
-            cause=job.cause,
-            took_ms=round(took_s * 1000),
-            config=self._state.routes.config.version if self._state.routes else None,
-        )
-
-    def _empty_reply(
-        self, status: int, request_id: bytes, *, retry_s: float | None = None
-    ) -> Reply:
-        headers: Headers = []
-        if request_id:
-            headers.append((self._names.request_id, request_id))
-        if retry_s is not None:
-            headers.append((b"retry-after", b"%.2f" % retry_s))
-        return Reply(status=status, headers=headers)
-
-    def _encode(self, job: _Job, upstream: Upstream, *, now: float) -> bytes:
+    def _encode(self, job: Job, upstream: Upstream, *, now: float) -> bytes:
         req = job.req
         # An upstream that has not begun the request by then says that it did not run it.
         deadline = min(job.deadline, self._state.exits_at - ANSWER_MARGIN_S)
