Add the types of tenants and the bounds of quotas

The model gets Tenant and Route.public, the gateway's settings the bounds of quotas and the process's memory, and a request its tenant, whose priority goes before the route's and whose regions bind beside the route's.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
@@ -17,6 +17,7 @@
 )
 
 RouteName = NewType("RouteName", str)
+TenantName = NewType("TenantName", str)
 ObjectKey = NewType("ObjectKey", str)
 """Name of the object that a request is about; upstreams answer faster for recent objects."""
 
@@ -73,6 +74,8 @@
         Whether upstreams are faster for objects that they handled recently.
     allowed_regions
         Regions whose upstreams may serve the route; empty for all regions.
+    public
+        Whether requests need no API key, if the configuration has tenants.
     """
 
     name: RouteName
@@ -86,6 +89,38 @@
     priority: int
     object_affinity: bool
     allowed_regions: frozenset[RegionName]
+    public: bool = False
+
+
+class Tenant(msgspec.Struct, frozen=True):
+    """A customer whose requests carry one of its API keys.
+
+    Parameters
+    ----------
+    name
+        Name in the configuration; upstreams get it with each request.
+    api_keys
+        Secrets that identify the tenant; never logged.
+    priority
+        Rank that goes before the rank of a request's route, 0 is the most urgent; None if the
+        tenant has none.
+    rate_per_s, burst
+        Requests per second, and requests beyond that at once, of all gateways together. A rate of 0
+        is no limit.
+    allowed_regions
+        Regions whose upstreams may serve the tenant; empty for all regions.
+    """
+
+    name: TenantName
+    api_keys: frozenset[str]
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: frozenset[RegionName] = frozenset()
+
+    def __repr__(self) -> str:
+        """Return a text without the keys."""
+        return f"Tenant({self.name!r})"
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
@@ -135,6 +170,7 @@
     routes: tuple[Route, ...]
     services: dict[ServiceName, ServiceSpec]
     limits: ClientLimits
+    tenants: tuple[Tenant, ...] = ()
 
 
 class UpstreamState(Enum):
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from gooseberryport_core.decoding import parse_count
-from gooseberryport_core.gateway.model import ObjectKey, Route
+from gooseberryport_core.gateway.model import ObjectKey, Route, Tenant
 from gooseberryport_core.gateway.refusals import RefusalCause
-from gooseberryport_core.types import ServiceName, UpstreamId
+from gooseberryport_core.types import RegionName, ServiceName, UpstreamId
 from gooseberryport_gateway._client_conn import ClientRequest
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
 from gooseberryport_gateway.wire import HeaderNames
@@ -88,6 +88,8 @@
         Time until the first upstream of the service ends its pause, if all pause; seconds.
     given_up
         Whether it gets a final reply because the process exits.
+    tenant
+        Tenant of the client, or None.
     """
 
     req: ClientRequest
@@ -109,6 +111,21 @@
     last_failure: HttpResponse | None = None
     timeout: asyncio.Timeout | None = None
     given_up: bool = False
+    tenant: Tenant | None = None
+
+    @property
+    def priority(self) -> int:
+        """Rank of the request, 0 is the most urgent: its tenant's, or else its route's."""
+        if self.tenant is not None and self.tenant.priority is not None:
+            return self.tenant.priority
+        return self.route.priority
+
+    def is_allowed_in(self, region: RegionName) -> bool:
+        """Return whether upstreams of a region may serve the request."""
+        tenant_regions = self.tenant.allowed_regions if self.tenant is not None else ()
+        return (not self.route.allowed_regions or region in self.route.allowed_regions) and (
+            not tenant_regions or region in tenant_regions
+        )
 
 
 def classify(response: HttpResponse, *, names: HeaderNames) -> Attempt:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -216,7 +216,7 @@
         allowed = [
             upstream.id
             for upstream in state.upstreams.usable(job.service)
-            if self._is_allowed(upstream, job.route)
+            if self._is_allowed(upstream, job)
         ]
         return state.announcements.return_s(allowed, now=awake_time())
 
@@ -262,7 +262,7 @@
                 candidates=[
                     upstream
                     for upstream in state.upstreams.usable(job.service)
-                    if self._is_allowed(upstream, job.route)
+                    if self._is_allowed(upstream, job)
                 ],
                 service=job.service,
                 key=job.key,
@@ -288,7 +288,7 @@
             ),
             homes=homes,
             is_usable=lambda upstream: state.upstreams.is_usable(upstream)
-            and self._is_allowed(upstream, job.route),
+            and self._is_allowed(upstream, job),
         )
 
     def _want_limited(self, job: Job, *, now: float) -> int:
@@ -302,9 +302,8 @@
                 wanted += 1
         return wanted
 
-    def _is_allowed(self, upstream: Upstream, route: Route) -> bool:
-        allowed = route.allowed_regions
-        return not allowed or self._state.region_of(upstream.entry.zone) in allowed
+    def _is_allowed(self, upstream: Upstream, job: Job) -> bool:
+        return job.is_allowed_in(self._state.region_of(upstream.entry.zone))
 
     def _may_retry(self, job: Job, attempt: Attempt) -> bool:
         now = self._loop.time()
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -40,6 +40,10 @@
         Time for which an upstream remains cold; milliseconds.
     object_cookie
         Cookie that contains the key of the request's object.
+    authorization
+        API key of the client.
+    tenant
+        Name of the client's tenant, for the upstream.
     """
 
     request_id: bytes
@@ -52,10 +56,15 @@
     rate_limit: bytes
     cold_ms: bytes
     object_cookie: bytes
+    authorization: bytes = b"authorization"
+    tenant: bytes = b"x-tenant"
 
 
 class Bounds(msgspec.Struct, frozen=True):
-    """Limits set by the deployment, named as in the decisions that use them."""
+    """Limits set by the deployment, named as in the decisions that use them.
+
+    The window of the quotas is 0 if the deployment has none.
+    """
 
     retry_ratio: float
     retry_slack: float
@@ -65,6 +74,11 @@
     drain_s: float
     grace_s: float
     max_lookup_ttl_s: float
+    quota_window_s: float = 0.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
+    strict_revoke: bool = False
+    revoke_s: float = 0.0
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
@@ -92,6 +106,8 @@
         Limits of the deployment.
     capacity_per_s
         Requests per second that the VM can carry; 0 if its size is not known.
+    memory_bytes
+        Memory of the process; 0 if it is not known; bytes.
     """
 
     vm: VmId
@@ -109,6 +125,7 @@
     lease_min_ms: int
     bounds: Bounds
     capacity_per_s: float = 0.0
+    memory_bytes: int = 0
 
 
 MAX_KEYS_PER_CALL = 32
