Hold each request body once and count it until its reply

Cause: bodies counted only while they were read; complete ones existed up to four times in flight, without a bound.

Bodies are kept in chunks, streamed to the upstream as it reads, and counted until the reply. Beyond a third of the process's memory all but the oldest pause.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -375,6 +375,7 @@
             try:
                 response = await conn.request(
                     self._encode(job, upstream, now=now),
+                    body=job.req.body,
                     request_id=job.request_id or None,
                     head_only=job.req.method == b"HEAD",
                 )
@@ -488,6 +489,7 @@
         return job.load >= upstream.entry.slots
 
     def _encode(self, job: Job, upstream: Upstream, *, now: float) -> bytes:
+        """Return the head of the request to an upstream."""
         req = job.req
         # An upstream that has not begun the request by then says that it did not run it.
         deadline = min(job.deadline, self._state.exits_at - ANSWER_MARGIN_S)
@@ -501,5 +503,5 @@
         lines.append(self._names.deadline_ms + b": %d" % left_ms)
         lines.append(self._names.expected_upstream + b": " + upstream.id.encode())
         if req.body or req.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
-            lines.append(b"content-length: %d" % len(req.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + req.body
+            lines.append(b"content-length: %d" % req.body_bytes)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+from collections import deque
+from collections.abc import Sequence
 
 import httptools
 import msgspec
@@ -90,6 +92,8 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._unsent: deque[bytes | bytearray] = deque()
+        self._write_paused = False
         self._head_only = False
         self._in_body = False
         self._has_explicit_length = False
@@ -117,14 +121,21 @@
         return now - self._idle_since >= self._idle_timeout_s - IDLE_MARGIN_S
 
     async def request(
-        self, data: bytes, *, request_id: bytes | None = None, head_only: bool = False
+        self,
+        data: bytes,
+        *,
+        body: Sequence[bytes | bytearray] = (),
+        request_id: bytes | None = None,
+        head_only: bool = False,
     ) -> HttpResponse:
         """Send a request and return its complete response.
 
         Parameters
         ----------
         data
-            The request as bytes.
+            The request as bytes, or its head.
+        body
+            Chunks that follow; they are written no faster than the server reads.
         request_id
             Id that the response must have; the first one on a connection may have none.
         head_only
@@ -148,11 +159,14 @@
         self._head_only = head_only
         self.has_response_bytes = False
         self._received_bytes = self._body_bytes = self._num_fields = self._num_interim = 0
+        self._unsent = deque(body)
         transport.write(data)
+        self._write_body()
         try:
             return await self._response_future
         finally:
             unfinished = self._response_future is not None
+            self._unsent.clear()
             self._response_future = None
             self._free_body()
             if unfinished or self._unusable:
@@ -164,8 +178,21 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _write_body(self) -> None:
+        while self._unsent and not self._write_paused and self._transport is not None:
+            self._transport.write(self._unsent.popleft())
+
     # Callbacks from asyncio.
 
+    def pause_writing(self) -> None:
+        """Write no more of a body until the server has read what is buffered."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Write more of a body."""
+        self._write_paused = False
+        self._write_body()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Prepare the socket."""
         assert isinstance(transport, asyncio.Transport)
@@ -303,7 +330,7 @@
         self._free_body()
         self._record_idle_timeout(response)
         transport = self._transport
-        if transport is not None and transport.get_write_buffer_size() > 0:
+        if self._unsent or (transport is not None and transport.get_write_buffer_size() > 0):
             self._unusable = True
         self._response_future = None
         future.set_result(response)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
@@ -29,6 +29,10 @@
     """The server sent more than a response may contain; it is probably not sending one."""
 
 
+class BodyTooLargeError(GatewayError):
+    """The process's memory can't hold the body of a request; another gateway's may."""
+
+
 class SettingsError(GatewayError):
     """The settings are invalid; the message names the field and what to do."""
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -15,7 +15,7 @@
 from gooseberryport_core.gateway.model import ClientLimits, Member
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, UpstreamId
-from gooseberryport_gateway._byte_limits import BufferBudget
+from gooseberryport_gateway._body_memory import BodyMemory
 from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
 from gooseberryport_gateway._discovery import COMPRESSED, SNAPSHOT_PATH, Discovery
 from gooseberryport_gateway._forwarder import Forwarder
@@ -50,10 +50,6 @@
 """Interval between checks for settings that changed without a signal: half of the 4 s within which
 they must be applied; seconds."""
 
-MAX_CLIENT_BODY_BYTES = 67_108_864
-"""Maximum bytes of unfinished request bodies in this process: a third of a small VM's memory, and
-one body of the largest size that is allowed by default; bytes."""
-
 LISTEN_BACKLOG = 1024
 """Maximum connections that wait to be accepted: a burst of new clients on one VM."""
 
@@ -139,7 +135,7 @@
         self._peers = Peers(state=self.state)
         self._conns: set[ClientConn] = set()
         self._page_conns: set[ClientConn] = set()
-        self._client_budget = BufferBudget(max_bytes=MAX_CLIENT_BODY_BYTES)
+        self._body_memory = BodyMemory(process_bytes=settings.memory_bytes)
         self._supervisor = Supervisor(state=self.state)
         self._servers: list[asyncio.Server] = []
         self._stop = asyncio.Event()
@@ -223,7 +219,7 @@
                     handler=self._with_error_reply(handler),
                     limits=self._limits,
                     conns=conns,
-                    budget=self._client_budget,
+                    memory=self._body_memory,
                 ),
                 host=host,
                 port=port,
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -164,6 +164,7 @@
         self.pool = ConnPool(id_header=HEADER_NAMES.request_id, on_last_closed=lambda _: None)
         self.forwarder = Forwarder(state=self.state, pool=self.pool, names=HEADER_NAMES)
         self.conns = set()
+        self.memory = None
         self.port = 0
 
     def put_upstream(self, name, port, **changes):
@@ -182,6 +183,7 @@
             handler=gateway.forwarder.handle,
             limits=lambda: gateway.state.limits,
             conns=gateway.conns,
+            memory=gateway.memory,
         ),
         "127.0.0.1",
         0,
