--- a/packages/gooseberryport-core/src/gooseberryport_core/decoding.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/decoding.py
@@ -88,6 +88,7 @@
 
 
 _JSON_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{},]', re.DOTALL)
+_JSON_COLON = re.compile(rb"[ \t\r\n]*:")
 
 
 def split_json_array(data: bytes) -> Iterator[bytes]:
@@ -121,6 +122,43 @@
     raise InputError("an array without an end")
 
 
+def cut_json_member(data: bytes, name: bytes) -> tuple[bytes, bytes] | None:
+    """Return the text of a JSON object in which a member is null, and the member's own text.
+
+    Nothing in the member is checked, and it may be nested to any depth.
+
+    Parameters
+    ----------
+    data
+        Text of the object.
+    name
+        Name of the member; only the first one of that name is cut out.
+
+    Returns
+    -------
+    parts
+        Text of the rest and of the member's value, or None if there is no such member.
+    """
+    depth = 0
+    start = -1
+    for match in _JSON_TOKEN.finditer(data):
+        token = match.group()
+        if token in b"[{":
+            depth += 1
+        elif token in b"]}":
+            depth -= 1
+        ends = (token == b"," and depth == 1) or depth == 0
+        if start >= 0 and ends:
+            value = data[start : match.start()]
+            return data[:start] + b"null" + data[match.start() :], value.strip()
+        if ends and depth == 0:
+            return None
+        if start < 0 and depth == 1 and token == b'"' + name + b'"':
+            colon = _JSON_COLON.match(data, match.end())
+            start = colon.end() if colon is not None else -1
+    return None
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Return the IP address and the port of ``IP:port``.
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
@@ -164,13 +164,36 @@
 
 
 class RoutingConfig(msgspec.Struct, frozen=True):
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Parameters
+    ----------
+    version
+        Number of the version.
+    routes, services
+        Routes, and the services that they lead to.
+    limits
+        Limits on what clients may send.
+    tenants
+        Tenants that can be used.
+    skipped_tenants
+        Number of malformed tenants, which were left out.
+    notes
+        What was left out of the tenants, by position; contains no key.
+    """
 
     version: ConfigVersion
     routes: tuple[Route, ...]
     services: dict[ServiceName, ServiceSpec]
     limits: ClientLimits
     tenants: tuple[Tenant, ...] = ()
+    skipped_tenants: int = 0
+    notes: tuple[str, ...] = ()
+
+    @property
+    def requires_keys(self) -> bool:
+        """Whether requests need a key; also if every tenant is malformed, as none is known then."""
+        return bool(self.tenants) or self.skipped_tenants > 0
 
 
 class UpstreamState(Enum):
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
@@ -28,15 +28,32 @@
         self.config = config
         self._hosts: dict[str, dict[str, Route]] = {}
         self._most_urgent: dict[ServiceName, int] = {}
+        tenant_priorities = {tenant.priority for tenant in config.tenants if tenant.api_keys}
         for route in config.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
+            # The route's own priority is in force for requests whose tenant has none, or that have
+            # no tenant.
+            priorities = {
+                route.priority if priority is None else priority for priority in tenant_priorities
+            }
+            if route.public or not config.requires_keys:
+                priorities.add(route.priority)
+            urgent = min(priorities, default=route.priority)
             for destination in route.destinations:
-                known = self._most_urgent.get(destination.service, route.priority)
-                self._most_urgent[destination.service] = min(known, route.priority)
+                known = self._most_urgent.get(destination.service, urgent)
+                self._most_urgent[destination.service] = min(known, urgent)
 
-    def is_most_urgent(self, route: Route, service: ServiceName) -> bool:
-        """Return whether no other route to a service is more urgent."""
-        return route.priority <= self._most_urgent.get(service, route.priority)
+    def is_most_urgent(self, priority: int, service: ServiceName) -> bool:
+        """Return whether no request to a service can be more urgent than one of a priority.
+
+        Parameters
+        ----------
+        priority
+            The request's priority: its tenant's, or else its route's.
+        service
+            Service that handles the request.
+        """
+        return priority <= self._most_urgent.get(service, priority)
 
     def find(self, *, host: str, path: str) -> Route | None:
         """Return the route of a request, or None if none matches.
--- a/packages/gooseberryport-core/tests/gateway_builders.py
+++ b/packages/gooseberryport-core/tests/gateway_builders.py
@@ -43,8 +43,10 @@
     )
 
 
-def config(*routes, version=1):
-    return RoutingConfig(version=version, routes=routes, services={}, limits=ClientLimits())
+def config(*routes, version=1, **tenants):
+    return RoutingConfig(
+        version=version, routes=routes, services={}, limits=ClientLimits(), **tenants
+    )
 
 
 def member(vm, *, zone="a1", incarnation=1):
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -321,7 +321,7 @@
             return True
         gateways = len(self._state.fleet.gateways_sharing_limits(now=now))
         routes = self._state.routes
-        urgent = routes is None or routes.is_most_urgent(job.route, job.service)
+        urgent = routes is None or routes.is_most_urgent(job.priority, job.service)
         if not self._state.retries.take(
             service=job.service, gateways=gateways, now=now, urgent=urgent
         ):
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -146,6 +146,10 @@
     value: bytes | None
     revision: int
 
+    def __repr__(self) -> str:
+        """Return a text without the value, which may contain API keys."""
+        return f"StoreItem({self.key!r}, revision={self.revision})"
+
 
 def shorten_unreadable(item: StoreItem) -> StoreItem:
     """Return an item that can't be read without its value, if that is long.
