Require a known API key where the configuration has tenants

Cause: with tenants in its configuration, a gateway served every request, and passed on the key and a tenant id that the client chose.

Change: between the route and the placement, ClientKeys identifies the tenant, or answers with 401 and WWW-Authenticate; with strictRevoke it answers with 503 once the store has not confirmed the state for revokeMs (the age that the relay keeps, which is the store's also where other gateways relay it). Forwarder._admit is the place for checks of an identified request; it refuses one whose route and tenant allow no region in common. Authorization and Tenant-Id of the client are dropped also if tenants were removed while the request was in flight. Log 1116 and two counters; the tenants' has at most 21 labels. Texts of structs and of unexpected errors of a configuration no longer contain header fields or values.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -90,6 +90,8 @@
         Whether it gets a final reply because the process exits.
     tenant
         Tenant of the client, or None.
+    key_checked
+        Whether the configuration had tenants when the client's key was checked.
     """
 
     req: ClientRequest
@@ -112,6 +114,16 @@
     timeout: asyncio.Timeout | None = None
     given_up: bool = False
     tenant: Tenant | None = None
+    key_checked: bool = False
+
+    @property
+    def has_no_region(self) -> bool:
+        """Whether no region may serve the request, as its route and tenant allow different ones."""
+        if self.tenant is None or not self.tenant.allowed_regions:
+            return False
+        return self.route.allowed_regions.isdisjoint(self.tenant.allowed_regions) and bool(
+            self.route.allowed_regions
+        )
 
     @property
     def priority(self) -> int:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -33,9 +33,11 @@
     100: b"Continue",
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
@@ -72,6 +74,10 @@
         """Return the first value of a header field, given its name in lower case."""
         return find_header(self.headers, name)
 
+    def __repr__(self) -> str:
+        """Return a text without the header fields, one of which may contain an API key."""
+        return f"ClientRequest({self.method!r}, {self.path!r})"
+
 
 class Reply(msgspec.Struct):
     """The reply to a client's request."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -208,6 +208,7 @@
         self._snapshots: dict[RegionName, _CachedSnapshot] = {}
         self._watcher: VmId | None = None
         self.relay = Relay(state=state, codec=codec)
+        state.config_age_s = lambda: self.relay.state_age_s
         self.warmth_store = WarmthStore(
             state=state, store=store, prefix=codec.warmth_prefix, stored_keys=lambda: self._items
         )
@@ -558,6 +559,9 @@
             kind = "member"
         elif item.key.startswith(codec.config_prefix):
             kind, event = "config", LogNumber.GATEWAY_CONFIG_IGNORED
+            if not isinstance(exc, InputError):
+                # The text of an unexpected error may contain a key.
+                reason = type(exc).__name__
         self._state.metrics.ignored.labels(kind).inc()
         if self._ignored.get(item.key) != reason:
             self._ignored[item.key] = reason
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -8,7 +8,7 @@
 
 from gooseberryport_core.decoding import parse_count
 from gooseberryport_core.gateway.announcements import NOTHING_ANNOUNCED, Announcement, Gate
-from gooseberryport_core.gateway.model import ObjectKey, Repeatability, Route
+from gooseberryport_core.gateway.model import ObjectKey, Repeatability, Route, Tenant
 from gooseberryport_core.gateway.placement import (
     Placement,
     PlacementView,
@@ -31,10 +31,12 @@
     reported_load,
 )
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
-from gooseberryport_gateway._headers import end_to_end_headers, object_key
+from gooseberryport_gateway._client_keys import ClientKeys
+from gooseberryport_gateway._headers import object_key
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._replies import Replies
+from gooseberryport_gateway._request_encoding import RequestEncoder
 from gooseberryport_gateway._silence import SilenceDetector
 from gooseberryport_gateway._state import GatewayState, awake_time
 from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
@@ -82,10 +84,11 @@
         self._names = names
         self._announcement = announcement
         self._replies = Replies(state=state, names=names)
+        self._keys = ClientKeys(state=state, names=names, replies=self._replies)
+        self._encoder = RequestEncoder(names)
         self._silence = SilenceDetector(state=state, pool=pool)
         self._loop = asyncio.get_running_loop()
         self._jobs: set[Job] = set()
-        self._rewritten_headers = frozenset([names.deadline_ms, names.expected_upstream])
 
     async def handle(self, req: ClientRequest) -> Reply:
         """Forward a request and return the reply to the client."""
@@ -111,8 +114,14 @@
         route = routes.find(host=host, path=req.path)
         if route is None:
             return self._replies.reject(req, request_id, status=404, cause="no route")
-        job = self._job(req, request_id, route)
+        tenant = self._keys.identify(req, request_id, route)
+        if isinstance(tenant, Reply):
+            return tenant
+        job = self._job(req, request_id, route, tenant)
         self._state.record_client_request(now=req.arrived_at)
+        refusal = self._admit(job)
+        if refusal is not None:
+            return refusal
         self._state.retries.record_request(service=job.service, now=req.arrived_at)
         self._state.metrics.in_flight.inc()
         self._jobs.add(job)
@@ -136,7 +145,16 @@
                 job.timeout.reschedule(self._loop.time())
         return len(self._jobs)
 
-    def _job(self, req: ClientRequest, request_id: bytes, route: Route) -> Job:
+    def _admit(self, job: Job) -> Reply | None:
+        """Return the reply to a request that is not to be placed, or None."""
+        if job.has_no_region:
+            job.cause = "route and tenant allow no region in common"
+            return self._replies.not_run(job)
+        return None
+
+    def _job(
+        self, req: ClientRequest, request_id: bytes, route: Route, tenant: Tenant | None
+    ) -> Job:
         key = (
             object_key(req.headers, cookie=self._names.object_cookie)
             if route.object_affinity
@@ -154,6 +172,8 @@
             service=part.service,
             key=key,
             deadline=req.arrived_at + wait_s,
+            tenant=tenant,
+            key_checked=self._state.tenants.requires_keys,
         )
 
     async def _serve(self, job: Job) -> Reply:
@@ -203,6 +223,8 @@
         else:
             job.return_s = self._return_s(job)
         job.cause = f"placement: {placement.verdict.value} of {usable}"
+        if job.tenant is not None and job.tenant.allowed_regions:
+            job.cause += "; the tenant's regions only"
         limited = self._want_limited(job, now=now)
         if limited:
             job.cause += f"; {limited} with a rate limit"
@@ -488,18 +510,9 @@
         return job.load >= upstream.entry.slots
 
     def _encode(self, job: Job, upstream: Upstream, *, now: float) -> bytes:
-        req = job.req
         # An upstream that has not begun the request by then says that it did not run it.
         deadline = min(job.deadline, self._state.exits_at - ANSWER_MARGIN_S)
         left_ms = max(int((deadline - now) * 1000), 1)
-        lines = [req.method + b" " + req.target + b" HTTP/1.1"]
-        lines.extend(
-            name + b": " + value
-            for name, value in end_to_end_headers(req.headers)
-            if name not in self._rewritten_headers
+        return self._encoder.encode(
+            job, upstream, left_ms=left_ms, requires_keys=self._state.tenants.requires_keys
         )
-        lines.append(self._names.deadline_ms + b": %d" % left_ms)
-        lines.append(self._names.expected_upstream + b": " + upstream.id.encode())
-        if req.body or req.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
-            lines.append(b"content-length: %d" % len(req.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + req.body
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -4,6 +4,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from gooseberryport_gateway._tenant_counts import TenantCounts
+
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
 """Bounds of the latency histograms: around the latency objectives of both users; seconds."""
 
@@ -82,6 +84,14 @@
             ("gate",),
             registry=self.registry,
         )
+        self.tenant_requests = TenantCounts()
+        self.registry.register(self.tenant_requests)
+        self.rejected_keys = Counter(
+            "gooseberryport_rejected_keys",
+            "Requests rejected because their key identifies no tenant, by reason",
+            ("reason",),
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "gooseberryport_in_flight", "Requests being answered", registry=self.registry
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
@@ -4,7 +4,9 @@
 
 import asyncio
 
+from gooseberryport_core.gateway.model import Route
 from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
+from gooseberryport_core.gateway.tenants import KeyRejection
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_gateway._attempts import Job
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
@@ -101,6 +103,25 @@
         )
         return self._empty(status, request_id, retry_s=retry_s)
 
+    def unauthorized(
+        self, req: ClientRequest, request_id: bytes, route: Route, *, rejection: KeyRejection
+    ) -> Reply:
+        """Return the reply to a request whose key identifies no tenant."""
+        self._state.metrics.requests.labels(route.name, "401").inc()
+        self._state.metrics.rejected_keys.labels(rejection.value).inc()
+        self._state.log.write_request(
+            LogNumber.GATEWAY_KEY_REJECTED,
+            now=self._loop.time(),
+            request=request_id.decode("latin-1"),
+            route=route.name,
+            status=401,
+            cause=rejection.value,
+            config=self._state.routes.config.version if self._state.routes else None,
+        )
+        reply = self._empty(401, request_id)
+        reply.headers.append((b"www-authenticate", b"Bearer"))
+        return reply
+
     def log(self, job: Job, event: LogNumber, *, status: int) -> None:
         """Count and log the end of a request; a status of 0 stands for a client that left."""
         now = self._loop.time()
@@ -108,6 +129,10 @@
         outcome = str(status) if status else "cancelled"
         self._state.metrics.requests.labels(job.route.name, outcome).inc()
         self._state.metrics.latency.labels(job.route.name).observe(took_s)
+        tenant = {}
+        if job.tenant is not None:
+            self._state.metrics.tenant_requests.record(job.tenant.name, status=status)
+            tenant = {"tenant": job.tenant.name}
         self._state.log.write_request(
             event,
             now=now,
@@ -122,6 +147,7 @@
             cause=job.cause,
             took_ms=round(took_s * 1000),
             config=self._state.routes.config.version if self._state.routes else None,
+            **tenant,
         )
 
     def _empty(self, status: int, request_id: bytes, *, retry_s: float | None = None) -> Reply:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import secrets
 import time
 from collections.abc import Callable, Iterable
 from functools import lru_cache
@@ -34,6 +35,7 @@
 from gooseberryport_core.gateway.rate_limits import RateLimitReport, UpstreamRateLimits
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
 from gooseberryport_core.gateway.stopping import WorkTimes
+from gooseberryport_core.gateway.tenants import SECRET_BYTES, TenantDirectory
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
 from gooseberryport_core.log_events import LogNumber
@@ -123,6 +125,8 @@
         self.metrics = metrics
         self.rng = random.Random(f"{me.vm}|{me.incarnation}")
         self.routes: RouteTable | None = None
+        self._key_secret = secrets.token_bytes(SECRET_BYTES)
+        self.tenants = TenantDirectory(None, secret=self._key_secret)
         self.upstreams = UpstreamTable()
         self.rankings = ObjectRankings(
             weight_of=lambda upstream: upstream_weight(upstream, local=self.is_local(upstream))
@@ -153,6 +157,9 @@
         self.follows_store = False
         self.store_available_since = float("-inf")
         self.on_warmth_update: Callable[[], None] = lambda: None
+        # How long ago the store confirmed the configuration, directly or through other gateways;
+        # infinite if that is not known; seconds.
+        self.config_age_s: Callable[[], float] = lambda: inf
         self._removed: dict[UpstreamId, _RemovedUpstream] = {}
         self._sender_ips: dict[str, float] = {}
         self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
@@ -190,11 +197,19 @@
         if self.routes is not None and config.version <= self.routes.config.version:
             return False
         self.routes = RouteTable(config)
+        self.tenants = TenantDirectory(config, secret=self._key_secret)
+        self.metrics.tenant_requests.retain([tenant.name for tenant in config.tenants])
         self.work_times.forget_other_than(frozenset(route.name for route in config.routes))
         self.metrics.config_version.set(config.version)
         self.log.write(
             LogNumber.GATEWAY_CONFIG_APPLIED, version=config.version, routes=len(config.routes)
         )
+        for note in config.notes:
+            self.log.write(
+                LogNumber.GATEWAY_CONFIG_IGNORED, version=config.version, reason=note, part=True
+            )
+        if config.skipped_tenants:
+            self.metrics.ignored.labels("tenant").inc(config.skipped_tenants)
         return True
 
     def put_upstream(self, entry: UpstreamEntry, *, now: float) -> None:
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -66,10 +66,14 @@
     return asyncio.run(asyncio.wait_for(coroutine, 20))
 
 
-def make_config(*routes, version=1, limits=None):
+def make_config(*routes, version=1, limits=None, **tenants):
     spec = ServiceSpec("s", "/health", 3.0, 4.0)
     return RoutingConfig(
-        version=version, routes=routes, services={"s": spec}, limits=limits or ClientLimits()
+        version=version,
+        routes=routes,
+        services={"s": spec},
+        limits=limits or ClientLimits(),
+        **tenants,
     )
 
 
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -120,6 +120,7 @@
         await wait_until(lambda: usable_ids(state) == [])
         await standin.put("op/config", config(9))
         await wait_until(lambda: state.routes.config.version == 9)
+        assert state.config_age_s() < 4.0
 
     lines = run_scenario(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
     events = [line["event"] for line in lines]
