Spread requests by aged estimates of load and stated speeds

Cause: a gateway's information on an upstream is always old, and the exact minimum leads all gateways with the same reports to the same upstream.

Change: estimates of an upstream's load move with the age of the reports to the fleet's average and state their deviation; stated speeds are averaged over 20 s and shorten the queue of slow upstreams; requests are drawn by free capacity among upstreams whose expected times differ by less than the uncertainty. A warm upstream that ranks first keeps its object while it has a free slot and no other is expected sooner. Used only if a placement's view has estimates.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -16,6 +16,13 @@
 import msgspec
 
 from gooseberryport_core.gateway import ranking
+from gooseberryport_core.gateway.even_selection import (
+    EvenLoad,
+    assess,
+    choose,
+    choose_warm,
+    queue_limit,
+)
 from gooseberryport_core.gateway.model import ObjectKey
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, ZoneName
@@ -46,6 +53,9 @@
 MAX_QUEUE_FACTOR = 2.5
 """Bounds of the load per slot at which requests are refused; upstreams refuse at four anyway."""
 
+DISTANCE_PENALTY = 0.25
+"""Load per slot that a step of distance (another zone, another region) counts as much as."""
+
 FAILING_FRACTION = 0.7
 """Fraction of failed answers from which an upstream is used only if no other is left."""
 
@@ -104,6 +114,8 @@
     prefers_local
         Whether this region has the capacity for its clients' requests, so that objects get their
         first home there.
+    even
+        Estimates by which requests are spread; None if the loads are used as they were reported.
     """
 
     zone: ZoneName
@@ -114,11 +126,16 @@
     is_unused: Callable[[Upstream], bool]
     objects_of: Callable[[Upstream], int] = lambda _: 0
     prefers_local: bool = False
+    even: EvenLoad | None = None
 
     def is_local(self, upstream: Upstream) -> bool:
         """Return whether an upstream is in this gateway's region."""
         return self.region_of(upstream.entry.zone) == self.region_of(self.zone)
 
+    def time_factor_of(self, upstream: Upstream) -> float:
+        """Return how long work takes at an upstream, relative to the usual time, if it counts."""
+        return self.even.time_factor_of(upstream) if self.even is not None else 1.0
+
 
 def upstream_weight(upstream: Upstream, *, local: bool) -> float:
     """Return an upstream's weight when an object's home is chosen.
@@ -249,10 +266,13 @@
         for upstream in ranked[:NEW_UPSTREAM_RANKS]:
             if view.is_unused(upstream) and view.is_local(upstream):
                 return _send(upstream, view=view)
-    for upstream in homes:
-        if view.load_of(upstream) < upstream.entry.slots:
-            return _send(upstream, view=view)
-    placement = _least_loaded(candidates=homes, view=view, queue_factor=queue_factor)
+    if view.even is not None:
+        placement = _warm_evenly(homes, even=view.even, view=view, queue_factor=queue_factor)
+    else:
+        for upstream in homes:
+            if view.load_of(upstream) < upstream.entry.slots:
+                return _send(upstream, view=view)
+        placement = _least_loaded(candidates=homes, view=view, queue_factor=queue_factor)
     if placement.verdict is Verdict.FULL and len(homes) < MAX_HOMES:
         idle = _first_idle(ranked, view=view)
         if idle is not None:
@@ -260,6 +280,18 @@
     return placement
 
 
+def _warm_evenly(
+    homes: Sequence[Upstream], *, even: EvenLoad, view: PlacementView, queue_factor: float
+) -> Placement:
+    candidates = [assess(upstream, even=even, queue_factor=queue_factor) for upstream in homes]
+    chosen = choose_warm(candidates, draw=even.draw())
+    if chosen.is_full:
+        return Placement(
+            verdict=Verdict.FULL, upstream=chosen.upstream, load=view.load_of(chosen.upstream)
+        )
+    return _send(chosen.upstream, view=view)
+
+
 def _first_home(
     *, ranked: Sequence[Upstream], view: PlacementView, queue_factor: float
 ) -> Placement:
@@ -276,11 +308,12 @@
     chosen = min(
         candidates,
         key=lambda upstream: (
-            _queued_load(upstream, view=view),
-            view.objects_of(upstream) / upstream.entry.slots,
+            _queued_load(upstream, view=view) * view.time_factor_of(upstream),
+            view.objects_of(upstream) / upstream.entry.slots * view.time_factor_of(upstream),
         ),
     )
-    placement = _send_unless_full(chosen, view=view, queue_factor=queue_factor)
+    factor = queue_limit(queue_factor=queue_factor, time_factor=view.time_factor_of(chosen))
+    placement = _send_unless_full(chosen, view=view, queue_factor=factor)
     if placement.verdict is Verdict.FULL:
         idle = _first_idle(ranked, view=view)
         if idle is not None:
@@ -350,12 +383,34 @@
 ) -> Placement:
     """Choose the upstream with the lowest load per slot, with a penalty for distance."""
 
-    def cost(upstream: Upstream) -> tuple[float, int]:
-        distance = 0
-        if upstream.entry.zone != view.zone:
-            distance = 1 if view.is_local(upstream) else 2
-        return (view.load_of(upstream) / upstream.entry.slots + 0.25 * distance, distance)
+    def distance_of(upstream: Upstream) -> int:
+        if upstream.entry.zone == view.zone:
+            return 0
+        return 1 if view.is_local(upstream) else 2
 
+    def cost(upstream: Upstream) -> tuple[float, int]:
+        distance = distance_of(upstream)
+        load_per_slot = view.load_of(upstream) / upstream.entry.slots
+        return (load_per_slot + DISTANCE_PENALTY * distance, distance)
+
+    if view.even is not None:
+        nearest = choose(
+            [
+                assess(
+                    upstream,
+                    even=view.even,
+                    queue_factor=queue_factor,
+                    penalty=DISTANCE_PENALTY * distance_of(upstream),
+                )
+                for upstream in candidates
+            ],
+            draw=view.even.draw(),
+        )
+        if nearest.is_full:
+            return Placement(
+                verdict=Verdict.FULL, upstream=nearest.upstream, load=view.load_of(nearest.upstream)
+            )
+        return _send(nearest.upstream, view=view)
     return _send_unless_full(min(candidates, key=cost), view=view, queue_factor=queue_factor)
 
 
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/speeds.py
@@ -0,0 +1,111 @@
+"""Estimates of how long work takes at each upstream, from what the upstreams state.
+
+Load pattern: machines of one service differ by up to a factor of 2.5, and each states with its
+responses how long work takes there now, a value that changes many times a second. One value says
+little; the mean of the recent ones says which machines are slow for good. The estimate therefore
+starts at the normal speed, each report moves it by its share of the recent reports, and it returns
+to normal when the reports grow old.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from gooseberryport_core.gateway.upstreams import Upstream
+from gooseberryport_core.types import ServiceName, UpstreamId
+
+NORMAL_SPEED = 100
+"""Stated value of a machine on which work takes the usual time; percent of that time."""
+
+MIN_STATED_SPEED = 25
+MAX_STATED_SPEED = 400
+"""Bounds to which a stated value is clamped: a false one must not attract all requests or keep an
+upstream idle for long; percent."""
+
+REPORT_MEMORY_S = 20.0
+"""Time in which a report's weight falls to 37%. One of 100 gateways sees a response of an upstream
+about once in 10 s; after 5 s its reports would count for a fifth only; seconds."""
+
+PRIOR_REPORTS = 1.0
+"""Weight of the normal speed, in new reports: the first report counts for half."""
+
+STATED_TTL_S = 10.0
+"""Age of the newest stated speed from which a service counts as stating none; seconds."""
+
+
+class _SpeedReports(msgspec.Struct):
+    """The weighted reports of one incarnation of an upstream; weights are those at time `at`."""
+
+    started_ms: int
+    at: float
+    weight: float = 0.0
+    weighted_sum: float = 0.0
+
+
+class SpeedEstimates:
+    """Holds the estimated time factors of the upstreams that state a speed.
+
+    An upstream that states none is not held, and has the factor 1. Observations hold for one
+    incarnation of an upstream. The caller forgets upstreams that were removed, which bounds the
+    number of those held.
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[UpstreamId, _SpeedReports] = {}
+        self._stated_at: dict[ServiceName, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._reports)
+
+    def record(self, upstream: Upstream, speed: int, *, now: float) -> None:
+        """Record the speed that an upstream states.
+
+        Parameters
+        ----------
+        upstream
+            Upstream that responded.
+        speed
+            Time that work takes, 100 is normal; clamped to a plausible range; percent.
+        now
+            Monotonic time; seconds.
+        """
+        entry = upstream.entry
+        known = self._reports.get(entry.upstream)
+        if known is None or known.started_ms != entry.started_ms:
+            known = self._reports[entry.upstream] = _SpeedReports(
+                started_ms=entry.started_ms, at=now
+            )
+        decay = _weight(now - known.at)
+        known.weight = known.weight * decay + 1.0
+        stated = min(max(speed, MIN_STATED_SPEED), MAX_STATED_SPEED)
+        known.weighted_sum = known.weighted_sum * decay + stated
+        known.at = now
+        self._stated_at[entry.service] = now
+
+    def time_factor(self, upstream: Upstream, *, now: float) -> float:
+        """Return how long work takes at an upstream, relative to the usual time."""
+        known = self._reports.get(upstream.id)
+        if known is None or known.started_ms != upstream.entry.started_ms:
+            return 1.0
+        decay = _weight(now - known.at)
+        total = PRIOR_REPORTS * NORMAL_SPEED + known.weighted_sum * decay
+        return total / (PRIOR_REPORTS + known.weight * decay) / NORMAL_SPEED
+
+    def is_stated(self, service: ServiceName, *, now: float) -> bool:
+        """Return whether an upstream of a service stated a speed lately."""
+        return now - self._stated_at.get(service, -math.inf) < STATED_TTL_S
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Forget an upstream that was removed."""
+        self._reports.pop(upstream, None)
+
+    def forget_other_than(self, services: frozenset[ServiceName]) -> None:
+        """Forget when the upstreams of other services last stated a speed."""
+        for service in [name for name in self._stated_at if name not in services]:
+            del self._stated_at[service]
+
+
+def _weight(age_s: float) -> float:
+    return math.exp(-max(age_s, 0.0) / REPORT_MEMORY_S)
