--- a/standins/src/gooseberryport_standins/_warm_model.py
+++ b/standins/src/gooseberryport_standins/_warm_model.py
@@ -85,7 +85,7 @@
     refused: float
 
 
-class _ModelledUpstream:
+class ModelledUpstream:
     """A modelled upstream with slots, a queue and the objects that it is warm for."""
 
     def __init__(self, *, upstream: Upstream, factor: float) -> None:
@@ -100,14 +100,14 @@
         self._ends_at = [end for end in self._ends_at if end > now]
         return len(self._ends_at)
 
-    def run(self, key: str, *, now: float, rng: random.Random) -> float | None:
-        """Return the time at which a request ends, or None if it is rejected."""
+    def run(self, key: str, *, now: float, rng: random.Random, work: float = 1.0) -> float | None:
+        """Return the time at which a request with some work ends, or None if it is rejected."""
         if self.load(now) >= SLOTS * (1 + MAX_QUEUED_PER_SLOT):
             return None
         service_time_s = WARM_SERVICE_TIME_S if key in self.warm else COLD_SERVICE_TIME_S
         spread = rng.uniform(1.0 - SERVICE_TIME_SPREAD_FRACTION, 1.0 + SERVICE_TIME_SPREAD_FRACTION)
         slot = self._free_at.index(min(self._free_at))
-        end = max(now, self._free_at[slot]) + service_time_s * spread * self.factor
+        end = max(now, self._free_at[slot]) + service_time_s * work * spread * self.factor
         self._free_at[slot] = end
         self._ends_at.append(end)
         self.warm[key] = None
@@ -124,7 +124,7 @@
         self._next_number = 0
         self._pattern = pattern
         self.now = 0.0
-        self.modelled_upstreams: dict[UpstreamId, _ModelledUpstream] = {}
+        self.modelled_upstreams: dict[UpstreamId, ModelledUpstream] = {}
         for index in range(upstream_count):
             self.add(slow=index < pattern.slow_upstreams)
 
@@ -149,7 +149,7 @@
         )
         self._next_number += 1
         factor = self._pattern.slow_factor if slow else 1.0
-        self.modelled_upstreams[name] = _ModelledUpstream(
+        self.modelled_upstreams[name] = ModelledUpstream(
             upstream=Upstream(entry=entry), factor=factor
         )
 
