Use estimates where upstreams state a speed or the settings ask for it

Cause: the fourth value of reported loads was not read, and every deployment was placed by the exact minimum of its reports.

Change: responses and health checks feed the estimates; they are used for a service whose upstreams stated a speed within 10 s, and everywhere if the settings have quota bounds or `evenLoad`. A malformed speed counts as none. The gauge `gooseberryport_load_spread` shows the largest load over the mean for 20 services at most. Reports of an earlier incarnation are ignored, and whether upstreams count the request that they respond to is learnt from a report of 0.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -18,6 +18,9 @@
 MAX_REPORTED_REQUESTS = 1_000_000
 """Highest number of requests that an upstream may report; it accepts far fewer connections."""
 
+MAX_LOAD_VALUES = 4
+"""Values of a reported load that are read: running, waiting, slots and speed."""
+
 
 class AttemptEnd(Enum):
     """How a send to an upstream ended."""
@@ -62,10 +65,19 @@
 
 
 class ReportedLoad(msgspec.Struct, frozen=True):
-    """Requests running and waiting at an upstream when it responded."""
+    """What an upstream reported of itself when it responded.
+
+    Parameters
+    ----------
+    running, waiting
+        Requests that ran and waited there.
+    speed
+        How long work takes there, 100 is normal; None if it is not stated or malformed; percent.
+    """
 
     running: int
     waiting: int
+    speed: int | None = None
 
 
 class Job(msgspec.Struct, eq=False):
@@ -155,8 +167,9 @@
     value = response.header(names.load)
     numbers = [
         parse_count(number.strip(), max_count=MAX_REPORTED_REQUESTS)
-        for number in (value or b"").split(b",")[:2]
+        for number in (value or b"").split(b",", MAX_LOAD_VALUES)[:MAX_LOAD_VALUES]
     ]
     if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
         return None
-    return ReportedLoad(running=numbers[0], waiting=numbers[1])
+    speed = numbers[3] if len(numbers) > 3 else None
+    return ReportedLoad(running=numbers[0], waiting=numbers[1], speed=speed or None)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -242,6 +242,7 @@
             is_unused=lambda upstream: state.warmth.has_no_objects(upstream.id),
             objects_of=lambda upstream: state.warmth.object_count(upstream.id),
             prefers_local=capacity.is_local,
+            even=state.balancing.even_load(job.service, now=now),
         )
         left_s = job.route.objective_s - (now - job.req.arrived_at)
         factor = min(
@@ -391,6 +392,13 @@
         if response.status != 421:
             self._record_rate_limit(job, upstream, response)
         attempt = classify(response, names=self._names)
+        self._state.balancing.record_response(
+            upstream,
+            load,
+            started_ms=started_ms,
+            ran=attempt.was_received,
+            now=self._loop.time(),
+        )
         attempt.paused = self._state.record_announcement(
             upstream,
             self._announcement(response),
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -82,6 +82,12 @@
             ("gate",),
             registry=self.registry,
         )
+        self.load_spread = Gauge(
+            "gooseberryport_load_spread",
+            "Largest known load per slot of a service's upstreams over the mean",
+            ("service",),
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "gooseberryport_in_flight", "Requests being answered", registry=self.registry
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -11,6 +11,7 @@
 from gooseberryport_core.gateway.upstreams import Reachability, Upstream, UpstreamTable
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import UpstreamId
+from gooseberryport_gateway._attempts import reported_load
 from gooseberryport_gateway._http_conn import HttpResponse
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._state import GatewayState
@@ -122,6 +123,14 @@
             request="health check",
             now=now,
         )
+        self._state.balancing.record_response(
+            upstream,
+            reported_load(response, names=self._names),
+            started_ms=upstream.entry.started_ms,
+            ran=False,
+            is_request=False,
+            now=now,
+        )
         full = response.header(self._names.not_executed) is not None
         if response.status != 200 and not full:
             self._state.metrics.probes.labels("unwell").inc()
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -38,6 +38,7 @@
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, VmId, ZoneName
+from gooseberryport_gateway._load_balancing import LoadBalancing
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
 from gooseberryport_gateway.wire import GatewaySettings
@@ -158,6 +159,15 @@
         self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
         self._other_loads: dict[int, int] = {}
         self._ids_by_hash: dict[int, UpstreamId] = {}
+        self.balancing = LoadBalancing(
+            rng=self.rng,
+            metrics=metrics,
+            settings=lambda: self.settings,
+            usable=self.upstreams.usable,
+            reported_by_gateways=lambda upstream: self._other_loads.get(
+                upstream_hash(upstream.id), 0
+            ),
+        )
         self.request_rate = RequestRate()
         self._last_request_at = float("-inf")
         self._capacities: dict[ServiceName, ServiceCapacity] = {}
@@ -273,6 +283,7 @@
         self._count_announcements()
         self.metrics.limited_upstreams.set(len(self.rate_limits))
         self.idle_limits.forget(upstream)
+        self.balancing.forget(upstream)
 
     def restore_warmth(self, upstream: UpstreamId, record: WarmthRecord) -> bool:
         """Restore an upstream's warmth; return False if it is unknown or has restarted since."""
@@ -451,9 +462,11 @@
         known = self._peer_loads.pop(vm, None)
         if known is not None:
             self._add_other_loads(known[1], sign=-1)
+            self.balancing.peer_report_times.remove(known[0])
         if loads:
             self._peer_loads[vm] = (now, loads)
             self._add_other_loads(loads, sign=1)
+            self.balancing.peer_report_times.add(now)
 
     def expire_peer_loads(self, *, now: float) -> None:
         """Drop the loads of gateways that have not reported for a while."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -108,6 +108,8 @@
         Requests per second that the VM can carry; 0 if its size is not known.
     memory_bytes
         Memory of the process; 0 if it is not known; bytes.
+    even_load
+        Whether requests are spread by estimates of the upstreams' loads in any case.
     """
 
     vm: VmId
@@ -126,6 +128,7 @@
     bounds: Bounds
     capacity_per_s: float = 0.0
     memory_bytes: int = 0
+    even_load: bool = False
 
 
 MAX_KEYS_PER_CALL = 32
