Bound the services whose speeds and spread are kept

Cause: the time at which a service last stated a speed was kept for every service ever seen, and the gauge kept the last value of a service without upstreams.

Change: at most 1,000 services are kept; the series of a service without upstreams ends. A test covers that load and speed of a 421 are ignored.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/speeds.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/speeds.py
@@ -34,6 +34,9 @@
 STATED_TTL_S = 10.0
 """Age of the newest stated speed from which a service counts as stating none; seconds."""
 
+MAX_SERVICES = 1_000
+"""Services of which it is known when a speed was last stated; from then on all are learnt anew."""
+
 
 class _SpeedReports(msgspec.Struct):
     """The weighted reports of one incarnation of an upstream; weights are those at time `at`."""
@@ -82,6 +85,8 @@
         stated = min(max(speed, MIN_STATED_SPEED), MAX_STATED_SPEED)
         known.weighted_sum = known.weighted_sum * decay + stated
         known.at = now
+        if entry.service not in self._stated_at and len(self._stated_at) >= MAX_SERVICES:
+            self._stated_at.clear()
         self._stated_at[entry.service] = now
 
     def time_factor(self, upstream: Upstream, *, now: float) -> float:
@@ -101,11 +106,6 @@
         """Forget an upstream that was removed."""
         self._reports.pop(upstream, None)
 
-    def forget_other_than(self, services: frozenset[ServiceName]) -> None:
-        """Forget when the upstreams of other services last stated a speed."""
-        for service in [name for name in self._stated_at if name not in services]:
-            del self._stated_at[service]
-
 
 def _weight(age_s: float) -> float:
     return math.exp(-max(age_s, 0.0) / REPORT_MEMORY_S)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_load_balancing.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_load_balancing.py
@@ -214,6 +214,11 @@
         return by_upstream.count
 
     def _show_spread(self, service: ServiceName, per_slot: list[float]) -> None:
+        if not per_slot:
+            if service in self._gauge_services:
+                self._gauge_services.remove(service)
+                self._metrics.load_spread.remove(service)
+            return
         if service not in self._gauge_services:
             if len(self._gauge_services) >= MAX_GAUGE_SERVICES:
                 return
--- a/packages/gooseberryport-gateway/tests/test_load_balancing.py
+++ b/packages/gooseberryport-gateway/tests/test_load_balancing.py
@@ -118,3 +118,24 @@
         state.put_upstream(make_entry(f"u{number}", service=service), now=0.0)
         state.balancing.even_load(service, now=1.0)
     assert state.metrics.text().count(b"gooseberryport_load_spread{") == MAX_GAUGE_SERVICES
+    state.remove_upstream("u0", reason="left", now=2.0)
+    state.balancing.even_load("s0", now=2.0)
+    assert state.metrics.text().count(b"gooseberryport_load_spread{") == MAX_GAUGE_SERVICES - 1
+
+
+def test_load_and_speed_of_another_upstream_at_the_address_are_ignored():
+    # Failure: a reused address gives an upstream the load and the speed of its successor.
+    async def scenario(status):
+        def respond(head, _):
+            return make_response(head, status=status, extra=b"x-load: 4,3,4,400")
+
+        async with (
+            start_upstream(respond) as scripted,
+            start_gateway(make_route(max_attempts=1)) as gateway,
+        ):
+            gateway.put_upstream("u1", scripted.port)
+            await send_request(gateway, make_request())
+            return gateway.state.balancing.even_load("s", now=asyncio.get_running_loop().time())
+
+    assert run(scenario(b"200 OK")) is not None
+    assert run(scenario(b"421 Misdirected Request")) is None
