Tell the gateways of a region which upstreams are slow at the moment

Upstreams that share their machines are 2.5 times slower for about 0.6 s at a time and state it. One gateway sees one of them every few seconds, so its own reports came too late, and the mean of 20 s does not show a spell.

Speeds now have two estimates: the lasting one, used for queues and first homes, and the present one, which follows the newest report and is used to choose among warm upstreams. Slow upstreams, and those that are slow no longer, are in the reports to gateways with clients of the region, a few bytes each.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/even_selection.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/even_selection.py
@@ -38,13 +38,16 @@
     estimate_of
         Returns the estimated load of an upstream.
     time_factor_of
-        Returns how long work takes at an upstream, relative to the usual time.
+        Returns how long work takes at an upstream now, relative to the usual time.
+    lasting_factor_of
+        Returns the same in the mean, for what lasts longer than a slow spell: queues and homes.
     draw
         Returns a random number of [0, 1).
     """
 
     estimate_of: Callable[[Upstream], LoadEstimate]
     time_factor_of: Callable[[Upstream], float]
+    lasting_factor_of: Callable[[Upstream], float]
     draw: Callable[[], float]
 
 
@@ -105,7 +108,7 @@
     estimate = even.estimate_of(upstream)
     factor = even.time_factor_of(upstream)
     slots = max(upstream.entry.slots, 1)
-    limit = queue_limit(queue_factor=queue_factor, time_factor=factor)
+    limit = queue_limit(queue_factor=queue_factor, time_factor=even.lasting_factor_of(upstream))
     over = estimate.requests - slots + 1.0
     deviation = WAIT_DEVIATIONS * (estimate.deviation + 0.5 * UNSEEN_REQUESTS)
     waiting = 0.5 * (over + math.hypot(over, deviation)) / slots
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -133,9 +133,9 @@
         """Return whether an upstream is in this gateway's region."""
         return self.region_of(upstream.entry.zone) == self.region_of(self.zone)
 
-    def time_factor_of(self, upstream: Upstream) -> float:
-        """Return how long work takes at an upstream, relative to the usual time, if it counts."""
-        return self.even.time_factor_of(upstream) if self.even is not None else 1.0
+    def lasting_factor_of(self, upstream: Upstream) -> float:
+        """Return how long work takes at an upstream in the mean, if that counts."""
+        return self.even.lasting_factor_of(upstream) if self.even is not None else 1.0
 
 
 def upstream_weight(upstream: Upstream, *, local: bool) -> float:
@@ -309,11 +309,11 @@
     chosen = min(
         candidates,
         key=lambda upstream: (
-            _queued_load(upstream, view=view) * view.time_factor_of(upstream),
-            view.objects_of(upstream) / upstream.entry.slots * view.time_factor_of(upstream),
+            _queued_load(upstream, view=view) * view.lasting_factor_of(upstream),
+            view.objects_of(upstream) / upstream.entry.slots * view.lasting_factor_of(upstream),
         ),
     )
-    factor = queue_limit(queue_factor=queue_factor, time_factor=view.time_factor_of(chosen))
+    factor = queue_limit(queue_factor=queue_factor, time_factor=view.lasting_factor_of(chosen))
     placement = _send_unless_full(chosen, view=view, queue_factor=factor)
     if placement.verdict is Verdict.FULL:
         idle = _first_idle(ranked, view=view)
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/speeds.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/speeds.py
@@ -1,15 +1,19 @@
 """Estimates of how long work takes at each upstream, from what the upstreams state.
 
 Load pattern: machines of one service differ by up to a factor of 2.5, and each states with its
-responses how long work takes there now, a value that changes many times a second. One value says
-little; the mean of the recent ones says which machines are slow for good. The estimate therefore
-starts at the normal speed, each report moves it by its share of the recent reports, and it returns
-to normal when the reports grow old.
+responses how long work takes there now. Some are slow for good, others for less than a second at a
+time. There are two estimates for that. The lasting one starts at the normal speed, each report
+moves it by its share of the recent reports, and it returns to normal when the reports grow old. The
+present one follows the newest report and returns to the lasting one within a second.
+
+A gateway gets a response of one upstream every few seconds, too rarely for the present estimate.
+Gateways of a region therefore tell each other which upstreams are slow, and which are so no longer.
 """
 
 from __future__ import annotations
 
 import math
+from collections import deque
 
 import msgspec
 
@@ -31,6 +35,16 @@
 PRIOR_REPORTS = 1.0
 """Weight of the normal speed, in new reports: the first report counts for half."""
 
+NEWEST_MEMORY_S = 0.6
+"""Time in which the weight of the newest report falls to 37%. Upstreams that share their machines
+were measured to be slow for about 0.6 s at a time; seconds."""
+
+SLOW_SPEED = 130
+"""Stated value from which an upstream counts as slow, and other gateways are told; percent."""
+
+MAX_NEWS = 128
+"""Reports that are kept for other gateways; they fit into one datagram."""
+
 STATED_TTL_S = 10.0
 """Age of the newest stated speed from which a service counts as stating none; seconds."""
 
@@ -45,6 +59,7 @@
     at: float
     weight: float = 0.0
     weighted_sum: float = 0.0
+    newest: int = NORMAL_SPEED
 
 
 class SpeedEstimates:
@@ -58,11 +73,14 @@
     def __init__(self) -> None:
         self._reports: dict[UpstreamId, _SpeedReports] = {}
         self._stated_at: dict[ServiceName, float] = {}
+        self._news: deque[tuple[float, UpstreamId, int]] = deque(maxlen=MAX_NEWS)
 
     def __len__(self) -> int:
         return len(self._reports)
 
-    def record(self, upstream: Upstream, speed: int, *, now: float) -> None:
+    def record(
+        self, upstream: Upstream, speed: int, *, now: float, observed_here: bool = True
+    ) -> None:
         """Record the speed that an upstream states.
 
         Parameters
@@ -72,10 +90,14 @@
         speed
             Time that work takes, 100 is normal; clamped to a plausible range; percent.
         now
-            Monotonic time; seconds.
+            Monotonic time of the response; seconds. One before the newest known is ignored.
+        observed_here
+            Whether this gateway got the response itself; other gateways are told then.
         """
         entry = upstream.entry
         known = self._reports.get(entry.upstream)
+        if known is not None and now < known.at:
+            return
         if known is None or known.started_ms != entry.started_ms:
             known = self._reports[entry.upstream] = _SpeedReports(
                 started_ms=entry.started_ms, at=now
@@ -84,13 +106,29 @@
         known.weight = known.weight * decay + 1.0
         stated = min(max(speed, MIN_STATED_SPEED), MAX_STATED_SPEED)
         known.weighted_sum = known.weighted_sum * decay + stated
+        if observed_here and max(stated, known.newest) >= SLOW_SPEED:
+            self._news.append((now, entry.upstream, stated))
+        known.newest = stated
         known.at = now
         if entry.service not in self._stated_at and len(self._stated_at) >= MAX_SERVICES:
             self._stated_at.clear()
         self._stated_at[entry.service] = now
 
-    def time_factor(self, upstream: Upstream, *, now: float) -> float:
-        """Return how long work takes at an upstream, relative to the usual time."""
+    def news(self, *, now: float, max_age_s: float) -> list[tuple[UpstreamId, int]]:
+        """Return what other gateways are told: upstreams that are slow, or are so no longer."""
+        return [(upstream, speed) for at, upstream, speed in self._news if now - at <= max_age_s]
+
+    def present_factor(self, upstream: Upstream, *, now: float) -> float:
+        """Return how long work takes at an upstream now, relative to the usual time."""
+        lasting = self.lasting_factor(upstream, now=now)
+        known = self._reports.get(upstream.id)
+        if known is None or known.started_ms != upstream.entry.started_ms:
+            return lasting
+        weight = math.exp(-max(now - known.at, 0.0) / NEWEST_MEMORY_S)
+        return lasting + weight * (known.newest / NORMAL_SPEED - lasting)
+
+    def lasting_factor(self, upstream: Upstream, *, now: float) -> float:
+        """Return how long work takes at an upstream in the mean, relative to the usual time."""
         known = self._reports.get(upstream.id)
         if known is None or known.started_ms != upstream.entry.started_ms:
             return 1.0
--- a/packages/gooseberryport-core/tests/test_even_load.py
+++ b/packages/gooseberryport-core/tests/test_even_load.py
@@ -29,6 +29,7 @@
     return EvenLoad(
         estimate_of=lambda upstream: LoadEstimate(loads.get(upstream.id, 0), deviation),
         time_factor_of=lambda upstream: factors.get(upstream.id, 1.0),
+        lasting_factor_of=lambda upstream: factors.get(upstream.id, 1.0),
         draw=draw,
     )
 
@@ -198,7 +199,7 @@
     factors = []
     for count in range(1, 30):
         speeds, upstream, now = speeds_after([250] * count)
-        factors.append(speeds.time_factor(upstream, now=now))
+        factors.append(speeds.lasting_factor(upstream, now=now))
     assert factors == sorted(factors)
     assert factors[0] <= 1.75
     assert 2.2 < factors[-1] <= 2.5
@@ -207,13 +208,13 @@
 def test_one_high_value_among_normal_ones_does_not_make_an_upstream_slow():
     # Failure: 3 in 100 requests take 7 times as long, and each would empty its upstream.
     speeds, upstream, now = speeds_after([100] * 20 + [700])
-    assert speeds.time_factor(upstream, now=now) < 1.25
+    assert speeds.lasting_factor(upstream, now=now) < 1.25
 
 
 def test_speed_returns_to_normal_without_reports():
     # Failure: an upstream that was slow once gets no requests, hence no chance to say otherwise.
     speeds, upstream, now = speeds_after([250] * 20)
-    assert speeds.time_factor(upstream, now=now + 300.0) == pytest.approx(1.0, abs=0.01)
+    assert speeds.lasting_factor(upstream, now=now + 300.0) == pytest.approx(1.0, abs=0.01)
     assert speeds.is_stated("s", now=now + STATED_TTL_S - 0.1)
     assert not speeds.is_stated("s", now=now + STATED_TTL_S)
 
@@ -224,7 +225,7 @@
     reports = LoadReports()
     reports.record(upstream, 9, own=0, answered=False, now=now)
     upstream.entry = make_entry(started_ms=2000)
-    assert speeds.time_factor(upstream, now=now) == 1.0
+    assert speeds.lasting_factor(upstream, now=now) == 1.0
     assert reports.others(upstream) is None
 
 
@@ -254,3 +255,33 @@
         decision = (placement.verdict.value, chosen, placement.load, placement.warm)
         digest.update(repr(decision).encode())
     assert digest.hexdigest() == DECISIONS_BEFORE
+
+
+# Guards against requests to an upstream that is slow for a moment, which other gateways know.
+def test_slow_spell_counts_at_once_at_all_gateways_of_a_region_and_passes():
+    upstream = Upstream(entry=make_entry())
+    observer, other = SpeedEstimates(), SpeedEstimates()
+    for second in range(20):
+        observer.record(upstream, 100, now=float(second))
+        other.record(upstream, 100, now=float(second), observed_here=False)
+    assert observer.news(now=19.0, max_age_s=0.25) == []
+    observer.record(upstream, 250, now=20.0)
+    for name, speed in observer.news(now=20.2, max_age_s=0.25):
+        assert name == upstream.id
+        other.record(upstream, speed, now=20.1, observed_here=False)
+    assert other.present_factor(upstream, now=20.2) > 2.0
+    assert other.lasting_factor(upstream, now=20.2) < 1.2
+    assert other.present_factor(upstream, now=24.0) < 1.2
+    observer.record(upstream, 100, now=20.6)
+    assert (upstream.id, 100) in observer.news(now=20.7, max_age_s=0.25)
+    # What others observed is not told again.
+    assert other.news(now=20.2, max_age_s=0.25) == []
+
+
+# Guards against a late report that replaces a newer one.
+def test_older_speed_is_ignored():
+    upstream = Upstream(entry=make_entry())
+    speeds = SpeedEstimates()
+    speeds.record(upstream, 100, now=5.0)
+    speeds.record(upstream, 250, now=4.9, observed_here=False)
+    assert speeds.present_factor(upstream, now=5.0) == 1.0
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_load_balancing.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_load_balancing.py
@@ -31,6 +31,12 @@
 AVERAGED_REPORT_TTL_S = 2.0
 """Age from which an upstream's report no longer counts for the average; seconds."""
 
+SPEED_NEWS_AGE_S = 0.25
+"""Age up to which a stated speed is reported: little more than the interval of reports; seconds."""
+
+SPEED_NEWS_DELAY_S = 0.1
+"""Mean age of a reported speed when it arrives: half of the interval of reports; seconds."""
+
 MAX_GAUGE_SERVICES = 20
 """Services whose spread of load is a metric."""
 
@@ -137,6 +143,14 @@
         if load.speed is not None:
             self._speeds.record(upstream, load.speed, now=now)
 
+    def speed_news(self, *, now: float) -> list[tuple[UpstreamId, int]]:
+        """Return the stated speeds that the gateways of this region are told."""
+        return self._speeds.news(now=now, max_age_s=SPEED_NEWS_AGE_S)
+
+    def record_peer_speed(self, upstream: Upstream, speed: int, *, now: float) -> None:
+        """Record a speed that an upstream stated to another gateway."""
+        self._speeds.record(upstream, speed, now=now - SPEED_NEWS_DELAY_S, observed_here=False)
+
     def forget(self, upstream: UpstreamId) -> None:
         """Forget an upstream that was removed."""
         self._loads.forget(upstream)
@@ -162,7 +176,8 @@
         average = self._average(service, now=now)
         return EvenLoad(
             estimate_of=lambda upstream: self._estimate(upstream, average=average, now=now),
-            time_factor_of=lambda upstream: self._speeds.time_factor(upstream, now=now),
+            time_factor_of=lambda upstream: self._speeds.present_factor(upstream, now=now),
+            lasting_factor_of=lambda upstream: self._speeds.lasting_factor(upstream, now=now),
             draw=self._rng.random,
         )
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -50,6 +50,8 @@
         What it knows of the gateways of availability zones, its own included.
     rate_limits
         Limited upstreams that it sends to.
+    speeds
+        Pairs of upstream, as a short hash, and the speed that it stated; percent.
     """
 
     vm: str
@@ -62,6 +64,7 @@
     demand_per_s: RatePerS = 0.0
     digests: list[ZoneDigest] = []
     rate_limits: list[RateLimitReport] = []
+    speeds: list[tuple[int, int]] = []
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -112,6 +115,7 @@
         state.fleet.record_digests(report.digests, now=now)
         state.record_peer_loads(report.vm, report.loads, now=now)
         state.record_peer_warmth(report.warm, now=now)
+        state.record_peer_speeds(report.speeds, now=now)
         state.record_peer_rate_limits(report.vm, report.rate_limits, now=now)
 
     def error_received(self, exc: Exception) -> None:
@@ -208,5 +212,6 @@
                 demand_per_s=round(demand_per_s),
                 digests=included,
                 rate_limits=state.rate_limit_reports(now=now) if has_loads else [],
+                speeds=state.speed_reports(now=now) if audience is Audience.ACTIVE else [],
             )
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -33,6 +33,7 @@
 from gooseberryport_core.gateway.ranking import ObjectRankings
 from gooseberryport_core.gateway.rate_limits import RateLimitReport, UpstreamRateLimits
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
+from gooseberryport_core.gateway.speeds import MAX_NEWS
 from gooseberryport_core.gateway.stopping import WorkTimes
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
@@ -511,6 +512,20 @@
             if known is not None:
                 self.warmth.record(known, mark, now=now, observed_here=False)
 
+    def speed_reports(self, *, now: float) -> list[tuple[int, int]]:
+        """Return pairs of upstream, as a short hash, and stated speed to report to the region."""
+        return [
+            (upstream_hash(upstream), speed)
+            for upstream, speed in self.balancing.speed_news(now=now)
+        ]
+
+    def record_peer_speeds(self, pairs: list[tuple[int, int]], *, now: float) -> None:
+        """Record the speeds that upstreams stated to another gateway."""
+        for short_hash, speed in pairs[:MAX_NEWS]:
+            known = self.upstreams.get(self._ids_by_hash.get(short_hash, UpstreamId("")))
+            if known is not None:
+                self.balancing.record_peer_speed(known, speed, now=now)
+
     def service_capacity(self, service: ServiceName, *, now: float) -> ServiceCapacity:
         """Return what upstreams a service has; at most `CAPACITY_TTL_S` old."""
         known = self._capacities.get(service)
--- a/packages/gooseberryport-gateway/tests/test_load_balancing.py
+++ b/packages/gooseberryport-gateway/tests/test_load_balancing.py
@@ -71,7 +71,7 @@
     assert (before, even) == (None, None)
     before, even, state = run(scenario(b"x-load: 1,0,4,250"))
     assert before is None
-    assert 1.0 < even.time_factor_of(state.upstreams.get("u1")) < 2.5
+    assert 1.0 < even.lasting_factor_of(state.upstreams.get("u1")) < 2.5
 
 
 def test_settings_switch_estimates_on():
--- a/standins/src/gooseberryport_standins/_even_model.py
+++ b/standins/src/gooseberryport_standins/_even_model.py
@@ -159,7 +159,7 @@
 
     def time_factor_of(self, upstream: Upstream) -> float:
         """Return the estimate of an upstream's time factor."""
-        return self.speeds.time_factor(upstream, now=self.model.now)
+        return self.speeds.lasting_factor(upstream, now=self.model.now)
 
 
 class EvenPolicy:
--- a/standins/src/gooseberryport_standins/_even_policies.py
+++ b/standins/src/gooseberryport_standins/_even_policies.py
@@ -30,6 +30,7 @@
         return EvenLoad(
             estimate_of=chooser.estimate_of,
             time_factor_of=chooser.time_factor_of,
+            lasting_factor_of=chooser.time_factor_of,
             draw=chooser.rng.random,
         )
 
@@ -40,7 +41,10 @@
     def even(self, chooser: Chooser) -> EvenLoad:
         """Return the estimates of a load balancer."""
         return EvenLoad(
-            estimate_of=chooser.estimate_of, time_factor_of=lambda _: 1.0, draw=chooser.rng.random
+            estimate_of=chooser.estimate_of,
+            time_factor_of=lambda _: 1.0,
+            lasting_factor_of=lambda _: 1.0,
+            draw=chooser.rng.random,
         )
 
 
