Merge load estimates, stated speeds and even selection

Part 3 of docs/design/tenants-and-load.md, with the speeds that gateways of a region tell each other.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -34,12 +34,14 @@
 from gooseberryport_core.gateway.ranking import ObjectRankings
 from gooseberryport_core.gateway.rate_limits import RateLimitReport, UpstreamRateLimits
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
+from gooseberryport_core.gateway.speeds import MAX_NEWS
 from gooseberryport_core.gateway.stopping import WorkTimes
 from gooseberryport_core.gateway.tenants import SECRET_BYTES, TenantDirectory
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, VmId, ZoneName
+from gooseberryport_gateway._load_balancing import LoadBalancing
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
 from gooseberryport_gateway.wire import GatewaySettings
@@ -165,6 +167,15 @@
         self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
         self._other_loads: dict[int, int] = {}
         self._ids_by_hash: dict[int, UpstreamId] = {}
+        self.balancing = LoadBalancing(
+            rng=self.rng,
+            metrics=metrics,
+            settings=lambda: self.settings,
+            usable=self.upstreams.usable,
+            reported_by_gateways=lambda upstream: self._other_loads.get(
+                upstream_hash(upstream.id), 0
+            ),
+        )
         self.request_rate = RequestRate()
         self._last_request_at = float("-inf")
         self._capacities: dict[ServiceName, ServiceCapacity] = {}
@@ -288,6 +299,7 @@
         self._count_announcements()
         self.metrics.limited_upstreams.set(len(self.rate_limits))
         self.idle_limits.forget(upstream)
+        self.balancing.forget(upstream)
 
     def restore_warmth(self, upstream: UpstreamId, record: WarmthRecord) -> bool:
         """Restore an upstream's warmth; return False if it is unknown or has restarted since."""
@@ -466,9 +478,11 @@
         known = self._peer_loads.pop(vm, None)
         if known is not None:
             self._add_other_loads(known[1], sign=-1)
+            self.balancing.peer_report_times.remove(known[0])
         if loads:
             self._peer_loads[vm] = (now, loads)
             self._add_other_loads(loads, sign=1)
+            self.balancing.peer_report_times.add(now)
 
     def expire_peer_loads(self, *, now: float) -> None:
         """Drop the loads of gateways that have not reported for a while."""
@@ -513,6 +527,20 @@
             if known is not None:
                 self.warmth.record(known, mark, now=now, observed_here=False)
 
+    def speed_reports(self, *, now: float) -> list[tuple[int, int]]:
+        """Return pairs of upstream, as a short hash, and stated speed to report to the region."""
+        return [
+            (upstream_hash(upstream), speed)
+            for upstream, speed in self.balancing.speed_news(now=now)
+        ]
+
+    def record_peer_speeds(self, pairs: list[tuple[int, int]], *, now: float) -> None:
+        """Record the speeds that upstreams stated to another gateway."""
+        for short_hash, speed in pairs[:MAX_NEWS]:
+            known = self.upstreams.get(self._ids_by_hash.get(short_hash, UpstreamId("")))
+            if known is not None:
+                self.balancing.record_peer_speed(known, speed, now=now)
+
     def service_capacity(self, service: ServiceName, *, now: float) -> ServiceCapacity:
         """Return what upstreams a service has; at most `CAPACITY_TTL_S` old."""
         known = self._capacities.get(service)
