Limit each priority level to a load that leaves room for more urgent ones

Cause: an upstream serves its queue in order of arrival, and the load from which it counts as full followed from the route's objective alone. In a shortage the most urgent requests waited behind less urgent ones and were late.

Change: where a service's requests have several priorities (of its routes or of tenants), the limit falls in equal steps from the route's own to 1.25 requests a slot. Counts of each gateway's own requests raise the limit of a level that is hardly admitted, and lower that of one that is admitted more often than a more urgent one. Retry-After of such a rejection follows from the queue. Services with one priority keep their limits and delays. RouteTable.level replaces is_most_urgent; its test asserts the same of the level.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
@@ -6,6 +6,7 @@
 
 from gooseberryport_core._hashing import hash_to_unit_interval
 from gooseberryport_core.gateway.model import Destination, ObjectKey, Route, RoutingConfig
+from gooseberryport_core.gateway.shortage import Level, level_of
 from gooseberryport_core.types import ServiceName
 
 SHARE_TOLERANCE = 0.03
@@ -27,16 +28,13 @@
     def __init__(self, config: RoutingConfig) -> None:
         self.config = config
         self._hosts: dict[str, dict[str, Route]] = {}
-        self._most_urgent: dict[ServiceName, int] = {}
+        self._priorities = _priorities(config)
         for route in config.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
-            for destination in route.destinations:
-                known = self._most_urgent.get(destination.service, route.priority)
-                self._most_urgent[destination.service] = min(known, route.priority)
 
-    def is_most_urgent(self, route: Route, service: ServiceName) -> bool:
-        """Return whether no other route to a service is more urgent."""
-        return route.priority <= self._most_urgent.get(service, route.priority)
+    def level(self, *, service: ServiceName, priority: int) -> Level:
+        """Return the level of a request's priority among those of its service."""
+        return level_of(priority=priority, priorities=self._priorities.get(service, ()))
 
     def find(self, *, host: str, path: str) -> Route | None:
         """Return the route of a request, or None if none matches.
@@ -61,6 +59,23 @@
         return None
 
 
+def _priorities(config: RoutingConfig) -> dict[ServiceName, tuple[int, ...]]:
+    """Return the different priorities of each service's requests, ascending.
+
+    A tenant's priority goes before its route's, so a route's priority counts only if it may get
+    requests without a tenant, or of tenants without a priority.
+    """
+    of_tenants = {tenant.priority for tenant in config.tenants if tenant.priority is not None}
+    all_have_one = all(tenant.priority is not None for tenant in config.tenants)
+    found: dict[ServiceName, set[int]] = {}
+    for route in config.routes:
+        for destination in route.destinations:
+            priorities = found.setdefault(destination.service, set(of_tenants))
+            if route.public or not config.tenants or not all_have_one:
+                priorities.add(route.priority)
+    return {service: tuple(sorted(priorities)) for service, priorities in found.items()}
+
+
 class _SplitCounts(msgspec.Struct):
     """Recent requests per destination of a route, and the weights under which they were counted."""
 
--- a/packages/gooseberryport-core/tests/test_gateway_routing.py
+++ b/packages/gooseberryport-core/tests/test_gateway_routing.py
@@ -80,6 +80,6 @@
         name="proofs", prefix="/q/", priority=2, destinations=(Destination("t", 1.0),)
     )
     table = RouteTable(config(first, second, alone))
-    assert table.is_most_urgent(first, "s")
-    assert not table.is_most_urgent(second, "s")
-    assert table.is_most_urgent(alone, "t")
+    assert table.level(service="s", priority=first.priority).index == 0
+    assert table.level(service="s", priority=second.priority).index == 1
+    assert table.level(service="t", priority=alone.priority).index == 0
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -86,6 +86,10 @@
         Whether an upstream may have run the request.
     return_s
         Time until the first upstream of the service ends its pause, if all pause; seconds.
+    retry_s
+        Time after which its client should retry, if that follows from its priority level; seconds.
+    full_from
+        Load per slot from which upstreams count as full for its priority level.
     given_up
         Whether it gets a final reply because the process exits.
     tenant
@@ -107,6 +111,8 @@
     warm: bool = False
     cause: str = ""
     return_s: float | None = None
+    retry_s: float | None = None
+    full_from: float = 0.0
     refusal_cause: RefusalCause = RefusalCause.FULL
     last_failure: HttpResponse | None = None
     timeout: asyncio.Timeout | None = None
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -33,6 +33,7 @@
 from gooseberryport_gateway._client_conn import ClientRequest, Reply
 from gooseberryport_gateway._headers import end_to_end_headers, object_key
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
+from gooseberryport_gateway._levels import PriorityAdmission
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._replies import Replies
 from gooseberryport_gateway._silence import SilenceDetector
@@ -83,6 +84,7 @@
         self._announcement = announcement
         self._replies = Replies(state=state, names=names)
         self._silence = SilenceDetector(state=state, pool=pool)
+        self._admission = PriorityAdmission(state=state)
         self._loop = asyncio.get_running_loop()
         self._jobs: set[Job] = set()
         self._rewritten_headers = frozenset([names.deadline_ms, names.expected_upstream])
@@ -196,6 +198,7 @@
             state.rate_limits.record_sent(placement.upstream.id, now=now)
             state.cold_rate_limiter.record_sent(upstream=placement.upstream.id, now=now)
             state.announcements.record_sent(placement.upstream.id, now=awake_time())
+            self._admission.record(job, placement, now=now)
             return placement.upstream
         usable = state.service_capacity(job.service, now=now).usable
         if state.stopping:
@@ -206,6 +209,7 @@
         limited = self._want_limited(job, now=now)
         if limited:
             job.cause += f"; {limited} with a rate limit"
+        self._admission.record(job, placement, now=now)
         return None
 
     def _return_s(self, job: Job) -> float | None:
@@ -244,8 +248,9 @@
             prefers_local=capacity.is_local,
         )
         left_s = job.route.objective_s - (now - job.req.arrived_at)
+        factor = queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route))
         factor = min(
-            queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route)),
+            self._admission.factor(job, factor=factor, now=now),
             self._stop_factor(job, now=now) or 0.0,
         )
         avoided = frozenset(job.avoided)
@@ -320,8 +325,7 @@
         if attempt.end is AttemptEnd.NOT_SENT:
             return True
         gateways = len(self._state.fleet.gateways_sharing_limits(now=now))
-        routes = self._state.routes
-        urgent = routes is None or routes.is_most_urgent(job.route, job.service)
+        urgent = self._admission.level(job).index == 0
         if not self._state.retries.take(
             service=job.service, gateways=gateways, now=now, urgent=urgent
         ):
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -82,6 +82,12 @@
             ("gate",),
             registry=self.registry,
         )
+        self.level_rejections = Counter(
+            "gooseberryport_level_rejections",
+            "Requests rejected because the upstreams are full for their priority level",
+            ("service", "level"),
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "gooseberryport_in_flight", "Requests being answered", registry=self.registry
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
@@ -63,6 +63,8 @@
         self.log(job, LogNumber.GATEWAY_REQUEST_REFUSED, status=503)
         draw = self._state.rng.random()
         retry_s = retry_after(reason=job.refusal_cause, draw=draw)
+        if job.retry_s is not None and job.refusal_cause is RefusalCause.FULL:
+            retry_s = job.retry_s
         if job.return_s is not None:
             retry_s += job.return_s
         return self._empty(503, job.request_id, retry_s=retry_s)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -33,6 +33,7 @@
 from gooseberryport_core.gateway.ranking import ObjectRankings
 from gooseberryport_core.gateway.rate_limits import RateLimitReport, UpstreamRateLimits
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
+from gooseberryport_core.gateway.shortage import LevelShares
 from gooseberryport_core.gateway.stopping import WorkTimes
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
@@ -144,6 +145,7 @@
         self.warmth = WarmthTracker()
         self.warm_times: dict[RouteName, float] = {}
         self.work_times = WorkTimes()
+        self.level_shares = LevelShares()
         self.stopping = False
         self.accepting = True
         # Background tasks that are down, and without which this gateway must not get clients.
@@ -190,6 +192,7 @@
         if self.routes is not None and config.version <= self.routes.config.version:
             return False
         self.routes = RouteTable(config)
+        self.level_shares.forget_all()
         self.work_times.forget_other_than(frozenset(route.name for route in config.routes))
         self.metrics.config_version.set(config.version)
         self.log.write(
