Add a model of too few slots for three priority levels, and describe the choice

Cause: the steps between the levels, and whether requests should wait at gateways, had to be chosen by expected worth.

Change: a model of gateways with late load reports, upstreams with slots, queues and warm objects, and clients that return once; `bench shortage` compares the former rule, limits by level, the expected Retry-After and waiting.

--- a/standins/src/gooseberryport_standins/bench.py
+++ b/standins/src/gooseberryport_standins/bench.py
@@ -18,6 +18,7 @@
     "control": "gooseberryport_standins.bench_control",
     "burn": "gooseberryport_standins.bench_burn",
     "placement": "gooseberryport_standins.bench_placement",
+    "shortage": "gooseberryport_standins.bench_shortage",
     "gateway": "gooseberryport_standins.bench_gateway",
     "process": "gooseberryport_standins.bench_process",
 }
