--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/shortage.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/shortage.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from gooseberryport_core.gateway.placement import MIN_QUEUE_FACTOR
+from gooseberryport_core.gateway.placement import MAX_QUEUE_FACTOR, MIN_QUEUE_FACTOR
 from gooseberryport_core.types import ServiceName
 
 MAX_LEVELS = 8
@@ -33,7 +33,8 @@
 """Weight of a level's requests from which its share counts."""
 
 FLOOR_FRACTION = 0.35
-"""Fraction of the share of all levels below which a level is admitted like the most urgent one. The
+"""Fraction of the share of all levels below which a level is admitted up to the highest limit of
+any route: up to its route's own, one with a tight objective still got 0.24 of the share of all. The
 requirement is 0.25, and each gateway knows only its own requests."""
 
 MAX_INVERSION = 0.025
@@ -168,7 +169,7 @@
         share_of_all = sum(count.admitted for count in counts) / sum(
             count.requests for count in counts
         )
-        return factor if own < FLOOR_FRACTION * share_of_all else limit
+        return MAX_QUEUE_FACTOR if own < FLOOR_FRACTION * share_of_all else limit
 
 
 def slot_wait_s(*, load: int, slots: int, factor: float, service_s: float) -> float:
