--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
@@ -6,6 +6,7 @@
 
 from gooseberryport_core._hashing import hash_to_unit_interval
 from gooseberryport_core.gateway.model import Destination, ObjectKey, Route, RoutingConfig
+from gooseberryport_core.gateway.shortage import Level, level_of
 from gooseberryport_core.types import ServiceName
 
 SHARE_TOLERANCE = 0.03
@@ -27,33 +28,21 @@
     def __init__(self, config: RoutingConfig) -> None:
         self.config = config
         self._hosts: dict[str, dict[str, Route]] = {}
-        self._most_urgent: dict[ServiceName, int] = {}
-        tenant_priorities = {tenant.priority for tenant in config.tenants if tenant.api_keys}
+        self._priorities = _priorities(config)
         for route in config.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
-            # The route's own priority is in force for requests whose tenant has none, or that have
-            # no tenant.
-            priorities = {
-                route.priority if priority is None else priority for priority in tenant_priorities
-            }
-            if route.public or not config.requires_keys:
-                priorities.add(route.priority)
-            urgent = min(priorities, default=route.priority)
-            for destination in route.destinations:
-                known = self._most_urgent.get(destination.service, urgent)
-                self._most_urgent[destination.service] = min(known, urgent)
 
-    def is_most_urgent(self, priority: int, service: ServiceName) -> bool:
-        """Return whether no request to a service can be more urgent than one of a priority.
+    def level(self, *, service: ServiceName, priority: int) -> Level:
+        """Return the level of a request's priority among those of its service.
 
         Parameters
         ----------
-        priority
-            The request's priority: its tenant's, or else its route's.
         service
             Service that handles the request.
+        priority
+            The request's priority: its tenant's, or else its route's.
         """
-        return priority <= self._most_urgent.get(service, priority)
+        return level_of(priority=priority, priorities=self._priorities.get(service, ()))
 
     def find(self, *, host: str, path: str) -> Route | None:
         """Return the route of a request, or None if none matches.
@@ -78,6 +67,23 @@
         return None
 
 
+def _priorities(config: RoutingConfig) -> dict[ServiceName, tuple[int, ...]]:
+    """Return the different priorities of each service's requests, ascending.
+
+    A tenant's priority goes before its route's, so a route's priority counts only if it may get
+    requests without a tenant, or of tenants without a priority.
+    """
+    given = {tenant.priority for tenant in config.tenants if tenant.api_keys}
+    of_tenants = {priority for priority in given if priority is not None}
+    found: dict[ServiceName, set[int]] = {}
+    for route in config.routes:
+        for destination in route.destinations:
+            priorities = found.setdefault(destination.service, set(of_tenants))
+            if route.public or not config.requires_keys or None in given:
+                priorities.add(route.priority)
+    return {service: tuple(sorted(priorities)) for service, priorities in found.items()}
+
+
 class _SplitCounts(msgspec.Struct):
     """Recent requests per destination of a route, and the weights under which they were counted."""
 
--- a/packages/gooseberryport-core/tests/test_tenants.py
+++ b/packages/gooseberryport-core/tests/test_tenants.py
@@ -75,7 +75,16 @@
     other = make_route(prefix="/p/", priority=0, destinations=(Destination("t", 1.0),), public=True)
     ranked = [Tenant("x", frozenset("x"), priority=2), Tenant("y", frozenset("y"), priority=3)]
     table = RouteTable(config(first, other, tenants=tuple(ranked)))
-    assert table.is_most_urgent(2, "s") and not table.is_most_urgent(3, "s")
-    assert table.is_most_urgent(0, "t") and not table.is_most_urgent(2, "t")
+    assert (
+        table.level(service="s", priority=2).index == 0
+        and table.level(service="s", priority=3).index > 0
+    )
+    assert (
+        table.level(service="t", priority=0).index == 0
+        and table.level(service="t", priority=2).index > 0
+    )
     table = RouteTable(config(first, other, tenants=(*ranked, A)))
-    assert table.is_most_urgent(1, "s") and not table.is_most_urgent(2, "s")
+    assert (
+        table.level(service="s", priority=1).index == 0
+        and table.level(service="s", priority=2).index > 0
+    )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -34,6 +34,7 @@
 from gooseberryport_core.gateway.ranking import ObjectRankings
 from gooseberryport_core.gateway.rate_limits import RateLimitReport, UpstreamRateLimits
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
+from gooseberryport_core.gateway.shortage import LevelShares
 from gooseberryport_core.gateway.speeds import MAX_NEWS
 from gooseberryport_core.gateway.stopping import WorkTimes
 from gooseberryport_core.gateway.tenants import SECRET_BYTES, TenantDirectory
@@ -150,6 +151,7 @@
         self.warmth = WarmthTracker()
         self.warm_times: dict[RouteName, float] = {}
         self.work_times = WorkTimes()
+        self.level_shares = LevelShares()
         self.stopping = False
         self.accepting = True
         # Background tasks that are down, and without which this gateway must not get clients.
@@ -210,6 +212,7 @@
         self.routes = RouteTable(config)
         self.tenants = TenantDirectory(config, secret=self._key_secret)
         self.metrics.tenant_requests.retain([tenant.name for tenant in config.tenants])
+        self.level_shares.forget_all()
         self.work_times.forget_other_than(frozenset(route.name for route in config.routes))
         self.metrics.config_version.set(config.version)
         self.log.write(
--- a/standins/src/gooseberryport_standins/bench.py
+++ b/standins/src/gooseberryport_standins/bench.py
@@ -19,6 +19,7 @@
     "burn": "gooseberryport_standins.bench_burn",
     "placement": "gooseberryport_standins.bench_placement",
     "even-load": "gooseberryport_standins.bench_even_load",
+    "shortage": "gooseberryport_standins.bench_shortage",
     "gateway": "gooseberryport_standins.bench_gateway",
     "process": "gooseberryport_standins.bench_process",
 }
