Limit tenants to their quotas, kept by all gateways without a message per request

Cause: a tenant could send any number of requests. Its quota holds for all gateways together, the tenant may be spread over them or move between them within a second, and neither a store call nor a message may be added to a request.

Change: each gateway keeps the same token bucket for each tenant and subtracts what others admitted, from counts in their datagrams (new last field of PeerReport). Over quota a request gets 429 with Retry-After, a log line 1117 and a counter; a request that did not run gets its token back. Without quota bounds in the settings, or without limited tenants, nothing is limited or reported.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -80,6 +80,11 @@
 window of the retry budget; seconds."""
 
 
+DEPARTED_QUOTA_TTL_S = 5.0
+"""Time for which a departed gateway still has its part of the tenants' quotas, which it may use
+while it can't reach the store: one window of a quota; seconds."""
+
+
 class _ReceivedDigest(msgspec.Struct, frozen=True):
     made_at: float
     absent: frozenset[int]
@@ -143,6 +148,8 @@
         self._lookups: dict[tuple[ZoneName, RegionName, bool], tuple[float, list[str]]] = {}
         self._sharing: frozenset[VmId] = frozenset([me.vm])
         self._sharing_at = float("-inf")
+        self._alive_and_listed = (1, 1)
+        self._alive_at = float("-inf")
 
     def set_listed(
         self, members: Iterable[Member], *, now: float, were_listed: bool = False
@@ -403,6 +410,32 @@
             self._sharing_at = now
         return self._sharing
 
+    def alive_and_listed(self, *, now: float) -> tuple[int, int]:
+        """Return how many gateways are alive, and how many may be; this one is one of both.
+
+        A gateway that was never heard of is not alive: this one may be cut off since its start. One
+        that left counts for `DEPARTED_QUOTA_TTL_S`, unless its last datagram said that it stops.
+        """
+        if not 0.0 <= now - self._alive_at < SHARING_TTL_S:
+            alive = listed = 1
+            for state in self._states.values():
+                is_new = now - state.listed_at < FIRST_DATAGRAM_TIMEOUT_S
+                is_alive = self._is_in_contact(state, now=now) or (
+                    not is_new and self._is_alive(state, now=now)
+                )
+                left_s = now - state.last_seen_at
+                may_be = state.listed or (state.ready and left_s < DEPARTED_QUOTA_TTL_S)
+                alive += is_alive
+                listed += is_alive or may_be
+            self._alive_and_listed = (alive, listed)
+            self._alive_at = now
+        return self._alive_and_listed
+
+    def is_in_own_region(self, vm: VmId) -> bool:
+        """Return whether a gateway is known to be in this gateway's region."""
+        state = self._states.get(vm)
+        return state is not None and state.member.region == self._me.region
+
     def serving_members(self, *, now: float) -> list[Member]:
         """Return the other gateways that are believed to serve clients."""
         return [
--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
@@ -0,0 +1,495 @@
+"""Request quotas of tenants, kept by all gateways together without a message per request.
+
+Load pattern: a tenant sends several times its usual rate through many gateways at once, or moves
+from one gateway to another within a second. The quota is for the sum over all gateways, so each
+keeps the same token bucket and subtracts what the others admitted, from their reports. Between two
+reports it assumes that the others go on as they did. Where more is asked for than the rate, each
+gateway keeps to its share by demand, of the rate and of the tokens that are left.
+
+Failure pattern: gateways that can't reach each other would each use the whole quota. Each uses only
+the fraction of it that corresponds to the gateways it knows to be alive.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from gooseberryport_core.gateway.model import Tenant, TenantName
+from gooseberryport_core.gateway.quota_counts import (
+    COUNT_MASK,
+    MAX_OTHERS,
+    MAX_REPORTED,
+    OtherGateways,
+    QuotaReport,
+    QuotaReports,
+    RecentCount,
+    tenant_hash,
+)
+from gooseberryport_core.types import VmId
+
+UNKNOWN_DEMAND_S = 0.4
+"""Time for which gateways of another region may ask for as much without being known here; tokens
+are reserved for it when the demand exceeds the rate; seconds."""
+
+MAX_RESERVED_FRACTION = 0.5
+"""Largest fraction of the burst that is reserved for demand that is not known yet."""
+
+MOVED_DEMAND = 1.6
+"""Known demand, relative to the rate, up to which it may be a demand below the rate that moved to
+another gateway: it is counted at both until the next reports."""
+
+MOVED_FRACTION = 0.5
+"""Fraction of the slack up to which the requests that the others are only assumed to have admitted
+are left out of account then."""
+
+DEFICIT_FRACTION = 0.15
+"""Fraction of the slack that gateways use together when the tokens are used up. The rest is for
+what they admit before they know of each other."""
+
+SHARE_BURST_S = 0.25
+"""Accumulated share of the rate, beyond one request; seconds."""
+
+MIN_BURST = 1.0
+"""Smallest bucket: a single request must fit."""
+
+REPORT_ACTIVE_S = 2.5
+"""Time for which a tenant is reported after its last request, so that each count is sent at least
+twice; seconds."""
+
+REPORT_INTERVAL_S = 0.15
+"""Shortest interval of reports about a tenant: less than that of datagrams, which may also be sent
+between two rounds; seconds."""
+
+REPORT_KEPT_S = 0.1
+"""Time for which a report is kept: less than the interval of datagrams; seconds."""
+
+CALM_REPORT_INTERVAL_S = 0.75
+"""Interval of reports about a tenant that is far from its limit; seconds."""
+
+CALM_FRACTION = 0.25
+"""Part of the slack and of the burst that all gateways may use between two such reports."""
+
+SWEEP_PARTS = 5
+"""Rounds of reports in which all tenants are looked at once."""
+
+MAX_KNOWN_COUNTS = 65_536
+"""Maximum counts of other gateways that are kept, of all tenants; some 10 MB."""
+
+LOCAL_FRESH_S = 0.5
+REMOTE_FRESH_S = 1.0
+"""Age of the last report of a gateway of this and of another region from which it may be cut off.
+Its part of the quota is left to it then, long before the fleet takes it for failed; seconds."""
+
+ALL_SILENT_S = 0.45
+"""Time without a report of any gateway, if others of this region report, after which this gateway
+is cut off: two of their intervals; seconds."""
+
+MANY_REPORTERS = 3
+MANY_SILENT_S = 0.3
+"""The same if at least `MANY_REPORTERS` of this region report, whose datagrams are not lost all at
+once; seconds."""
+
+REPORTER_TTL_S = 4.0
+"""Silence after which a gateway that reported is left to the fleet's judgement; seconds."""
+
+MAX_SWEEP_GAP_S = 0.4
+"""Time between two sweeps that shows that this process paused; seconds."""
+
+MAX_RETRY_S = 60.0
+"""Longest delay that a rejected client is told; seconds."""
+
+
+class QuotaDecision(msgspec.Struct, frozen=True):
+    """Whether a request is within its tenant's quota, and why.
+
+    Parameters
+    ----------
+    admitted
+        Whether it may be sent.
+    retry_s
+        Time until this gateway has a token for a request again; 0 if admitted; seconds.
+    level
+        Tokens left of the quota, as far as this gateway knows.
+    share_per_s
+        This gateway's share of the rate; requests per second.
+    demand_per_s
+        Requests per second at all gateways, as far as known.
+    """
+
+    admitted: bool
+    retry_s: float
+    level: float
+    share_per_s: float
+    demand_per_s: float
+
+
+class QuotaBounds(msgspec.Struct, frozen=True):
+    """What the deployment allows beyond the quotas in any window.
+
+    Parameters
+    ----------
+    window_s
+        Length of the window; 0 if nothing is limited; seconds.
+    overage
+        Fraction of the quota that may be exceeded.
+    slack
+        Requests beyond that.
+    """
+
+    window_s: float
+    overage: float
+    slack: float
+
+
+class _Reporter(msgspec.Struct, frozen=True):
+    incarnation: int
+    sequence: int
+    remote: bool
+    at: float
+
+
+class _Bucket(msgspec.Struct):
+    """A tenant's tokens and counts at this gateway.
+
+    Parameters
+    ----------
+    rate, burst
+        Limit of the tenant for all gateways; requests per second, requests.
+    level
+        Tokens left of the fraction that this gateway may use; negative after an overshoot.
+    own_tokens
+        Accrued share of the rate, used when the tokens are scarce.
+    refilled_at, decided_at
+        Times for which `level` and `own_tokens` are computed; monotonic seconds.
+    admitted
+        Requests admitted by this process, less those that did not run.
+    told_local_at, told_remote_at
+        When gateways of this and of other regions were last told of it; monotonic seconds.
+    """
+
+    rate: float
+    burst: float
+    level: float
+    own_tokens: float
+    refilled_at: float
+    decided_at: float
+    slack: float
+    asked: RecentCount
+    served: RecentCount
+    others: OtherGateways
+    admitted: int = 0
+    told_local_at: float = float("-inf")
+    told_remote_at: float = float("-inf")
+
+
+class TenantQuotas:
+    """Limits each tenant's requests at this gateway to what its quota leaves.
+
+    Parameters
+    ----------
+    bounds
+        What the deployment allows beyond the quotas.
+    draw
+        Random number in [0, 1): gateways that get the first request of a tenant at the same moment
+        do not all admit it from their shares at the same moment.
+    """
+
+    def __init__(self, *, bounds: QuotaBounds, draw: float = 0.0) -> None:
+        self._bounds = bounds
+        self._draw = draw
+        self._buckets: dict[TenantName, _Bucket] = {}
+        self._names: dict[int, TenantName] = {}
+        self._reporters: dict[VmId, _Reporter] = {}
+        self._fraction = self._fresh_fraction = 1.0
+        self._swept_at = self._heard_at = float("-inf")
+        self._local_reporters = 0
+        self._sequence = 0
+        self._kept: dict[bool, tuple[float, QuotaReports]] = {}
+        # Tenants with recent requests here or at other gateways; the others cost no time.
+        self._active: dict[TenantName, None] = {}
+        self._sweep_part = 0
+        self._known_counts = 0
+
+    def __len__(self) -> int:
+        return len(self._buckets)
+
+    def set_bounds(self, bounds: QuotaBounds) -> None:
+        """Change the bounds; counts and tokens remain."""
+        self._bounds = bounds
+        for bucket in self._buckets.values():
+            bucket.slack = self._slack(bucket.rate, bucket.burst)
+
+    def apply_tenants(self, tenants: Iterable[Tenant], *, now: float) -> None:
+        """Apply the tenants of a configuration; their counts remain where they are known.
+
+        A tenant begins without tokens: other gateways, or an earlier process on this VM, may have
+        used those of the current window.
+        """
+        limited = {tenant.name: tenant for tenant in tenants if tenant.rate_per_s > 0.0}
+        for name in [name for name in self._buckets if name not in limited]:
+            del self._buckets[name]
+            self._active.pop(name, None)
+        for name, tenant in limited.items():
+            rate, burst = tenant.rate_per_s, max(tenant.burst, MIN_BURST)
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                self._buckets[name] = _Bucket(
+                    rate=rate,
+                    burst=burst,
+                    level=0.0,
+                    own_tokens=self._draw,
+                    refilled_at=now,
+                    decided_at=now,
+                    slack=self._slack(rate, burst),
+                    asked=RecentCount(),
+                    served=RecentCount(),
+                    others=OtherGateways(),
+                )
+            elif (bucket.rate, bucket.burst) != (rate, burst):
+                bucket.rate, bucket.burst = rate, burst
+                bucket.level = min(bucket.level, burst)
+                bucket.slack = self._slack(rate, burst)
+        self._names = {tenant_hash(name): name for name in self._buckets}
+
+    def _slack(self, rate: float, burst: float) -> float:
+        bounds = self._bounds
+        return (rate * bounds.window_s + burst) * bounds.overage + bounds.slack
+
+    def decide(self, name: TenantName, *, fraction: float, now: float) -> QuotaDecision | None:
+        """Admit or reject a request; return None if its tenant has no limit.
+
+        Parameters
+        ----------
+        name
+            Tenant of the request.
+        fraction
+            Fraction of the quota that this gateway may use, by the gateways that are alive.
+        now
+            Monotonic time; seconds.
+        """
+        bucket = self._buckets.get(name)
+        if bucket is None or self._bounds.window_s <= 0.0:
+            return None
+        bucket.asked.add(now)
+        self._active[name] = None
+        self._fraction = fraction
+        fraction = min(fraction, self._fresh_part(now))
+        own = bucket.asked.per_s(now)
+        demand = own + bucket.others.asked_per_s
+        part = own / demand
+        rate = bucket.rate * fraction
+        self._refill(bucket, fraction=fraction, now=now)
+        share = rate * part
+        most = 1.0 + share * SHARE_BURST_S
+        passed_s = max(now - bucket.decided_at, 0.0)
+        bucket.own_tokens = min(bucket.own_tokens + share * passed_s, most)
+        bucket.decided_at = now
+        decision = self._try_take(bucket, rate=rate, demand=demand, part=part, fraction=fraction)
+        if decision.admitted:
+            bucket.admitted += 1
+            bucket.served.add(now)
+            bucket.level -= 1.0
+        return decision
+
+    def _fresh_part(self, now: float) -> float:
+        """Return the fraction of the quota that the gateways heard lately may use."""
+        running = now - self._swept_at < MAX_SWEEP_GAP_S
+        silent_s = now - self._heard_at
+        limit_s = MANY_SILENT_S if self._local_reporters >= MANY_REPORTERS else ALL_SILENT_S
+        if running and self._local_reporters and silent_s > limit_s:
+            return 1.0 / (1 + len(self._reporters))
+        return self._fresh_fraction
+
+    def _refill(self, bucket: _Bucket, *, fraction: float, now: float) -> None:
+        """Add the tokens since the last refill, less what the others are assumed to have used.
+
+        It precedes every other change of the level: tokens beyond the burst must not make up for
+        requests that were admitted later.
+        """
+        passed_s = max(now - bucket.refilled_at, 0.0)
+        bucket.refilled_at = now
+        used = bucket.others.assume_until(now)
+        # Older debts are no part of the current window.
+        lowest = -bucket.rate * self._bounds.window_s
+        level = bucket.level + bucket.rate * fraction * passed_s - used
+        bucket.level = min(max(level, lowest), max(bucket.burst * fraction, MIN_BURST))
+
+    def _try_take(
+        self, bucket: _Bucket, *, rate: float, demand: float, part: float, fraction: float
+    ) -> QuotaDecision:
+        slack = bucket.slack * fraction
+        excess = max(demand - rate, 0.0)
+        reserved = min(
+            max(excess * UNKNOWN_DEMAND_S - slack / 2.0, 0.0),
+            bucket.burst * fraction * MAX_RESERVED_FRACTION,
+        )
+        usable = bucket.level - reserved
+        if excess:
+            usable *= part
+        admitted = usable >= 1.0
+        if admitted:
+            bucket.own_tokens = max(bucket.own_tokens - 1.0, 0.0)
+        elif demand <= rate * MOVED_DEMAND:
+            unconfirmed = bucket.others.unconfirmed(bucket.refilled_at)
+            level = bucket.level + min(unconfirmed, slack * MOVED_FRACTION)
+            admitted = level > -slack * DEFICIT_FRACTION
+        if not admitted and bucket.level > -slack * DEFICIT_FRACTION:
+            admitted = bucket.own_tokens >= 1.0
+            bucket.own_tokens -= admitted
+        share = rate * part
+        retry_s = 0.0
+        if not admitted:
+            debt = max(-bucket.level - slack * DEFICIT_FRACTION, 0.0)
+            wait_s = max((1.0 - bucket.own_tokens) / max(share, 1e-6), debt / max(rate, 1e-6), 0.05)
+            retry_s = min(wait_s, MAX_RETRY_S)
+        return QuotaDecision(
+            admitted=admitted,
+            retry_s=retry_s,
+            level=bucket.level,
+            share_per_s=share,
+            demand_per_s=demand,
+        )
+
+    def refund(self, name: TenantName, *, now: float) -> None:
+        """Return the token of an admitted request that did not run."""
+        bucket = self._buckets.get(name)
+        if bucket is not None and bucket.admitted > 0:
+            bucket.admitted -= 1
+            bucket.served.remove(now)
+            bucket.level = min(bucket.level + 1.0, bucket.burst)
+
+    def record_reports(
+        self, vm: VmId, incarnation: int, reports: QuotaReports, *, now: float, remote: bool
+    ) -> None:
+        """Record what another gateway reports; tenants that are not known here are ignored.
+
+        Parameters
+        ----------
+        vm, incarnation
+            The gateway that reports. The counts of a new incarnation start anew.
+        reports
+            What it reports.
+        now
+            Monotonic time; seconds.
+        remote
+            Whether it is in another region.
+        """
+        known = self._reporters.get(vm)
+        if known is not None and known.incarnation == incarnation:
+            newer = (reports.sequence - known.sequence) & COUNT_MASK
+            if newer == 0 or newer > COUNT_MASK // 2:
+                return
+        if known is None and len(self._reporters) >= MAX_OTHERS:
+            return
+        self._reporters[vm] = _Reporter(
+            incarnation=incarnation, sequence=reports.sequence, remote=remote, at=now
+        )
+        self._heard_at = now
+        for report in reports.tenants:
+            name = self._names.get(report.tenant)
+            if name is not None:
+                bucket = self._buckets[name]
+                self._active[name] = None
+                self._refill(bucket, fraction=self._fraction, now=now)
+                bucket.level -= bucket.others.record(
+                    vm,
+                    incarnation,
+                    report,
+                    now=now,
+                    window_s=self._bounds.window_s,
+                    has_room=self._known_counts < MAX_KNOWN_COUNTS,
+                )
+
+    def reports(self, *, remote: bool, now: float) -> QuotaReports | None:
+        """Return what to report, or None if no tenant is limited.
+
+        Tenants near their limits are in each report, others less often. For `REPORT_KEPT_S` the
+        same report is returned, since a round may need it in several datagrams.
+
+        Parameters
+        ----------
+        remote
+            Whether the report is for gateways of other regions.
+        now
+            Monotonic time; seconds.
+        """
+        if not self._buckets or self._bounds.window_s <= 0.0:
+            return None
+        kept = self._kept.get(remote)
+        if kept is None or not 0.0 <= now - kept[0] < REPORT_KEPT_S:
+            kept = self._kept[remote] = (now, self._make_reports(remote=remote, now=now))
+        return kept[1]
+
+    def _make_reports(self, *, remote: bool, now: float) -> QuotaReports:
+        due: list[tuple[bool, float, TenantName]] = []
+        for name in self._active:
+            bucket = self._buckets[name]
+            if now - bucket.asked.last_at >= REPORT_ACTIVE_S:
+                continue
+            told_at = bucket.told_remote_at if remote else bucket.told_local_at
+            calm = self._is_calm(bucket, now=now)
+            if now - told_at >= (CALM_REPORT_INTERVAL_S if calm else REPORT_INTERVAL_S):
+                due.append((calm, told_at, name))
+        if len(due) > MAX_REPORTED:
+            due.sort()
+        tenants = []
+        for _, _, name in due[:MAX_REPORTED]:
+            bucket = self._buckets[name]
+            if remote:
+                bucket.told_remote_at = now
+            else:
+                bucket.told_local_at = now
+            tenants.append(
+                QuotaReport(
+                    tenant=tenant_hash(name),
+                    admitted=bucket.admitted & COUNT_MASK,
+                    asked=min(round(bucket.asked.per_s(now)), COUNT_MASK),
+                    served=min(round(bucket.served.per_s(now)), COUNT_MASK),
+                )
+            )
+        self._sequence = (self._sequence + 1) & COUNT_MASK
+        return QuotaReports(sequence=self._sequence, tenants=tenants)
+
+    def _is_calm(self, bucket: _Bucket, *, now: float) -> bool:
+        """Return whether the slack covers what is asked for until the next report."""
+        demand = bucket.asked.per_s(now) + bucket.others.asked_per_s
+        return demand * CALM_REPORT_INTERVAL_S < min(bucket.slack, bucket.burst) * CALM_FRACTION
+
+    def sweep(self, *, fraction: float = 1.0, now: float) -> None:
+        """Drop what silent gateways reported; called in each round of reports.
+
+        A round looks at one of `SWEEP_PARTS` parts of the tenants.
+
+        Parameters
+        ----------
+        fraction
+            Fraction of the quota that this gateway may use, by the gateways that are alive.
+        now
+            Monotonic time; seconds.
+        """
+        self._fraction = fraction
+        self._sweep_part = (self._sweep_part + 1) % SWEEP_PARTS
+        active = list(self._active)
+        for name in active[self._sweep_part :: SWEEP_PARTS]:
+            bucket = self._buckets[name]
+            self._refill(bucket, fraction=self._fraction, now=now)
+            bucket.others.expire(now=now)
+            if not bucket.others.gateways and now - bucket.asked.last_at >= REPORT_ACTIVE_S:
+                del self._active[name]
+        self._known_counts = sum(len(self._buckets[name].others.gateways) for name in self._active)
+        self._reporters = {
+            vm: known for vm, known in self._reporters.items() if now - known.at < REPORTER_TTL_S
+        }
+        self._local_reporters = sum(not known.remote for known in self._reporters.values())
+        paused = now - self._swept_at > MAX_SWEEP_GAP_S
+        self._swept_at = now
+        if paused:
+            # Datagrams that arrived during a pause of this process are not read yet.
+            return
+        fresh = sum(
+            now - known.at < (REMOTE_FRESH_S if known.remote else LOCAL_FRESH_S)
+            for known in self._reporters.values()
+        )
+        self._fresh_fraction = (1 + fresh) / (1 + len(self._reporters))
--- a/packages/gooseberryport-core/tests/test_fleet.py
+++ b/packages/gooseberryport-core/tests/test_fleet.py
@@ -94,6 +94,19 @@
     assert fleet.gateways_sharing_limits(now=11.0) == {"me"}
 
 
+def test_silent_gateways_keep_their_part_of_quotas_and_stopped_ones_do_not():
+    """Guards against a gateway that uses the part of others that it is only cut off from."""
+    fleet = fleet_of(member("x"), member("y"))
+    assert fleet.alive_and_listed(now=0.0) == (1, 3)
+    for vm in ("x", "y"):
+        fleet.record_datagram(vm, incarnation=1, ready=vm == "x", now=1.0)
+    assert fleet.alive_and_listed(now=1.2) == (3, 3)
+    assert fleet.alive_and_listed(now=4.0) == (1, 3)
+    fleet.set_listed([], now=4.0)
+    assert fleet.alive_and_listed(now=5.0) == (1, 2)
+    assert fleet.alive_and_listed(now=7.0) == (1, 1)
+
+
 def assignees(fleet, *, count=1, follows_store=True, now=1.0):
     return [
         member.vm
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -36,6 +36,7 @@
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -113,6 +113,8 @@
             return self._replies.reject(req, request_id, status=404, cause="no route")
         job = self._job(req, request_id, route)
         self._state.record_client_request(now=req.arrived_at)
+        if (rejection := self._admit(job)) is not None:
+            return rejection
         self._state.retries.record_request(service=job.service, now=req.arrived_at)
         self._state.metrics.in_flight.inc()
         self._jobs.add(job)
@@ -126,6 +128,7 @@
             raise
         finally:
             self._jobs.discard(job)
+            self._state.quotas.settle(job)
             self._state.metrics.in_flight.dec()
 
     def give_up(self) -> int:
@@ -136,6 +139,11 @@
                 job.timeout.reschedule(self._loop.time())
         return len(self._jobs)
 
+    def _admit(self, job: Job) -> Reply | None:
+        """Return the rejection of a request beyond its tenant's quota, or None."""
+        retry_s = self._state.quotas.admit(job)
+        return None if retry_s is None else self._replies.over_quota(job, retry_s=retry_s)
+
     def _job(self, req: ClientRequest, request_id: bytes, route: Route) -> Job:
         key = (
             object_key(req.headers, cookie=self._names.object_cookie)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -82,6 +82,12 @@
             ("gate",),
             registry=self.registry,
         )
+        self.quota_rejections = Counter(
+            "gooseberryport_quota_rejections",
+            "Requests beyond the quota of their tenant",
+            ("tenant",),
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "gooseberryport_in_flight", "Requests being answered", registry=self.registry
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from gooseberryport_core.decoding import InputError, RatePerS, decode_with
+from gooseberryport_core.gateway.quota_counts import QuotaReports
 from gooseberryport_core.gateway.rate_limits import RateLimitReport
 from gooseberryport_core.gateway.reporting import (
     DIGEST_PERIOD_ROUNDS,
@@ -50,6 +51,8 @@
         What it knows of the gateways of availability zones, its own included.
     rate_limits
         Limited upstreams that it sends to.
+    quotas
+        Requests of tenants that it admitted; None if no tenant is limited.
     """
 
     vm: str
@@ -62,6 +65,7 @@
     demand_per_s: RatePerS = 0.0
     digests: list[ZoneDigest] = []
     rate_limits: list[RateLimitReport] = []
+    quotas: QuotaReports | None = None
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -113,6 +117,7 @@
         state.record_peer_loads(report.vm, report.loads, now=now)
         state.record_peer_warmth(report.warm, now=now)
         state.record_peer_rate_limits(report.vm, report.rate_limits, now=now)
+        state.quotas.record_peer_reports(report.vm, report.incarnation, report.quotas)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore that a peer's port is closed: its missing reports show the same."""
@@ -122,6 +127,7 @@
         self._state.on_warmth_update = self._schedule_update
         while True:
             self._round += 1
+            self._state.quotas.sweep()
             self.send(round_number=self._round)
             await asyncio.sleep(REPORT_INTERVAL_S)
 
@@ -208,5 +214,6 @@
                 demand_per_s=round(demand_per_s),
                 digests=included,
                 rate_limits=state.rate_limit_reports(now=now) if has_loads else [],
+                quotas=state.quotas.reports(audience),
             )
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
@@ -67,6 +67,11 @@
             retry_s += job.return_s
         return self._empty(503, job.request_id, retry_s=retry_s)
 
+    def over_quota(self, job: Job, *, retry_s: float) -> Reply:
+        """Return the rejection of a request beyond its tenant's quota, which is logged already."""
+        self._state.metrics.requests.labels(job.route.name, "429").inc()
+        return self._empty(429, job.request_id, retry_s=retry_s)
+
     def timed_out(self, job: Job) -> Reply:
         """Return the reply to a request whose time is over, or whose gateway exits."""
         job.cause = "no answer within the route's timeout"
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -40,6 +40,7 @@
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, VmId, ZoneName
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
+from gooseberryport_gateway._quotas import QuotaGate
 from gooseberryport_gateway.wire import GatewaySettings
 
 LOAD_REPORT_TTL_S = 1.5
@@ -139,6 +140,9 @@
             vm=me.vm, overage=bounds.cold_overage, slack=bounds.cold_slack
         )
         self.rate_limits = UpstreamRateLimits(vm=me.vm)
+        self.quotas = QuotaGate(
+            bounds=bounds, fleet=self.fleet, log=log, metrics=metrics, rng=self.rng
+        )
         self.announcements = UpstreamAnnouncements()
         self.idle_limits = IdleLimits()
         self.warmth = WarmthTracker()
@@ -184,12 +188,14 @@
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
         )
         self.cold_rate_limiter.set_bounds(overage=bounds.cold_overage, slack=bounds.cold_slack)
+        self.quotas.set_bounds(bounds)
 
     def apply_config(self, config: RoutingConfig) -> bool:
         """Apply a configuration if it is newer than the current one; return whether it is."""
         if self.routes is not None and config.version <= self.routes.config.version:
             return False
         self.routes = RouteTable(config)
+        self.quotas.apply_tenants(config.tenants)
         self.work_times.forget_other_than(frozenset(route.name for route in config.routes))
         self.metrics.config_version.set(config.version)
         self.log.write(
