--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -123,6 +123,11 @@
     return state.listed or now - state.last_seen_at < DEPARTED_MEMBER_TTL_S
 
 
+def _may_run(state: _MemberState, *, now: float) -> bool:
+    left_s = now - state.last_seen_at
+    return state.listed or (state.ready and left_s < DEPARTED_QUOTA_TTL_S)
+
+
 def _by_zone(members: Iterable[Member]) -> dict[ZoneName, list[Member]]:
     by_zone: dict[ZoneName, list[Member]] = {}
     for member in members:
@@ -423,14 +428,19 @@
                 is_alive = self._is_in_contact(state, now=now) or (
                     not is_new and self._is_alive(state, now=now)
                 )
-                left_s = now - state.last_seen_at
-                may_be = state.listed or (state.ready and left_s < DEPARTED_QUOTA_TTL_S)
                 alive += is_alive
-                listed += is_alive or may_be
+                listed += is_alive or _may_run(state, now=now)
             self._alive_and_listed = (alive, listed)
             self._alive_at = now
         return self._alive_and_listed
 
+    def may_run(self, vm: VmId, *, now: float) -> bool:
+        """Return whether a gateway may run, even if it is silent."""
+        state = self._states.get(vm)
+        return state is not None and (
+            self._is_in_contact(state, now=now) or _may_run(state, now=now)
+        )
+
     def is_in_own_region(self, vm: VmId) -> bool:
         """Return whether a gateway is known to be in this gateway's region."""
         state = self._states.get(vm)
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/quota_counts.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/quota_counts.py
@@ -40,9 +40,6 @@
 KNOWN_TTL_S = 10.0
 """Time for which a silent gateway's count is kept, to compare its next one with; seconds."""
 
-MAX_OTHERS = 1_024
-"""Maximum other gateways whose counts are kept."""
-
 COUNT_MASK = 0xFFFF
 """Counts wrap around at 16 bits, for short reports; a difference is far smaller."""
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
@@ -12,14 +12,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from gooseberryport_core.gateway.model import Tenant, TenantName
 from gooseberryport_core.gateway.quota_counts import (
     COUNT_MASK,
-    MAX_OTHERS,
     MAX_REPORTED,
     OtherGateways,
     QuotaReport,
@@ -27,6 +27,7 @@
     RecentCount,
     tenant_hash,
 )
+from gooseberryport_core.gateway.quota_reporters import QuotaReporters
 from gooseberryport_core.types import VmId
 
 UNKNOWN_DEMAND_S = 0.4
@@ -40,6 +41,10 @@
 """Known demand, relative to the rate, up to which it may be a demand below the rate that moved to
 another gateway: it is counted at both until the next reports."""
 
+MOVED_SLACK_PER_S = 0.2
+"""The same as an excess over the rate, as a fraction of the slack per second: small tenants are
+reported less often, and their demand is counted at several gateways; per second."""
+
 MOVED_FRACTION = 0.5
 """Fraction of the slack up to which the requests that the others are only assumed to have admitted
 are left out of account then."""
@@ -54,9 +59,8 @@
 MIN_BURST = 1.0
 """Smallest bucket: a single request must fit."""
 
-REPORT_ACTIVE_S = 2.5
-"""Time for which a tenant is reported after its last request, so that each count is sent at least
-twice; seconds."""
+REPORT_ACTIVE_S = 5.0
+"""Time after a tenant's last request in which its end is reported to all gateways; seconds."""
 
 REPORT_INTERVAL_S = 0.15
 """Shortest interval of reports about a tenant: less than that of datagrams, which may also be sent
@@ -65,11 +69,16 @@
 REPORT_KEPT_S = 0.1
 """Time for which a report is kept: less than the interval of datagrams; seconds."""
 
-CALM_REPORT_INTERVAL_S = 0.75
-"""Interval of reports about a tenant that is far from its limit; seconds."""
+MAX_REPORT_INTERVAL_S = 1.5
+"""Longest interval of reports about a tenant; seconds."""
+
+UNREPORTED_FRACTION = 0.25
+"""Fraction of the slack that all gateways may use between two reports about a tenant, which are
+less frequent for small tenants than datagrams are."""
 
-CALM_FRACTION = 0.25
-"""Part of the slack and of the burst that all gateways may use between two such reports."""
+OVERSTATED_FRACTION = 0.05
+"""The same for requests that others only assume, after the demand went down: smaller, since a
+tenant that moved is rejected because of them."""
 
 SWEEP_PARTS = 5
 """Rounds of reports in which all tenants are looked at once."""
@@ -77,26 +86,6 @@
 MAX_KNOWN_COUNTS = 65_536
 """Maximum counts of other gateways that are kept, of all tenants; some 10 MB."""
 
-LOCAL_FRESH_S = 0.5
-REMOTE_FRESH_S = 1.0
-"""Age of the last report of a gateway of this and of another region from which it may be cut off.
-Its part of the quota is left to it then, long before the fleet takes it for failed; seconds."""
-
-ALL_SILENT_S = 0.45
-"""Time without a report of any gateway, if others of this region report, after which this gateway
-is cut off: two of their intervals; seconds."""
-
-MANY_REPORTERS = 3
-MANY_SILENT_S = 0.3
-"""The same if at least `MANY_REPORTERS` of this region report, whose datagrams are not lost all at
-once; seconds."""
-
-REPORTER_TTL_S = 4.0
-"""Silence after which a gateway that reported is left to the fleet's judgement; seconds."""
-
-MAX_SWEEP_GAP_S = 0.4
-"""Time between two sweeps that shows that this process paused; seconds."""
-
 MAX_RETRY_S = 60.0
 """Longest delay that a rejected client is told; seconds."""
 
@@ -143,11 +132,13 @@
     slack: float
 
 
-class _Reporter(msgspec.Struct, frozen=True):
-    incarnation: int
-    sequence: int
-    remote: bool
-    at: float
+class _Told(msgspec.Struct):
+    """What was reported of a tenant, and when; monotonic seconds."""
+
+    at: float = float("-inf")
+    admitted: int = 0
+    asked: int = 0
+    served: int = 0
 
 
 class _Bucket(msgspec.Struct):
@@ -165,8 +156,8 @@
         Times for which `level` and `own_tokens` are computed; monotonic seconds.
     admitted
         Requests admitted by this process, less those that did not run.
-    told_local_at, told_remote_at
-        When gateways of this and of other regions were last told of it; monotonic seconds.
+    told_local, told_remote
+        What gateways of this and of other regions were last told of it.
     """
 
     rate: float
@@ -180,8 +171,8 @@
     served: RecentCount
     others: OtherGateways
     admitted: int = 0
-    told_local_at: float = float("-inf")
-    told_remote_at: float = float("-inf")
+    told_local: _Told = msgspec.field(default_factory=_Told)
+    told_remote: _Told = msgspec.field(default_factory=_Told)
 
 
 class TenantQuotas:
@@ -201,10 +192,8 @@
         self._draw = draw
         self._buckets: dict[TenantName, _Bucket] = {}
         self._names: dict[int, TenantName] = {}
-        self._reporters: dict[VmId, _Reporter] = {}
-        self._fraction = self._fresh_fraction = 1.0
-        self._swept_at = self._heard_at = float("-inf")
-        self._local_reporters = 0
+        self._reporters = QuotaReporters()
+        self._fraction = 1.0
         self._sequence = 0
         self._kept: dict[bool, tuple[float, QuotaReports]] = {}
         # Tenants with recent requests here or at other gateways; the others cost no time.
@@ -275,7 +264,7 @@
         bucket.asked.add(now)
         self._active[name] = None
         self._fraction = fraction
-        fraction = min(fraction, self._fresh_part(now))
+        fraction = min(fraction, self._reporters.fraction(now))
         own = bucket.asked.per_s(now)
         demand = own + bucket.others.asked_per_s
         part = own / demand
@@ -293,15 +282,6 @@
             bucket.level -= 1.0
         return decision
 
-    def _fresh_part(self, now: float) -> float:
-        """Return the fraction of the quota that the gateways heard lately may use."""
-        running = now - self._swept_at < MAX_SWEEP_GAP_S
-        silent_s = now - self._heard_at
-        limit_s = MANY_SILENT_S if self._local_reporters >= MANY_REPORTERS else ALL_SILENT_S
-        if running and self._local_reporters and silent_s > limit_s:
-            return 1.0 / (1 + len(self._reporters))
-        return self._fresh_fraction
-
     def _refill(self, bucket: _Bucket, *, fraction: float, now: float) -> None:
         """Add the tokens since the last refill, less what the others are assumed to have used.
 
@@ -331,7 +311,7 @@
         admitted = usable >= 1.0
         if admitted:
             bucket.own_tokens = max(bucket.own_tokens - 1.0, 0.0)
-        elif demand <= rate * MOVED_DEMAND:
+        elif excess <= max(rate * (MOVED_DEMAND - 1.0), slack * MOVED_SLACK_PER_S):
             unconfirmed = bucket.others.unconfirmed(bucket.refilled_at)
             level = bucket.level + min(unconfirmed, slack * MOVED_FRACTION)
             admitted = level > -slack * DEFICIT_FRACTION
@@ -376,17 +356,10 @@
         remote
             Whether it is in another region.
         """
-        known = self._reporters.get(vm)
-        if known is not None and known.incarnation == incarnation:
-            newer = (reports.sequence - known.sequence) & COUNT_MASK
-            if newer == 0 or newer > COUNT_MASK // 2:
-                return
-        if known is None and len(self._reporters) >= MAX_OTHERS:
+        if not self._reporters.accept(
+            vm, incarnation=incarnation, sequence=reports.sequence, remote=remote, now=now
+        ):
             return
-        self._reporters[vm] = _Reporter(
-            incarnation=incarnation, sequence=reports.sequence, remote=remote, at=now
-        )
-        self._heard_at = now
         for report in reports.tenants:
             name = self._names.get(report.tenant)
             if name is not None:
@@ -405,7 +378,7 @@
     def reports(self, *, remote: bool, now: float) -> QuotaReports | None:
         """Return what to report, or None if no tenant is limited.
 
-        Tenants near their limits are in each report, others less often. For `REPORT_KEPT_S` the
+        Tenants with much demand are in each report, others less often. For `REPORT_KEPT_S` the
         same report is returned, since a round may need it in several datagrams.
 
         Parameters
@@ -423,41 +396,57 @@
         return kept[1]
 
     def _make_reports(self, *, remote: bool, now: float) -> QuotaReports:
-        due: list[tuple[bool, float, TenantName]] = []
+        due: list[tuple[float, _Bucket, TenantName]] = []
         for name in self._active:
             bucket = self._buckets[name]
-            if now - bucket.asked.last_at >= REPORT_ACTIVE_S:
-                continue
-            told_at = bucket.told_remote_at if remote else bucket.told_local_at
-            calm = self._is_calm(bucket, now=now)
-            if now - told_at >= (CALM_REPORT_INTERVAL_S if calm else REPORT_INTERVAL_S):
-                due.append((calm, told_at, name))
+            told = bucket.told_remote if remote else bucket.told_local
+            interval_s = self._report_interval_s(bucket, told, now=now)
+            if now - told.at >= interval_s:
+                due.append((interval_s, bucket, name))
         if len(due) > MAX_REPORTED:
-            due.sort()
+            due.sort(key=lambda entry: entry[0])
         tenants = []
-        for _, _, name in due[:MAX_REPORTED]:
-            bucket = self._buckets[name]
-            if remote:
-                bucket.told_remote_at = now
-            else:
-                bucket.told_local_at = now
+        for _, bucket, name in due[:MAX_REPORTED]:
+            told = bucket.told_remote if remote else bucket.told_local
+            told.at = now
+            told.admitted = bucket.admitted & COUNT_MASK
+            told.asked = min(round(bucket.asked.per_s(now)), COUNT_MASK)
+            told.served = min(round(bucket.served.per_s(now)), COUNT_MASK)
             tenants.append(
                 QuotaReport(
                     tenant=tenant_hash(name),
-                    admitted=bucket.admitted & COUNT_MASK,
-                    asked=min(round(bucket.asked.per_s(now)), COUNT_MASK),
-                    served=min(round(bucket.served.per_s(now)), COUNT_MASK),
+                    admitted=told.admitted,
+                    asked=told.asked,
+                    served=told.served,
                 )
             )
         self._sequence = (self._sequence + 1) & COUNT_MASK
         return QuotaReports(sequence=self._sequence, tenants=tenants)
 
-    def _is_calm(self, bucket: _Bucket, *, now: float) -> bool:
-        """Return whether the slack covers what is asked for until the next report."""
-        demand = bucket.asked.per_s(now) + bucket.others.asked_per_s
-        return demand * CALM_REPORT_INTERVAL_S < min(bucket.slack, bucket.burst) * CALM_FRACTION
-
-    def sweep(self, *, fraction: float = 1.0, now: float) -> None:
+    def _report_interval_s(self, bucket: _Bucket, told: _Told, *, now: float) -> float:
+        """Return the interval of reports about a tenant; infinite if there is nothing to report."""
+        asked = bucket.asked.per_s(now)
+        if told.admitted == bucket.admitted & COUNT_MASK and asked <= told.asked:
+            if not told.asked and not told.served:
+                return math.inf
+            # Nothing new is admitted, and the others assume more than there is.
+            unreported, per_s = bucket.slack * OVERSTATED_FRACTION, told.asked - asked
+        else:
+            unreported = bucket.slack * UNREPORTED_FRACTION
+            per_s = asked + bucket.others.asked_per_s
+        return min(max(unreported / max(per_s, 1.0), REPORT_INTERVAL_S), MAX_REPORT_INTERVAL_S)
+
+    def forget_reporter(self, vm: VmId) -> None:
+        """Record that a gateway no longer reports, which does not mean that it is cut off."""
+        self._reporters.forget(vm)
+
+    def sweep(
+        self,
+        *,
+        fraction: float = 1.0,
+        may_run: Callable[[VmId], bool] = lambda _: True,
+        now: float,
+    ) -> None:
         """Drop what silent gateways reported; called in each round of reports.
 
         A round looks at one of `SWEEP_PARTS` parts of the tenants.
@@ -466,6 +455,8 @@
         ----------
         fraction
             Fraction of the quota that this gateway may use, by the gateways that are alive.
+        may_run
+            Returns whether a silent gateway may still run, as it did not leave in a planned way.
         now
             Monotonic time; seconds.
         """
@@ -479,17 +470,4 @@
             if not bucket.others.gateways and now - bucket.asked.last_at >= REPORT_ACTIVE_S:
                 del self._active[name]
         self._known_counts = sum(len(self._buckets[name].others.gateways) for name in self._active)
-        self._reporters = {
-            vm: known for vm, known in self._reporters.items() if now - known.at < REPORTER_TTL_S
-        }
-        self._local_reporters = sum(not known.remote for known in self._reporters.values())
-        paused = now - self._swept_at > MAX_SWEEP_GAP_S
-        self._swept_at = now
-        if paused:
-            # Datagrams that arrived during a pause of this process are not read yet.
-            return
-        fresh = sum(
-            now - known.at < (REMOTE_FRESH_S if known.remote else LOCAL_FRESH_S)
-            for known in self._reporters.values()
-        )
-        self._fresh_fraction = (1 + fresh) / (1 + len(self._reporters))
+        self._reporters.sweep(may_run=may_run, now=now)
--- a/packages/gooseberryport-core/tests/quota_model.py
+++ b/packages/gooseberryport-core/tests/quota_model.py
@@ -11,6 +11,7 @@
 BOUNDS = QuotaBounds(window_s=WINDOW_S, overage=0.1, slack=20.0)
 TICK_S = 0.02
 REPORT_S = 0.2
+REMOTE_ROUNDS = 4
 UNLISTED_S = 4.0
 
 
@@ -99,7 +100,7 @@
             if gateway.killed_at is not None or self.now < gateway.paused_until:
                 continue
             gateway.quotas.sweep(fraction=gateway.known_fraction, now=self.now)
-            remote_round = (self.rounds + gateway.name) % 3 == 0
+            remote_round = (self.rounds + gateway.name) % REMOTE_ROUNDS == 0
             reports = [
                 gateway.quotas.reports(remote=False, now=self.now),
                 gateway.quotas.reports(remote=True, now=self.now) if remote_round else None,
--- a/packages/gooseberryport-core/tests/test_quotas.py
+++ b/packages/gooseberryport-core/tests/test_quotas.py
@@ -194,6 +194,21 @@
     assert level(quotas, now=0.4) == pytest.approx(start - 23.0, abs=3.0)
 
 
+@pytest.mark.parametrize("leaves", ["cut off", "idle", "stopped"])
+def test_only_a_gateway_that_may_be_cut_off_keeps_its_part(leaves):
+    """Guards against tenants that get half of their quota after a planned stop of a gateway."""
+    quotas = make_quotas(rate=10.0, burst=10.0)
+    for number in range(20):
+        quotas.record_reports("vm2", 1, report(0, sequence=number), now=0.2 * number, remote=False)
+        quotas.sweep(now=0.2 * number)
+    if leaves == "idle":
+        quotas.forget_reporter("vm2")
+    for number in range(20, 24):
+        quotas.sweep(may_run=lambda _: leaves != "stopped", now=0.2 * number)
+    share = quotas.decide("t", fraction=1.0, now=4.7).share_per_s
+    assert share == (5.0 if leaves == "cut off" else 10.0)
+
+
 def test_requests_of_a_long_silence_do_not_lock_a_tenant_out():
     """Guards against a healed cut after which minutes of counts are charged at once."""
     quotas = make_quotas(rate=10.0, burst=10.0)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_quotas.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_quotas.py
@@ -133,7 +133,11 @@
     def sweep(self) -> None:
         """Drop outdated reports of others; called in each round of reports."""
         now = self._clock()
-        self._quotas.sweep(fraction=self._fraction(now=now), now=now)
+        self._quotas.sweep(
+            fraction=self._fraction(now=now),
+            may_run=lambda vm: self._fleet.may_run(vm, now=now),
+            now=now,
+        )
 
     def reports(self, audience: Audience) -> QuotaReports | None:
         """Return what to report to an audience, or None if no tenant is limited."""
@@ -142,9 +146,12 @@
         return self._quotas.reports(remote=audience is Audience.REMOTE_ACTIVE, now=self._clock())
 
     def record_peer_reports(self, vm: str, incarnation: int, reports: QuotaReports | None) -> None:
-        """Record what another gateway, if it is a member, reports."""
+        """Record what another gateway, if it is a member, reports; None if it serves no clients."""
         now = self._clock()
-        if reports is None or VmId(vm) not in self._fleet.gateways_sharing_limits(now=now):
+        if reports is None:
+            self._quotas.forget_reporter(VmId(vm))
+            return
+        if VmId(vm) not in self._fleet.gateways_sharing_limits(now=now):
             return
         self._quotas.record_reports(
             VmId(vm),
--- a/standins/src/gooseberryport_standins/bench.py
+++ b/standins/src/gooseberryport_standins/bench.py
@@ -20,6 +20,7 @@
     "placement": "gooseberryport_standins.bench_placement",
     "gateway": "gooseberryport_standins.bench_gateway",
     "process": "gooseberryport_standins.bench_process",
+    "quotas": "gooseberryport_standins.bench_quotas",
 }
 """Module of each benchmark; its function ``run(seed)`` returns a `BenchReport`."""
 
