Reserve burst tokens for unknown demand only beyond the whole slack

Cause: a burst at one gateway far above the rate was rejected in part, since tokens were reserved for demand in other regions although the slack covered it.

Change: tokens are reserved only for what exceeds the slack.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
@@ -302,7 +302,7 @@
         slack = bucket.slack * fraction
         excess = max(demand - rate, 0.0)
         reserved = min(
-            max(excess * UNKNOWN_DEMAND_S - slack / 2.0, 0.0),
+            max(excess * UNKNOWN_DEMAND_S - slack, 0.0),
             bucket.burst * fraction * MAX_RESERVED_FRACTION,
         )
         usable = bucket.level - reserved
