--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -121,9 +121,8 @@
             return tenant
         job = self._job(req, request_id, route, tenant)
         self._state.record_client_request(now=req.arrived_at)
-        refusal = self._admit(job)
-        if refusal is not None:
-            return refusal
+        if (rejection := self._admit(job)) is not None:
+            return rejection
         self._state.retries.record_request(service=job.service, now=req.arrived_at)
         self._state.metrics.in_flight.inc()
         self._jobs.add(job)
@@ -137,6 +136,7 @@
             raise
         finally:
             self._jobs.discard(job)
+            self._state.quotas.settle(job)
             self._state.metrics.in_flight.dec()
 
     def give_up(self) -> int:
@@ -152,7 +152,8 @@
         if job.has_no_region:
             job.cause = "route and tenant allow no region in common"
             return self._replies.not_run(job)
-        return None
+        retry_s = self._state.quotas.admit(job)
+        return None if retry_s is None else self._replies.over_quota(job, retry_s=retry_s)
 
     def _job(
         self, req: ClientRequest, request_id: bytes, route: Route, tenant: Tenant | None
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from gooseberryport_core.decoding import InputError, RatePerS, decode_with
+from gooseberryport_core.gateway.quota_counts import QuotaReports
 from gooseberryport_core.gateway.rate_limits import RateLimitReport
 from gooseberryport_core.gateway.reporting import (
     DIGEST_PERIOD_ROUNDS,
@@ -52,6 +53,8 @@
         Limited upstreams that it sends to.
     speeds
         Pairs of upstream, as a short hash, and the speed that it stated; percent.
+    quotas
+        Requests of tenants that it admitted; None if no tenant is limited.
     """
 
     vm: str
@@ -65,6 +68,7 @@
     digests: list[ZoneDigest] = []
     rate_limits: list[RateLimitReport] = []
     speeds: list[tuple[int, int]] = []
+    quotas: QuotaReports | None = None
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -117,6 +121,7 @@
         state.record_peer_warmth(report.warm, now=now)
         state.record_peer_speeds(report.speeds, now=now)
         state.record_peer_rate_limits(report.vm, report.rate_limits, now=now)
+        state.quotas.record_peer_reports(report.vm, report.incarnation, report.quotas)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore that a peer's port is closed: its missing reports show the same."""
@@ -126,6 +131,7 @@
         self._state.on_warmth_update = self._schedule_update
         while True:
             self._round += 1
+            self._state.quotas.sweep()
             self.send(round_number=self._round)
             await asyncio.sleep(REPORT_INTERVAL_S)
 
@@ -213,5 +219,6 @@
                 digests=included,
                 rate_limits=state.rate_limit_reports(now=now) if has_loads else [],
                 speeds=state.speed_reports(now=now) if audience is Audience.ACTIVE else [],
+                quotas=state.quotas.reports(audience),
             )
         )
--- a/standins/src/gooseberryport_standins/bench.py
+++ b/standins/src/gooseberryport_standins/bench.py
@@ -22,6 +22,7 @@
     "shortage": "gooseberryport_standins.bench_shortage",
     "gateway": "gooseberryport_standins.bench_gateway",
     "process": "gooseberryport_standins.bench_process",
+    "quotas": "gooseberryport_standins.bench_quotas",
 }
 """Module of each benchmark; its function ``run(seed)`` returns a `BenchReport`."""
 
