--- a/packages/gooseberryport-gateway/tests/test_gateway_quotas.py
+++ b/packages/gooseberryport-gateway/tests/test_gateway_quotas.py
@@ -10,7 +10,6 @@
     connect_client,
     header_value,
     make_config,
-    make_request,
     make_response,
     run,
     send_request,
@@ -18,6 +17,7 @@
     start_gateway,
     start_upstream,
 )
+from gateway_harness import make_request as plain_request
 
 from gooseberryport_core.gateway.model import Tenant
 from gooseberryport_core.gateway.quota_counts import QuotaReport, QuotaReports
@@ -43,14 +43,10 @@
     config = make_config(make_route(), version=2)
     state.apply_config(msgspec.structs.replace(config, tenants=(tenant,)))
     state.quotas._clock = clock
-    make_job = gateway.forwarder._job
 
-    def job_of_tenant(*args):
-        job = make_job(*args)
-        job.tenant = tenant
-        return job
 
-    gateway.forwarder._job = job_of_tenant
+def make_request(**parts):
+    return plain_request(extra=b"Authorization: Bearer key", **parts)
 
 
 async def statuses(gateway, count):
