--- a/standins/src/gooseberryport_standins/bench_shortage.py
+++ b/standins/src/gooseberryport_standins/bench_shortage.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from gooseberryport_standins._bench_report import BenchReport, BenchRow
-from gooseberryport_standins._shortage_model import PATTERNS, POLICIES, replay
+from gooseberryport_standins._shortage_model import replay
+from gooseberryport_standins._shortage_patterns import PATTERNS, POLICIES
 
 RUNS = 5
 """Number of seeds over which each value is summed."""
--- a/standins/tests/test_shortage_replays.py
+++ b/standins/tests/test_shortage_replays.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from gooseberryport_standins._shortage_model import PATTERNS, POLICIES, replay
+from gooseberryport_standins._shortage_model import replay
+from gooseberryport_standins._shortage_patterns import PATTERNS, POLICIES
 
 PRESENT, CHOSEN = POLICIES[0], POLICIES[2]
 SEEDS = range(3)
