--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from enum import Enum
+from itertools import islice
 
 import msgspec
 
@@ -39,6 +40,9 @@
 IDLE_LOAD_FRACTION = 0.1
 """Load per slot up to which an upstream is idle enough to warm another object."""
 
+MAX_ROOM_RANKS = 24
+"""Highest ranks for an object among which an upstream with room for it is looked for."""
+
 OBJECTIVE_FACTOR = 1.1
 """Factor on the latency objective when queues are sized, since load reports are slightly stale."""
 
@@ -101,6 +105,8 @@
         Returns whether an upstream is not known to have handled any object.
     objects_of
         Returns the number of objects that an upstream handled recently.
+    has_room
+        Returns whether an upstream can handle another object without evicting one in use.
     prefers_local
         Whether this region has the capacity for its clients' requests, so that objects get their
         first home there.
@@ -113,6 +119,7 @@
     is_warm: Callable[[Upstream], bool]
     is_unused: Callable[[Upstream], bool]
     objects_of: Callable[[Upstream], int] = lambda _: 0
+    has_room: Callable[[Upstream], bool] = lambda _: True
     prefers_local: bool = False
 
     def is_local(self, upstream: Upstream) -> bool:
@@ -273,10 +280,13 @@
     if view.prefers_local:
         local = [upstream for upstream in ranked if view.is_local(upstream)]
         candidates = local[:INITIAL_HOME_CANDIDATES] or candidates
+    if not any(view.has_room(upstream) for upstream in candidates):
+        candidates = _with_room(ranked, regions_of=candidates, view=view) or candidates
     chosen = min(
         candidates,
         key=lambda upstream: (
             _queued_load(upstream, view=view),
+            not view.has_room(upstream),
             view.objects_of(upstream) / upstream.entry.slots,
         ),
     )
@@ -288,6 +298,19 @@
     return placement
 
 
+def _with_room(
+    ranked: Sequence[Upstream], *, regions_of: Sequence[Upstream], view: PlacementView
+) -> list[Upstream]:
+    """Return the best ranks with room for another object, in the regions of given upstreams."""
+    regions = {view.region_of(upstream.entry.zone) for upstream in regions_of}
+    allowed = (
+        upstream
+        for upstream in ranked[:MAX_ROOM_RANKS]
+        if view.region_of(upstream.entry.zone) in regions and view.has_room(upstream)
+    )
+    return list(islice(allowed, INITIAL_HOME_CANDIDATES))
+
+
 def has_local_capacity(*, slots_by_region: Mapping[RegionName, int], region: RegionName) -> bool:
     """Return whether a region has about its share of a service's slots, or more.
 
@@ -308,11 +331,20 @@
 
 
 def _first_idle(ranked: Sequence[Upstream], *, view: PlacementView) -> Upstream | None:
-    """Return the first upstream that is idle enough to warm another object."""
-    for upstream in ranked:
+    """Return the first upstream that is idle enough to warm another object.
+
+    One that would evict an object in use is returned only if no other one is idle, since the
+    request would be refused otherwise.
+    """
+    first: Upstream | None = None
+    for rank, upstream in enumerate(ranked):
+        if first is not None and rank >= MAX_ROOM_RANKS:
+            break
         if view.load_of(upstream) <= upstream.entry.slots * IDLE_LOAD_FRACTION:
-            return upstream
-    return None
+            if view.has_room(upstream):
+                return upstream
+            first = first or upstream
+    return first
 
 
 def _send(upstream: Upstream, *, view: PlacementView) -> Placement:
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from gooseberryport_core._hashing import hash_to_unit_interval
-from gooseberryport_core.gateway.model import Destination, ObjectKey, Route, RoutingConfig
+from gooseberryport_core.gateway.model import (
+    Destination,
+    ObjectKey,
+    Route,
+    RouteName,
+    RoutingConfig,
+)
 from gooseberryport_core.types import ServiceName
 
 SHARE_TOLERANCE = 0.03
@@ -15,6 +21,22 @@
 """Requests over which shares are averaged; older requests weigh exponentially less."""
 
 
+class ObjectIdentity(msgspec.Struct, frozen=True):
+    """How a request's object is identified among the objects of a service.
+
+    Parameters
+    ----------
+    key
+        Key by which the object is placed and recorded.
+    earlier_key
+        Key by which the same object may have been recorded before routes to the service were added
+        or removed, or None.
+    """
+
+    key: ObjectKey
+    earlier_key: ObjectKey | None = None
+
+
 class RouteTable:
     """Finds routes by host and longest path prefix.
 
@@ -22,9 +44,11 @@
     ----------
     config
         Configuration that contains the routes.
+    previous
+        Table of the configuration that this one replaces, if any.
     """
 
-    def __init__(self, config: RoutingConfig) -> None:
+    def __init__(self, config: RoutingConfig, *, previous: RouteTable | None = None) -> None:
         self.config = config
         self._hosts: dict[str, dict[str, Route]] = {}
         self._most_urgent: dict[ServiceName, int] = {}
@@ -33,6 +57,42 @@
             for destination in route.destinations:
                 known = self._most_urgent.get(destination.service, route.priority)
                 self._most_urgent[destination.service] = min(known, route.priority)
+        self._plain_key_route: dict[ServiceName, RouteName] = {}
+        self._shared_services: set[ServiceName] = set()
+        self._find_shared_services(previous)
+
+    def _find_shared_services(self, previous: RouteTable | None) -> None:
+        """Find the services of several routes with object affinity, and whose plain keys are known.
+
+        The objects recorded by plain key are those of the route that was alone before. If this
+        isn't known, the route with the largest part of its requests there is the likeliest.
+        """
+        shares: dict[ServiceName, dict[RouteName, float]] = {}
+        for route in self.config.routes:
+            total = sum(destination.weight for destination in route.destinations)
+            for destination in route.destinations if route.object_affinity else ():
+                routes = shares.setdefault(destination.service, {})
+                share = destination.weight / total if total > 0.0 else 0.0
+                routes[route.name] = routes.get(route.name, 0.0) + share
+        for service, routes in shares.items():
+            if len(routes) > 1:
+                self._shared_services.add(service)
+            known = previous._plain_key_route.get(service) if previous is not None else None
+            if known is None or known not in routes:
+                known = max(routes, key=routes.__getitem__)
+            self._plain_key_route[service] = known
+
+    def identify(self, *, route: Route, service: ServiceName, key: ObjectKey) -> ObjectIdentity:
+        """Return how an object is identified among those of a service.
+
+        Routes with equal keys have different objects. Where a service has one route with object
+        affinity, its keys are used as they are.
+        """
+        named = ObjectKey(f"{route.name}\0{key}")
+        if service not in self._shared_services:
+            return ObjectIdentity(key=key, earlier_key=named)
+        is_plain = self._plain_key_route.get(service) == route.name
+        return ObjectIdentity(key=named, earlier_key=key if is_plain else None)
 
     def is_most_urgent(self, route: Route, service: ServiceName) -> bool:
         """Return whether no other route to a service is more urgent."""
--- a/packages/gooseberryport-core/tests/gateway_builders.py
+++ b/packages/gooseberryport-core/tests/gateway_builders.py
@@ -28,6 +28,7 @@
     zone="a1",
     objects=None,
     prefers_local=False,
+    full=(),
 ):
     loads = loads or {}
     objects = objects or {}
@@ -39,6 +40,7 @@
         is_warm=lambda upstream: upstream.id in warm,
         is_unused=lambda upstream: upstream.id in unused,
         objects_of=lambda upstream: objects.get(upstream.id, 0),
+        has_room=lambda upstream: upstream.id not in full,
         prefers_local=prefers_local,
     )
 
--- a/packages/gooseberryport-core/tests/test_gateway_routing.py
+++ b/packages/gooseberryport-core/tests/test_gateway_routing.py
@@ -83,3 +83,30 @@
     assert table.is_most_urgent(first, "s")
     assert not table.is_most_urgent(second, "s")
     assert table.is_most_urgent(alone, "t")
+
+
+def test_routes_with_equal_keys_have_different_objects_only_where_they_share_a_service():
+    # Guards against an upstream taken for warm because of the other route's object.
+    first, second = make_route(name="a"), make_route(name="b", prefix="/b/")
+    other = make_route(name="c", prefix="/c/", destinations=(Destination("t", 1.0),))
+    table = RouteTable(config(first, second, other))
+    keys = [table.identify(route=r, service="s", key="k").key for r in (first, second)]
+    assert len({*keys, "k"}) == 3
+    assert table.identify(route=other, service="t", key="k").key == "k"
+    plain = make_route(name="b", prefix="/b/", object_affinity=False)
+    assert RouteTable(config(first, plain)).identify(route=first, service="s", key="k").key == "k"
+
+
+def test_objects_of_a_route_are_found_after_another_route_came_and_went():
+    # Guards against all objects being cold when weights send part of a route elsewhere for a time.
+    first = make_route(name="z")
+    shifted = (Destination("t", 90.0), Destination("s", 10.0))
+    second = make_route(name="a", prefix="/b/", destinations=shifted)
+    alone = RouteTable(config(first))
+    for previous in (alone, None):
+        shared = RouteTable(config(first, second), previous=previous)
+        during = shared.identify(route=first, service="s", key="k")
+        assert during.earlier_key == alone.identify(route=first, service="s", key="k").key
+        assert shared.identify(route=second, service="s", key="k").earlier_key is None
+        after = RouteTable(config(first), previous=shared)
+        assert after.identify(route=first, service="s", key="k").earlier_key == during.key
--- a/packages/gooseberryport-core/tests/test_placement.py
+++ b/packages/gooseberryport-core/tests/test_placement.py
@@ -191,3 +191,17 @@
 )
 def test_region_has_local_capacity_if_it_has_about_its_share(slots, expected):
     assert has_local_capacity(slots_by_region=slots, region="A") is expected
+
+
+def test_upstreams_full_of_objects_in_use_get_others_only_to_avoid_a_refusal():
+    # Guards against homes that push out other objects while there is room elsewhere.
+    candidates = upstreams(6)
+    ranked = rank_upstreams(candidates=candidates, service="s", key="k", view=view())
+    names = [upstream.id for upstream in ranked]
+    assert placed(candidates, view(full=names[:3])).upstream.id in names[3:5]
+    assert placed(candidates, view(full=names)).upstream.id in names[:2]
+    loads = {names[0]: 8}
+    further = placed(candidates, view(loads=loads, warm=names[:1], full=names[1:4]))
+    assert further.upstream.id == names[4]
+    assert placed(candidates, view(warm=names[:1], full=names)).upstream.id == names[0]
+    assert placed(candidates, view(loads=loads, warm=names[:1], full=names)).warm is False
--- a/packages/gooseberryport-core/tests/test_warmth.py
+++ b/packages/gooseberryport-core/tests/test_warmth.py
@@ -69,3 +69,37 @@
     assert warmth.unsaved() == ["v"]
     warmth.forget("v")
     assert warmth.unsaved() == []
+
+
+def test_objects_beyond_the_capacity_or_lost_are_not_warm():
+    # Guards against sending requests to upstreams that evicted their objects.
+    warmth = WarmthTracker()
+    for object_hash in range(20):
+        warmth.record("u", object_hash, now=float(object_hash), observed_here=True)
+    assert warmth.depth("u", 7) == 12
+    assert [warmth.is_warm("u", mark, capacity=13) for mark in (6, 7)] == [False, True]
+    assert warmth.homes(6, capacity=13) == frozenset()
+    assert not warmth.has_room("u", capacity=13, now=20.0)
+    assert warmth.has_room("u", capacity=13, now=30.0)
+    warmth.record_lost("u", used_at=14.0)
+    assert [warmth.is_warm("u", mark) for mark in (7, 8)] == [False, True]
+    assert warmth.depth("u", 7) == 12
+    assert not warmth.record("u", 7, now=21.0, observed_here=False)
+    assert warmth.is_warm("u", 7)
+
+
+def test_uses_are_reported_once_bounded_and_not_saved():
+    # Guards against an order of use that only one gateway knows, against datagrams without a bound,
+    # and against calls to the store for a changed order.
+    warmth = WarmthTracker()
+    for object_hash in range(40):
+        warmth.record("u", object_hash, now=0.0, observed_here=False)
+    warmth.mark_saved(["u"])
+    for object_hash in (30, 38, 2, 10):
+        warmth.record("u", object_hash, now=1.0, observed_here=True)
+    assert warmth.take_used(limit=2) == [("u", 2), ("u", 10)]
+    assert warmth.take_used(limit=2) == []
+    for object_hash in range(40):
+        warmth.record("u", object_hash, now=2.0, observed_here=True)
+    assert len(warmth.take_used(limit=100)) <= 40
+    assert warmth.unsaved() == []
