Report the order in which objects are used, and learn from requests' durations

Cause: gateways reported only new pairs of upstream and object, so none knew which objects an upstream had used last, and so which it still kept.

Change: a regular report to the gateways with clients of the region contains the known pairs that were used since the last one, those that changed the order most first; 300 bytes a round for all listeners together. The store's records are not written for them. A request that didn't wait teaches the service's capacity; one that was expected to be warm and was cold marks what that upstream handled well before it as lost, at this gateway and at once. The forwarder's calls for warm objects are in _warm_objects.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -90,6 +90,13 @@
         Whether it gets a final reply because the process exits.
     tenant
         Tenant of the client, or None.
+    placement_key
+        Key by which its object is placed, or None.
+    marks
+        Hashes by which its object may be recorded, the present one first.
+    depth, last_use_at
+        Other objects handled since by the upstream that it was sent to, and the time of the
+        object's last use there; None if unknown.
     """
 
     req: ClientRequest
@@ -112,6 +119,10 @@
     timeout: asyncio.Timeout | None = None
     given_up: bool = False
     tenant: Tenant | None = None
+    placement_key: ObjectKey | None = None
+    marks: tuple[int, ...] = ()
+    depth: int | None = None
+    last_use_at: float | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -21,7 +21,6 @@
 from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
 from gooseberryport_core.gateway.stopping import ANSWER_MARGIN_S, stop_queue_factor
 from gooseberryport_core.gateway.upstreams import Upstream
-from gooseberryport_core.gateway.warmth import hash_object_key
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_gateway._attempts import (
     Attempt,
@@ -37,6 +36,7 @@
 from gooseberryport_gateway._replies import Replies
 from gooseberryport_gateway._silence import SilenceDetector
 from gooseberryport_gateway._state import GatewayState, awake_time
+from gooseberryport_gateway._warm_objects import identify
 from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
 from gooseberryport_gateway.wire import HeaderNames
 
@@ -112,6 +112,7 @@
         if route is None:
             return self._replies.reject(req, request_id, status=404, cause="no route")
         job = self._job(req, request_id, route)
+        identify(job, routes)
         self._state.record_client_request(now=req.arrived_at)
         self._state.retries.record_request(service=job.service, now=req.arrived_at)
         self._state.metrics.in_flight.inc()
@@ -231,16 +232,16 @@
 
     def _place(self, job: Job, *, now: float, can_send: Callable[..., bool]) -> Placement:
         state = self._state
-        mark = hash_object_key(job.key) if job.key is not None else 0
         capacity = state.service_capacity(job.service, now=now)
         view = PlacementView(
             zone=state.me.zone,
             region_of=state.region_of,
             load_of=lambda upstream: state.load_of(upstream, now=now),
             can_send=lambda upstream: can_send(upstream, now=now),
-            is_warm=lambda upstream: state.warmth.is_warm(upstream.id, mark),
+            is_warm=state.warm_objects.is_warm(job),
             is_unused=lambda upstream: state.warmth.has_no_objects(upstream.id),
             objects_of=lambda upstream: state.warmth.object_count(upstream.id),
+            has_room=state.warm_objects.has_room(job, now=now),
             prefers_local=capacity.is_local,
         )
         left_s = job.route.objective_s - (now - job.req.arrived_at)
@@ -250,9 +251,9 @@
         )
         avoided = frozenset(job.avoided)
         placement = None
-        if job.key is not None:
+        if job.placement_key is not None:
             placement = place_on_preferred(
-                preferred=self._preferred_upstreams(job, job.key, mark),
+                preferred=self._preferred_upstreams(job, job.placement_key),
                 view=view,
                 queue_factor=factor,
                 avoided=avoided,
@@ -265,18 +266,18 @@
                     if self._is_allowed(upstream, job)
                 ],
                 service=job.service,
-                key=job.key,
+                key=job.placement_key,
                 view=view,
                 queue_factor=factor,
                 avoided=avoided,
             )
         return placement
 
-    def _preferred_upstreams(self, job: Job, key: ObjectKey, mark: int) -> PreferredUpstreams:
+    def _preferred_upstreams(self, job: Job, key: ObjectKey) -> PreferredUpstreams:
         state = self._state
         homes = [
             upstream
-            for name in state.warmth.homes(mark)
+            for name in state.warm_objects.homes(job)
             if (upstream := state.upstreams.get(name)) is not None
             and upstream.entry.service == job.service
         ]
@@ -363,10 +364,8 @@
     async def _send(self, job: Job, upstream: Upstream, conn: HttpConn) -> Attempt:
         now = self._loop.time()
         started_ms = upstream.entry.started_ms
-        if job.key is not None:
-            mark = hash_object_key(job.key)
-            if self._state.warmth.record(upstream.id, mark, now=now, observed_here=True):
-                self._state.on_warmth_update()
+        if self._state.warm_objects.record_send(job, upstream.id, now=now):
+            self._state.on_warmth_update()
         job.sending = True
         job.conns.append(conn)
         expected_s = self._state.warm_s(job.route) if job.warm else None
@@ -446,13 +445,16 @@
         if attempt.was_received:
             if not attempt.paused:
                 upstream.record_answer(good=attempt.end is AttemptEnd.ANSWERED)
-        elif job.key is not None and not job.warm:
-            self._state.warmth.remove(upstream.id, hash_object_key(job.key))
+        else:
+            self._state.warm_objects.record_not_run(job, upstream.id)
         if attempt.end is AttemptEnd.ANSWERED:
             if job.load < upstream.entry.slots:
-                self._state.work_times.record(job.route, now - sent_at)
-                if job.warm:
-                    self._state.record_warm_duration(job.route, now - sent_at)
+                took_s = now - sent_at
+                self._state.work_times.record(job.route, took_s)
+                if self._state.warm_objects.record_duration(
+                    job, upstream.id, took_s=took_s, now=now
+                ):
+                    self._state.record_warm_duration(job.route, took_s)
             return
         if attempt.end is AttemptEnd.MISDIRECTED:
             self._state.record_unreachable(upstream, reason=attempt.reason, now=now)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -82,6 +82,18 @@
             ("gate",),
             registry=self.registry,
         )
+        self.warm_capacity = Gauge(
+            "gooseberryport_warm_capacity",
+            "Objects that an upstream keeps warm, as far as learned, by service",
+            ("service",),
+            registry=self.registry,
+        )
+        self.unexpectedly_cold = Counter(
+            "gooseberryport_unexpectedly_cold",
+            "Requests whose object was expected to be warm, and was not, by service",
+            ("service",),
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "gooseberryport_in_flight", "Requests being answered", registry=self.registry
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -1,8 +1,9 @@
-"""Datagrams between gateways: liveness, readiness, load, and newly warm objects."""
+"""Datagrams between gateways: liveness, readiness, load, and warm objects."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from typing import cast
 
 import msgspec
@@ -39,7 +40,8 @@
     loads
         Requests in flight, keyed by the hash of the upstream's id.
     warm
-        Pairs of upstream and object that became warm recently, as short hashes.
+        Pairs of upstream and object that became warm recently, and those that were used since the
+        last regular report, in order of use, as short hashes.
     follows_store
         Whether the store replies to it.
     active
@@ -154,6 +156,8 @@
         if self._transport is None:
             return
         plan = self._plan()
+        nearby = sum(listener.audience is Audience.ACTIVE for listener in plan.listeners)
+        used = self._state.take_used_objects(listeners=nearby)
         remote = sum(listener.audience is Audience.REMOTE_ACTIVE for listener in plan.listeners)
         remote_period = remote_period_rounds(remote_peers=remote)
         with_digests = round_number % DIGEST_PERIOD_ROUNDS == 0
@@ -172,19 +176,28 @@
                 continue
             kind = (listener.audience, listener.digests if with_digests else Digests.NONE)
             if kind not in encoded:
-                encoded[kind] = self._encode_report(plan, audience=kind[0], digests=kind[1])
+                encoded[kind] = self._encode_report(
+                    plan, audience=kind[0], digests=kind[1], used=used
+                )
             if encoded[kind]:
                 self._transport.sendto(encoded[kind], listener.member.datagrams)
         self._greeted = greeted
 
-    def _encode_report(self, plan: ReportPlan, *, audience: Audience, digests: Digests) -> bytes:
+    def _encode_report(
+        self,
+        plan: ReportPlan,
+        *,
+        audience: Audience,
+        digests: Digests,
+        used: Sequence[tuple[int, int]] = (),
+    ) -> bytes:
         """Return the report to an audience; empty if it would contain nothing new."""
         state = self._state
         now = self._loop.time()
         # Each object is requested in one region, so only that region's gateways need its warmth.
         warm: list[tuple[int, int]] = []
         if audience is Audience.ACTIVE:
-            warm = state.warm_updates(now=now, max_age_s=ACTIVE_UPDATE_AGE_S)
+            warm = [*state.warm_updates(now=now, max_age_s=ACTIVE_UPDATE_AGE_S), *used]
         elif audience in (Audience.ZONE, Audience.REGION):
             warm = state.warm_updates(now=now)
         if audience is Audience.REGION and not warm:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -40,6 +40,7 @@
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, VmId, ZoneName
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
+from gooseberryport_gateway._warm_objects import WarmObjects
 from gooseberryport_gateway.wire import GatewaySettings
 
 LOAD_REPORT_TTL_S = 1.5
@@ -142,6 +143,7 @@
         self.announcements = UpstreamAnnouncements()
         self.idle_limits = IdleLimits()
         self.warmth = WarmthTracker()
+        self.warm_objects = WarmObjects(tracker=self.warmth, metrics=metrics)
         self.warm_times: dict[RouteName, float] = {}
         self.work_times = WorkTimes()
         self.stopping = False
@@ -189,7 +191,8 @@
         """Apply a configuration if it is newer than the current one; return whether it is."""
         if self.routes is not None and config.version <= self.routes.config.version:
             return False
-        self.routes = RouteTable(config)
+        self.routes = RouteTable(config, previous=self.routes)
+        self.warm_objects.apply_routes(self.routes)
         self.work_times.forget_other_than(frozenset(route.name for route in config.routes))
         self.metrics.config_version.set(config.version)
         self.log.write(
@@ -210,7 +213,7 @@
         removed = self._removed.pop(entry.upstream, None)
         earlier = before or removed
         if earlier is not None and earlier.started_ms != entry.started_ms:
-            self.warmth.forget(entry.upstream)
+            self.warm_objects.forget(entry.upstream)
             self.announcements.restart(entry.upstream, started_ms=entry.started_ms)
             self._count_announcements()
             if self.rate_limits.restart(entry.upstream, now=now):
@@ -266,7 +269,7 @@
 
     def _forget(self, upstream: UpstreamId) -> None:
         self._removed.pop(upstream, None)
-        self.warmth.forget(upstream)
+        self.warm_objects.forget(upstream)
         self.cold_rate_limiter.forget(upstream)
         self.rate_limits.forget(upstream)
         self.announcements.forget(upstream)
@@ -491,6 +494,13 @@
             for upstream, mark in self.warmth.recent_updates(now=now, max_age_s=max_age_s)
         ]
 
+    def take_used_objects(self, *, listeners: int) -> list[tuple[int, int]]:
+        """Return the known pairs that were used since the last report, as short hashes."""
+        return [
+            (upstream_hash(upstream), mark)
+            for upstream, mark in self.warm_objects.take_used(listeners=listeners)
+        ]
+
     def record_peer_warmth(self, pairs: list[tuple[int, int]], *, now: float) -> None:
         """Record which upstreams handled which objects for other gateways."""
         for short_hash, mark in pairs:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -328,6 +328,7 @@
             self._pool.close_expired()
             self.state.expire_peer_loads(now=self._loop.time())
             self.state.rate_limits.expire(now=self._loop.time())
+            self.state.warm_objects.refresh(now=self._loop.time())
             self._discovery.expire()
             if self.state.ready and not was_ready:
                 was_ready = True
