--- a/standins/src/gooseberryport_standins/_warm_model.py
+++ b/standins/src/gooseberryport_standins/_warm_model.py
@@ -88,7 +88,10 @@
 class _ModelledUpstream:
     """A modelled upstream with slots, a queue and the objects that it is warm for."""
 
-    def __init__(self, *, upstream: Upstream, factor: float) -> None:
+    def __init__(
+        self, *, upstream: Upstream, factor: float, kept_objects: int = MAX_WARM_OBJECTS
+    ) -> None:
+        self.kept_objects = kept_objects
         self.upstream = upstream
         self.factor = factor
         self.warm: OrderedDict[str, None] = OrderedDict()
@@ -112,7 +115,7 @@
         self._ends_at.append(end)
         self.warm[key] = None
         self.warm.move_to_end(key)
-        if len(self.warm) > MAX_WARM_OBJECTS:
+        while len(self.warm) > self.kept_objects:
             self.warm.popitem(last=False)
         return end
 
@@ -120,7 +123,10 @@
 class UpstreamModel:
     """The modelled upstreams at a point in time, as a policy sees them."""
 
-    def __init__(self, *, upstream_count: int, pattern: Pattern) -> None:
+    def __init__(
+        self, *, upstream_count: int, pattern: Pattern, kept_objects: int = MAX_WARM_OBJECTS
+    ) -> None:
+        self._kept_objects = kept_objects
         self._next_number = 0
         self._pattern = pattern
         self.now = 0.0
@@ -150,7 +156,7 @@
         self._next_number += 1
         factor = self._pattern.slow_factor if slow else 1.0
         self.modelled_upstreams[name] = _ModelledUpstream(
-            upstream=Upstream(entry=entry), factor=factor
+            upstream=Upstream(entry=entry), factor=factor, kept_objects=self._kept_objects
         )
 
     def replace_oldest(self) -> None:
