--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -108,6 +108,13 @@
         Tenant of the client, or None.
     key_checked
         Whether the configuration had tenants when the client's key was checked.
+    placement_key
+        Key by which its object is placed, or None.
+    marks
+        Hashes by which its object may be recorded, the present one first.
+    depth, last_use_at
+        Other objects handled since by the upstream that it was sent to, and the time of the
+        object's last use there; None if unknown.
     """
 
     req: ClientRequest
@@ -132,6 +139,10 @@
     timeout: asyncio.Timeout | None = None
     given_up: bool = False
     tenant: Tenant | None = None
+    placement_key: ObjectKey | None = None
+    marks: tuple[int, ...] = ()
+    depth: int | None = None
+    last_use_at: float | None = None
     key_checked: bool = False
 
     @property
