--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/placement.py
@@ -457,5 +457,19 @@
     warm_s
         Time for a request whose object is warm, network round trip included; seconds.
     """
+    return min(
+        max(load_in_time(objective_s=objective_s, warm_s=warm_s), MIN_QUEUE_FACTOR),
+        MAX_QUEUE_FACTOR,
+    )
+
+
+def load_in_time(*, objective_s: float, warm_s: float) -> float:
+    """Return the load per slot at which a request just meets its objective, without bounds.
+
+    Parameters
+    ----------
+    objective_s, warm_s
+        As for `queue_factor`.
+    """
     slack_s = objective_s * OBJECTIVE_FACTOR - warm_s
-    return min(max(1.0 + slack_s / max(warm_s, 0.001), MIN_QUEUE_FACTOR), MAX_QUEUE_FACTOR)
+    return 1.0 + slack_s / max(warm_s, 0.001)
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/routing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import msgspec
 
 from gooseberryport_core._hashing import hash_to_unit_interval
@@ -53,8 +55,11 @@
         self.config = config
         self._hosts: dict[str, dict[str, Route]] = {}
         self._priorities = _priorities(config)
+        self._routes_to: dict[ServiceName, list[Route]] = {}
         for route in config.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
+            for destination in route.destinations:
+                self._routes_to.setdefault(destination.service, []).append(route)
         self._plain_key_route: dict[ServiceName, RouteName] = {}
         self._shared_services: set[ServiceName] = set()
         self._find_shared_services(previous)
@@ -92,6 +97,10 @@
         is_plain = self._plain_key_route.get(service) == route.name
         return ObjectIdentity(key=named, earlier_key=key if is_plain else None)
 
+    def routes_to(self, service: ServiceName) -> Sequence[Route]:
+        """Return the routes that lead to a service."""
+        return self._routes_to.get(service, ())
+
     def level(self, *, service: ServiceName, priority: int) -> Level:
         """Return the level of a request's priority among those of its service.
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/shortage.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/shortage.py
@@ -26,6 +26,11 @@
 """Load per slot below which each level is admitted. One waiting request keeps a slot busy between
 two responses; with free slots only, the model's mean worth was 0.67 instead of 0.70."""
 
+RESERVED_LOAD = 2.0
+"""Load per slot that is left to the more urgent levels within the tightest latency objective of a
+service. Where that objective allows a longer queue, less urgent requests need not be rejected:
+on one day of the transfers a service with a loose objective rejected 965 that could be in time."""
+
 SHARE_HALF_LIFE_S = 5.0
 """Time after which a request weighs half in its level's share; seconds."""
 
@@ -80,11 +85,11 @@
     return Level(index=index, count=max(count, 1))
 
 
-def level_factor(*, factor: float, level: Level) -> float:
+def level_factor(*, factor: float, level: Level, tightest: float = 0.0) -> float:
     """Return the load per slot from which an upstream counts as full for a level.
 
-    The steps between the levels are equal: from the route's own limit for the most urgent to
-    `LOWEST_LEVEL_FACTOR` for the least urgent.
+    The steps between the levels are equal: from the route's own limit for the most urgent to what
+    leaves `RESERVED_LOAD` for the others, at least `LOWEST_LEVEL_FACTOR`, for the least urgent.
 
     Parameters
     ----------
@@ -92,11 +97,15 @@
         The limit that follows from the route's latency objective; `placement.queue_factor`.
     level
         Level of the request.
+    tightest
+        Load per slot up to which a request of the service's tightest route meets its latency
+        objective, without an upper bound.
     """
-    if level.is_only or factor <= LOWEST_LEVEL_FACTOR:
+    lowest = max(tightest - RESERVED_LOAD, LOWEST_LEVEL_FACTOR)
+    if level.is_only or factor <= lowest:
         return factor
     share = 1.0 - level.index / (level.count - 1)
-    return LOWEST_LEVEL_FACTOR + (factor - LOWEST_LEVEL_FACTOR) * share
+    return lowest + (factor - lowest) * share
 
 
 class _Count(msgspec.Struct):
@@ -140,19 +149,27 @@
         """Drop all counts; with another configuration the levels may be others."""
         self._counts.clear()
 
-    def factor(self, *, service: ServiceName, factor: float, level: Level, now: float) -> float:
+    def factor(
+        self,
+        *,
+        service: ServiceName,
+        factor: float,
+        level: Level,
+        tightest: float = 0.0,
+        now: float,
+    ) -> float:
         """Return the load per slot from which an upstream counts as full for a request.
 
         Parameters
         ----------
         service
             Service of the request.
-        factor, level
+        factor, level, tightest
             As for `level_factor`.
         now
             Monotonic time; seconds.
         """
-        limit = level_factor(factor=factor, level=level)
+        limit = level_factor(factor=factor, level=level, tightest=tightest)
         counts = self._counts.get(service)
         if counts is None or level.is_only or level.index == 0:
             return limit
--- a/packages/gooseberryport-core/tests/test_shortage.py
+++ b/packages/gooseberryport-core/tests/test_shortage.py
@@ -117,3 +117,12 @@
     assert delay(waited_s=0.1) < delay()
     assert delay(wait_s=9.0, draw=0.99) == pytest.approx(0.5)
     assert delay(wait_s=0.0) == delay(left_s=0.0) == 0.1
+
+
+def test_less_urgent_requests_are_limited_only_as_far_as_the_tightest_objective_requires():
+    # Guards against rejections of less urgent requests that delay nobody beyond the objective.
+    last = Level(1, 2)
+    assert level_factor(factor=2.5, level=last, tightest=2.4) == MIN_QUEUE_FACTOR
+    assert level_factor(factor=2.5, level=last, tightest=4.0) == pytest.approx(2.0)
+    assert level_factor(factor=2.5, level=last, tightest=9.0) == 2.5
+    assert level_factor(factor=2.5, level=Level(0, 2), tightest=2.4) == 2.5
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_levels.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_levels.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
-from gooseberryport_core.gateway.placement import Placement, Verdict
+from gooseberryport_core.gateway.placement import Placement, Verdict, load_in_time
 from gooseberryport_core.gateway.refusals import level_retry_after
 from gooseberryport_core.gateway.shortage import Level, slot_wait_s
+from gooseberryport_core.types import ServiceName
 from gooseberryport_gateway._attempts import Job
 from gooseberryport_gateway._state import GatewayState
 
 ONLY_LEVEL = Level()
 
+TIGHTEST_TTL_S = 0.5
+"""Time for which the tightest route of a service is kept; warm times change slowly; seconds."""
+
+MAX_SERVICES = 1_000
+"""Services whose tightest route is kept."""
+
 
 class PriorityAdmission:
     """Limits each priority level of a service to the load that leaves room for more urgent ones.
@@ -24,6 +31,7 @@
 
     def __init__(self, *, state: GatewayState) -> None:
         self._state = state
+        self._known_tightest: dict[ServiceName, tuple[float, float]] = {}
 
     def level(self, job: Job) -> Level:
         """Return the priority level of a request."""
@@ -48,10 +56,36 @@
         if level.is_only:
             return factor
         job.full_from = self._state.level_shares.factor(
-            service=job.service, factor=factor, level=level, now=now
+            service=job.service,
+            factor=factor,
+            level=level,
+            tightest=self._tightest(job.service, now=now),
+            now=now,
         )
         return job.full_from
 
+    def _tightest(self, service: ServiceName, *, now: float) -> float:
+        """Return the load per slot at which requests of the tightest route are just in time.
+
+        Routes without a known time of a warm request don't count; 0 if there are no others.
+        """
+        known = self._known_tightest.get(service)
+        if known is not None and now - known[0] < TIGHTEST_TTL_S:
+            return known[1]
+        routes = self._state.routes
+        tightest = min(
+            (
+                load_in_time(objective_s=route.objective_s, warm_s=self._state.warm_s(route))
+                for route in (routes.routes_to(service) if routes is not None else ())
+                if route.name in self._state.warm_times
+            ),
+            default=0.0,
+        )
+        if len(self._known_tightest) >= MAX_SERVICES:
+            self._known_tightest.clear()
+        self._known_tightest[service] = (now, tightest)
+        return tightest
+
     def record(self, job: Job, placement: Placement, *, now: float) -> None:
         """Count the outcome of a placement, and set when a rejected client should retry.
 
