Let the soak of gateways run with tenants

Checked at the upstreams: the tenant's name, that no key is passed on, that no request without a known key runs, and the quota in every window of 5 s.

--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -24,7 +24,13 @@
 sys.path.insert(0, str(ROOT / "platform"))
 
 from soak_clients import SoakClient  # noqa: E402
-from soak_harness import FaultyLink, PromiseChecker, SoakUpstream  # noqa: E402
+from soak_harness import (  # noqa: E402
+    STRANGER,
+    FaultyLink,
+    PromiseChecker,
+    Quota,
+    SoakUpstream,
+)
 from store_standin import store_standin  # noqa: E402
 
 from gooseberryport_standins.streams import open_stream  # noqa: E402
@@ -36,6 +42,10 @@
 ROUTE_TIMEOUT_S = 1.5
 MAX_ATTEMPTS = 2
 RETRY_BUDGET = (0.2, 50.0, 10.0)
+TENANT_KEYS = {"plain": "key-plain", "limited": "key-limited"}
+LIMITED_TENANT = "limited"
+TENANT_RATE_PER_S, TENANT_BURST = 8, 8
+QUOTA = Quota(window_s=5.0, overage=0.1, slack=20.0, per_s=TENANT_RATE_PER_S, burst=TENANT_BURST)
 REGION_OF_ZONE = {"a1": "A", "a2": "A", "b1": "B"}
 CLIENTS = 10
 DISCONNECT_SLACK_S = 0.2
@@ -101,6 +111,8 @@
     def write_settings(self, seeds):
         bounds = {"retryBudgetRatio": RETRY_BUDGET[0], "budgetSlack": RETRY_BUDGET[1]}
         bounds |= {"budgetWindowS": RETRY_BUDGET[2], "graceS": GRACE_S, "drainMs": DRAIN_S * 1000}
+        bounds |= {"quotaWindowS": QUOTA.window_s, "quotaOverage": QUOTA.overage}
+        bounds |= {"quotaSlack": QUOTA.slack}
         settings = {
             "nodeName": self.name,
             "ip": "127.0.0.1",
@@ -138,8 +150,11 @@
         self.seconds = seconds
         self.standin = standin
         self.checker = PromiseChecker(
-            drain_s=DRAIN_S, max_attempts=MAX_ATTEMPTS, budget=RETRY_BUDGET
+            drain_s=DRAIN_S, max_attempts=MAX_ATTEMPTS, budget=RETRY_BUDGET, quotas={}
         )
+        if seed % 2:
+            # Odd seeds run with tenants, even ones without.
+            self.checker.quotas[LIMITED_TENANT] = QUOTA
         self.rate_per_client = 5.0
         self.timeout_s = ROUTE_TIMEOUT_S
         self.upstreams = []
@@ -152,6 +167,15 @@
             for n, zone in enumerate(("a1", "a1", "a1", "a2", "a2", "b1"))
         ]
 
+    def draw_tenant(self, rng):
+        """Return a tenant and its key; a stranger's key belongs to none, and None to no run."""
+        if not self.checker.quotas:
+            return None, None
+        if rng.random() < 0.05:
+            return STRANGER, "key-stranger"
+        tenant = rng.choice(list(TENANT_KEYS))
+        return tenant, TENANT_KEYS[tenant]
+
     def allowed_services(self, kind):
         """Return the services that this run's configurations have routed a kind of request to."""
         if kind == "pages":
@@ -182,6 +206,12 @@
         clusters = [{"name": name, "coldPerS": 4.0} for name in ("s", "t")]
         listeners = [{"host": "soak.example", "rules": rules}]
         config = {"version": self.version, "listeners": listeners, "clusters": clusters}
+        if self.checker.quotas:
+            limit = {"ratePerS": TENANT_RATE_PER_S, "burst": TENANT_BURST}
+            config["tenants"] = [
+                {"name": name, "apiKeys": [key]} | (limit if name == LIMITED_TENANT else {})
+                for name, key in TENANT_KEYS.items()
+            ]
         await self.standin.put("op/config", config)
 
     async def add_upstream(self, service, *, zone=None, link=None):
@@ -509,6 +539,7 @@
     for task in background_tasks:
         task.cancel()
     env.checker.check_retry_budget()
+    env.checker.check_quotas()
 
 
 async def wait_until_ready(env):
--- a/tests/soak_clients.py
+++ b/tests/soak_clients.py
@@ -59,6 +59,7 @@
         self._checker = env.checker
         self._rng = rng
         self._serials = itertools.count()
+        self._keys = {}
         self._conn = None
         self._gateway_addresses = []
         self._looked_up_at = float("-inf")
@@ -106,6 +107,8 @@
         kind = kind or self._rng.choice(("pages", "pages", "orders", "proofs"))
         request_id = f"{self._name}-{next(self._serials)}"
         at_most_once = kind == "orders"
+        tenant, key = self._env.draw_tenant(self._rng)
+        self._keys[request_id] = key
         sent = SentRequest(
             request_id=request_id,
             method="POST" if at_most_once else "GET",
@@ -115,6 +118,7 @@
             at_most_once=at_most_once,
             sent_at=time.monotonic(),
             gateway=conn.address,
+            tenant=tenant,
         )
         self._checker.record_sent(sent)
         return sent
@@ -124,6 +128,8 @@
         lines.append(f"Request-Id: {sent.request_id}")
         lines.append(f"Request-Deadline: {int(ANSWER_TIMEOUT_S * 1000)}")
         lines.append(f"Cookie: Affinity-Key={sent.target.split('?')[0]}")
+        if key := self._keys.pop(sent.request_id):
+            lines.append(f"Authorization: Bearer {key}")
         if sent.body:
             lines.append(f"Content-Length: {len(sent.body)}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + sent.body
--- a/tests/soak_harness.py
+++ b/tests/soak_harness.py
@@ -22,6 +22,24 @@
 """Statuses with which a gateway reports that the request did not run."""
 
 
+STRANGER = "stranger"
+"""Tenant of the requests whose key no configuration holds."""
+
+
+class Quota(msgspec.Struct, frozen=True):
+    """What a tenant may run in any window: its rate and burst, and what is tolerated beyond."""
+
+    window_s: float
+    overage: float
+    slack: float
+    per_s: float
+    burst: float
+
+    @property
+    def allowed(self):
+        return (self.per_s * self.window_s + self.burst) * (1.0 + self.overage) + self.slack
+
+
 class SentRequest(msgspec.Struct):
     """A request sent by a client, and the upstreams that ran it."""
 
@@ -33,6 +51,7 @@
     at_most_once: bool
     sent_at: float
     gateway: str
+    tenant: str | None = None
     gave_up_at: float | None = None
     reported_not_run: bool = False
     runs: list = []
@@ -45,10 +64,12 @@
     A request is checked when an upstream receives it, and an answer when a client receives it.
     """
 
-    def __init__(self, *, drain_s, max_attempts, budget):
+    def __init__(self, *, drain_s, max_attempts, budget, quotas):
         self.drain_s = drain_s
         self.max_attempts = max_attempts
         self.budget = budget
+        self.quotas = quotas
+        self._tenant_runs = {}
         self.sent = {}
         self.violations = []
         self.counts = {}
@@ -76,13 +97,16 @@
     def count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
 
+    def count_by(self, name, number):
+        self.counts[name] = self.counts.get(name, 0) + number
+
     def record_violation(self, rule, text):
         self.violations.append(f"{rule}: {text}")
 
     def record_sent(self, sent):
         self.sent[sent.request_id] = sent
 
-    def check_received(self, request_id, *, upstream, method, target, body):
+    def check_received(self, request_id, *, upstream, method, target, body, fields):
         """Check a request that an upstream received, whether it runs or not."""
         now = time.monotonic()
         sent = self.sent.get(request_id)
@@ -95,6 +119,12 @@
             self.record_violation(
                 "unasked", f"{request_id} was altered on its way to {upstream.name}"
             )
+        if fields.get("tenant-id") != sent.tenant or "authorization" in fields:
+            self.record_violation(
+                "unasked",
+                f"{request_id} of {sent.tenant} reached {upstream.name} as"
+                f" {fields.get('tenant-id')}, with its key: {'authorization' in fields}",
+            )
         overdue_s = now - upstream.withdrawn_at if upstream.withdrawn_at is not None else 0.0
         if overdue_s > self.drain_s and self.is_fault_free(since=now - overdue_s, until=now):
             self.record_violation(
@@ -113,6 +143,10 @@
             return
         self.count("runs")
         sent.runs.append(upstream.name)
+        if len(sent.runs) == 1:
+            self._tenant_runs.setdefault(sent.tenant, []).append(time.monotonic())
+        if sent.tenant == STRANGER:
+            self.record_violation("route", f"{request_id} ran without a known key")
         if sent.at_most_once and len(sent.runs) > 1:
             self.record_violation("twice", f"{request_id} ran on {sent.runs}")
         if sent.at_most_once and sent.reported_not_run:
@@ -150,6 +184,8 @@
                 self.record_violation(
                     "mixed", f"{sent.request_id} got an answer though it never ran"
                 )
+        elif status == 401 and sent.tenant == STRANGER:
+            pass
         elif 300 <= status < 500:
             self.record_violation(
                 "denied", f"{sent.request_id} for {sent.target} got unexpected {status}"
@@ -174,6 +210,17 @@
                     )
                     break
 
+    def check_quotas(self):
+        """Check that the runs of each limited tenant stay within its quota in every window."""
+        for tenant, quota in self.quotas.items():
+            runs = self._tenant_runs.get(tenant, [])
+            most = max(
+                (sum(end - quota.window_s < at <= end for at in runs) for end in runs), default=0
+            )
+            self.count_by(f"most runs of {tenant} in a window", most)
+            if most > quota.allowed:
+                self.record_violation("quota", f"{tenant} ran {most}, {quota.allowed:.0f} allowed")
+
 
 def sign(request_id, body):
     return hashlib.sha256(request_id.encode() + b"|" + body).hexdigest()[:16]
@@ -329,7 +376,7 @@
             self._write(writer, 421, b"", {"Request-Id": request_id})
             return True
         self._checker.check_received(
-            request_id, upstream=self, method=method, target=target, body=body
+            request_id, upstream=self, method=method, target=target, body=body, fields=fields
         )
         full = self._load >= self.slots * (1 + MAX_QUEUED_PER_SLOT)
         if full or self._rng.random() < self.fault_rates.get("refuses", 0.0):
