--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_levels.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_levels.py
@@ -21,7 +21,7 @@
 class PriorityAdmission:
     """Limits each priority level of a service to the load that leaves room for more urgent ones.
 
-    Services with one level are left alone.
+    Services with one level are left alone, and all if the settings don't ask for such limits.
 
     Parameters
     ----------
@@ -53,7 +53,7 @@
             Monotonic time; seconds.
         """
         level = self.level(job)
-        if level.is_only:
+        if level.is_only or not self._state.settings.priority_limits:
             return factor
         job.full_from = self._state.level_shares.factor(
             service=job.service,
@@ -94,7 +94,8 @@
         state = self._state
         upstream = placement.upstream
         level = self.level(job)
-        if level.is_only or upstream is None or state.stopping:
+        is_limited = state.settings.priority_limits and not level.is_only
+        if not is_limited or upstream is None or state.stopping:
             return
         if placement.verdict is Verdict.SEND:
             if not job.sent_to:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -108,6 +108,8 @@
         Requests per second that the VM can carry; 0 if its size is not known.
     memory_bytes
         Memory of the process; 0 if it is not known; bytes.
+    priority_limits
+        Whether less urgent requests are limited to a lower load of the upstreams.
     even_load
         Whether requests are spread by estimates of the upstreams' loads in any case.
     """
@@ -128,6 +130,7 @@
     bounds: Bounds
     capacity_per_s: float = 0.0
     memory_bytes: int = 0
+    priority_limits: bool = False
     even_load: bool = False
 
 
--- a/packages/gooseberryport-gateway/tests/test_levels.py
+++ b/packages/gooseberryport-gateway/tests/test_levels.py
@@ -2,6 +2,7 @@
 import json
 import os
 
+import msgspec
 import pytest
 from gateway_harness import (
     header_value,
@@ -22,8 +23,10 @@
 PATHS = (b"/a/x", b"/b/x")
 
 
-async def send_at_load(gateway, upstream, path, *, load):
+async def send_at_load(gateway, upstream, path, *, load, limited=True):
     """Send a request while other gateways report a load of the only upstream, with 4 slots."""
+    state = gateway.state
+    state.apply_settings(msgspec.structs.replace(state.settings, priority_limits=limited))
     gateway.put_upstream("u1", upstream.port)
     now = asyncio.get_running_loop().time()
     gateway.state.record_peer_loads("vm2", {upstream_hash("u1"): load}, now=now)
@@ -45,6 +48,9 @@
             assert [status for status, _, _ in replies] == [200, 503]
             assert 0.1 <= float(header_value(replies[1][1], b"retry-after")) <= 0.34
             assert (await send_at_load(gateway, upstream, PATHS[1], load=4))[0] == 200
+            # Without the setting, levels share the route's limit as before.
+            reply = await send_at_load(gateway, upstream, PATHS[1], load=6, limited=False)
+            assert reply[0] == 200
             gateway.state.log.flush()
             os.close(fd)
             text = gateway.state.metrics.text()
--- a/tests/test_site_codec.py
+++ b/tests/test_site_codec.py
@@ -206,6 +206,8 @@
     # Failure: a settings file of an earlier release, without the switch, changes the placement.
     assert not settings.even_load
     assert decode_settings(json.dumps(SETTINGS | {"evenLoad": True}).encode()).even_load
+    assert not settings.priority_limits
+    assert decode_settings(json.dumps(SETTINGS | {"priorityLimits": True}).encode()).priority_limits
 
 
 @pytest.mark.parametrize(
