--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -8,18 +8,9 @@
 
 from gooseberryport_core.decoding import parse_count
 from gooseberryport_core.gateway.announcements import NOTHING_ANNOUNCED, Announcement, Gate
-from gooseberryport_core.gateway.model import ObjectKey, Repeatability, Route, Tenant
-from gooseberryport_core.gateway.placement import (
-    Placement,
-    PlacementView,
-    PreferredUpstreams,
-    Verdict,
-    place_on_preferred,
-    place_request,
-    queue_factor,
-)
+from gooseberryport_core.gateway.model import Repeatability, Route, Tenant
 from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
-from gooseberryport_core.gateway.stopping import ANSWER_MARGIN_S, stop_queue_factor
+from gooseberryport_core.gateway.stopping import ANSWER_MARGIN_S
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_gateway._attempts import (
@@ -34,11 +25,12 @@
 from gooseberryport_gateway._headers import object_key
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
 from gooseberryport_gateway._levels import PriorityAdmission
+from gooseberryport_gateway._placing import Placer
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._replies import Replies
 from gooseberryport_gateway._request_encoding import RequestEncoder
 from gooseberryport_gateway._silence import SilenceDetector
-from gooseberryport_gateway._state import GatewayState, awake_time
+from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway._warm_objects import identify
 from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
 from gooseberryport_gateway.wire import HeaderNames
@@ -89,6 +81,7 @@
         self._encoder = RequestEncoder(names)
         self._silence = SilenceDetector(state=state, pool=pool)
         self._admission = PriorityAdmission(state=state)
+        self._placer = Placer(state=state, admission=self._admission)
         self._loop = asyncio.get_running_loop()
         self._jobs: set[Job] = set()
 
@@ -183,7 +176,7 @@
     async def _serve(self, job: Job) -> Reply:
         while True:
             now = self._loop.time()
-            upstream = self._choose(job, now=now)
+            upstream = self._placer.choose(job, now=now)
             if upstream is None:
                 return self._replies.failed(job)
             job.sent_to.append(upstream.id)
@@ -202,139 +195,6 @@
             if attempt.paused:
                 self._state.metrics.placed_anew.labels(Gate.PAUSED.value).inc()
 
-    def _choose(self, job: Job, *, now: float) -> Upstream | None:
-        state = self._state
-        if self._stop_factor(job, now=now) is None:
-            job.refusal_cause = RefusalCause.STOPPING
-            job.cause = f"the stop leaves {state.exits_at - now:.2f} s"
-            return None
-        placement = self._place(job, now=now, can_send=state.can_send_unlimited)
-        if placement.upstream is not None:
-            state.rate_limits.record_wanted(placement.upstream.id, now=now)
-            if not state.can_send_limited(placement.upstream, now=now):
-                placement = self._place(job, now=now, can_send=state.can_send)
-        job.warm = placement.warm
-        job.load = placement.load
-        if placement.upstream is not None and placement.verdict is Verdict.SEND:
-            # Counted before any wait, so that requests meanwhile see it.
-            state.rate_limits.record_sent(placement.upstream.id, now=now)
-            state.cold_rate_limiter.record_sent(upstream=placement.upstream.id, now=now)
-            state.announcements.record_sent(placement.upstream.id, now=awake_time())
-            self._admission.record(job, placement, now=now)
-            return placement.upstream
-        usable = state.service_capacity(job.service, now=now).usable
-        if state.stopping:
-            job.refusal_cause = RefusalCause.STOPPING
-        else:
-            job.return_s = self._return_s(job)
-        job.cause = f"placement: {placement.verdict.value} of {usable}"
-        if job.tenant is not None and job.tenant.allowed_regions:
-            job.cause += "; the tenant's regions only"
-        limited = self._want_limited(job, now=now)
-        if limited:
-            job.cause += f"; {limited} with a rate limit"
-        self._admission.record(job, placement, now=now)
-        return None
-
-    def _return_s(self, job: Job) -> float | None:
-        """Return when the first upstream ends its pause, if all that may serve a request pause."""
-        state = self._state
-        if not state.announcements.paused_count:
-            return None
-        allowed = [
-            upstream.id
-            for upstream in state.upstreams.usable(job.service)
-            if self._is_allowed(upstream, job)
-        ]
-        return state.announcements.return_s(allowed, now=awake_time())
-
-    def _stop_factor(self, job: Job, *, now: float) -> float | None:
-        """Return the load per slot up to which a request ends before the exit, or None."""
-        state = self._state
-        if not state.stopping:
-            return math.inf
-        return stop_queue_factor(
-            left_s=state.exits_at - now, work_s=state.work_times.expected_s(job.route)
-        )
-
-    def _place(self, job: Job, *, now: float, can_send: Callable[..., bool]) -> Placement:
-        state = self._state
-        capacity = state.service_capacity(job.service, now=now)
-        view = PlacementView(
-            zone=state.me.zone,
-            region_of=state.region_of,
-            load_of=lambda upstream: state.load_of(upstream, now=now),
-            can_send=lambda upstream: can_send(upstream, now=now),
-            is_warm=state.warm_objects.is_warm(job),
-            is_unused=lambda upstream: state.warmth.has_no_objects(upstream.id),
-            objects_of=lambda upstream: state.warmth.object_count(upstream.id),
-            has_room=state.warm_objects.has_room(job, now=now),
-            prefers_local=capacity.is_local,
-            even=state.balancing.even_load(job.service, now=now),
-        )
-        left_s = job.route.objective_s - (now - job.req.arrived_at)
-        factor = queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route))
-        factor = min(
-            self._admission.factor(job, factor=factor, now=now),
-            self._stop_factor(job, now=now) or 0.0,
-        )
-        avoided = frozenset(job.avoided)
-        placement = None
-        if job.placement_key is not None:
-            placement = place_on_preferred(
-                preferred=self._preferred_upstreams(job, job.placement_key),
-                view=view,
-                queue_factor=factor,
-                avoided=avoided,
-            )
-        if placement is None:
-            placement = place_request(
-                candidates=[
-                    upstream
-                    for upstream in state.upstreams.usable(job.service)
-                    if self._is_allowed(upstream, job)
-                ],
-                service=job.service,
-                key=job.placement_key,
-                view=view,
-                queue_factor=factor,
-                avoided=avoided,
-            )
-        return placement
-
-    def _preferred_upstreams(self, job: Job, key: ObjectKey) -> PreferredUpstreams:
-        state = self._state
-        homes = [
-            upstream
-            for name in state.warm_objects.homes(job)
-            if (upstream := state.upstreams.get(name)) is not None
-            and upstream.entry.service == job.service
-        ]
-        if len(homes) > 1:
-            homes = state.rankings.in_order(service=job.service, key=key, upstreams=homes)
-        return PreferredUpstreams(
-            ranked=state.rankings.preferred(
-                service=job.service, key=key, upstreams_of=state.upstreams.for_service
-            ),
-            homes=homes,
-            is_usable=lambda upstream: state.upstreams.is_usable(upstream)
-            and self._is_allowed(upstream, job),
-        )
-
-    def _want_limited(self, job: Job, *, now: float) -> int:
-        """Ask for shares of the service's limited upstreams; return their number."""
-        state = self._state
-        wanted = 0
-        for name in state.rate_limits.limited():
-            upstream = state.upstreams.get(name)
-            if upstream is not None and upstream.entry.service == job.service:
-                state.rate_limits.record_wanted(name, now=now, as_first=False)
-                wanted += 1
-        return wanted
-
-    def _is_allowed(self, upstream: Upstream, job: Job) -> bool:
-        return job.is_allowed_in(self._state.region_of(upstream.entry.zone))
-
     def _may_retry(self, job: Job, attempt: Attempt) -> bool:
         now = self._loop.time()
         sends = len(job.sent_to)
