--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
@@ -87,7 +87,7 @@
 """Maximum counts of other gateways that are kept, of all tenants; some 10 MB."""
 
 MAX_RETRY_S = 60.0
-"""Longest delay that a rejected client is told; seconds."""
+"""Longest delay stated to a rejected client; seconds."""
 
 
 class QuotaDecision(msgspec.Struct, frozen=True):
@@ -132,7 +132,7 @@
     slack: float
 
 
-class _Told(msgspec.Struct):
+class _LastReport(msgspec.Struct):
     """What was reported of a tenant, and when; monotonic seconds."""
 
     at: float = float("-inf")
@@ -156,8 +156,8 @@
         Times for which `level` and `own_tokens` are computed; monotonic seconds.
     admitted
         Requests admitted by this process, less those that did not run.
-    told_local, told_remote
-        What gateways of this and of other regions were last told of it.
+    reported_local, reported_remote
+        What was last reported of it to gateways of this and of other regions.
     """
 
     rate: float
@@ -171,8 +171,8 @@
     served: RecentCount
     others: OtherGateways
     admitted: int = 0
-    told_local: _Told = msgspec.field(default_factory=_Told)
-    told_remote: _Told = msgspec.field(default_factory=_Told)
+    reported_local: _LastReport = msgspec.field(default_factory=_LastReport)
+    reported_remote: _LastReport = msgspec.field(default_factory=_LastReport)
 
 
 class TenantQuotas:
@@ -399,38 +399,38 @@
         due: list[tuple[float, _Bucket, TenantName]] = []
         for name in self._active:
             bucket = self._buckets[name]
-            told = bucket.told_remote if remote else bucket.told_local
-            interval_s = self._report_interval_s(bucket, told, now=now)
-            if now - told.at >= interval_s:
+            last = bucket.reported_remote if remote else bucket.reported_local
+            interval_s = self._report_interval_s(bucket, last, now=now)
+            if now - last.at >= interval_s:
                 due.append((interval_s, bucket, name))
         if len(due) > MAX_REPORTED:
             due.sort(key=lambda entry: entry[0])
         tenants = []
         for _, bucket, name in due[:MAX_REPORTED]:
-            told = bucket.told_remote if remote else bucket.told_local
-            told.at = now
-            told.admitted = bucket.admitted & COUNT_MASK
-            told.asked = min(round(bucket.asked.per_s(now)), COUNT_MASK)
-            told.served = min(round(bucket.served.per_s(now)), COUNT_MASK)
+            last = bucket.reported_remote if remote else bucket.reported_local
+            last.at = now
+            last.admitted = bucket.admitted & COUNT_MASK
+            last.asked = min(round(bucket.asked.per_s(now)), COUNT_MASK)
+            last.served = min(round(bucket.served.per_s(now)), COUNT_MASK)
             tenants.append(
                 QuotaReport(
                     tenant=tenant_hash(name),
-                    admitted=told.admitted,
-                    asked=told.asked,
-                    served=told.served,
+                    admitted=last.admitted,
+                    asked=last.asked,
+                    served=last.served,
                 )
             )
         self._sequence = (self._sequence + 1) & COUNT_MASK
         return QuotaReports(sequence=self._sequence, tenants=tenants)
 
-    def _report_interval_s(self, bucket: _Bucket, told: _Told, *, now: float) -> float:
+    def _report_interval_s(self, bucket: _Bucket, last: _LastReport, *, now: float) -> float:
         """Return the interval of reports about a tenant; infinite if there is nothing to report."""
         asked = bucket.asked.per_s(now)
-        if told.admitted == bucket.admitted & COUNT_MASK and asked <= told.asked:
-            if not told.asked and not told.served:
+        if last.admitted == bucket.admitted & COUNT_MASK and asked <= last.asked:
+            if not last.asked and not last.served:
                 return math.inf
             # Nothing new is admitted, and the others assume more than there is.
-            unreported, per_s = bucket.slack * OVERSTATED_FRACTION, told.asked - asked
+            unreported, per_s = bucket.slack * OVERSTATED_FRACTION, last.asked - asked
         else:
             unreported = bucket.slack * UNREPORTED_FRACTION
             per_s = asked + bucket.others.asked_per_s
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/shortage.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/shortage.py
@@ -20,7 +20,7 @@
 from gooseberryport_core.types import ServiceName
 
 MAX_LEVELS = 8
-"""Levels that are told apart; more priorities than that share levels."""
+"""Levels that are distinguished; more priorities than that share levels."""
 
 LOWEST_LEVEL_FACTOR = MIN_QUEUE_FACTOR
 """Load per slot below which each level is admitted. One waiting request keeps a slot busy between
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/speeds.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/speeds.py
@@ -7,7 +7,7 @@
 present one follows the newest report and returns to the lasting one within a second.
 
 A gateway gets a response of one upstream every few seconds, too rarely for the present estimate.
-Gateways of a region therefore tell each other which upstreams are slow, and which are so no longer.
+Gateways of a region therefore report to each other which upstreams became slow or normal again.
 """
 
 from __future__ import annotations
@@ -40,9 +40,9 @@
 were measured to be slow for about 0.6 s at a time; seconds."""
 
 SLOW_SPEED = 130
-"""Stated value from which an upstream counts as slow, and other gateways are told; percent."""
+"""Stated value from which an upstream counts as slow and is reported to other gateways; percent."""
 
-MAX_NEWS = 128
+MAX_SPEED_CHANGES = 128
 """Reports that are kept for other gateways; they fit into one datagram."""
 
 STATED_TTL_S = 10.0
@@ -73,7 +73,7 @@
     def __init__(self) -> None:
         self._reports: dict[UpstreamId, _SpeedReports] = {}
         self._stated_at: dict[ServiceName, float] = {}
-        self._news: deque[tuple[float, UpstreamId, int]] = deque(maxlen=MAX_NEWS)
+        self._changes: deque[tuple[float, UpstreamId, int]] = deque(maxlen=MAX_SPEED_CHANGES)
 
     def __len__(self) -> int:
         return len(self._reports)
@@ -92,7 +92,7 @@
         now
             Monotonic time of the response; seconds. One before the newest known is ignored.
         observed_here
-            Whether this gateway got the response itself; other gateways are told then.
+            Whether this gateway got the response itself, and reports it to others.
         """
         entry = upstream.entry
         known = self._reports.get(entry.upstream)
@@ -107,16 +107,16 @@
         stated = min(max(speed, MIN_STATED_SPEED), MAX_STATED_SPEED)
         known.weighted_sum = known.weighted_sum * decay + stated
         if observed_here and max(stated, known.newest) >= SLOW_SPEED:
-            self._news.append((now, entry.upstream, stated))
+            self._changes.append((now, entry.upstream, stated))
         known.newest = stated
         known.at = now
         if entry.service not in self._stated_at and len(self._stated_at) >= MAX_SERVICES:
             self._stated_at.clear()
         self._stated_at[entry.service] = now
 
-    def news(self, *, now: float, max_age_s: float) -> list[tuple[UpstreamId, int]]:
-        """Return what other gateways are told: upstreams that are slow, or are so no longer."""
-        return [(upstream, speed) for at, upstream, speed in self._news if now - at <= max_age_s]
+    def changes(self, *, now: float, max_age_s: float) -> list[tuple[UpstreamId, int]]:
+        """Return the speeds to report: of upstreams that became slow or normal again."""
+        return [(upstream, speed) for at, upstream, speed in self._changes if now - at <= max_age_s]
 
     def present_factor(self, upstream: Upstream, *, now: float) -> float:
         """Return how long work takes at an upstream now, relative to the usual time."""
--- a/packages/gooseberryport-core/tests/test_even_load.py
+++ b/packages/gooseberryport-core/tests/test_even_load.py
@@ -264,18 +264,18 @@
     for second in range(20):
         observer.record(upstream, 100, now=float(second))
         other.record(upstream, 100, now=float(second), observed_here=False)
-    assert observer.news(now=19.0, max_age_s=0.25) == []
+    assert observer.changes(now=19.0, max_age_s=0.25) == []
     observer.record(upstream, 250, now=20.0)
-    for name, speed in observer.news(now=20.2, max_age_s=0.25):
+    for name, speed in observer.changes(now=20.2, max_age_s=0.25):
         assert name == upstream.id
         other.record(upstream, speed, now=20.1, observed_here=False)
     assert other.present_factor(upstream, now=20.2) > 2.0
     assert other.lasting_factor(upstream, now=20.2) < 1.2
     assert other.present_factor(upstream, now=24.0) < 1.2
     observer.record(upstream, 100, now=20.6)
-    assert (upstream.id, 100) in observer.news(now=20.7, max_age_s=0.25)
+    assert (upstream.id, 100) in observer.changes(now=20.7, max_age_s=0.25)
     # What others observed is not told again.
-    assert other.news(now=20.2, max_age_s=0.25) == []
+    assert other.changes(now=20.2, max_age_s=0.25) == []
 
 
 # Guards against a late report that replaces a newer one.
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_load_balancing.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_load_balancing.py
@@ -31,10 +31,10 @@
 AVERAGED_REPORT_TTL_S = 2.0
 """Age from which an upstream's report no longer counts for the average; seconds."""
 
-SPEED_NEWS_AGE_S = 0.25
+SPEED_CHANGE_AGE_S = 0.25
 """Age up to which a stated speed is reported: little more than the interval of reports; seconds."""
 
-SPEED_NEWS_DELAY_S = 0.1
+SPEED_CHANGE_DELAY_S = 0.1
 """Mean age of a reported speed when it arrives: half of the interval of reports; seconds."""
 
 MAX_GAUGE_SERVICES = 20
@@ -143,13 +143,13 @@
         if load.speed is not None:
             self._speeds.record(upstream, load.speed, now=now)
 
-    def speed_news(self, *, now: float) -> list[tuple[UpstreamId, int]]:
-        """Return the stated speeds that the gateways of this region are told."""
-        return self._speeds.news(now=now, max_age_s=SPEED_NEWS_AGE_S)
+    def speed_changes(self, *, now: float) -> list[tuple[UpstreamId, int]]:
+        """Return the stated speeds to report to the gateways of this region."""
+        return self._speeds.changes(now=now, max_age_s=SPEED_CHANGE_AGE_S)
 
     def record_peer_speed(self, upstream: Upstream, speed: int, *, now: float) -> None:
         """Record a speed that an upstream stated to another gateway."""
-        self._speeds.record(upstream, speed, now=now - SPEED_NEWS_DELAY_S, observed_here=False)
+        self._speeds.record(upstream, speed, now=now - SPEED_CHANGE_DELAY_S, observed_here=False)
 
     def forget(self, upstream: UpstreamId) -> None:
         """Forget an upstream that was removed."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -35,7 +35,7 @@
 from gooseberryport_core.gateway.rate_limits import RateLimitReport, UpstreamRateLimits
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
 from gooseberryport_core.gateway.shortage import LevelShares
-from gooseberryport_core.gateway.speeds import MAX_NEWS
+from gooseberryport_core.gateway.speeds import MAX_SPEED_CHANGES
 from gooseberryport_core.gateway.stopping import WorkTimes
 from gooseberryport_core.gateway.tenants import SECRET_BYTES, TenantDirectory
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
@@ -550,12 +550,12 @@
         """Return pairs of upstream, as a short hash, and stated speed to report to the region."""
         return [
             (upstream_hash(upstream), speed)
-            for upstream, speed in self.balancing.speed_news(now=now)
+            for upstream, speed in self.balancing.speed_changes(now=now)
         ]
 
     def record_peer_speeds(self, pairs: list[tuple[int, int]], *, now: float) -> None:
         """Record the speeds that upstreams stated to another gateway."""
-        for short_hash, speed in pairs[:MAX_NEWS]:
+        for short_hash, speed in pairs[:MAX_SPEED_CHANGES]:
             known = self.upstreams.get(self._ids_by_hash.get(short_hash, UpstreamId("")))
             if known is not None:
                 self.balancing.record_peer_speed(known, speed, now=now)
