--- a/packages/gooseberryport-core/tests/test_quotas.py
+++ b/packages/gooseberryport-core/tests/test_quotas.py
@@ -1,3 +1,5 @@
+import random
+
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -241,3 +243,21 @@
     quotas = make_quotas(bounds=QuotaBounds(window_s=0.0, overage=0.0, slack=0.0))
     assert quotas.decide("t", fraction=1.0, now=0.0) is None
     assert quotas.reports(remote=False, now=0.0) is None
+
+
+@pytest.mark.parametrize("seed", [40, 44, 71])
+def test_quota_holds_if_faults_and_jumps_of_demand_coincide(seed):
+    """Guards against gateways that exceed a quota when demand jumps in the moment of a fault."""
+    rng = random.Random(seed)
+    count, rate = rng.choice((2, 3, 5, 9)), rng.choice((3.0, 30.0, 100.0))
+    burst, loss = rate * rng.choice((0.5, 1.0)), rng.choice((0.0, 0.3))
+    model = Model(
+        count, rate=rate, burst=burst, seed=seed, loss=loss, max_delay_s=0.8, has_store=True
+    )
+    model.run(2.0, per_s=0.6 * rate, weights=weights_of(model, "one"))
+    for _ in range(3):
+        apply_fault(model, rng.choice(("cut", "isolate", "heal", "restart")))
+        spread = rng.choice(("all", "one", "some"))
+        model.run(3.0, per_s=5.0 * rate, weights=weights_of(model, spread))
+        model.run(1.0, per_s=0.6 * rate, weights=weights_of(model, "one"))
+    assert model.most_in_window() <= model.allowed_in_window
