--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -7,24 +7,25 @@
 from collections.abc import Iterable
 from enum import Enum
 from math import inf
-from urllib.parse import urlencode
 
 import msgspec
 
-from gooseberryport_core.decoding import InputError, decode_json, decode_with, parse_address
+from gooseberryport_core.decoding import InputError, decode_json, parse_address
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId, ZoneName
-from gooseberryport_gateway._byte_limits import SERVICE_BUDGET, SERVICE_LIMITS
-from gooseberryport_gateway._http_conn import HttpResponse, open_conn
+from gooseberryport_gateway._peer_snapshots import (
+    COMPRESSION_LEVEL,
+    CachedSnapshot,
+    FetchedSnapshot,
+    fetch_snapshot,
+)
 from gooseberryport_gateway._relay import Relay, known_prefixes
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway._warmth_store import WarmthStore, warmth_key_prefix
 from gooseberryport_gateway.errors import (
     HistoryGoneError,
     LeaseGoneError,
-    NotSentError,
-    ResponseLostError,
     StoreError,
 )
 from gooseberryport_gateway.wire import (
@@ -35,15 +36,6 @@
     shorten_unreadable,
 )
 
-SNAPSHOT_PATH = "/v1/snapshot"
-
-SNAPSHOT_TIMEOUT_S = 0.5
-"""Timeout for fetching another gateway's snapshot: many times a round trip; seconds."""
-
-SNAPSHOT_CONNECT_TIMEOUT_S = 0.1
-"""Timeout for connecting to another gateway at a start, after a loss of power to many: longer than
-a round trip between regions, and short compared with a start; seconds."""
-
 WATCH_PAUSE_FRACTION = 0.4
 """Pause between watches, as a fraction of the time after which a draining upstream gets no more
 requests: upstreams report continuously, each call is billed, and a slow call must fit as well."""
@@ -68,27 +60,10 @@
 RENEW_INTERVAL_S = 5.0
 """Interval between renewals: a third of the lease, since each is billed; seconds."""
 
-START_WAIT_S = 2.5
-"""Time for which a starting gateway waits for another one's state if others answer that they have
-none yet; a start of all gateways must not read all entries once for each; seconds."""
-
-REFUSED_WAIT_S = 1.0
-"""The same if no gateway listens yet on the seeds' VMs, which start together: longer than a
-process takes to start on a small VM; seconds."""
-
 MIN_START_RETRY_DELAY_S = 0.1
 MAX_START_RETRY_DELAY_S = 0.4
 """Bounds of the delay between two requests for another gateway's state; seconds."""
 
-MAX_SNAPSHOT_REQUESTS = 8
-"""Maximum gateways that are asked for their state at once."""
-
-COMPRESSED = b"deflate"
-COMPRESSION_LEVEL = 1
-
-MAX_SNAPSHOT_BYTES = 33_554_432
-"""Maximum size of a decompressed snapshot, many times that of the largest fleet."""
-
 SNAPSHOT_CACHE_S = 0.3
 """Time for which an encoded snapshot is served again; seconds."""
 
@@ -111,44 +86,6 @@
     EVACUATIONS = "evacuations"
 
 
-class _CachedSnapshot(msgspec.Struct, frozen=True):
-    """An encoded snapshot for one region, and when it was made; monotonic seconds."""
-
-    at: float
-    data: bytes
-
-
-class _PeerState(Enum):
-    """What a request for another gateway's state has shown."""
-
-    LOADED = "loaded"
-    STARTING = "starting"
-    """The gateway answers, but has no recent state."""
-
-    REFUSED = "refused"
-    """Its VM is up, but no gateway listens there."""
-
-    SILENT = "silent"
-
-
-class _SnapshotAnswer(msgspec.Struct, frozen=True):
-    """Result of a request for a gateway's state; `snapshot` is None if it has none."""
-
-    address: str
-    state: _PeerState
-    snapshot: StoreSnapshot | None = None
-
-
-_snapshot_decoder = msgspec.msgpack.Decoder(StoreSnapshot)
-
-
-def _decode_snapshot(response: HttpResponse) -> StoreSnapshot:
-    body = response.body
-    if response.header(b"content-encoding") == COMPRESSED:
-        body = zlib.decompressobj().decompress(body, MAX_SNAPSHOT_BYTES)
-    return decode_with(_snapshot_decoder.decode, body)
-
-
 def _decode_member(value: bytes) -> Member:
     """Return a gateway's entry; raises `InputError` if it or an address in it is malformed."""
     member = decode_json(value, expected_type=Member)
@@ -159,20 +96,6 @@
     return member
 
 
-class _LoadedSnapshot(msgspec.Struct, frozen=True):
-    """Revision of the state that was loaded, or None, and what the gateways' answers show."""
-
-    revision: int | None
-    states: frozenset[_PeerState]
-
-    @property
-    def wait_s(self) -> float:
-        """How long after the start it is worth to ask again; seconds."""
-        if _PeerState.STARTING in self.states:
-            return START_WAIT_S
-        return REFUSED_WAIT_S if _PeerState.REFUSED in self.states else 0.0
-
-
 class Discovery:
     """Keep a gateway's state in sync with the store.
 
@@ -205,7 +128,7 @@
         self._own_key = f"{codec.member_prefix}{state.me.vm}"
         self._entry_lost = asyncio.Event()
         self._listed: set[VmId] = set()
-        self._snapshots: dict[RegionName, _CachedSnapshot] = {}
+        self._snapshots: dict[RegionName, CachedSnapshot] = {}
         self._watcher: VmId | None = None
         self.relay = Relay(state=state, codec=codec)
         state.config_age_s = lambda: self.relay.state_age_s
@@ -304,7 +227,7 @@
             return cached.data
         data = zlib.compress(self.encode_snapshot(region=region), COMPRESSION_LEVEL)
         if region in self._state.settings.regions.values():
-            self._snapshots[region] = _CachedSnapshot(at=now, data=data)
+            self._snapshots[region] = CachedSnapshot(at=now, data=data)
         return data
 
     def encode_snapshot(self, *, region: RegionName) -> bytes:
@@ -348,61 +271,18 @@
     def _is_seed(self) -> bool:
         return self._state.settings.control in self._state.settings.seeds
 
-    async def _load_peer_snapshot(self, *, max_age_s: float) -> _LoadedSnapshot:
+    async def _load_peer_snapshot(self, *, max_age_s: float) -> FetchedSnapshot:
         """Load the first state no older than `max_age_s` seconds that another gateway returns."""
-        addresses = self._state.peer_control_addresses(now=self._loop.time())
-        requests = [
-            self._loop.create_task(self._request_snapshot(address))
-            for address in addresses[:MAX_SNAPSHOT_REQUESTS]
-        ]
-        states: set[_PeerState] = set()
-        try:
-            for request in asyncio.as_completed(requests):
-                answer = await request
-                states.add(answer.state)
-                if answer.snapshot is not None and answer.snapshot.age_s <= max_age_s:
-                    self._load_snapshot(answer.snapshot, address=answer.address)
-                    return _LoadedSnapshot(
-                        revision=answer.snapshot.revision, states=frozenset(states)
-                    )
-        finally:
-            for task in requests:
-                task.cancel()
-        return _LoadedSnapshot(revision=None, states=frozenset(states))
-
-    async def _request_snapshot(self, address: str) -> _SnapshotAnswer:
-        """Request the state of the gateway at an address."""
-        query = urlencode({"region": self._state.me.region})
-        request = (
-            f"GET {SNAPSHOT_PATH}?{query} HTTP/1.1\r\nhost: {address}\r\n"
-            f"accept-encoding: {COMPRESSED.decode()}\r\n\r\n"
+        state = self._state
+        fetched = await fetch_snapshot(
+            state.peer_control_addresses(now=self._loop.time()),
+            region=state.me.region,
+            max_age_s=max_age_s,
+            log=state.log,
         )
-        try:
-            async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
-                conn = await open_conn(
-                    parse_address(address),
-                    timeout_s=SNAPSHOT_CONNECT_TIMEOUT_S,
-                    limits=SERVICE_LIMITS,
-                    budget=SERVICE_BUDGET,
-                )
-                try:
-                    response = await conn.request(request.encode())
-                finally:
-                    conn.close()
-            snapshot = _decode_snapshot(response) if response.status == 200 else None
-        except (
-            NotSentError,
-            ResponseLostError,
-            TimeoutError,
-            InputError,
-            zlib.error,
-        ) as exc:
-            self._state.log.write(LogNumber.GATEWAY_PEER_SILENT, address=address, reason=repr(exc))
-            refused = isinstance(exc.__cause__, ConnectionRefusedError)
-            state = _PeerState.REFUSED if refused else _PeerState.SILENT
-            return _SnapshotAnswer(address=address, state=state)
-        state = _PeerState.STARTING if snapshot is None else _PeerState.LOADED
-        return _SnapshotAnswer(address=address, state=state, snapshot=snapshot)
+        if fetched.snapshot is not None:
+            self._load_snapshot(fetched.snapshot, address=fetched.address)
+        return fetched
 
     def _load_snapshot(self, snapshot: StoreSnapshot, *, address: str) -> None:
         self._revision = snapshot.revision
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -17,7 +17,7 @@
 from gooseberryport_core.types import RegionName, UpstreamId
 from gooseberryport_gateway._body_memory import BodyMemory
 from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
-from gooseberryport_gateway._discovery import COMPRESSED, SNAPSHOT_PATH, Discovery
+from gooseberryport_gateway._discovery import Discovery
 from gooseberryport_gateway._forwarder import Forwarder
 from gooseberryport_gateway._listeners import listener_address, open_when_free
 from gooseberryport_gateway._logs import (
@@ -27,6 +27,7 @@
     reserve_standard_streams,
 )
 from gooseberryport_gateway._metrics import Metrics
+from gooseberryport_gateway._peer_snapshots import COMPRESSED, SNAPSHOT_PATH
 from gooseberryport_gateway._peers import Peers
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._prober import Prober
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -7,7 +7,7 @@
 
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.gateway.warmth import WarmthRecord
-from gooseberryport_gateway import _discovery, _relay
+from gooseberryport_gateway import _discovery, _peer_snapshots, _relay
 from gooseberryport_gateway._discovery import Discovery
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
@@ -305,7 +305,7 @@
 
 
 def test_state_that_is_too_old_is_not_used_while_the_store_answers(tmp_path, monkeypatch):
-    monkeypatch.setattr(_discovery, "START_WAIT_S", 0.5)
+    monkeypatch.setattr(_peer_snapshots, "START_WAIT_S", 0.5)
 
     async def scenario(standin, state, discovery):
         await standin.put("op/config", config(3))
