Judge the silence of gateways by when their reports were sent

Cause: two faults. Datagrams that were sent before a cut arrive for up to 0.8 s after it, so that silence was noticed 0.9 to 1.1 s after the cut instead of 0.3 to 0.45 s. And a gateway that was cut off twice used the smaller of the fleet's fraction and the reporters', where each counted only one of the cuts: 3 of 9 gateways alive by the fleet, and the 2 others silent, gave a third instead of a ninth.

Change: reports state the sender's monotonic milliseconds modulo 65,536 in an optional third field, and silence begins when the last one was sent. The fleet's fraction is multiplied by that of the silent gateways which it can't know of yet. Older gateways ignore the field, newer ones accept reports without it; both are tested.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/quota_counts.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/quota_counts.py
@@ -81,10 +81,13 @@
         Number of the report, modulo 65,536: one that arrives late is ignored.
     tenants
         Its counts.
+    sent_ms
+        Sender's monotonic time, modulo 65,536; None from older gateways; milliseconds.
     """
 
     sequence: ShortCount = 0
     tenants: Annotated[list[QuotaReport], msgspec.Meta(max_length=MAX_REPORTED)] = []
+    sent_ms: ShortCount | None = None
 
 
 class RecentCount(msgspec.Struct):
--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
@@ -264,7 +264,7 @@
         bucket.asked.add(now)
         self._active[name] = None
         self._fraction = fraction
-        fraction = min(fraction, self._reporters.fraction(now))
+        fraction = self._reporters.fraction(alive_fraction=fraction, now=now)
         own = bucket.asked.per_s(now)
         demand = own + bucket.others.asked_per_s
         part = own / demand
@@ -357,7 +357,12 @@
             Whether it is in another region.
         """
         if not self._reporters.accept(
-            vm, incarnation=incarnation, sequence=reports.sequence, remote=remote, now=now
+            vm,
+            incarnation=incarnation,
+            sequence=reports.sequence,
+            sent_ms=reports.sent_ms,
+            remote=remote,
+            now=now,
         ):
             return
         for report in reports.tenants:
@@ -421,7 +426,8 @@
                 )
             )
         self._sequence = (self._sequence + 1) & COUNT_MASK
-        return QuotaReports(sequence=self._sequence, tenants=tenants)
+        sent_ms = round(now * 1000.0) & COUNT_MASK
+        return QuotaReports(sequence=self._sequence, tenants=tenants, sent_ms=sent_ms)
 
     def _report_interval_s(self, bucket: _Bucket, last: _LastReport, *, now: float) -> float:
         """Return the interval of reports about a tenant; infinite if there is nothing to report."""
--- a/packages/gooseberryport-core/tests/test_quotas.py
+++ b/packages/gooseberryport-core/tests/test_quotas.py
@@ -212,6 +212,48 @@
     assert share == (5.0 if leaves == "cut off" else 10.0)
 
 
+def test_silence_begins_when_the_last_report_was_sent():
+    """Guards against delayed datagrams that hide a cut, and clocks that differ, wrap or jump."""
+    quotas = make_quotas(rate=10.0, burst=10.0)
+    wrapped_ms = 65_000
+
+    def hear(number, *, delay_s=0.0, ahead_ms=0):
+        sent_ms = (wrapped_ms + ahead_ms + 200 * number) % 65_536
+        content = QuotaReports(sequence=number, tenants=report(0).tenants, sent_ms=sent_ms)
+        now = 0.2 * number + delay_s
+        quotas.sweep(now=now)
+        quotas.record_reports("vm2", 1, content, now=now, remote=False)
+        quotas.sweep(now=now + 0.01)
+        return quotas.decide("t", fraction=1.0, now=now + 0.01).share_per_s
+
+    assert [hear(number) for number in range(20)] == [10.0] * 20
+    assert [hear(number, delay_s=0.7) for number in (20, 21)] == [5.0] * 2
+    assert hear(25) == 10.0
+    late = [hear(number, ahead_ms=-2_000) for number in range(26, 140)]
+    assert late[0] == 5.0 and late[-1] == 10.0
+
+
+def test_gateways_cut_off_before_are_not_counted_when_the_others_fall_silent():
+    """Guards against a second cut after which a gateway takes its part of those left for its own.
+
+    The fleet's fraction still counts the gateways of the second cut, and no longer the first.
+    """
+    quotas = make_quotas(rate=9.0, burst=9.0)
+    for number in range(20):
+        quotas.sweep(now=0.2 * number)
+        for vm in ("vm2", "vm3"):
+            content = report(0, sequence=number)
+            quotas.record_reports(vm, 1, content, now=0.2 * number, remote=False)
+    for number in range(20, 23):
+        quotas.sweep(now=0.2 * number)
+    assert quotas.decide("t", fraction=3.0 / 9.0, now=4.4).share_per_s == pytest.approx(1.0)
+    quotas.sweep(now=4.6)
+    assert quotas.decide("t", fraction=3.0 / 9.0, now=4.6).share_per_s == pytest.approx(1.0)
+    for number in range(24, 36):
+        quotas.sweep(now=0.2 * number)
+    assert quotas.decide("t", fraction=1.0 / 9.0, now=7.0).share_per_s == pytest.approx(1.0)
+
+
 def test_requests_of_a_long_silence_do_not_lock_a_tenant_out():
     """Guards against a healed cut after which minutes of counts are charged at once."""
     quotas = make_quotas(rate=10.0, burst=10.0)
@@ -229,7 +271,8 @@
     assert len(quotas) == 1
     good = [1, [[2, 3, 4, 5]]]
     assert decode_msgpack(msgspec.msgpack.encode(good), expected_type=QuotaReports).sequence == 1
-    for bad in ([1, [[-1, 3, 4, 5]]], [1, [[2, 70_000, 4, 5]]], [1, [[2, 3, "x", 5]]]):
+    bad_tenants = ([[-1, 3, 4, 5]], [[2, 70_000, 4, 5]], [[2, 3, "x", 5]])
+    for bad in (*([1, tenants] for tenants in bad_tenants), [1, [], 70_000], [1, [], -1]):
         with pytest.raises(InputError):
             decode_msgpack(msgspec.msgpack.encode(bad), expected_type=QuotaReports)
     with pytest.raises(InputError):
--- a/packages/gooseberryport-gateway/tests/test_gateway_quotas.py
+++ b/packages/gooseberryport-gateway/tests/test_gateway_quotas.py
@@ -175,3 +175,19 @@
     assert msgspec.msgpack.decode(encoded, type=PeerReport).quotas == quotas
     older = msgspec.msgpack.encode(OlderReport("vm2", 1, True, {}))
     assert msgspec.msgpack.decode(older, type=PeerReport).quotas is None
+
+
+class OlderReports(msgspec.Struct, array_like=True):
+    """`QuotaReports` of gateways that do not state when a report was sent."""
+
+    sequence: int
+    tenants: list[QuotaReport]
+
+
+def test_reports_with_and_without_time_of_sending_are_understood():
+    """Guards against gateways of two versions that ignore each other's counts."""
+    report = QuotaReport(1, 2, 3, 4)
+    newer = msgspec.msgpack.encode(QuotaReports(sequence=1, tenants=[report], sent_ms=5))
+    assert msgspec.msgpack.decode(newer, type=OlderReports) == OlderReports(1, [report])
+    older = msgspec.msgpack.encode(OlderReports(1, [report]))
+    assert msgspec.msgpack.decode(older, type=QuotaReports) == QuotaReports(1, [report], None)
