Accept requests in a planned stop only if whole turns of work fit

Callers of a stopping gateway got 504, or 503 seconds after their request, though a refusal at once would have sent them to another gateway.

The rule compared the load per slot with the time left. Slots work in turns, though: behind a load of 1.0 per slot a request waits for a whole turn if what runs has just begun. The rule accepted it with 1.25 turns of time left. It also assumed the work ahead to be as short as the request's own route, and an upstream without objects got its first one whatever its load.

Now each turn counts in full, the work ahead takes as long as the service's slowest route in use, a request that waits allows for one request of another gateway, and every placement of a stopping gateway is checked.

A fifth of the time left is no longer set aside, so that free slots are used for longer.

--- a/packages/gooseberryport-core/tests/test_stopping.py
+++ b/packages/gooseberryport-core/tests/test_stopping.py
@@ -7,7 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gooseberryport_core.gateway.stopping import WorkTimes, stop_queue_factor
+from gooseberryport_core.gateway.stopping import (
+    ANSWER_MARGIN_S,
+    UNSEEN_REQUESTS,
+    WorkTimes,
+    ends_before_exit,
+    stop_queue_factor,
+)
 from gooseberryport_standins.samples import make_route
 
 EXIT_S = 5.2
@@ -78,6 +84,39 @@
     assert all(begins < EXIT_S for begins, _ in admitted)
 
 
+# Guards against requests that end after the exit although everything held that was known when they
+# were accepted. `tests/test_planned_stop.py` covers those for which it did not hold.
+@given(st.data(), st.integers(1, 8), st.floats(0.05, 3.0), st.floats(0.05, 3.0))
+def test_what_is_admitted_ends_before_the_exit_in_the_worst_case(data, slots, work_s, other_s):
+    queue, times, other = Queue(slots), known_times(work_s), make_route(name="o", timeout_s=60.0)
+    times.record(other, other_s)
+    ahead_s = times.longest_s([ROUTE, other])
+    load = data.draw(st.integers(0, 4 * slots))
+    at = data.draw(st.floats(0.0, ACCEPTED_FOR_S))
+    for _ in range(load):
+        queue.add(at, data.draw(st.sampled_from([ahead_s, ahead_s * 0.5])))
+    factor = stop_queue_factor(left_s=EXIT_S - at, work_s=work_s, ahead_s=ahead_s)
+    if factor is None or not ends_before_exit(load=load, slots=slots, queue_factor=factor):
+        return
+    for _ in range(UNSEEN_REQUESTS if load >= slots else slots - 1 - load):
+        queue.add(at, ahead_s)
+    _, ends = queue.add(at, work_s)
+    assert ends <= EXIT_S - ANSWER_MARGIN_S + 1e-9
+
+
+# Guards against a stop rule that is safe because it refuses what could be served: the rule before
+# this one admitted by the load per slot, with a fifth of the time left as a margin.
+@pytest.mark.parametrize("slots", [1, 2, 4])
+@pytest.mark.parametrize("work_s", [0.3, 1.0, 2.2, 2.6, 3.0])
+def test_a_free_slot_is_used_wherever_it_was_before(slots, work_s):
+    for step in range(int(ACCEPTED_FOR_S * 100)):
+        left_s = EXIT_S - step / 100.0
+        factor = stop_queue_factor(left_s=left_s, work_s=work_s)
+        if (left_s - ANSWER_MARGIN_S) * 0.8 >= work_s:
+            assert factor is not None
+            assert ends_before_exit(load=slots - 1, slots=slots, queue_factor=factor)
+
+
 def test_short_work_is_admitted_until_the_listener_closes():
     admitted = replay(slots=4, work_s=0.3, per_s=8.0, times=known_times(0.3), draw=random.Random(3))
     assert len(admitted) > 10
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_placing.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_placing.py
@@ -5,6 +5,8 @@
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from gooseberryport_core.gateway.model import ObjectKey
 from gooseberryport_core.gateway.placement import (
     Placement,
@@ -16,7 +18,7 @@
     queue_factor,
 )
 from gooseberryport_core.gateway.refusals import RefusalCause
-from gooseberryport_core.gateway.stopping import stop_queue_factor
+from gooseberryport_core.gateway.stopping import ends_before_exit, stop_queue_factor
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_gateway._attempts import Job
 from gooseberryport_gateway._levels import PriorityAdmission
@@ -49,15 +51,20 @@
             Monotonic time; seconds.
         """
         state = self._state
-        if self._stop_factor(job, now=now) is None:
+        stop_factor = self._stop_factor(job, now=now)
+        if stop_factor is None:
             job.refusal_cause = RefusalCause.STOPPING
             job.cause = f"the stop leaves {state.exits_at - now:.2f} s"
             return None
-        placement = self._place(job, now=now, can_send=state.can_send_unlimited)
+        placement = self._place(
+            job, now=now, can_send=state.can_send_unlimited, stop_factor=stop_factor
+        )
         if placement.upstream is not None:
             state.rate_limits.record_wanted(placement.upstream.id, now=now)
             if not state.can_send_limited(placement.upstream, now=now):
-                placement = self._place(job, now=now, can_send=state.can_send)
+                placement = self._place(
+                    job, now=now, can_send=state.can_send, stop_factor=stop_factor
+                )
         job.warm = placement.warm
         job.load = placement.load
         if placement.upstream is not None and placement.verdict is Verdict.SEND:
@@ -98,11 +105,16 @@
         state = self._state
         if not state.stopping:
             return math.inf
+        routes = state.routes.routes_to(job.service) if state.routes is not None else ()
         return stop_queue_factor(
-            left_s=state.exits_at - now, work_s=state.work_times.expected_s(job.route)
+            left_s=state.exits_at - now,
+            work_s=state.work_times.expected_s(job.route),
+            ahead_s=state.work_times.longest_s(routes),
         )
 
-    def _place(self, job: Job, *, now: float, can_send: Callable[..., bool]) -> Placement:
+    def _place(
+        self, job: Job, *, now: float, can_send: Callable[..., bool], stop_factor: float
+    ) -> Placement:
         state = self._state
         capacity = state.service_capacity(job.service, now=now)
         view = PlacementView(
@@ -119,10 +131,7 @@
         )
         left_s = job.route.objective_s - (now - job.req.arrived_at)
         factor = queue_factor(objective_s=left_s, warm_s=state.warm_s(job.route))
-        factor = min(
-            self._admission.factor(job, factor=factor, now=now),
-            self._stop_factor(job, now=now) or 0.0,
-        )
+        factor = min(self._admission.factor(job, factor=factor, now=now), stop_factor)
         avoided = frozenset(job.avoided)
         placement = None
         if job.placement_key is not None:
@@ -145,6 +154,16 @@
                 queue_factor=factor,
                 avoided=avoided,
             )
+        upstream = placement.upstream
+        if (
+            state.stopping
+            and upstream is not None
+            and not ends_before_exit(
+                load=placement.load, slots=upstream.entry.slots, queue_factor=stop_factor
+            )
+        ):
+            # An unused upstream gets its first object whatever its load.
+            return msgspec.structs.replace(placement, verdict=Verdict.FULL)
         return placement
 
     def _preferred_upstreams(self, job: Job, key: ObjectKey) -> PreferredUpstreams:
