Answer requests that are not read to their end when a stop ends

A client that was still sending its request when a gateway exited got a closed connection without an answer, and could not tell whether the request had run. A stop during the start, with one listener open and the port of another still taken, cut such requests at once.

Final replies were given to requests that the handler had; a request of which only a part had been read was not among them.

The new file also holds two tests of paths without a fault: repeated SIGTERM and SIGHUP in any order, and an upstream that leaves, with pipelined requests in flight.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -166,6 +166,19 @@
         if not self.busy:
             self._close()
 
+    def reject_unread(self, *, retry_s: float) -> bool:
+        """Refuse a request that has not been read to its end; return whether there is one.
+
+        Parameters
+        ----------
+        retry_s
+            Time after which the client should retry; seconds.
+        """
+        if not self._reading or self._closing:
+            return False
+        self._reject(503, headers=[(b"retry-after", b"%.2f" % retry_s)])
+        return True
+
     def abort(self) -> None:
         """Close the connection at once."""
         if self._transport is not None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -13,6 +13,7 @@
 from urllib.parse import parse_qs
 
 from gooseberryport_core.gateway.model import ClientLimits, Member
+from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, UpstreamId
 from gooseberryport_gateway._body_memory import BodyMemory
@@ -149,6 +150,7 @@
         self._loop.add_signal_handler(signal.SIGHUP, lambda: self._reloader.reload(signalled=True))
         async with self._peer_socket() as is_open:
             if not is_open or not await self._listen_on_all():
+                await self._give_final_replies()
                 self._end()
                 return
             start = self._supervisor.start
@@ -348,8 +350,21 @@
             conn.close_when_idle()
         while self._conns and self._loop.time() < self.state.exits_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        if given_up := self._forwarder.give_up():
-            self.log.write(LogNumber.GATEWAY_REQUESTS_GIVEN_UP, requests=given_up)
+        await self._give_final_replies()
+
+    async def _give_final_replies(self) -> None:
+        """Reply to every request that is being served or read, and wait for the writes."""
+        given_up = self._forwarder.give_up()
+        unread = 0
+        for conn in list(self._conns):
+            unread += conn.reject_unread(
+                retry_s=retry_after(reason=RefusalCause.STOPPING, draw=0.0)
+            )
+            conn.close_when_idle()
+        if given_up or unread:
+            self.log.write(
+                LogNumber.GATEWAY_REQUESTS_GIVEN_UP, requests=given_up + unread, unread=unread
+            )
         # Polls are counted instead of time, which a pause of the machine may have used up.
         for _ in range(LAST_REPLIES_POLLS):
             if not self._conns:
--- /dev/null
+++ b/tests/test_stop_paths.py
@@ -0,0 +1,110 @@
+"""Signals to stop in other moments than while a gateway serves whole requests."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+
+import pytest
+from gateway_process import (
+    READY_S,
+    entry,
+    routing_config,
+    running_gateway,
+    slow_upstream,
+    status_once_listening,
+)
+from store_standin import store_standin
+
+from gooseberryport_gateway.gateway import STOP_ACCEPTING_FRACTION
+from gooseberryport_standins.streams import open_stream
+
+GRACE_S = 4
+POST = b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Deadline: 3000\r\n"
+
+
+def run(coroutine):
+    asyncio.run(asyncio.wait_for(coroutine, 60))
+
+
+@contextlib.asynccontextmanager
+async def serving_gateway(tmp_path, *, work_s):
+    async with (
+        store_standin() as (standin, _),
+        slow_upstream(work_s) as port,
+        running_gateway(tmp_path, standin.port, grace_s=GRACE_S) as gateway,
+    ):
+        await standin.put("op/config", routing_config())
+        await standin.put("servers/u1", entry(port))
+        await gateway.until_ready()
+        async with asyncio.timeout(READY_S):
+            while (await gateway.get("front", "/a/x"))[0] != 200:
+                await asyncio.sleep(0.05)
+        yield gateway, standin
+
+
+async def end_of(gateway):
+    """Return the exit status; the process must end within its grace time."""
+    return await asyncio.wait_for(gateway.process.wait(), GRACE_S)
+
+
+def statuses(data):
+    return [int(part.split(b" ")[0]) for part in data.split(b"HTTP/1.1 ")[1:]]
+
+
+# Guards against a client that still sends its request when the process exits, and whose connection
+# is closed without an answer.
+@pytest.mark.parametrize(
+    "part", [POST[:20], POST + b"Content-Length: 9\r\n\r\nhalf"], ids=["head", "body"]
+)
+@pytest.mark.parametrize("starting", [False, True], ids=["serving", "starting"])
+def test_a_request_that_is_not_complete_at_the_exit_is_answered(part, starting, tmp_path):
+    async def main():
+        with socket.socket() as other:
+            async with (
+                store_standin() as (standin, _),
+                running_gateway(
+                    tmp_path, standin.port, grace_s=2, ports=ports(other, starting)
+                ) as gateway,
+            ):
+                await status_once_listening(gateway, "front", "/a/x")
+                async with open_stream(gateway.ports["front"]) as (reader, writer):
+                    writer.write(part)
+                    await asyncio.sleep(0.2)
+                    gateway.process.send_signal(signal.SIGTERM)
+                    assert statuses(await reader.read()) == [503]
+                assert await end_of(gateway) == 0
+
+    def ports(other, starting):
+        # A start waits for the port of another listener.
+        other.bind(("127.0.0.1", 0))
+        other.listen()
+        return {"ready": other.getsockname()[1]} if starting else {}
+
+    run(main())
+
+
+# Guards against further signals, an upstream that leaves, or requests behind others that cut or
+# refuse requests which were accepted before.
+@pytest.mark.parametrize("leaving", [False, True])
+def test_requests_in_flight_are_answered_whatever_comes_with_the_signal(leaving, tmp_path):
+    async def main():
+        async with serving_gateway(tmp_path, work_s=2.0) as (gateway, standin):
+            async with open_stream(gateway.ports["front"]) as (reader, writer):
+                for number in range(6):
+                    writer.write(POST + b"Request-Id: %d\r\nContent-Length: 0\r\n\r\n" % number)
+                await asyncio.sleep(0.2)
+                gateway.change_settings(bounds={"graceS": GRACE_S, "retryRatio": 0.1})
+                if leaving:
+                    await standin.delete("servers/u1")
+                for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
+                    gateway.process.send_signal(number)
+                await asyncio.sleep(GRACE_S * STOP_ACCEPTING_FRACTION + 0.1)
+                gateway.process.send_signal(signal.SIGTERM)
+                writer.write(POST + b"Request-Id: behind\r\nContent-Length: 0\r\n\r\n")
+                answers = await reader.read()
+            assert statuses(answers) == [200] * 6
+            assert b"connection: close" in answers.lower().rpartition(b"http/1.1 ")[2]
+            assert await end_of(gateway) == 0
+
+    run(main())
