Answer connections that are accepted as a stopping gateway's listener closes

Clients that connected while a stopping gateway's machine was paused got a reset, although the gateway had accepted them and still ran for two thirds of its grace time.

After the pause, one iteration of the event loop accepts these connections and also resumes the stop, which closed the listener at once. asyncio attaches an accepted connection to its server one iteration later, and drops it if the server was closed since.

With SIGSTOP over the end of the accepting time and five clients meanwhile, 5 of 5 connections were reset before this change and 5 of 5 are answered after it. Accepting now ends first, accepted connections are attached, and their first bytes are read before idle connections are closed. The polls for that are counted, so that a further pause does not use them up.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -65,6 +65,10 @@
 STOP_POLL_INTERVAL_S = 0.05
 """Interval between checks of whether clients are still connected to a stopping gateway; seconds."""
 
+FIRST_READ_POLLS = 2
+"""Number of such checks after the listener has closed, within which the first bytes of the latest
+connections are read: a connection is opened and read in four iterations of the event loop."""
+
 LAST_REPLIES_POLLS = 6
 """Number of such checks after the final replies were made, within which they are written."""
 
@@ -343,8 +347,7 @@
         self._supervisor.start("last report", self._send_last_report)
         self._supervisor.start("end of membership", self._discovery.end_membership)
         await asyncio.sleep(grace_s * STOP_ACCEPTING_FRACTION)
-        # The first listener is the one for clients' requests.
-        self._servers[0].close()
+        await self._close_front()
         self.state.accepting = False
         for conn in list(self._conns):
             conn.close_when_idle()
@@ -352,6 +355,23 @@
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         await self._give_final_replies()
 
+    async def _close_front(self) -> None:
+        """Close the listener for clients, and read what the latest connections have sent.
+
+        Closing it loses connections that were accepted in the same iteration of the event loop:
+        asyncio attaches these to their server in the next one. After a pause of the machine, these
+        are all connections of that time.
+        """
+        # The first listener is the one for clients' requests.
+        front = self._servers[0]
+        for sock in front.sockets:
+            self._loop.remove_reader(sock.fileno())
+        await asyncio.sleep(0)
+        front.close()
+        # Counted instead of timed, as in `_give_final_replies`.
+        for _ in range(FIRST_READ_POLLS):
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+
     async def _give_final_replies(self) -> None:
         """Reply to every request that is being served or read, and wait for the writes."""
         given_up = self._forwarder.give_up()
