Write the last response of a connection whole to a slow client

A large response that was the last one of its connection, as in a planned stop or with `Connection: close`, was cut 1 s after it had been made if its client had not read it by then.

A closing connection stays open for 1 s so that unread requests don't reset it before the last reply is read, and was then aborted with whatever was not written yet.

The delay counts from when the reply is written; a client that reads nothing for the idle timeout is disconnected.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -18,8 +18,8 @@
 """Maximum concurrent requests of one connection; at this limit reading pauses."""
 
 CLOSE_DELAY_S = 1.0
-"""How long a closing connection stays open, as unread bytes would reset it before the client has
-read the last reply; seconds."""
+"""How long a closing connection stays open once its last reply is written, as unread bytes would
+reset it before the client has read the reply; seconds."""
 
 MAX_TRAILER_BYTES = 16_384
 """Maximum bytes of a chunked body's trailers and chunk extensions, beside its chunks; bytes."""
@@ -426,7 +426,29 @@
             # The client has reset the connection, and the event loop has not reported it yet.
             transport.abort()
             return
-        self._loop.call_later(CLOSE_DELAY_S, transport.abort)
+        unwritten = transport.get_write_buffer_size()
+        self._loop.call_later(CLOSE_DELAY_S, self._abort_if_written, transport, unwritten, 0.0)
+
+    def _abort_if_written(
+        self, transport: asyncio.Transport, unwritten: int, stalled_s: float
+    ) -> None:
+        """Abort a closing connection, unless its client still reads the last replies.
+
+        Parameters
+        ----------
+        transport
+            Transport of the connection.
+        unwritten
+            Bytes of the replies that were not written a delay ago.
+        stalled_s
+            Time for which the client has read nothing; seconds.
+        """
+        left = transport.get_write_buffer_size()
+        stalled_s = 0.0 if left < unwritten else stalled_s + CLOSE_DELAY_S
+        if not unwritten or stalled_s >= self._limits().idle_timeout_s:
+            transport.abort()
+            return
+        self._loop.call_later(CLOSE_DELAY_S, self._abort_if_written, transport, left, stalled_s)
 
     def _cancel_pending(self) -> None:
         for pending in self._pending:
--- a/packages/gooseberryport-gateway/tests/test_planned_stops.py
+++ b/packages/gooseberryport-gateway/tests/test_planned_stops.py
@@ -4,6 +4,7 @@
 
 import pytest
 from gateway_harness import (
+    connect_client,
     make_request,
     make_response,
     run,
@@ -12,6 +13,8 @@
     start_upstream,
 )
 
+from gooseberryport_core.gateway.model import ClientLimits
+from gooseberryport_gateway import _client_conn
 from gooseberryport_standins.samples import make_route
 
 
@@ -39,3 +42,30 @@
             assert len(unused.requests_received) == sent
 
     run(main())
+
+
+# Guards against a last response that is cut because its client takes longer to read it than the
+# connection stays open for unread requests, and against a client that never reads it.
+@pytest.mark.parametrize("reads", [True, False])
+def test_the_last_response_of_a_connection_is_written_whole_to_a_slow_client(reads, monkeypatch):
+    monkeypatch.setattr(_client_conn, "CLOSE_DELAY_S", 0.1)
+
+    async def main():
+        body = bytes(8_000_000)
+        limits = ClientLimits(idle_timeout_s=2.0)
+        async with (
+            start_upstream(lambda head, _: make_response(head, body=body)) as upstream,
+            start_gateway(make_route(timeout_s=5.0), limits=limits) as gateway,
+            connect_client(gateway) as client,
+        ):
+            gateway.put_upstream("u1", upstream.port)
+            client.send(make_request(extra=b"Connection: close"))
+            while not any(conn._closing for conn in gateway.conns):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.3)
+            if reads:
+                assert len((await client.read_reply())[2]) == len(body)
+            while gateway.conns:
+                await asyncio.sleep(0.01)
+
+    run(main())
