--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -13,6 +13,7 @@
 from urllib.parse import parse_qs
 
 from gooseberryport_core.gateway.model import ClientLimits, Member
+from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, UpstreamId
 from gooseberryport_gateway._body_memory import BodyMemory
@@ -65,6 +66,10 @@
 STOP_POLL_INTERVAL_S = 0.05
 """Interval between checks of whether clients are still connected to a stopping gateway; seconds."""
 
+FIRST_READ_POLLS = 2
+"""Number of such checks after the listener has closed, within which the first bytes of the latest
+connections are read: a connection is opened and read in four iterations of the event loop."""
+
 LAST_REPLIES_POLLS = 6
 """Number of such checks after the final replies were made, within which they are written."""
 
@@ -150,6 +155,7 @@
         self._loop.add_signal_handler(signal.SIGHUP, lambda: self._reloader.reload(signalled=True))
         async with self._peer_socket() as is_open:
             if not is_open or not await self._listen_on_all():
+                await self._give_final_replies()
                 self._end()
                 return
             start = self._supervisor.start
@@ -342,15 +348,44 @@
         self._supervisor.start("last report", self._send_last_report)
         self._supervisor.start("end of membership", self._discovery.end_membership)
         await asyncio.sleep(grace_s * STOP_ACCEPTING_FRACTION)
-        # The first listener is the one for clients' requests.
-        self._servers[0].close()
+        await self._close_front()
         self.state.accepting = False
         for conn in list(self._conns):
             conn.close_when_idle()
         while self._conns and self._loop.time() < self.state.exits_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        if given_up := self._forwarder.give_up():
-            self.log.write(LogNumber.GATEWAY_REQUESTS_GIVEN_UP, requests=given_up)
+        await self._give_final_replies()
+
+    async def _close_front(self) -> None:
+        """Close the listener for clients, and read what the latest connections have sent.
+
+        Closing it loses connections that were accepted in the same iteration of the event loop:
+        asyncio attaches these to their server in the next one. After a pause of the machine, these
+        are all connections of that time.
+        """
+        # The first listener is the one for clients' requests.
+        front = self._servers[0]
+        for sock in front.sockets:
+            self._loop.remove_reader(sock.fileno())
+        await asyncio.sleep(0)
+        front.close()
+        # Counted instead of timed, as in `_give_final_replies`.
+        for _ in range(FIRST_READ_POLLS):
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+
+    async def _give_final_replies(self) -> None:
+        """Reply to every request that is being served or read, and wait for the writes."""
+        given_up = self._forwarder.give_up()
+        unread = 0
+        for conn in list(self._conns):
+            unread += conn.reject_unread(
+                retry_s=retry_after(reason=RefusalCause.STOPPING, draw=0.0)
+            )
+            conn.close_when_idle()
+        if given_up or unread:
+            self.log.write(
+                LogNumber.GATEWAY_REQUESTS_GIVEN_UP, requests=given_up + unread, unread=unread
+            )
         # Polls are counted instead of time, which a pause of the machine may have used up.
         for _ in range(LAST_REPLIES_POLLS):
             if not self._conns:
