Serve requests whatever header and idle timeout a configuration states

Cause: a header or idle timeout of 0 or less was cut to 0. Each connection then closed at once: with a header timeout of 0 a request whose head arrives in two parts got 408, with an idle timeout of 0 no reply.

Positive values below 100 ms are raised too, since 0.001 ms fails like 0.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/model.py
@@ -24,6 +24,10 @@
 Address = tuple[str, int]
 """IP address and port."""
 
+MIN_CLIENT_TIMEOUT_S = 0.1
+"""Shortest header timeout and idle timeout that a configuration can set. With less, connections
+close before a request over a network with round trips of 24 ms arrives, or at once; seconds."""
+
 
 class Repeatability(Enum):
     """Whether a request may run more than once."""
@@ -152,9 +156,9 @@
     max_header_bytes, max_body_bytes
         Maximum sizes of a request's head and body; bytes.
     header_timeout_s
-        Maximum time for a request's head to arrive; seconds.
+        Maximum time for a request's head to arrive; at least `MIN_CLIENT_TIMEOUT_S`; seconds.
     idle_timeout_s
-        Time after which an idle connection is closed; seconds.
+        Time after which an idle connection is closed; at least `MIN_CLIENT_TIMEOUT_S`; seconds.
     """
 
     max_header_bytes: int = 16_384
@@ -179,7 +183,7 @@
     skipped_tenants
         Number of malformed tenants, which were left out.
     notes
-        What was left out of the tenants, by position; contains no key.
+        What was left out of the tenants or is not used as stated, by position; contains no key.
     """
 
     version: ConfigVersion
--- a/tests/test_site_codec.py
+++ b/tests/test_site_codec.py
@@ -1,10 +1,18 @@
+import asyncio
 import json
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gooseberryport_core.gateway.model import Destination, Repeatability, UpstreamState
+from gooseberryport_core.decoding import MAX_DURATION_S
+from gooseberryport_core.gateway.model import (
+    MIN_CLIENT_TIMEOUT_S,
+    Destination,
+    Repeatability,
+    UpstreamState,
+)
+from gooseberryport_gateway._client_conn import ClientConn, Reply
 from gooseberryport_gateway.errors import SettingsError
 from gooseberryport_gateway.wire import StoreItem
 from gooseberryport_site.codec import PlatformCodec
@@ -177,6 +185,42 @@
         PlatformCodec().config(item(bad, "op/config"))
 
 
+# Guards against connections that close before a request over them can arrive.
+@pytest.mark.parametrize("field", ["headerTimeoutMs", "idleTimeoutMs"])
+@pytest.mark.parametrize("stated_ms", [-5, 0, -1e300, 0.001, 1e300, 100, 86_400_000, 3000])
+def test_requests_are_served_whatever_the_timeouts_are(field, stated_ms):
+    raw = with_field(CONFIG, stated_ms, "limits", field)
+    config = PlatformCodec().config(item(raw, "op/config"))
+    used_s = min(max(stated_ms / 1000.0, MIN_CLIENT_TIMEOUT_S), MAX_DURATION_S)
+    limits = config.limits
+    assert (limits.header_timeout_s if field[0] == "h" else limits.idle_timeout_s) == used_s
+    notes = [f"limits.{field}: {stated_ms:g} ms, {used_s * 1000:.0f} ms are used"]
+    assert list(config.notes) == (notes if used_s != stated_ms / 1000.0 else [])
+    assert asyncio.run(request_status(limits)).startswith(b"HTTP/1.1 200")
+
+
+async def request_status(limits):
+    """Return the status line of a request whose bytes arrive 20 ms apart."""
+
+    async def handler(request):
+        return Reply(200, [])
+
+    conns = set()
+    server = await asyncio.get_running_loop().create_server(
+        lambda: ClientConn(handler=handler, limits=lambda: limits, conns=conns), "127.0.0.1", 0
+    )
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    for part in (b"GET /a/x HTTP/1.1\r\n", b"Host: h\r\n\r\n"):
+        await asyncio.sleep(0.02)
+        writer.write(part)
+    status = await reader.readline()
+    writer.close()
+    server.close()
+    for conn in list(conns):
+        conn.abort()
+    return status
+
+
 def test_other_operator_keys_are_not_a_configuration():
     codec = PlatformCodec()
     assert codec.config(item({}, "op/evacuate/a")) is None
