Move peer loads and upstream statements out of the gateway's state

Change: requests in flight that gateways report become _peer_loads; rate limits, pauses and leaving that upstreams state become _upstream_statements. No change of behaviour; tests follow the names.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -230,7 +230,7 @@
             if conn is None:
                 conn = await self._pool.connect(upstream.id, upstream.entry.address)
                 self._state.metrics.connections.inc()
-                gate = self._state.gate(upstream)
+                gate = self._state.statements.gate(upstream)
                 if gate in (Gate.LEAVING, Gate.PAUSED):
                     # It announced this while the connection was opened.
                     self._pool.release(upstream.id, conn)
@@ -287,14 +287,14 @@
                 ran=attempt.end is AttemptEnd.ANSWERED,
                 now=self._loop.time(),
             )
-        attempt.paused = self._state.record_announcement(
+        attempt.paused = self._state.statements.record_announcement(
             upstream,
             self._announcement(response),
             started_ms=started_ms,
             request=job.request_id.decode("latin-1"),
             now=self._loop.time(),
         )
-        if self._state.gate(upstream) is Gate.LEAVING:
+        if self._state.statements.gate(upstream) is Gate.LEAVING:
             self._pool.drop(upstream.id)
         return attempt
 
@@ -311,7 +311,7 @@
                 return
             if not math.isfinite(per_s) or per_s < 0.0:
                 return
-        self._state.record_rate_limit(
+        self._state.statements.record_rate_limit(
             upstream.id,
             per_s=per_s,
             request=job.request_id.decode("latin-1"),
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peers.py
@@ -119,7 +119,7 @@
             now=now,
         )
         state.fleet.record_digests(report.digests, now=now)
-        state.record_peer_loads(report.vm, report.loads, now=now)
+        state.peer_loads.record(report.vm, report.loads, now=now)
         state.record_peer_warmth(report.warm, now=now)
         state.record_peer_speeds(report.speeds, now=now)
         state.record_peer_rate_limits(report.vm, report.rate_limits, now=now)
@@ -230,7 +230,7 @@
                 active=plan.active,
                 demand_per_s=round(demand_per_s),
                 digests=included,
-                rate_limits=state.rate_limit_reports(now=now) if has_loads else [],
+                rate_limits=state.statements.rate_limit_reports(now=now) if has_loads else [],
                 speeds=state.speed_reports(now=now) if audience is Audience.ACTIVE else [],
                 quotas=state.quotas.reports(audience),
             )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_placing.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_placing.py
@@ -22,7 +22,8 @@
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_gateway._attempts import Job
 from gooseberryport_gateway._levels import PriorityAdmission
-from gooseberryport_gateway._state import GatewayState, awake_time
+from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway._upstream_statements import awake_time
 
 
 class Placer:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -69,7 +69,7 @@
                 due = upstream.reachability is Reachability.UNPROVEN and now >= upstream.probe_at
                 if (
                     due
-                    and self._state.gate(upstream) is not Gate.PAUSED
+                    and self._state.statements.gate(upstream) is not Gate.PAUSED
                     and upstream.id not in self._running
                 ):
                     task = self._loop.create_task(self._probe(upstream))
@@ -116,7 +116,7 @@
                 upstream, reason="health check: another upstream has the address", now=now
             )
             return
-        self._state.record_announcement(
+        self._state.statements.record_announcement(
             upstream,
             self._announcement(response),
             started_ms=upstream.entry.started_ms,
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -4,19 +4,12 @@
 
 import random
 import secrets
-import time
 from collections.abc import Callable, Iterable
-from functools import lru_cache
 from math import inf
 
 import msgspec
-import xxhash
 
-from gooseberryport_core.gateway.announcements import (
-    Announcement,
-    Gate,
-    UpstreamAnnouncements,
-)
+from gooseberryport_core.gateway.announcements import Gate, UpstreamAnnouncements
 from gooseberryport_core.gateway.entry_points import RequestRate
 from gooseberryport_core.gateway.fleet import Fleet
 from gooseberryport_core.gateway.idle_limits import IdleLimits
@@ -41,17 +34,16 @@
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, VmId, ZoneName
+from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, ZoneName
 from gooseberryport_gateway._load_balancing import LoadBalancing
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
+from gooseberryport_gateway._peer_loads import PeerLoads, upstream_hash
 from gooseberryport_gateway._quotas import QuotaGate
+from gooseberryport_gateway._upstream_statements import UpstreamStatements
 from gooseberryport_gateway._warm_objects import WarmObjects
 from gooseberryport_gateway.wire import GatewaySettings
 
-LOAD_REPORT_TTL_S = 1.5
-"""Age from which another gateway's load report is ignored; seconds."""
-
 INITIAL_WARM_FRACTION = 0.5
 """Fraction of a route's latency objective assumed for warm requests until one was measured."""
 
@@ -71,8 +63,6 @@
 BUSY_TTL_S = 3.0
 """Time for which a gateway counts as serving clients after its last request; seconds."""
 
-HASH_MASK = 0xFFFFFFFF
-
 
 class _RemovedUpstream(msgspec.Struct, frozen=True):
     """An upstream whose entry was removed: when, and its incarnation."""
@@ -172,17 +162,23 @@
         self.config_age_s: Callable[[], float] = lambda: inf
         self._removed: dict[UpstreamId, _RemovedUpstream] = {}
         self._sender_ips: dict[str, float] = {}
-        self._peer_loads: dict[str, tuple[float, dict[int, int]]] = {}
-        self._other_loads: dict[int, int] = {}
         self._ids_by_hash: dict[int, UpstreamId] = {}
         self.balancing = LoadBalancing(
             rng=self.rng,
             metrics=metrics,
             settings=lambda: self.settings,
             usable=self.upstreams.usable,
-            reported_by_gateways=lambda upstream: self._other_loads.get(
-                upstream_hash(upstream.id), 0
-            ),
+            reported_by_gateways=lambda upstream: self.peer_loads.count(upstream.id),
+        )
+        self.peer_loads = PeerLoads(report_times=self.balancing.peer_report_times)
+        self.statements = UpstreamStatements(
+            announcements=self.announcements,
+            rate_limits=self.rate_limits,
+            upstreams=self.upstreams,
+            fleet=self.fleet,
+            log=log,
+            metrics=metrics,
+            rng=self.rng,
         )
         self.request_rate = RequestRate()
         self._last_request_at = float("-inf")
@@ -249,10 +245,7 @@
         earlier = before or removed
         if earlier is not None and earlier.started_ms != entry.started_ms:
             self.warm_objects.forget(entry.upstream)
-            self.announcements.restart(entry.upstream, started_ms=entry.started_ms)
-            self._count_announcements()
-            if self.rate_limits.restart(entry.upstream, now=now):
-                self._log_rate_limit(entry.upstream, now=now, reason="restarted")
+            self.statements.restart(entry.upstream, started_ms=entry.started_ms, now=now)
         if before is None or (before.state, before.started_ms) != (entry.state, entry.started_ms):
             self.log.write(
                 LogNumber.GATEWAY_UPSTREAM_CHANGED,
@@ -306,9 +299,7 @@
         self._removed.pop(upstream, None)
         self.warm_objects.forget(upstream)
         self.cold_rate_limiter.forget(upstream)
-        self.rate_limits.forget(upstream)
-        self.announcements.forget(upstream)
-        self._count_announcements()
+        self.statements.forget(upstream)
         self.metrics.limited_upstreams.set(len(self.rate_limits))
         self.idle_limits.forget(upstream)
         self.balancing.forget(upstream)
@@ -329,119 +320,6 @@
             if (marks := self.warmth.objects(upstream.id))
         }
 
-    def record_rate_limit(
-        self, upstream: UpstreamId, *, per_s: float | None, request: str, now: float
-    ) -> None:
-        """Record the rate limit that a response states; None if it states none.
-
-        Parameters
-        ----------
-        upstream
-            Upstream that responded.
-        per_s
-            Requests per second that it accepts from all gateways together.
-        request
-            Id of the request that it responded to.
-        now
-            Monotonic time; seconds.
-        """
-        if self.rate_limits.record_stated(upstream, per_s=per_s, stated_at=now):
-            self._log_rate_limit(upstream, now=now, request=request)
-
-    def record_announcement(
-        self,
-        upstream: Upstream,
-        announcement: Announcement,
-        *,
-        started_ms: int,
-        request: str,
-        now: float,
-    ) -> bool:
-        """Record what a response says about its upstream; return whether the upstream pauses.
-
-        Parameters
-        ----------
-        upstream, started_ms
-            The upstream that responded, and its incarnation when the request was sent.
-        announcement
-            What the response says.
-        request
-            Id of the request that it responded to.
-        now
-            Monotonic time; seconds.
-        """
-        if started_ms != upstream.entry.started_ms:
-            return False
-        if announcement.ignored:
-            self.log.write_request(
-                LogNumber.GATEWAY_ANNOUNCEMENT_IGNORED,
-                now=now,
-                upstream=upstream.id,
-                request=request,
-                reason=announcement.ignored,
-            )
-        change = self.announcements.record(
-            upstream.id,
-            announcement,
-            started_ms=started_ms,
-            now=awake_time(),
-            draw=self.rng.random(),
-        )
-        if change is not None:
-            if change is Gate.LEAVING:
-                self.upstreams.mark_draining(upstream.id)
-            self._count_announcements()
-            self.log.write(
-                LogNumber.GATEWAY_UPSTREAM_ANNOUNCED,
-                upstream=upstream.id,
-                started_ms=started_ms,
-                gate=change.value,
-                pause_s=announcement.pause_s,
-                request=request,
-            )
-        return announcement.pause_s is not None
-
-    def gate(self, upstream: Upstream) -> Gate:
-        """Return whether an upstream may get a request, as far as it announced otherwise."""
-        if upstream.id not in self.announcements:
-            return Gate.OPEN
-        return self.announcements.gate(
-            upstream.id, started_ms=upstream.entry.started_ms, now=awake_time()
-        )
-
-    def _count_announcements(self) -> None:
-        self.metrics.leaving_upstreams.set(self.announcements.leaving_count)
-        self.metrics.paused_upstreams.set(self.announcements.paused_count)
-
-    def record_peer_rate_limits(
-        self, vm: str, reports: list[RateLimitReport], *, now: float
-    ) -> None:
-        """Record what another gateway, if it is a member, reports of upstreams' rate limits."""
-        if VmId(vm) not in self.fleet.gateways_sharing_limits(now=now):
-            return
-        reported = {
-            upstream: report
-            for report in reports
-            if (upstream := self._ids_by_hash.get(report.upstream)) is not None
-        }
-        for upstream in self.rate_limits.record_reported(VmId(vm), reported, now=now):
-            self._log_rate_limit(upstream, now=now, reported_by=vm)
-
-    def rate_limit_reports(self, *, now: float) -> list[RateLimitReport]:
-        """Return what to report of the rate limits of upstreams."""
-        return self.rate_limits.reports(hash_of=upstream_hash, now=now)
-
-    def _log_rate_limit(self, upstream: UpstreamId, *, now: float, **source: str) -> None:
-        self.metrics.limited_upstreams.set(len(self.rate_limits))
-        self.log.write_request(
-            LogNumber.GATEWAY_UPSTREAM_RATE_LIMITED,
-            now=now,
-            upstream=upstream,
-            limit_per_s=self.rate_limits.limit(upstream),
-            sent=self.rate_limits.sent_count(upstream, now=now),
-            **source,
-        )
-
     def record_unreachable(self, upstream: Upstream, *, reason: str, now: float) -> None:
         """Send an upstream no requests until a probe succeeds."""
         if upstream.record_unreachable(now):
@@ -485,29 +363,11 @@
         """Return whether this gateway received requests of clients lately."""
         return now - self._last_request_at < BUSY_TTL_S
 
-    def record_peer_loads(self, vm: str, loads: dict[int, int], *, now: float) -> None:
-        """Record another gateway's requests in flight, keyed by the hash of the upstream's id."""
-        known = self._peer_loads.pop(vm, None)
-        if known is not None:
-            self._add_other_loads(known[1], sign=-1)
-            self.balancing.peer_report_times.remove(known[0])
-        if loads:
-            self._peer_loads[vm] = (now, loads)
-            self._add_other_loads(loads, sign=1)
-            self.balancing.peer_report_times.add(now)
-
-    def expire_peer_loads(self, *, now: float) -> None:
-        """Drop the loads of gateways that have not reported for a while."""
-        for vm in [vm for vm, (at, _) in self._peer_loads.items() if now - at >= LOAD_REPORT_TTL_S]:
-            self.record_peer_loads(vm, {}, now=now)
-
-    def _add_other_loads(self, loads: dict[int, int], *, sign: int) -> None:
-        for short_hash, count in loads.items():
-            total = self._other_loads.get(short_hash, 0) + sign * count
-            if total:
-                self._other_loads[short_hash] = total
-            else:
-                self._other_loads.pop(short_hash, None)
+    def record_peer_rate_limits(
+        self, vm: str, reports: list[RateLimitReport], *, now: float
+    ) -> None:
+        """Record what another gateway reports of upstreams' rate limits."""
+        self.statements.record_peer_rate_limits(vm, reports, ids_by_hash=self._ids_by_hash, now=now)
 
     def load_of(self, upstream: Upstream, *, now: float) -> int:
         """Return the requests of all gateways that run or wait at an upstream, as far as known."""
@@ -515,7 +375,7 @@
         reported = upstream.reported_other_requests(same_region=same_region, now=now)
         if reported is not None:
             return upstream.in_flight + reported
-        return upstream.in_flight + self._other_loads.get(upstream_hash(upstream.id), 0)
+        return upstream.in_flight + self.peer_loads.count(upstream.id)
 
     def loads(self) -> dict[int, int]:
         """Return this gateway's requests in flight, keyed by the hash of the upstream's id."""
@@ -594,7 +454,7 @@
 
     def can_send_unlimited(self, upstream: Upstream, *, now: float) -> bool:
         """Return whether an upstream may get a request now, but for a rate limit that it states."""
-        return self.gate(upstream) is Gate.OPEN and self.can_send_cold(upstream, now=now)
+        return self.statements.gate(upstream) is Gate.OPEN and self.can_send_cold(upstream, now=now)
 
     def can_send_cold(self, upstream: Upstream, *, now: float) -> bool:
         """Return whether an upstream may get a request now, as far as it is cold."""
@@ -615,14 +475,3 @@
         return self.rate_limits.can_send(
             upstream.id, gateways=self.fleet.gateways_sharing_limits(now=now), now=now
         )
-
-
-def awake_time() -> float:
-    """Return the time of a clock that also counts while the VM is suspended; seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-@lru_cache(maxsize=4096)
-def upstream_hash(upstream: UpstreamId) -> int:
-    """Return a short hash of an upstream's id, the same in every process."""
-    return xxhash.xxh3_64_intdigest(upstream.encode()) & HASH_MASK
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -329,7 +329,7 @@
         was_ready = False
         while True:
             self._pool.close_expired()
-            self.state.expire_peer_loads(now=self._loop.time())
+            self.state.peer_loads.expire(now=self._loop.time())
             self.state.rate_limits.expire(now=self._loop.time())
             self.state.warm_objects.refresh(now=self._loop.time())
             self._discovery.expire()
--- a/packages/gooseberryport-gateway/tests/test_forwarding.py
+++ b/packages/gooseberryport-gateway/tests/test_forwarding.py
@@ -14,7 +14,7 @@
 )
 
 from gooseberryport_core.gateway.model import Repeatability
-from gooseberryport_gateway._state import LOAD_REPORT_TTL_S, upstream_hash
+from gooseberryport_gateway._peer_loads import LOAD_REPORT_TTL_S, upstream_hash
 from gooseberryport_standins.samples import make_route
 
 AT_MOST_ONCE = {"repeatability": Repeatability.AT_MOST_ONCE}
@@ -452,14 +452,14 @@
             state = gateway.state
             upstream = state.upstreams.get("u1")
             short_hash = upstream_hash("u1")
-            state.record_peer_loads("vm2", {short_hash: 2, 99: 1}, now=0.0)
-            state.record_peer_loads("vm3", {short_hash: 3}, now=0.5)
+            state.peer_loads.record("vm2", {short_hash: 2, 99: 1}, now=0.0)
+            state.peer_loads.record("vm3", {short_hash: 3}, now=0.5)
             assert state.load_of(upstream, now=0.6) == 5
-            state.record_peer_loads("vm2", {short_hash: 1}, now=0.7)
+            state.peer_loads.record("vm2", {short_hash: 1}, now=0.7)
             assert state.load_of(upstream, now=0.8) == 4
-            state.expire_peer_loads(now=0.5 + LOAD_REPORT_TTL_S)
+            state.peer_loads.expire(now=0.5 + LOAD_REPORT_TTL_S)
             assert state.load_of(upstream, now=2.0) == 1
-            state.record_peer_loads("vm2", {}, now=2.1)
+            state.peer_loads.record("vm2", {}, now=2.1)
             assert state.load_of(upstream, now=2.2) == 0
 
     run(main())
--- a/packages/gooseberryport-gateway/tests/test_leaving.py
+++ b/packages/gooseberryport-gateway/tests/test_leaving.py
@@ -13,7 +13,7 @@
 def leaving_state():
     state = GatewayHarness().state
     state.put_upstream(make_entry("u1", started_ms=BORN, sequence=7), now=0.0)
-    state.record_announcement(
+    state.statements.record_announcement(
         state.upstreams.get("u1"),
         Announcement(leaving=True),
         started_ms=BORN,
@@ -35,7 +35,7 @@
         state.put_upstream(make_entry("u1", started_ms=started_ms, sequence=9), now=3.0)
         state.put_upstream(make_entry("u1", started_ms=BORN, sequence=10), now=4.0)
         assert state.upstreams.usable("s") == []
-        assert state.gate(state.upstreams.get("u1")) is Gate.LEAVING
+        assert state.statements.gate(state.upstreams.get("u1")) is Gate.LEAVING
 
     run(main())
 
@@ -46,7 +46,7 @@
         state.put_upstream(make_entry("u1", started_ms=BORN + 1, sequence=1), now=3.0)
         known = state.upstreams.get("u1")
         assert known.entry.state is UpstreamState.READY
-        assert state.gate(known) is Gate.OPEN
+        assert state.statements.gate(known) is Gate.OPEN
         assert state.announcements.leaving_count == 0
 
     run(main())
@@ -58,8 +58,10 @@
         state.put_upstream(make_entry("u1", started_ms=BORN), now=0.0)
         known = state.upstreams.get("u1")
         announcement = Announcement(leaving=True, pause_s=2.0)
-        state.record_announcement(known, announcement, started_ms=BORN - 1, request="r1", now=1.0)
-        assert state.gate(known) is Gate.OPEN
+        state.statements.record_announcement(
+            known, announcement, started_ms=BORN - 1, request="r1", now=1.0
+        )
+        assert state.statements.gate(known) is Gate.OPEN
         assert state.upstreams.usable("s") == [known]
 
     run(main())
--- a/packages/gooseberryport-gateway/tests/test_levels.py
+++ b/packages/gooseberryport-gateway/tests/test_levels.py
@@ -15,7 +15,7 @@
 )
 
 from gooseberryport_gateway._logs import Log
-from gooseberryport_gateway._state import upstream_hash
+from gooseberryport_gateway._peer_loads import upstream_hash
 from gooseberryport_standins.samples import make_route
 
 URGENT = make_route(name="urgent", priority=0, objective_s=0.8)
@@ -29,7 +29,7 @@
     state.apply_settings(msgspec.structs.replace(state.settings, priority_limits=limited))
     gateway.put_upstream("u1", upstream.port)
     now = asyncio.get_running_loop().time()
-    gateway.state.record_peer_loads("vm2", {upstream_hash("u1"): load}, now=now)
+    gateway.state.peer_loads.record("vm2", {upstream_hash("u1"): load}, now=now)
     # A load that the upstream stated takes precedence for a time.
     gateway.state.upstreams.get("u1").record_load(load, now=now)
     return await send_request(gateway, make_request(path=path))
--- a/packages/gooseberryport-gateway/tests/test_load_balancing.py
+++ b/packages/gooseberryport-gateway/tests/test_load_balancing.py
@@ -19,7 +19,8 @@
 from gooseberryport_gateway._load_balancing import MAX_GAUGE_SERVICES
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
-from gooseberryport_gateway._state import GatewayState, upstream_hash
+from gooseberryport_gateway._peer_loads import upstream_hash
+from gooseberryport_gateway._state import GatewayState
 from gooseberryport_standins.samples import make_entry, make_route
 
 
@@ -87,7 +88,7 @@
     state = make_state(even_load=True)
     state.put_upstream(make_entry("u1"), now=0.0)
     upstream = state.upstreams.get("u1")
-    state.record_peer_loads("vm2", {upstream_hash("u1"): 3}, now=10.0)
+    state.peer_loads.record("vm2", {upstream_hash("u1"): 3}, now=10.0)
 
     def requests(now):
         return state.balancing.even_load("s", now=now).estimate_of(upstream).requests
@@ -106,7 +107,7 @@
     assert requests(10.001) == pytest.approx(3.0, abs=0.1)
     respond(started_ms=1000)
     assert requests(10.001) == pytest.approx(7.0, abs=0.1)
-    state.expire_peer_loads(now=20.0)
+    state.peer_loads.expire(now=20.0)
     assert state.balancing.peer_report_times.mean is None
 
 
--- a/packages/gooseberryport-gateway/tests/test_rate_limits.py
+++ b/packages/gooseberryport-gateway/tests/test_rate_limits.py
@@ -16,8 +16,8 @@
 )
 
 from gooseberryport_gateway._logs import Log
+from gooseberryport_gateway._peer_loads import upstream_hash
 from gooseberryport_gateway._peers import Peers
-from gooseberryport_gateway._state import upstream_hash
 from gooseberryport_standins.samples import make_route
 
 
@@ -37,7 +37,7 @@
     async def main():
         async with start_upstream(script) as upstream, start_gateway(make_route()) as gateway:
             fd = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
-            gateway.state.log = Log(vm="vm1", fd=fd)
+            gateway.state.log = gateway.state.statements._log = Log(vm="vm1", fd=fd)
             gateway.put_upstream("u1", upstream.port)
             for number in range(len(stated)):
                 request_id = b"id%d" % number
