Remove the entry of a gateway that is stopped during its start

The entry of a gateway that had exited stayed in the store until its lease ended, if the gateway was told to stop before the store had confirmed the entry.

The gateway noted its lease only when the entry was confirmed, so the stop did not know which lease to end, although the store may have listed the entry already.

The lease is noted when it is granted, and a write that was not confirmed is repeated with the same lease.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -200,6 +200,8 @@
         self._revision = 0
         self._reachable: bool | None = None
         self._lease: int | None = None
+        self._own_entry = b""
+        self._is_listed = False
         self._warmth_restored = False
         self._has_state = False
         self._own_key = f"{codec.member_prefix}{state.me.vm}"
@@ -427,16 +429,19 @@
             try:
                 if self._lease is None:
                     started_at = self._loop.time()
-                    lease = await self._store.grant_lease(ttl_s=self._lease_ttl_s)
+                    self._lease = await self._store.grant_lease(ttl_s=self._lease_ttl_s)
                     entry = msgspec.structs.replace(
                         self._state.me, store_delay_s=round(self._loop.time() - started_at, 4)
                     )
-                    value = msgspec.json.encode(entry)
-                    await self._store.put(key, value, lease=lease)
-                    self._lease = lease
-                    self._state.log.write(LogNumber.GATEWAY_LEASE_TAKEN, lease=lease)
-                else:
+                    self._own_entry = msgspec.json.encode(entry)
+                    self._is_listed = False
+                if self._is_listed:
                     await self._store.renew_lease(self._lease)
+                else:
+                    # The store may list the entry even if its answer is lost or not waited for.
+                    await self._store.put(key, self._own_entry, lease=self._lease)
+                    self._is_listed = True
+                    self._state.log.write(LogNumber.GATEWAY_LEASE_TAKEN, lease=self._lease)
                 await self._wait_for_entry_loss(RENEW_INTERVAL_S)
             except LeaseGoneError:
                 self._state.log.write(LogNumber.GATEWAY_LEASE_LOST, lease=self._lease)
--- a/tests/test_stop_paths.py
+++ b/tests/test_stop_paths.py
@@ -134,3 +134,26 @@
             assert await end_of(gateway) == 0
 
     run(main())
+
+
+# Guards against a gateway that stays listed after its exit, because it was told to stop before the
+# store had confirmed its entry.
+@pytest.mark.parametrize("configured", [False, True])
+def test_a_stop_during_the_start_removes_the_entry(configured, tmp_path):
+    async def main():
+        async with (
+            store_standin() as (standin, _),
+            running_gateway(tmp_path, standin.port, grace_s=2) as gateway,
+        ):
+            standin.fault = lambda method, target: "lost" if "kv-txn" in target else None
+            if configured:
+                await standin.put("op/config", routing_config())
+            async with asyncio.timeout(READY_S):
+                while not any(key.startswith("gooseberryport/") for key in standin.items):
+                    await asyncio.sleep(0.01)
+            gateway.process.send_signal(signal.SIGTERM)
+            assert (await gateway.get("front", "/a/x"))[0] == 503
+            assert await end_of(gateway) == 0
+            assert not [key for key in standin.items if key.startswith("gooseberryport/")]
+
+    run(main())
