--- a/tests/test_stop_paths.py
+++ b/tests/test_stop_paths.py
@@ -157,3 +157,39 @@
             assert not [key for key in standin.items if key.startswith("gooseberryport/")]
 
     run(main())
+
+
+SIGNAL_IN_CALLBACK = '''
+"""Send the process SIGTERM in a callback of the garbage collector while the gateway is imported."""
+import builtins, os, signal, sys
+
+real_import = builtins.__import__
+
+
+class Sender:
+    def __del__(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+        sum(range(10))
+
+
+def send(name, *args, **kwargs):
+    if name == "gooseberryport_gateway.gateway":
+        builtins.__import__ = real_import
+        Sender()
+    return real_import(name, *args, **kwargs)
+
+
+builtins.__import__ = send
+'''
+
+
+# Guards against a stop that is lost because Python drops exceptions of the callback in which the
+# signal arrives; each import runs such callbacks.
+def test_a_stop_in_a_callback_during_the_imports_ends_the_process(tmp_path):
+    (tmp_path / "sitecustomize.py").write_text(SIGNAL_IN_CALLBACK)
+
+    async def main():
+        async with running_gateway(tmp_path, 1, python_path=[tmp_path]) as gateway:
+            assert await end_of(gateway) == 0
+
+    run(main())
