Show what a configuration changes against the one in force

Cause: documents are generated, so a comparison of their text shows reordered lines, and not the weight, limit or key that changes the service.

It warns if the version is not higher, if a tenant loses its last key, and if keys are no longer required.

Measured: tests of core and of the platform's decoder and check pass; each field of the compared structs is named in the comparison or in its test.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/config_findings.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/config_findings.py
@@ -51,6 +51,9 @@
     COLD_RATE_ZERO = "cold-rate-zero"
     HEADER_LIMIT_SMALL = "header-limit-small"
     BODY_LIMIT_ABOVE_MEMORY = "body-limit-above-memory"
+    VERSION_NOT_HIGHER = "version-not-higher"
+    LAST_KEY_LOST = "last-key-lost"
+    KEYS_NOT_REQUIRED = "keys-not-required"
 
 
 class Section(Enum):
--- a/tests/test_site_check.py
+++ b/tests/test_site_check.py
@@ -38,6 +38,7 @@
     arguments = []
     for name, option in (
         ("document", None),
+        ("against", "--against"),
         ("upstreams", "--upstreams"),
     ):
         if name in case:
@@ -68,12 +69,17 @@
     assert texts == case["findings"]
     assert all(line["consequence"] and line["remedy"] for line in findings)
     assert status == any(line["severity"] == "error" for line in findings)
+    differences = [line for line in lines if line["type"] == "difference"]
+    assert [
+        " | ".join(filter(None, (line["kind"], line["subject"], line["field"])))
+        for line in differences
+    ] == case.get("differences", [])
     assert run(tmp_path, case, "--strict") == (
         status or any(line["severity"] == "warning" for line in findings)
     )
     table = capsys.readouterr().out
     assert all(line["code"] in table for line in findings)
-    for key in keys_of(case["document"]):
+    for key in keys_of(case["document"]) | keys_of(case.get("against", {})):
         assert key not in table + json.dumps(lines)
 
 
@@ -311,7 +317,7 @@
 
 # Guards against a traceback, whose text may contain keys.
 @pytest.mark.parametrize("name", HOSTILE)
-@pytest.mark.parametrize("option", ["document", "--upstreams"])
+@pytest.mark.parametrize("option", ["document", "--against", "--upstreams"])
 def test_what_can_not_be_read_ends_with_a_message(name, option, tmp_path, capsys):
     hostile, good = tmp_path / "hostile", tmp_path / "good"
     hostile.write_bytes(HOSTILE[name])
