Let gooseberryport check read one file or standard input

Cause: the check took only folders, so a generated file had to be put into one first. With hostile input of that kind two values ended it with a traceback: a whole number of more than 4,300 digits (also in a daemon that reads such a file) and half a surrogate pair, which standard output can't encode.

Values beyond a float (1e999) still pass the check as infinite.

--- a/packages/gooseberryport-cli/src/gooseberryport_cli/_config_commands.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/_config_commands.py
@@ -63,13 +63,16 @@
 
 @dataclass
 class Check:
-    """Check a folder and show all errors and warnings, without publishing."""
+    """Check a folder or file and show all errors and warnings, without publishing."""
 
-    folder: FolderPath
+    folder: Annotated[
+        str,
+        cappa.Arg(value_name="DIR", help="Folder of JSON files, one file, or - (standard input)"),
+    ]
 
     def run(self, ctx: Context) -> None:
         """Run the command; raises `CheckFailedError` after it has shown the errors."""
-        checked = check_files(ctx.environment.folder(self.folder).read())
+        checked = check_files(ctx.environment.read_files(self.folder))
         report = CheckReport(checked.cfg is not None, checked.problems)
         tables = [problems_table(checked.problems)] if checked.problems else []
         ctx.show(report, *tables, Text(_check_summary(checked)))
--- a/packages/gooseberryport-cli/src/gooseberryport_cli/environment.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/environment.py
@@ -10,7 +10,7 @@
 
 from gooseberryport_cli.daemon_client import DaemonClient, HttpDaemonClient
 from gooseberryport_cli.errors import UsageError
-from gooseberryport_cli.folders import DiskFolder, Folder
+from gooseberryport_cli.folders import DiskFolder, Folder, read_files
 from gooseberryport_platform import PlatformError, Store, StoreSettings, open_store
 
 STORE_TIMEOUT_S = 3.0
@@ -29,6 +29,9 @@
     def folder(self, path: str) -> Folder:
         """Return a folder of configuration files."""
 
+    def read_files(self, path: str) -> dict[str, bytes]:
+        """Return the content of the files of a folder, of one file, or of standard input."""
+
     def wall_time(self) -> float:
         """Return the wall-clock time, in seconds since 1970-01-01 UTC."""
 
@@ -66,6 +69,10 @@
         """Return a folder of configuration files."""
         return DiskFolder(path)
 
+    def read_files(self, path: str) -> dict[str, bytes]:
+        """Return the content of the files; raises `FolderError` if that fails."""
+        return read_files(path)
+
     def wall_time(self) -> float:
         """Return the wall-clock time, in seconds since 1970-01-01 UTC."""
         return time.time()
--- a/packages/gooseberryport-cli/src/gooseberryport_cli/folders.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/folders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Protocol
@@ -13,6 +14,10 @@
 """File in a folder that contains the number of the version that the folder is based on."""
 
 
+STANDARD_INPUT = "-"
+STANDARD_INPUT_NAME = "(standard input)"
+
+
 class Folder(Protocol):
     """A folder of configuration files."""
 
@@ -82,3 +87,21 @@
             for path in self._path.glob("*.json")
             if path.is_file() and not path.name.startswith(".")
         )
+
+
+def read_files(path: str) -> dict[str, bytes]:
+    """Return the content of each file of a folder, of one file, or of standard input.
+
+    Raises
+    ------
+    FolderError
+        The folder or file can't be read.
+    """
+    try:
+        if path == STANDARD_INPUT:
+            return {STANDARD_INPUT_NAME: sys.stdin.buffer.read()}
+        if Path(path).is_file():
+            return {Path(path).name: Path(path).read_bytes()}
+    except (OSError, ValueError) as exc:
+        raise FolderError(path=path, detail=str(exc)) from exc
+    return DiskFolder(path).read()
--- a/packages/gooseberryport-cli/src/gooseberryport_cli/main.py
+++ b/packages/gooseberryport-cli/src/gooseberryport_cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import sys
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -136,6 +137,9 @@
 
 
 def _open_console(file: TextIO) -> Console:
+    if isinstance(file, io.TextIOWrapper):
+        # A value of a configuration that no encoding has, such as half a surrogate pair.
+        file.reconfigure(errors="backslashreplace")
     if file.isatty():
         return Console(file=file, theme=cappa.output.theme)
     return Console(file=file, theme=cappa.output.theme, width=NON_TERMINAL_WIDTH, no_color=True)
--- a/packages/gooseberryport-cli/tests/conftest.py
+++ b/packages/gooseberryport-cli/tests/conftest.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from gooseberryport_cli.errors import DaemonError
+from gooseberryport_cli.folders import read_files
 from gooseberryport_cli.main import main
 from gooseberryport_core.config_store import HEAD_KEY, Head, decode_head
 from gooseberryport_core.events import StoreValue
@@ -149,6 +150,9 @@
     def folder(self, path: str) -> FakeFolder:
         return self.folders[path]
 
+    def read_files(self, path: str) -> dict[str, bytes]:
+        return self.folders[path].read() if path in self.folders else read_files(path)
+
     def wall_time(self) -> float:
         return self.now
 
--- a/packages/gooseberryport-cli/tests/test_commands.py
+++ b/packages/gooseberryport-cli/tests/test_commands.py
@@ -1,3 +1,4 @@
+import io
 import json
 import re
 from xml.etree import ElementTree
@@ -6,6 +7,7 @@
 import pytest
 from msgspec import structs
 
+from gooseberryport_cli.main import main
 from gooseberryport_cli.times import parse_time
 from gooseberryport_core.burn import (
     BurnHistory,
@@ -51,6 +53,30 @@
     assert report["problems"][0]["file"] == "95-mine.json"
 
 
+# Guards against a traceback, and against a file that is taken for a folder without files.
+def test_check_reads_one_file_or_standard_input(runner, tmp_path, monkeypatch):
+    for content, code, text in (
+        (b'{"regions": {"A": {"availability_zones": ["a"], "max_requests": 1}}}', 0, "1 regions"),
+        (b"[" * 5000, 1, "nested too deeply"),
+        (b'{"limits": {"lease_s": 1' + b"0" * 5000 + b"}}", 1, "not JSON"),
+        (b'{"limits": "\xff', 1, "not UTF-8"),
+    ):
+        (tmp_path / "one.json").write_bytes(content)
+        assert text in runner.run("check", str(tmp_path / "one.json"), code=code)
+        monkeypatch.setattr("sys.stdin", io.TextIOWrapper(io.BytesIO(content)))
+        assert text in runner.run("check", "-", code=code)
+    runner.run("check", str(tmp_path / "none"), code=2)
+
+
+# Guards against a traceback for text that standard output can't encode.
+def test_check_shows_values_that_have_no_encoding(runner, tmp_path):
+    (tmp_path / "one.json").write_bytes(b'{"limits": {"\\ud800": 1}}')
+    out = io.TextIOWrapper(io.BytesIO(), encoding="utf-8")
+    assert main(["check", str(tmp_path / "one.json")], environment=runner, out=out, err=out) == 1
+    out.flush()
+    assert b"unknown field" in out.buffer.getvalue()
+
+
 def test_change_of_one_file_is_one_file_in_diff_history_and_revert(runner):
     folder = runner.add_folder("ops")
     runner.run("apply", "ops")
--- a/packages/gooseberryport-core/src/gooseberryport_core/config_files.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/config_files.py
@@ -195,6 +195,9 @@
         raise _InvalidFileError(message) from exc
     except RecursionError as exc:
         raise _InvalidFileError("nested too deeply") from exc
+    except ValueError as exc:
+        # A whole number with more digits than the interpreter converts.
+        raise _InvalidFileError(f"not JSON: {exc}") from exc
 
 
 def _unique_members(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
