Move clients' requests and replies to a module of their own

ClientRequest, Reply, Handler and the encoding of replies are now in _client_messages.py. No change of behaviour: the tests of the gateway pass unchanged.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -11,7 +11,7 @@
 from gooseberryport_core.gateway.model import ObjectKey, Route, Tenant
 from gooseberryport_core.gateway.refusals import RefusalCause
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId
-from gooseberryport_gateway._client_conn import ClientRequest
+from gooseberryport_gateway._client_messages import ClientRequest
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
 from gooseberryport_gateway.wire import HeaderNames
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_keys.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_keys.py
@@ -4,7 +4,7 @@
 
 from gooseberryport_core.gateway.model import Route, Tenant
 from gooseberryport_core.gateway.tenants import KeyRejection
-from gooseberryport_gateway._client_conn import ClientRequest, Reply
+from gooseberryport_gateway._client_messages import ClientRequest, Reply
 from gooseberryport_gateway._replies import Replies
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.wire import HeaderNames
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -20,8 +20,8 @@
     classify,
     reported_load,
 )
-from gooseberryport_gateway._client_conn import ClientRequest, Reply
 from gooseberryport_gateway._client_keys import ClientKeys
+from gooseberryport_gateway._client_messages import ClientRequest, Reply
 from gooseberryport_gateway._headers import object_key
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
 from gooseberryport_gateway._levels import PriorityAdmission
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -29,7 +29,7 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId
 from gooseberryport_gateway._byte_limits import SERVICE_BUDGET, SERVICE_LIMITS
-from gooseberryport_gateway._client_conn import ClientRequest, Reply
+from gooseberryport_gateway._client_messages import ClientRequest, Reply
 from gooseberryport_gateway._http_conn import HttpConn, open_conn
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import NotSentError, ResponseLostError
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -16,7 +16,8 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, UpstreamId
 from gooseberryport_gateway._body_memory import BodyMemory
-from gooseberryport_gateway._client_conn import ClientConn, ClientRequest, Handler, Reply
+from gooseberryport_gateway._client_conn import ClientConn
+from gooseberryport_gateway._client_messages import ClientRequest, Handler, Reply
 from gooseberryport_gateway._discovery import COMPRESSED, SNAPSHOT_PATH, Discovery
 from gooseberryport_gateway._forwarder import Forwarder
 from gooseberryport_gateway._listeners import listener_address, open_when_free
