Wait for memory instead of giving up large responses

Callers of a gateway whose settings state memoryMb get their responses where they got 502 before. A client that reads nothing loses only its own replies. Without memoryMb nothing changes.

Cause: only unfinished bodies were counted, against 16 MiB, and the longest one was given up beyond it. Finished replies that waited for an earlier one or for a slow client were not counted at all. A reply with "Connection: close" was cut off 1 s later, and any other one after the idle timeout, even if its client still read it.

Change: gooseberryport_core.gateway.response_memory counts each byte of a body from its receipt until the client's socket has taken it, and decides who waits. Beyond an eighth of the process's memory only the oldest response that its client takes next is read; responses of up to 16 KiB always pass. Replies are passed to the transport a chunk at a time. Clients that read nothing for the idle timeout are disconnected if others need the memory, longest stalled first; after 2 s if unread replies stop all others. A connection with more than 256 KiB of unread replies is not read, and its requests that were received are not started. Time for which a response was not read counts neither as work time nor as a failure of the upstream.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -10,9 +10,15 @@
 import msgspec
 
 from gooseberryport_core.gateway.model import ClientLimits
+from gooseberryport_core.gateway.response_memory import (
+    ClientResponses,
+    HeldResponse,
+    ResponseMemory,
+)
 from gooseberryport_gateway._body_memory import BodyMemory, HeldBody
 from gooseberryport_gateway._client_messages import ClientRequest, Handler, Reply, encode_reply
 from gooseberryport_gateway._headers import Headers
+from gooseberryport_gateway._reply_writer import ReplyWriter
 from gooseberryport_gateway.errors import BodyTooLargeError
 
 MAX_PIPELINED_REQUESTS = 64
@@ -38,6 +44,7 @@
     task: asyncio.Task[Reply] | None = None
     reply: Reply | None = None
     body: HeldBody | None = None
+    held: HeldResponse | None = None
 
 
 class ClientConn(asyncio.Protocol):
@@ -53,6 +60,8 @@
         Set of open connections, which contains this one while it is open.
     memory
         Bounds the bodies that all connections hold; by default this connection's alone.
+    response_memory
+        Bounds the responses that all connections hold; None for no bound.
     """
 
     def __init__(
@@ -62,6 +71,7 @@
         limits: Callable[[], ClientLimits],
         conns: set[ClientConn],
         memory: BodyMemory | None = None,
+        response_memory: ResponseMemory | None = None,
     ) -> None:
         self._handler = handler
         self._memory = memory or BodyMemory()
@@ -70,8 +80,15 @@
         self._conns = conns
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._writer: ReplyWriter | None = None
+        self._responses: ClientResponses | None = None
+        if response_memory is not None:
+            self._responses = response_memory.new_client(
+                on_disconnect=self._disconnect, poll=self._record_progress
+            )
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[_Pending] = deque()
+        self._unstarted: deque[tuple[ClientRequest, _Pending]] = deque()
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
@@ -106,12 +123,24 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _disconnect(self) -> None:
+        """Close the connection at once, as others need the memory of its replies."""
+        self._closing = True
+        self._cancel_timer()
+        self._cancel_pending()
+        self.abort()
+
     # Callbacks from asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start reading."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._writer = ReplyWriter(transport=transport, responses=self._responses)
+        if self._responses is not None:
+            self._responses.address = "{}:{}".format(
+                *(transport.get_extra_info("peername") or ("", 0))[:2]
+            )
         self._conns.add(self)
         self._start_timer(self._limits().idle_timeout_s)
 
@@ -152,15 +181,24 @@
         self._body.release()
         self._cancel_timer()
         self._cancel_pending()
+        if self._writer is not None:
+            self._writer.discard()
+        if self._responses is not None:
+            self._responses.close()
 
     def pause_writing(self) -> None:
         """Pause reading from a client that does not read its replies."""
         self._write_paused = True
+        if self._writer is not None:
+            self._writer.pause()
         self._update_reading()
 
     def resume_writing(self) -> None:
         """Resume reading, unless too many requests are open."""
         self._write_paused = False
+        if self._writer is not None:
+            self._writer.resume()
+        self._start_requests()
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -171,7 +209,10 @@
         if self._transport is None or self._closing:
             return
         wanted = (
-            self._write_paused or self._body.paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
+            self._write_paused
+            or self._body.paused
+            or len(self._pending) >= MAX_PIPELINED_REQUESTS
+            or (self._responses is not None and self._responses.is_full)
         )
         if wanted == self._read_paused:
             return
@@ -267,13 +308,46 @@
             body=body.chunks,
             arrived_at=self._loop.time(),
         )
-        pending = _Pending(
-            keep_alive=self._parser.should_keep_alive(), head_only=method == b"HEAD", body=body
+        pending = self._add_pending(
+            _Pending(
+                keep_alive=self._parser.should_keep_alive(), head_only=method == b"HEAD", body=body
+            )
         )
-        self._pending.append(pending)
-        pending.task = self._loop.create_task(self._handle(req, pending))
+        req.held = pending.held
+        if self._responses is not None and (
+            self._unstarted
+            or self._responses.is_full
+            or len(self._pending) > MAX_PIPELINED_REQUESTS
+        ):
+            self._unstarted.append((req, pending))
+        else:
+            pending.task = self._loop.create_task(self._handle(req, pending))
         self._update_reading()
 
+    def _add_pending(self, pending: _Pending) -> _Pending:
+        if self._responses is not None:
+            pending.held = self._responses.new_response()
+        self._pending.append(pending)
+        return pending
+
+    def _start_requests(self) -> None:
+        """Pass requests to the handler that were not started, since earlier ones come first."""
+        while (
+            self._unstarted
+            and self._responses is not None
+            and not self._responses.is_full
+            and len(self._pending) - len(self._unstarted) < MAX_PIPELINED_REQUESTS
+        ):
+            req, pending = self._unstarted.popleft()
+            pending.task = self._loop.create_task(self._handle(req, pending))
+
+    def _record_progress(self) -> None:
+        """Record what the client has read, which the transport does not report."""
+        if self._writer is not None:
+            self._writer.record_progress()
+            self._start_requests()
+            self._update_reading()
+
     async def _handle(self, req: ClientRequest, pending: _Pending) -> Reply:
         try:
             reply = await self._handler(req)
@@ -282,6 +356,8 @@
             req.body = ()
             if pending.body is not None:
                 pending.body.release()
+        if pending.held is not None and self._pending and pending is not self._pending[0]:
+            pending.held.settle(num_bytes=reply.body_bytes, finished=True)
         pending.reply = reply
         self._flush()
         return reply
@@ -307,7 +383,7 @@
         self._body.release()
         self._cancel_timer()
         reply = Reply(status=status, headers=headers or [])
-        self._pending.append(_Pending(keep_alive=False, head_only=False, reply=reply))
+        self._add_pending(_Pending(keep_alive=False, head_only=False, reply=reply))
         self._flush()
 
     def _flush(self) -> None:
@@ -317,17 +393,21 @@
             last = not pending.keep_alive or (
                 self.closing_when_idle and not self._pending and not self._reading
             )
-            self._write(encode_reply(pending.reply, last=last, head_only=pending.head_only))
+            head, chunks = encode_reply(pending.reply, last=last, head_only=pending.head_only)
+            if self._writer is not None:
+                self._writer.write_reply(head, chunks)
             if last:
                 self._close()
                 return
         if not self._pending and not self._reading and not self._closing:
             self._start_timer(self._limits().idle_timeout_s)
+        if self._unstarted:
+            self._start_requests()
         self._update_reading()
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._closing:
-            self._transport.write(data)
+        if self._writer is not None and not self._closing:
+            self._writer.write(data)
 
     def _close(self) -> None:
         """Send buffered replies and close; read on briefly, as unread bytes reset a connection."""
@@ -336,19 +416,26 @@
         self._closing = True
         self._cancel_timer()
         self._cancel_pending()
-        transport = self._transport
-        if transport is None:
+        transport, writer = self._transport, self._writer
+        if transport is None or writer is None:
             return
         if self._read_paused:
             self._read_paused = False
             transport.resume_reading()
         try:
-            transport.write_eof()
+            writer.end()
         except OSError:
             # The client has reset the connection, and the event loop has not reported it yet.
             transport.abort()
             return
-        self._loop.call_later(CLOSE_DELAY_S, transport.abort)
+        self._loop.call_later(CLOSE_DELAY_S, self._abort_when_read, transport, writer)
+
+    def _abort_when_read(self, transport: asyncio.Transport, writer: ReplyWriter) -> None:
+        """Close the connection, unless the client still reads counted replies."""
+        if self not in self._conns or writer.is_done(timeout_s=self._limits().idle_timeout_s):
+            transport.abort()
+        else:
+            self._loop.call_later(CLOSE_DELAY_S, self._abort_when_read, transport, writer)
 
     def _cancel_pending(self) -> None:
         for pending in self._pending:
@@ -357,6 +444,9 @@
             if pending.task is not None:
                 pending.task.cancel()
         self._pending.clear()
+        self._unstarted.clear()
+        if self._responses is not None:
+            self._responses.discard()
 
     def _start_timer(self, delay_s: float) -> None:
         self._cancel_timer()
@@ -374,4 +464,8 @@
         elif self._reading:
             self._reject(408)
         elif not self._pending:
-            self._close()
+            timeout_s = self._limits().idle_timeout_s
+            if self._writer is None or self._writer.is_done(timeout_s=timeout_s):
+                self._close()
+            else:
+                self._start_timer(timeout_s)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_messages.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from gooseberryport_core.gateway.response_memory import HeldResponse
 from gooseberryport_gateway._headers import Headers, find_header
 
 REASON_PHRASES = {
@@ -25,6 +26,10 @@
 }
 
 
+MAX_JOINED_BYTES = 16_384
+"""Size up to which a body is written together with its head, which saves a call; bytes."""
+
+
 class ClientRequest(msgspec.Struct, eq=False):
     """A complete request of a client.
 
@@ -40,6 +45,8 @@
         Chunks of the body, with any transfer coding removed.
     arrived_at
         Monotonic time at which its last byte was received; seconds.
+    held
+        Counts the bytes of its response; None if the process's memory is not known.
     """
 
     method: bytes
@@ -48,6 +55,7 @@
     headers: Headers
     body: Sequence[bytes | bytearray]
     arrived_at: float
+    held: HeldResponse | None = None
 
     @property
     def body_bytes(self) -> int:
@@ -64,25 +72,60 @@
 
 
 class Reply(msgspec.Struct):
-    """The reply to a client's request."""
+    """The reply to a client's request.
+
+    Parameters
+    ----------
+    status, reason
+        Status code, and its phrase if it is not the usual one.
+    headers
+        Header fields in order.
+    body, chunks
+        The body: `body`, and `chunks` after it.
+    """
 
     status: int
     headers: Headers
     body: bytes = b""
     reason: bytes | None = None
+    chunks: Sequence[bytes | bytearray] = ()
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body; bytes."""
+        if len(self.chunks) == 1:
+            return len(self.body) + len(self.chunks[0])
+        return len(self.body) + sum(map(len, self.chunks))
 
 
 Handler = Callable[[ClientRequest], Awaitable[Reply]]
 
 
-def encode_reply(reply: Reply, *, last: bool, head_only: bool) -> bytes:
-    """Return the bytes of a reply; `last` says that the connection is closed after it."""
+def encode_reply(
+    reply: Reply, *, last: bool, head_only: bool
+) -> tuple[bytes, Sequence[bytes | bytearray]]:
+    """Return the first bytes of a reply, and the chunks of its body that follow them.
+
+    Parameters
+    ----------
+    reply
+        The reply.
+    last
+        Whether the connection is closed after it.
+    head_only
+        Whether its request asked for no body.
+    """
     reason = reply.reason or REASON_PHRASES.get(reply.status, b"Status")
     lines = [b"HTTP/1.1 %d %s" % (reply.status, reason)]
     lines.extend(name + b": " + value for name, value in reply.headers)
     if reply.status not in (204, 304):
-        lines.append(b"content-length: %d" % len(reply.body))
+        lines.append(b"content-length: %d" % reply.body_bytes)
     if last:
         lines.append(b"connection: close")
     head = b"\r\n".join(lines) + b"\r\n\r\n"
-    return head if head_only or reply.status in (204, 304) else head + reply.body
+    if head_only or reply.status in (204, 304):
+        return head, ()
+    head += reply.body
+    if len(reply.chunks) == 1 and len(reply.chunks[0]) <= MAX_JOINED_BYTES:
+        return head + reply.chunks[0], ()
+    return head, reply.chunks
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -187,6 +187,9 @@
                 return self._replies.pass_on(job, attempt.response)
             if attempt.response is not None and attempt.end is AttemptEnd.FAILED:
                 job.last_failure = attempt.response
+            if job.req.held is not None:
+                kept = job.last_failure.body_bytes if job.last_failure is not None else 0
+                job.req.held.settle(num_bytes=kept)
             at_most_once = job.route.repeatability is Repeatability.AT_MOST_ONCE
             if at_most_once and job.may_have_run:
                 return self._replies.failed(job)
@@ -265,6 +268,7 @@
                     body=job.req.body,
                     request_id=job.request_id or None,
                     head_only=job.req.method == b"HEAD",
+                    held=job.req.held,
                 )
             except ResponseLostError as exc:
                 after_s = self._loop.time() - now
@@ -340,13 +344,15 @@
         if self._must_avoid(attempt, upstream, job):
             job.avoided.add(upstream.id)
         if attempt.was_received:
-            if not attempt.paused:
+            # An upstream may cut off a response that is not read, which is no fault of its own.
+            cut = attempt.end is AttemptEnd.LOST and job.conns[-1].paused_s
+            if not attempt.paused and not cut:
                 upstream.record_answer(good=attempt.end is AttemptEnd.ANSWERED)
         else:
             self._state.warm_objects.record_not_run(job, upstream.id)
         if attempt.end is AttemptEnd.ANSWERED:
             if job.load < upstream.entry.slots:
-                took_s = now - sent_at
+                took_s = now - sent_at - job.conns[-1].paused_s
                 self._state.work_times.record(job.route, took_s)
                 if self._state.warm_objects.record_duration(
                     job, upstream.id, took_s=took_s, now=now
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from gooseberryport_core.decoding import MAX_DURATION_S, parse_count
+from gooseberryport_core.gateway.response_memory import HeldResponse
 from gooseberryport_gateway._byte_limits import (
     MAX_FIELDS,
     MAX_INTERIM_RESPONSES,
@@ -18,6 +19,7 @@
     ResponseLimits,
 )
 from gooseberryport_gateway._headers import Headers, find_header
+from gooseberryport_gateway._receiving import READ_BUFFER, SHORT_READ_BUFFER, add_chunk
 from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
 
 DEFAULT_IDLE_TIMEOUT_S = 5.0
@@ -44,23 +46,34 @@
         Header fields in order, with names in lower case.
     body
         The body, with any transfer coding removed.
+    chunks
+        The body in pieces if a `HeldResponse` counts it; `body` is empty then.
     """
 
     status: int
     headers: Headers
     body: bytes
+    chunks: Sequence[bytes | bytearray] = ()
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body; bytes."""
+        if len(self.chunks) == 1:
+            return len(self.body) + len(self.chunks[0])
+        return len(self.body) + sum(map(len, self.chunks))
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header field, by its name in lower case."""
         return find_header(self.headers, name)
 
 
-class HttpConn(asyncio.Protocol):
+class HttpConn(asyncio.BufferedProtocol):
     """Send requests one at a time, and return complete responses only.
 
     A response with another request's id is dropped, and the connection is not used again.
     A response that exceeds a limit is given up at once, whichever part of it is too long.
-    `idle_s` is how long the connection was idle before its latest request, or 0; seconds.
+    `idle_s` is how long the connection was idle before its latest request, or 0, and `paused_s` how
+    long its response was not read for lack of memory; seconds.
 
     Parameters
     ----------
@@ -69,7 +82,8 @@
     limits
         Limits on a response.
     budget
-        Bounds the bodies that all connections hold; None for no bound.
+        Bounds the bodies that all connections hold, apart from those that a `HeldResponse` counts;
+        None for no bound.
     """
 
     def __init__(
@@ -90,8 +104,12 @@
         self._response_future: asyncio.Future[HttpResponse] | None = None
         self._request_id: bytes | None = None
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        self._body: list[bytes | bytearray] = []
         self._body_bytes = 0
+        self._held: HeldResponse | None = None
+        self._counted_bytes = 0
+        self._paused_at: float | None = None
+        self.paused_s = 0.0
         self._unsent: deque[bytes | bytearray] = deque()
         self._write_paused = False
         self._head_only = False
@@ -127,6 +145,7 @@
         body: Sequence[bytes | bytearray] = (),
         request_id: bytes | None = None,
         head_only: bool = False,
+        held: HeldResponse | None = None,
     ) -> HttpResponse:
         """Send a request and return its complete response.
 
@@ -140,6 +159,8 @@
             Id that the response must have; the first one on a connection may have none.
         head_only
             Whether the response has no body, whatever its headers say.
+        held
+            Counts the response's bytes, and pauses reading when there is no memory for them.
 
         Raises
         ------
@@ -160,6 +181,9 @@
         self.has_response_bytes = False
         self._received_bytes = self._body_bytes = self._num_fields = self._num_interim = 0
         self._unsent = deque(body)
+        self.paused_s = 0.0
+        self._held = held
+        self._counted_bytes = 0
         transport.write(data)
         self._write_body()
         try:
@@ -182,8 +206,33 @@
         while self._unsent and not self._write_paused and self._transport is not None:
             self._transport.write(self._unsent.popleft())
 
+    def _pause_reading(self, paused: bool) -> None:
+        """Stop or resume reading a response, as the memory for responses allows."""
+        transport = self._transport
+        if transport is None:
+            return
+        now = asyncio.get_running_loop().time()
+        if paused:
+            self._paused_at = now
+            transport.pause_reading()
+            return
+        if self._paused_at is not None:
+            self.paused_s += now - self._paused_at
+            self._paused_at = None
+        transport.resume_reading()
+
     # Callbacks from asyncio.
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return a buffer for the next read, a short one if the memory is used up."""
+        if self._held is not None and self._held.client.memory.used_up:
+            return SHORT_READ_BUFFER
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read."""
+        self.data_received(READ_BUFFER[:nbytes])
+
     def pause_writing(self) -> None:
         """Write no more of a body until the server has read what is buffered."""
         self._write_paused = True
@@ -202,7 +251,7 @@
             configure_socket(sock)
         self._idle_since = asyncio.get_running_loop().time()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Feed the parser."""
         if self.closed:
             return
@@ -222,6 +271,10 @@
             self._fail("unexpected protocol upgrade")
         else:
             self._check_overhead()
+        if self._held is not None and self._body_bytes > self._counted_bytes:
+            # A response that is complete now is counted with its reply.
+            self._held.add(self._body_bytes - self._counted_bytes, on_paused=self._pause_reading)
+            self._counted_bytes = self._body_bytes
 
     def eof_received(self) -> bool:
         """Complete a response whose end is marked by the end of the connection."""
@@ -279,6 +332,9 @@
         if self._body_bytes > self._limits.max_body_bytes:
             self.discard(f"a body of more than {self._limits.max_body_bytes} bytes")
             return
+        if self._held is not None:
+            add_chunk(self._body, data)
+            return
         self._body.append(data)
         if self._budget is not None:
             self._budget.add(self, len(data))
@@ -314,10 +370,12 @@
         return response_id in (None, self._request_id)
 
     def _build_response(self) -> HttpResponse:
+        is_held = self._held is not None
         return HttpResponse(
             status=self._parser.get_status_code(),
             headers=self._headers,
-            body=b"".join(self._body),
+            body=b"" if is_held else b"".join(self._body),
+            chunks=self._body if is_held else (),
         )
 
     def _complete(self) -> None:
@@ -327,6 +385,11 @@
         if future is None or future.done():
             return
         response = self._build_response()
+        if self._held is not None:
+            # Its bytes stay counted until they are written to the client.
+            if self._counted_bytes:
+                self._held.stop_receiving()
+            self._held = None
         self._free_body()
         self._record_idle_timeout(response)
         transport = self._transport
@@ -359,6 +422,11 @@
         self._body = []
         if self._budget is not None:
             self._budget.release(self)
+        if self._held is not None:
+            held, self._held = self._held, None
+            if self._counted_bytes:
+                held.stop_receiving()
+                held.settle(num_bytes=held.num_bytes - self._counted_bytes)
 
     def _check_overhead(self) -> None:
         """Give the response up if its parts other than the body are too long."""
@@ -380,6 +448,8 @@
     def _fail(self, reason: str) -> None:
         future, self._response_future = self._response_future, None
         if future is not None and not future.done():
+            if self.paused_s:
+                reason += f" after it was not read for {self.paused_s:.1f} s for lack of memory"
             future.set_exception(ResponseLostError(reason))
 
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from gooseberryport_core.gateway.response_memory import ResponseMemory
 from gooseberryport_gateway._tenant_counts import TenantCounts
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
@@ -129,6 +130,27 @@
             "gooseberryport_config_version", "Configuration in force", registry=self.registry
         )
 
+        self.response_bytes = Gauge(
+            "gooseberryport_response_bytes",
+            "Bytes of responses held for clients",
+            registry=self.registry,
+        )
+        self.paused_responses = Gauge(
+            "gooseberryport_paused_responses",
+            "Responses that are not read for lack of memory",
+            registry=self.registry,
+        )
+        self.slow_clients = Counter(
+            "gooseberryport_slow_clients",
+            "Clients that were disconnected because others needed the memory of their replies",
+            registry=self.registry,
+        )
+
+    def watch_responses(self, memory: ResponseMemory) -> None:
+        """Read the figures of responses from their memory."""
+        self.response_bytes.set_function(lambda: memory.total_bytes)
+        self.paused_responses.set_function(lambda: memory.paused_responses)
+
     def text(self) -> bytes:
         """Return all metrics in the text exposition format."""
         return generate_latest(self.registry)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
@@ -35,9 +35,7 @@
     def pass_on(self, job: Job, response: HttpResponse) -> Reply:
         """Return an upstream's response to the client."""
         self.log(job, LogNumber.GATEWAY_REQUEST_ENDED, status=response.status)
-        return Reply(
-            status=response.status, headers=end_to_end_headers(response.headers), body=response.body
-        )
+        return _reply(response)
 
     def failed(self, job: Job) -> Reply:
         """Return the reply to a request that no upstream answered."""
@@ -50,11 +48,7 @@
                 )
             else:
                 self.log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=status)
-                return Reply(
-                    status=status,
-                    headers=end_to_end_headers(job.last_failure.headers),
-                    body=job.last_failure.body,
-                )
+                return _reply(job.last_failure)
         if job.may_have_run:
             self.log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=502)
             return self._empty(502, job.request_id)
@@ -164,3 +158,13 @@
         if retry_s is not None:
             headers.append((b"retry-after", b"%.2f" % retry_s))
         return Reply(status=status, headers=headers)
+
+
+def _reply(response: HttpResponse) -> Reply:
+    """Return an upstream's response as the reply to a client."""
+    return Reply(
+        status=response.status,
+        headers=end_to_end_headers(response.headers),
+        body=response.body,
+        chunks=response.chunks,
+    )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -13,6 +13,7 @@
 from urllib.parse import parse_qs
 
 from gooseberryport_core.gateway.model import ClientLimits, Member
+from gooseberryport_core.gateway.response_memory import ResponseMemory
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, UpstreamId
 from gooseberryport_gateway._body_memory import BodyMemory
@@ -47,6 +48,10 @@
 HOUSEKEEPING_INTERVAL_S = 0.2
 """Interval between flushes of the log and checks of idle connections; seconds."""
 
+MAX_SLOW_CLIENT_LINES = 5
+"""Maximum log lines on slow clients in each such interval, beside the lines on requests, of which
+there are too many when the memory is used up."""
+
 SETTINGS_CHECK_INTERVAL_S = 2.0
 """Interval between checks for settings that changed without a signal: half of the 4 s within which
 they must be applied; seconds."""
@@ -137,6 +142,13 @@
         self._conns: set[ClientConn] = set()
         self._page_conns: set[ClientConn] = set()
         self._body_memory = BodyMemory(process_bytes=settings.memory_bytes)
+        self._response_memory: ResponseMemory | None = None
+        if settings.memory_bytes:
+            self._response_memory = ResponseMemory(
+                process_bytes=settings.memory_bytes,
+                other_bytes=lambda: self._body_memory.total_bytes,
+            )
+            self.metrics.watch_responses(self._response_memory)
         self._supervisor = Supervisor(state=self.state)
         self._servers: list[asyncio.Server] = []
         self._stop = asyncio.Event()
@@ -204,14 +216,22 @@
         """Open all listeners; return False if the process is told to stop before."""
         settings = self.state.settings
         pages = {settings.ready, settings.lookup, settings.control} - {""}
-        if not await self._listen(settings.front, self._handle_front, self._conns):
+        memory = self._response_memory
+        if not await self._listen(settings.front, self._handle_front, self._conns, memory=memory):
             return False
         for address in sorted(pages):
             if not await self._listen(address, self._handle_page, self._page_conns):
                 return False
         return True
 
-    async def _listen(self, address: str, handler: Handler, conns: set[ClientConn]) -> bool:
+    async def _listen(
+        self,
+        address: str,
+        handler: Handler,
+        conns: set[ClientConn],
+        *,
+        memory: ResponseMemory | None = None,
+    ) -> bool:
         """Open a listener; return False if the process is told to stop before."""
         host, port = listener_address(address)
         server = await open_when_free(
@@ -221,6 +241,7 @@
                     limits=self._limits,
                     conns=conns,
                     memory=self._body_memory,
+                    response_memory=memory,
                 ),
                 host=host,
                 port=port,
@@ -323,6 +344,7 @@
         was_ready = False
         while True:
             self._pool.close_expired()
+            self._disconnect_slow_clients()
             self.state.expire_peer_loads(now=self._loop.time())
             self.state.rate_limits.expire(now=self._loop.time())
             self.state.warm_objects.refresh(now=self._loop.time())
@@ -333,6 +355,22 @@
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
 
+    def _disconnect_slow_clients(self) -> None:
+        if self._response_memory is None:
+            return
+        now = self._loop.time()
+        idle_timeout_s = self.state.limits.idle_timeout_s
+        slow = self._response_memory.check(now=now, idle_timeout_s=idle_timeout_s)
+        self.metrics.slow_clients.inc(len(slow))
+        for client in slow[:MAX_SLOW_CLIENT_LINES]:
+            self.log.write(
+                LogNumber.GATEWAY_CLIENT_DISCONNECTED,
+                client=client.address,
+                unread_bytes=client.unread_bytes,
+                stalled_ms=round(client.stalled_s * 1000),
+                open_requests=client.open_requests,
+            )
+
     async def _shut_down(self) -> None:
         started = self._loop.time()
         grace_s = self.state.settings.bounds.grace_s
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -169,8 +169,20 @@
         self.forwarder = Forwarder(state=self.state, pool=self.pool, names=HEADER_NAMES)
         self.conns = set()
         self.memory = None
+        self.response_memory = None
+        self.slow_clients = []
         self.port = 0
 
+    async def check_response_memory(self):
+        while True:
+            if self.response_memory is not None:
+                now = asyncio.get_running_loop().time()
+                idle_timeout_s = self.state.limits.idle_timeout_s
+                self.slow_clients += self.response_memory.check(
+                    now=now, idle_timeout_s=idle_timeout_s
+                )
+            await asyncio.sleep(0.1)
+
     def put_upstream(self, name, port, **changes):
         entry = make_entry(name, address=("127.0.0.1", port), **changes)
         self.state.put_upstream(entry, now=asyncio.get_running_loop().time())
@@ -188,14 +200,18 @@
             limits=lambda: gateway.state.limits,
             conns=gateway.conns,
             memory=gateway.memory,
+            response_memory=gateway.response_memory,
         ),
         "127.0.0.1",
         0,
     )
+    gateway.listener = server.sockets[0]
     gateway.port = server.sockets[0].getsockname()[1]
+    checks = loop.create_task(gateway.check_response_memory())
     try:
         yield gateway
     finally:
+        checks.cancel()
         server.close()
         for conn in list(gateway.conns):
             conn.abort()
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -78,7 +78,7 @@
 
 @contextlib.asynccontextmanager
 async def running_gateway(
-    tmp_path, store_port, *, name="vm1", grace_s=4, ports=None, seeds=(), **options
+    tmp_path, store_port, *, name="vm1", grace_s=4, ports=None, seeds=(), limits=None, **options
 ):
     roles = ("front", "ready", "directory", "control", "peer")
     ports = {role: free_port() for role in roles} | (ports or {})
@@ -93,6 +93,7 @@
         "seeds": list(seeds),
         "platform": {"address": f"127.0.0.1:{store_port}", "ttlMinMs": 1000},
         "bounds": {"graceS": grace_s, "drainMs": 200},
+        "limits": limits or {},
     }
     tmp_path = tmp_path / name if name != "vm1" else tmp_path
     tmp_path.mkdir(exist_ok=True)
