--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -4,14 +4,21 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable
 
 import httptools
 import msgspec
 
 from gooseberryport_core.gateway.model import ClientLimits
+from gooseberryport_core.gateway.response_memory import (
+    ClientResponses,
+    HeldResponse,
+    ResponseMemory,
+)
 from gooseberryport_gateway._body_memory import BodyMemory, HeldBody
-from gooseberryport_gateway._headers import Headers, find_header
+from gooseberryport_gateway._client_messages import ClientRequest, Handler, Reply, encode_reply
+from gooseberryport_gateway._headers import Headers
+from gooseberryport_gateway._reply_writer import ReplyWriter
 from gooseberryport_gateway.errors import BodyTooLargeError
 
 MAX_PIPELINED_REQUESTS = 64
@@ -30,72 +37,6 @@
 FULL_RETRY_DELAY_S = 0.5
 """Delay after which a client retries whose body did not fit into memory; seconds."""
 
-REASON_PHRASES = {
-    100: b"Continue",
-    200: b"OK",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
-
-class ClientRequest(msgspec.Struct, eq=False):
-    """A complete request of a client.
-
-    Parameters
-    ----------
-    method, target
-        Method and target as received.
-    path
-        The target without its query.
-    headers
-        Header fields in order, with names in lower case.
-    body
-        Chunks of the body, with any transfer coding removed.
-    arrived_at
-        Monotonic time at which its last byte was received; seconds.
-    """
-
-    method: bytes
-    target: bytes
-    path: str
-    headers: Headers
-    body: Sequence[bytes | bytearray]
-    arrived_at: float
-
-    @property
-    def body_bytes(self) -> int:
-        """Size of the body; bytes."""
-        return sum(len(chunk) for chunk in self.body)
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header field, given its name in lower case."""
-        return find_header(self.headers, name)
-
-    def __repr__(self) -> str:
-        """Return a text without the header fields, one of which may contain an API key."""
-        return f"ClientRequest({self.method!r}, {self.path!r})"
-
-
-class Reply(msgspec.Struct):
-    """The reply to a client's request."""
-
-    status: int
-    headers: Headers
-    body: bytes = b""
-    reason: bytes | None = None
-
-
-Handler = Callable[[ClientRequest], Awaitable[Reply]]
-
 
 class _Pending(msgspec.Struct, eq=False):
     keep_alive: bool
@@ -103,6 +44,7 @@
     task: asyncio.Task[Reply] | None = None
     reply: Reply | None = None
     body: HeldBody | None = None
+    held: HeldResponse | None = None
 
 
 class ClientConn(asyncio.Protocol):
@@ -118,6 +60,8 @@
         Set of open connections, which contains this one while it is open.
     memory
         Bounds the bodies that all connections hold; by default this connection's alone.
+    response_memory
+        Bounds the responses that all connections hold; None for no bound.
     """
 
     def __init__(
@@ -127,6 +71,7 @@
         limits: Callable[[], ClientLimits],
         conns: set[ClientConn],
         memory: BodyMemory | None = None,
+        response_memory: ResponseMemory | None = None,
     ) -> None:
         self._handler = handler
         self._memory = memory or BodyMemory()
@@ -135,8 +80,15 @@
         self._conns = conns
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._writer: ReplyWriter | None = None
+        self._responses: ClientResponses | None = None
+        if response_memory is not None:
+            self._responses = response_memory.new_client(
+                on_disconnect=self._disconnect, poll=self._record_progress
+            )
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[_Pending] = deque()
+        self._unstarted: deque[tuple[ClientRequest, _Pending]] = deque()
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
@@ -184,12 +136,24 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _disconnect(self) -> None:
+        """Close the connection at once, as others need the memory of its replies."""
+        self._closing = True
+        self._cancel_timer()
+        self._cancel_pending()
+        self.abort()
+
     # Callbacks from asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start reading."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._writer = ReplyWriter(transport=transport, responses=self._responses)
+        if self._responses is not None:
+            self._responses.address = "{}:{}".format(
+                *(transport.get_extra_info("peername") or ("", 0))[:2]
+            )
         self._conns.add(self)
         self._start_timer(self._limits().idle_timeout_s)
 
@@ -230,15 +194,24 @@
         self._body.release()
         self._cancel_timer()
         self._cancel_pending()
+        if self._writer is not None:
+            self._writer.discard()
+        if self._responses is not None:
+            self._responses.close()
 
     def pause_writing(self) -> None:
         """Pause reading from a client that does not read its replies."""
         self._write_paused = True
+        if self._writer is not None:
+            self._writer.pause()
         self._update_reading()
 
     def resume_writing(self) -> None:
         """Resume reading, unless too many requests are open."""
         self._write_paused = False
+        if self._writer is not None:
+            self._writer.resume()
+        self._start_requests()
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -249,7 +222,10 @@
         if self._transport is None or self._closing:
             return
         wanted = (
-            self._write_paused or self._body.paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
+            self._write_paused
+            or self._body.paused
+            or len(self._pending) >= MAX_PIPELINED_REQUESTS
+            or (self._responses is not None and self._responses.is_full)
         )
         if wanted == self._read_paused:
             return
@@ -345,13 +321,46 @@
             body=body.chunks,
             arrived_at=self._loop.time(),
         )
-        pending = _Pending(
-            keep_alive=self._parser.should_keep_alive(), head_only=method == b"HEAD", body=body
+        pending = self._add_pending(
+            _Pending(
+                keep_alive=self._parser.should_keep_alive(), head_only=method == b"HEAD", body=body
+            )
         )
-        self._pending.append(pending)
-        pending.task = self._loop.create_task(self._handle(req, pending))
+        req.held = pending.held
+        if self._responses is not None and (
+            self._unstarted
+            or self._responses.is_full
+            or len(self._pending) > MAX_PIPELINED_REQUESTS
+        ):
+            self._unstarted.append((req, pending))
+        else:
+            pending.task = self._loop.create_task(self._handle(req, pending))
         self._update_reading()
 
+    def _add_pending(self, pending: _Pending) -> _Pending:
+        if self._responses is not None:
+            pending.held = self._responses.new_response()
+        self._pending.append(pending)
+        return pending
+
+    def _start_requests(self) -> None:
+        """Pass requests to the handler that were not started, since earlier ones come first."""
+        while (
+            self._unstarted
+            and self._responses is not None
+            and not self._responses.is_full
+            and len(self._pending) - len(self._unstarted) < MAX_PIPELINED_REQUESTS
+        ):
+            req, pending = self._unstarted.popleft()
+            pending.task = self._loop.create_task(self._handle(req, pending))
+
+    def _record_progress(self) -> None:
+        """Record what the client has read, which the transport does not report."""
+        if self._writer is not None:
+            self._writer.record_progress()
+            self._start_requests()
+            self._update_reading()
+
     async def _handle(self, req: ClientRequest, pending: _Pending) -> Reply:
         try:
             reply = await self._handler(req)
@@ -360,6 +369,8 @@
             req.body = ()
             if pending.body is not None:
                 pending.body.release()
+        if pending.held is not None and self._pending and pending is not self._pending[0]:
+            pending.held.settle(num_bytes=reply.body_bytes, finished=True)
         pending.reply = reply
         self._flush()
         return reply
@@ -385,7 +396,7 @@
         self._body.release()
         self._cancel_timer()
         reply = Reply(status=status, headers=headers or [])
-        self._pending.append(_Pending(keep_alive=False, head_only=False, reply=reply))
+        self._add_pending(_Pending(keep_alive=False, head_only=False, reply=reply))
         self._flush()
 
     def _flush(self) -> None:
@@ -395,17 +406,21 @@
             last = not pending.keep_alive or (
                 self.closing_when_idle and not self._pending and not self._reading
             )
-            self._write(_encode(pending.reply, last=last, head_only=pending.head_only))
+            head, chunks = encode_reply(pending.reply, last=last, head_only=pending.head_only)
+            if self._writer is not None:
+                self._writer.write_reply(head, chunks)
             if last:
                 self._close()
                 return
         if not self._pending and not self._reading and not self._closing:
             self._start_timer(self._limits().idle_timeout_s)
+        if self._unstarted:
+            self._start_requests()
         self._update_reading()
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._closing:
-            self._transport.write(data)
+        if self._writer is not None and not self._closing:
+            self._writer.write(data)
 
     def _close(self) -> None:
         """Send buffered replies and close; read on briefly, as unread bytes reset a connection."""
@@ -414,19 +429,19 @@
         self._closing = True
         self._cancel_timer()
         self._cancel_pending()
-        transport = self._transport
-        if transport is None:
+        transport, writer = self._transport, self._writer
+        if transport is None or writer is None:
             return
         if self._read_paused:
             self._read_paused = False
             transport.resume_reading()
         try:
-            transport.write_eof()
+            writer.end()
         except OSError:
             # The client has reset the connection, and the event loop has not reported it yet.
             transport.abort()
             return
-        unwritten = transport.get_write_buffer_size()
+        unwritten = writer.unsent_bytes
         self._loop.call_later(CLOSE_DELAY_S, self._abort_if_written, transport, unwritten, 0.0)
 
     def _abort_if_written(
@@ -443,7 +458,7 @@
         stalled_s
             Time for which the client has read nothing; seconds.
         """
-        left = transport.get_write_buffer_size()
+        left = self._writer.unsent_bytes if self._writer is not None else 0
         stalled_s = 0.0 if left < unwritten else stalled_s + CLOSE_DELAY_S
         if not unwritten or stalled_s >= self._limits().idle_timeout_s:
             transport.abort()
@@ -457,6 +472,9 @@
             if pending.task is not None:
                 pending.task.cancel()
         self._pending.clear()
+        self._unstarted.clear()
+        if self._responses is not None:
+            self._responses.discard()
 
     def _start_timer(self, delay_s: float) -> None:
         self._cancel_timer()
@@ -474,16 +492,8 @@
         elif self._reading:
             self._reject(408)
         elif not self._pending:
-            self._close()
-
-
-def _encode(reply: Reply, *, last: bool, head_only: bool) -> bytes:
-    reason = reply.reason or REASON_PHRASES.get(reply.status, b"Status")
-    lines = [b"HTTP/1.1 %d %s" % (reply.status, reason)]
-    lines.extend(name + b": " + value for name, value in reply.headers)
-    if reply.status not in (204, 304):
-        lines.append(b"content-length: %d" % len(reply.body))
-    if last:
-        lines.append(b"connection: close")
-    head = b"\r\n".join(lines) + b"\r\n\r\n"
-    return head if head_only or reply.status in (204, 304) else head + reply.body
+            timeout_s = self._limits().idle_timeout_s
+            if self._writer is None or self._writer.is_done(timeout_s=timeout_s):
+                self._close()
+            else:
+                self._start_timer(timeout_s)
