Serve the usual load after all gateways were killed and restarted

Seen: after all gateways were killed at once and restarted, a tenant's level was about -110 at a limit of 253/s, and requests were rejected for 2 s at a demand of 130 to 160/s.

Cause: the requests that waited come at once to gateways without tokens, whose fraction of the quota is small until they hear of each other. Rejected ones are repeated; the retries raise the known demand above the rate, and each gateway then keeps to its share, down to 15% of the slack.

Change: in the first 2 s of a tenant's limit at a gateway, half of the slack may be used, unless the known demand is above 3 times the rate. Tokens still start at 0: a gateway can't know what ran before it, and the slack is within the rule.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/quotas.py
@@ -53,6 +53,14 @@
 """Fraction of the slack that gateways use together when the tokens are used up. The rest is for
 what they admit before they know of each other."""
 
+START_S = 2.0
+START_DEFICIT_FRACTION = 0.5
+START_DEMAND = 3.0
+"""The same in the first seconds of a tenant's limit here, while the known demand is at most
+`START_DEMAND` times the rate: 0.15 rejects requests that waited while all gateways were down, and
+their retries keep the quota used up for seconds. Less than a burst, since a gateway does not know
+what ran before it; in overload, nothing more is used."""
+
 SHARE_BURST_S = 0.25
 """Accumulated share of the rate, beyond one request; seconds."""
 
@@ -154,6 +162,8 @@
         Accrued share of the rate, used when the tokens are scarce.
     refilled_at, decided_at
         Times for which `level` and `own_tokens` are computed; monotonic seconds.
+    started_at
+        When the limit became known here; monotonic seconds.
     admitted
         Requests admitted by this process, less those that did not run.
     reported_local, reported_remote
@@ -170,6 +180,7 @@
     asked: RecentCount
     served: RecentCount
     others: OtherGateways
+    started_at: float
     admitted: int = 0
     reported_local: _LastReport = msgspec.field(default_factory=_LastReport)
     reported_remote: _LastReport = msgspec.field(default_factory=_LastReport)
@@ -235,6 +246,7 @@
                     asked=RecentCount(),
                     served=RecentCount(),
                     others=OtherGateways(),
+                    started_at=now,
                 )
             elif (bucket.rate, bucket.burst) != (rate, burst):
                 bucket.rate, bucket.burst = rate, burst
@@ -301,6 +313,9 @@
     ) -> QuotaDecision:
         slack = bucket.slack * fraction
         excess = max(demand - rate, 0.0)
+        deficit = slack * DEFICIT_FRACTION
+        if bucket.refilled_at - bucket.started_at < START_S and demand <= START_DEMAND * rate:
+            deficit = slack * START_DEFICIT_FRACTION
         reserved = min(
             max(excess * UNKNOWN_DEMAND_S - slack, 0.0),
             bucket.burst * fraction * MAX_RESERVED_FRACTION,
@@ -314,14 +329,14 @@
         elif excess <= max(rate * (MOVED_DEMAND - 1.0), slack * MOVED_SLACK_PER_S):
             unconfirmed = bucket.others.unconfirmed(bucket.refilled_at)
             level = bucket.level + min(unconfirmed, slack * MOVED_FRACTION)
-            admitted = level > -slack * DEFICIT_FRACTION
-        if not admitted and bucket.level > -slack * DEFICIT_FRACTION:
+            admitted = level > -deficit
+        if not admitted and bucket.level > -deficit:
             admitted = bucket.own_tokens >= 1.0
             bucket.own_tokens -= admitted
         share = rate * part
         retry_s = 0.0
         if not admitted:
-            debt = max(-bucket.level - slack * DEFICIT_FRACTION, 0.0)
+            debt = max(-bucket.level - deficit, 0.0)
             wait_s = max((1.0 - bucket.own_tokens) / max(share, 1e-6), debt / max(rate, 1e-6), 0.05)
             retry_s = min(wait_s, MAX_RETRY_S)
         return QuotaDecision(
--- a/packages/gooseberryport-core/tests/quota_model.py
+++ b/packages/gooseberryport-core/tests/quota_model.py
@@ -13,6 +13,7 @@
 REPORT_S = 0.2
 REMOTE_ROUNDS = 4
 UNLISTED_S = 4.0
+RETRY_S = 0.1
 
 
 class Gateway:
@@ -32,9 +33,23 @@
 
 
 class Model:
-    """Gateways in two regions; `loss` and `max_delay_s` disturb the messages between them."""
-
-    def __init__(self, count, *, rate, burst, seed=1, loss=0.0, max_delay_s=0.0, has_store=True):
+    """Gateways in two regions; `loss` and `max_delay_s` disturb the messages between them.
+
+    If `retries`, requests that are rejected, or find no process, are repeated after `RETRY_S`.
+    """
+
+    def __init__(
+        self,
+        count,
+        *,
+        rate,
+        burst,
+        seed=1,
+        loss=0.0,
+        max_delay_s=0.0,
+        has_store=True,
+        retries=False,
+    ):
         self.rng = random.Random(seed)
         self.tenant = Tenant(name="t", api_keys=frozenset(), rate_per_s=rate, burst=burst)
         self.loss, self.max_delay_s, self.has_store = loss, max_delay_s, has_store
@@ -45,6 +60,7 @@
         self.messages = []
         self.numbers = itertools.count()
         self.admitted, self.asked = [], 0
+        self.retries, self.repeated = retries, []
         self.rounds = 0
         self.owed = 0.0
 
@@ -59,6 +75,15 @@
         self.gateways[number].group = group
         self.gateways[number].known_fraction = self.fraction(self.gateways[number])
 
+    def restart_all(self, *, per_s, weights):
+        """Kill all gateways; each restarts 0.2 to 0.6 s later, while requests go on arriving."""
+        starts = sorted((self.now + 0.2 + 0.4 * self.rng.random(), g.name) for g in self.gateways)
+        for gateway in self.gateways:
+            gateway.killed_at = self.now
+        for at, number in starts:
+            self.run(at - self.now, per_s=per_s, weights=weights)
+            self.restart(number)
+
     def fraction(self, gateway):
         """Return the fraction that `Fleet` would: alive gateways of those that are listed."""
         alive = listed = 1
@@ -81,18 +106,25 @@
                 self.rounds = int(self.now / REPORT_S)
                 self._report()
             self.owed += per_s * TICK_S
-            targets = self.rng.choices(self.gateways, weights, k=int(self.owed))
-            self.owed -= len(targets)
+            repeated = [at for at in self.repeated if at <= self.now]
+            del self.repeated[: len(repeated)]
+            asked = int(self.owed)
+            targets = self.rng.choices(self.gateways, weights, k=asked + len(repeated))
+            self.owed -= asked
             for gateway in targets:
                 self._ask(gateway)
 
     def _ask(self, gateway):
         self.asked += 1
         if gateway.killed_at is not None or self.now < gateway.paused_until:
+            if self.retries:
+                self.repeated.append(self.now + RETRY_S)
             return
         decision = gateway.quotas.decide("t", fraction=gateway.known_fraction, now=self.now)
         if decision.admitted:
             self.admitted.append(self.now)
+        elif self.retries:
+            self.repeated.append(self.now + RETRY_S)
 
     def _report(self):
         for gateway in self.gateways:
--- a/packages/gooseberryport-core/tests/test_quotas.py
+++ b/packages/gooseberryport-core/tests/test_quotas.py
@@ -165,6 +165,34 @@
     assert quotas.decide("t", fraction=1.0, now=0.3) is None
 
 
+@pytest.mark.parametrize("spread", ["all", "some"])
+@pytest.mark.parametrize(("count", "seed"), [(9, 1), (9, 2), (9, 3), (50, 1)])
+def test_usual_load_is_served_a_second_after_all_gateways_were_killed(count, seed, spread):
+    """Guards against a restart after which retries of rejected requests keep the quota used up."""
+    model = Model(count, rate=253.0, burst=63.0, seed=seed, retries=True)
+    per_s, weights = 253.0 / 1.6, weights_of(model, spread)
+    model.run(4.0, per_s=per_s, weights=weights)
+    model.restart_all(per_s=per_s, weights=weights)
+    model.run(1.0, per_s=per_s, weights=weights)
+    asked, admitted = model.asked, len(model.admitted)
+    model.run(2.0, per_s=per_s, weights=weights)
+    assert len(model.admitted) - admitted >= 0.95 * (model.asked - asked)
+    assert model.most_in_window() <= model.allowed_in_window
+
+
+@pytest.mark.parametrize("burst_s", [0.25, 1.0])
+@pytest.mark.parametrize(("count", "seed"), [(9, 1), (9, 2), (9, 3), (50, 1)])
+def test_quota_holds_if_all_gateways_are_killed_in_overload(count, seed, burst_s):
+    """Guards against a restart that grants a second burst, or tokens that others have used."""
+    model = Model(count, rate=253.0, burst=253.0 * burst_s, seed=seed)
+    per_s, weights = 5.0 * 253.0, weights_of(model, "all")
+    model.run(2.0, per_s=253.0 / 1.6, weights=weights)
+    model.run(0.5, per_s=per_s, weights=weights)
+    model.restart_all(per_s=per_s, weights=weights)
+    model.run(5.0, per_s=per_s, weights=weights)
+    assert model.most_in_window() <= model.allowed_in_window
+
+
 def test_changed_limit_applies_at_once_and_keeps_the_counts():
     """Guards against a lowered burst that leaves the old level, and a fresh bucket by a reload."""
     quotas = make_quotas(burst=100.0)
