Poll the listener once more before a stopping gateway closes it

If a pause outlasts the wait for events, Python returns from it without polling again. The stop, whose timer is due, was then resumed before the listener was polled, and ended accepting.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -362,6 +362,8 @@
         asyncio attaches these to their server in the next one. After a pause of the machine, these
         are all connections of that time.
         """
+        # After a pause, the stop may be resumed before the listener is polled.
+        await asyncio.sleep(0)
         # The first listener is the one for clients' requests.
         front = self._servers[0]
         for sock in front.sockets:
