Mend races of two tests that send signals to a starting process

Cause: in the tests. Popen.send_signal polls the process and takes its status from asyncio, which then reports 255; a fixed wait of 0.3 s is too short for the first line of a slow process; and a process that handles SIGHUP already is never seen to ignore it. Change: signals are sent without a poll, from when SIGHUP is ignored or handled, which is earlier than before. Each check of the product is as it was.

--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -136,3 +136,32 @@
                 return (await gateway.get(role, path))[0]
             except OSError:
                 await asyncio.sleep(0.05)
+
+
+def signals(pid, field):
+    """Return the numbers of the signals in a mask of /proc/PID/status, such as "SigIgn:"."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith(field):
+            mask = int(line.split()[1], 16)
+            return {number for number in range(1, 65) if mask >> (number - 1) & 1}
+    return set()
+
+
+async def until_protected(process, number):
+    """Wait until a signal no longer ends a process by its default action.
+
+    On a busy machine, the process may handle the signal before it was seen to ignore it.
+    """
+    async with asyncio.timeout(READY_S):
+        while number not in signals(process.pid, "SigIgn:") | signals(process.pid, "SigCgt:"):
+            await asyncio.sleep(0.001)
+
+
+def send_signal(process, number):
+    """Send a signal to a process that may have ended.
+
+    `Popen.send_signal` polls the process first. If it has just ended, that takes the exit status
+    from asyncio, which then reports 255.
+    """
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(process.pid, number)
--- a/tests/test_own_ends.py
+++ b/tests/test_own_ends.py
@@ -16,8 +16,10 @@
     free_port,
     routing_config,
     running_gateway,
+    send_signal,
     slow_upstream,
     status_once_listening,
+    until_protected,
 )
 from store_standin import store_standin
 
@@ -259,31 +261,23 @@
 def test_signals_in_series_during_a_start_end_it_only_by_a_stop(tmp_path):
     async def main():
         async with deployment(tmp_path) as (gateway, _):
-            while "python" not in command_of(gateway.process.pid):
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(0.3)
+            await until_protected(gateway.process, signal.SIGHUP)
             for _ in range(60):
-                gateway.process.send_signal(signal.SIGHUP)
+                send_signal(gateway.process, signal.SIGHUP)
                 await asyncio.sleep(0.02)
             await until_served(gateway)
             for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
-                gateway.process.send_signal(number)
+                send_signal(gateway.process, number)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(5.0):
                     while gateway.process.returncode is None:
-                        gateway.process.send_signal(signal.SIGHUP)
+                        send_signal(gateway.process, signal.SIGHUP)
                         await asyncio.sleep(0.01)
             assert gateway.process.returncode == 0
 
     run(main())
 
 
-def command_of(pid):
-    with contextlib.suppress(OSError), open(f"/proc/{pid}/cmdline") as file:
-        return file.read()
-    return ""
-
-
 # Guards against settings that end a start with a stack trace and no status.
 def test_settings_that_are_invalid_at_the_start_end_it_with_a_status_of_their_own(tmp_path):
     async def main():
--- a/tests/test_site_process.py
+++ b/tests/test_site_process.py
@@ -12,9 +12,11 @@
     entry,
     routing_config,
     running_gateway,
+    signals,
     slow_upstream,
     start_gateway,
     status_once_listening,
+    until_protected,
 )
 from store_standin import store_standin
 
@@ -104,15 +106,6 @@
     asyncio.run(main())
 
 
-def signals(pid, field):
-    """Return the numbers of the signals in a mask of /proc/PID/status, such as "SigIgn:"."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith(field):
-            mask = int(line.split()[1], 16)
-            return {number for number in range(1, 65) if mask >> (number - 1) & 1}
-    return set()
-
-
 @pytest.mark.parametrize("ignored_by_supervisor", [False, True])
 def test_only_the_supervisor_can_protect_a_process_before_its_first_line(
     ignored_by_supervisor, tmp_path
@@ -156,9 +149,7 @@
             running_gateway(tmp_path, standin.port) as gateway,
         ):
             process = gateway.process
-            async with asyncio.timeout(READY_S):
-                while signal.SIGHUP not in signals(process.pid, "SigIgn:"):
-                    await asyncio.sleep(0.001)
+            await until_protected(process, signal.SIGHUP)
             process.send_signal(signal.SIGHUP)
             await asyncio.sleep(0.01)
             assert process.returncode is None
