--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -19,6 +19,9 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 GRACE_S = 6.0
+HISTORY_S = 20.0
+LINK_BUFFER_BYTES = 16_384
+LINK_PACKET_BYTES = 4_096
 BOUNDS = {
     "seedLagS": 3,
     "reuseAfterS": 2,
@@ -70,21 +73,41 @@
 
 
 class Store:
-    """The platform's store: keys, leases, a history and watches; it never fails here."""
+    """The platform's store: keys, leases, a history and watches.
+
+    It has an address for each machine, so that it can turn one of them away with 503.
+    """
 
     def __init__(self):
         self.items = {}
         self.events = []
         self.revision = 10
         self.port = 0
+        self.refused_ports = set()
+        self._written_at = {}
+        self._oldest_revision = 0
         self._leases = {}
         self._last_lease = 100
         self._changed = asyncio.Condition()
 
     async def start(self):
-        """Open the store's address."""
+        """Open the store's first address."""
+        self.port = await self.open_address()
+
+    async def open_address(self):
+        """Open one more address; return its port."""
         server = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = server.sockets[0].getsockname()[1]
+        return server.sockets[0].getsockname()[1]
+
+    def _add_event(self, event):
+        self.events.append(event)
+        self._written_at[event["revision"]] = time.monotonic()
+        self._drop_history()
+
+    def _drop_history(self):
+        oldest_at = time.monotonic() - HISTORY_S
+        while self.events and self._written_at[self.events[0]["revision"]] < oldest_at:
+            self._oldest_revision = self.events.pop(0)["revision"]
 
     async def put(self, key, value, *, lease=0):
         """Write a key; a value other than bytes is written as JSON."""
@@ -99,7 +122,7 @@
                 "created": created,
                 "lease": lease,
             }
-            self.events.append(self.items[key])
+            self._add_event(self.items[key])
             self._changed.notify_all()
 
     async def delete(self, key):
@@ -107,17 +130,21 @@
         async with self._changed:
             if self.items.pop(key, None) is not None:
                 self.revision += 1
-                self.events.append({"key": key, "revision": self.revision, "deleted": True})
+                self._add_event({"key": key, "revision": self.revision, "deleted": True})
                 self._changed.notify_all()
 
     async def _serve(self, reader, writer):
+        port = writer.get_extra_info("sockname")[1]
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 method, target, _ = head.split("\r\n")[0].split(" ")
                 body = json.loads(await reader.readexactly(body_length(head.encode())) or b"{}")
                 await self._end_leases()
-                status, answer = await self._answer(method, target, body)
+                if port in self.refused_ports:
+                    status, answer = 503, {}
+                else:
+                    status, answer = await self._answer(method, target, body)
                 data = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data)))
                 writer.write(data)
@@ -179,6 +206,9 @@
 
     async def _watch(self, query):
         after, prefix = int(query["after"]), query.get("pathPrefix", "")
+        self._drop_history()
+        if after < self._oldest_revision:
+            return 410, {}
 
         def events():
             return [
@@ -195,6 +225,63 @@
             return 200, {"events": events(), "storeRevision": self.revision}
 
 
+class SlowLink:
+    """A machine's link to the store: what the store sends passes at a limited rate.
+
+    Parameters
+    ----------
+    store_port
+        Port of the store's address for this machine.
+    mbps
+        Rate of the link; megabits per second.
+    """
+
+    def __init__(self, store_port, *, mbps):
+        self.port = 0
+        self._store_port = store_port
+        self._bytes_per_s = mbps * 125_000
+        self._free_at = 0.0
+        self._tasks = set()
+
+    async def start(self):
+        """Open the near end of the link."""
+        # Small buffers, so that no more than a few packets are on their way.
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LINK_BUFFER_BYTES)
+        listener.bind((HOST, 0))
+        server = await asyncio.start_server(self._serve, sock=listener)
+        self.port = listener.getsockname()[1]
+        return server
+
+    async def _serve(self, reader, writer):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, LINK_BUFFER_BYTES)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, (HOST, self._store_port))
+            calls = asyncio.ensure_future(self._send_calls(reader, sock))
+            with contextlib.suppress(OSError):
+                while not calls.done():
+                    data = await loop.sock_recv(sock, LINK_PACKET_BYTES)
+                    if not data:
+                        break
+                    now = time.monotonic()
+                    self._free_at = max(self._free_at, now) + len(data) / self._bytes_per_s
+                    await asyncio.sleep(self._free_at - now)
+                    writer.write(data)
+                    await writer.drain()
+            calls.cancel()
+        writer.close()
+
+    async def _send_calls(self, reader, sock):
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            while data := await reader.read(LINK_PACKET_BYTES):
+                await loop.sock_sendall(sock, data)
+            # The gateway has left: the other direction ends too.
+            sock.shutdown(socket.SHUT_RDWR)
+
+
 def field(head, name):
     """Return the value of a header field, or an empty string."""
     for line in head.decode("latin-1").split("\r\n")[1:]:
@@ -228,11 +315,13 @@
 class Gateway:
     """One gateway process with settings like those of a small deployment."""
 
-    def __init__(self, *, name, zone, zones, store):
+    def __init__(self, *, name, zone, zones, store_port, bounds=None):
         self.name = name
+        self._bounds = BOUNDS | (bounds or {})
         self.process = None
+        self.store_port = store_port
         self.ports = {role: free_port() for role in ("front", "ready", "control", "directory")}
-        self._zone, self._zones, self._store = zone, zones, store
+        self._zone, self._zones = zone, zones
         self._peer_port = free_port()
         self._folder = tempfile.TemporaryDirectory()
 
@@ -262,9 +351,9 @@
             },
             "dataDir": None,
             "heartbeatMs": 1500,
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
             "platform": {
-                "address": f"{HOST}:{self._store.port}",
+                "address": f"{HOST}:{self.store_port}",
                 "form": "kv",
                 "writesPerS": 400,
                 "readsPerS": 2000,
@@ -313,12 +402,35 @@
 
 
 @contextlib.asynccontextmanager
-async def running_gateways(*, zones, store):
-    """Run one gateway in each zone until the end of the block."""
+async def running_gateways(*, zones, store, bounds=None, link_mbps=None):
+    """Run one gateway in each zone until the end of the block.
+
+    Parameters
+    ----------
+    zones
+        Region of each zone.
+    store
+        The platform's store.
+    bounds
+        Bounds that differ from the usual ones.
+    link_mbps
+        Rate of the first gateway's link to the store; None for no limit.
+    """
     gateways = [
-        Gateway(name=f"edge-{zone}-1", zone=zone, zones=zones, store=store) for zone in zones
+        Gateway(
+            name=f"edge-{zone}-1",
+            zone=zone,
+            zones=zones,
+            store_port=await store.open_address(),
+            bounds=bounds,
+        )
+        for zone in zones
     ]
     seeds = [f"{HOST}:{gateway.ports['control']}" for gateway in gateways]
+    if link_mbps is not None:
+        link = SlowLink(gateways[0].store_port, mbps=link_mbps)
+        await link.start()
+        gateways[0].store_port = link.port
     try:
         for gateway in gateways:
             await gateway.start(seeds=seeds)
