--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps PYTHONDONTWRITEBYTECODE=1 python3 -c 'import gooseberryport_site.start'
-for source in review/standins-2/*.py review/[6-9]/*.py review/10/*.py; do
+for source in review/small_site.py review/[6-9]/*.py review/10/*.py; do
   if [ -f "$source" ]; then
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$source"
   fi
--- a/review/standins-2/small_site.py
+++ b/review/small_site.py
@@ -9,6 +9,8 @@
 import contextlib
 import json
 import os
+import random
+import signal
 import socket
 import sys
 import tempfile
@@ -16,8 +18,9 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "127.0.0.1"
+GATEWAY_PORTS = (12_000, 32_000)
 GRACE_S = 6.0
 HISTORY_S = 20.0
 LINK_BUFFER_BYTES = 16_384
@@ -53,10 +56,12 @@
 
 
 def free_port():
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now, below those from which outgoing connections get theirs."""
+    while True:
+        port = random.randrange(*GATEWAY_PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            return port
 
 
 class Record:
@@ -385,7 +390,7 @@
                 if b" 200 " in line:
                     return
             await asyncio.sleep(0.05)
-        raise RuntimeError(f"{self.name} is not ready")
+        raise RuntimeError(f"{self.name} is not ready: {self.log_lines()[-3:]}")
 
     def log_lines(self, *words):
         """Return the lines of the gateway's log that contain all words."""
@@ -464,8 +469,15 @@
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder) / "record.txt")
+
+    async def run():
+        # A script that is stopped ends its gateways too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(case(record, trouble), timeout_s)
+
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record, trouble), timeout_s))
+        broken = asyncio.run(run())
     except BaseException as exc:
         record.write(f"could not run: {exc!r}")
         print(f"could not run: {exc!r}", file=sys.stderr, flush=True)
