Judge each response of an upstream once, and pass on no false refusal

Cause: two places judged a response. classify() took each signed response below 500 for the final answer; only failures (5xx, or unsigned) reached the place that replaces 408, 421, 429 and 503. Ruled out: a second send by the gateway (each run had its own id), a misread statement (there was none).

Change: one table, gooseberryport_core.gateway.verdicts, by status, signature and the statement that the request did not run. It says what the client gets; these four statuses reach it only as the gateway's own. Related: a signed 421 was taken for "did not run" and the order sent elsewhere; a 2xx that says it did not run counted as a refusal; an empty signature counted as one; the log line of a failed at-most-once request had no cause.

Two tests signed their 421: test_forwarding and test_at_most_once.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -10,6 +10,7 @@
 from gooseberryport_core.decoding import parse_count
 from gooseberryport_core.gateway.model import ObjectKey, Route, Tenant
 from gooseberryport_core.gateway.refusals import RefusalCause
+from gooseberryport_core.gateway.verdicts import Verdict, judge
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId
 from gooseberryport_gateway._client_messages import ClientRequest
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
@@ -27,7 +28,7 @@
 
     ANSWERED = "answered"
     FAILED = "failed"
-    """The upstream ran the request and responded with a failure."""
+    """The upstream responded with a failure, and may have run the request."""
 
     SHED = "shed"
     """The upstream reported that it did not run the request."""
@@ -169,26 +170,38 @@
         )
 
 
+_ENDS = {
+    Verdict.ANSWER: AttemptEnd.ANSWERED,
+    Verdict.FAILURE: AttemptEnd.FAILED,
+    Verdict.FALSE_REFUSAL: AttemptEnd.FAILED,
+    Verdict.REFUSAL: AttemptEnd.SHED,
+    Verdict.MISDIRECTED: AttemptEnd.MISDIRECTED,
+    Verdict.INVALID: AttemptEnd.LOST,
+}
+
+
 def classify(response: HttpResponse, *, names: HeaderNames) -> Attempt:
-    """Return how a send ended, by its complete response."""
-    if response.status == 421:
-        return Attempt(end=AttemptEnd.MISDIRECTED, reason="another upstream has the address")
-    if response.header(names.not_executed) is not None:
-        return Attempt(
-            end=AttemptEnd.SHED,
-            response=response,
-            reason=f"status {response.status}, not executed",
-        )
-    is_signed = response.header(names.signature) is not None
-    if response.header(b"content-encoding") is not None:
-        return Attempt(end=AttemptEnd.LOST, reason="an encoded body that was not asked for")
-    if 200 <= response.status < 300:
-        if not is_signed:
-            return Attempt(end=AttemptEnd.LOST, reason="a success without a signature")
-        return Attempt(end=AttemptEnd.ANSWERED, response=response)
-    if response.status >= 500 or not is_signed:
-        return Attempt(end=AttemptEnd.FAILED, response=response, reason=f"status {response.status}")
-    return Attempt(end=AttemptEnd.ANSWERED, response=response)
+    """Return how a send ended, by its complete response.
+
+    The attempt has the response only if the client may receive it, or if it is a refusal.
+    """
+    signed = bool(response.header(names.signature))
+    not_executed = response.header(names.not_executed) is not None
+    encoded = response.header(b"content-encoding") is not None
+    verdict = judge(
+        status=response.status, signed=signed, not_executed=not_executed, encoded=encoded
+    )
+    is_kept = verdict in (Verdict.ANSWER, Verdict.FAILURE, Verdict.REFUSAL)
+    marks = [
+        "signed" if signed else "not signed",
+        *(["not executed"] if not_executed else []),
+        *(["encoded"] if encoded else []),
+    ]
+    return Attempt(
+        end=_ENDS[verdict],
+        response=response if is_kept else None,
+        reason=f"{verdict.value}: status {response.status:03}, {', '.join(marks)}",
+    )
 
 
 def reported_load(response: HttpResponse, *, names: HeaderNames) -> ReportedLoad | None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -12,6 +12,7 @@
 from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
 from gooseberryport_core.gateway.stopping import ANSWER_MARGIN_S
 from gooseberryport_core.gateway.upstreams import Upstream
+from gooseberryport_core.gateway.verdicts import MISDIRECTED_STATUS
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_gateway._attempts import (
     Attempt,
@@ -192,6 +193,7 @@
                 job.req.held.settle(num_bytes=kept)
             at_most_once = job.route.repeatability is Repeatability.AT_MOST_ONCE
             if at_most_once and job.may_have_run:
+                job.cause = f"{attempt.end.value}: {attempt.reason}; may have run"
                 return self._replies.failed(job)
             if not self._may_retry(job, attempt):
                 return self._replies.failed(job)
@@ -280,10 +282,10 @@
         load = reported_load(response, names=self._names)
         if load is not None:
             upstream.record_load(load.running + load.waiting, now=self._loop.time())
-        if response.status != 421:
+        if response.status != MISDIRECTED_STATUS:
             self._record_rate_limit(job, upstream, response)
         attempt = classify(response, names=self._names)
-        if attempt.end is not AttemptEnd.MISDIRECTED:
+        if response.status != MISDIRECTED_STATUS:
             self._state.balancing.record_response(
                 upstream,
                 load,
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
@@ -40,15 +40,8 @@
     def failed(self, job: Job) -> Reply:
         """Return the reply to a request that no upstream answered."""
         if job.last_failure is not None:
-            status = job.last_failure.status
-            if status in (408, 421, 429, 503):
-                status = 502
-                job.cause += (
-                    "; upstream status replaced, as it would mean that the request did not run"
-                )
-            else:
-                self.log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=status)
-                return _reply(job.last_failure)
+            self.log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=job.last_failure.status)
+            return _reply(job.last_failure)
         if job.may_have_run:
             self.log(job, LogNumber.GATEWAY_REQUEST_FAILED, status=502)
             return self._empty(502, job.request_id)
--- a/packages/gooseberryport-gateway/tests/test_at_most_once.py
+++ b/packages/gooseberryport-gateway/tests/test_at_most_once.py
@@ -39,6 +39,11 @@
     NO_RESPONSE_NOT_RUN = (False, 12)
     NO_RESPONSE_RUN = (True, 13)
     RESPOND_THEN_CLOSE_UNANNOUNCED = (True, 14)
+    SIGNED_408 = (True, 15)
+    SIGNED_421 = (True, 16)
+    SIGNED_429 = (True, 17)
+    UNSIGNED_429 = (True, 18)
+    UNSIGNED_503 = (True, 19)
 
     @property
     def runs(self):
@@ -50,7 +55,7 @@
     Behavior.RESPOND: lambda head: make_response(head, body=header_value(head, b"x-id")),
     Behavior.FAIL: lambda head: make_response(head, status=b"500 Oops"),
     Behavior.SHED: lambda head: make_response(head, status=b"503 Busy", extra=b"x-not-run: 1"),
-    Behavior.MISDIRECTED: lambda head: make_response(head, status=b"421 Other"),
+    Behavior.MISDIRECTED: lambda head: make_response(head, status=b"421 Other", signed=False),
     Behavior.CLOSE_BEFORE_RUN: lambda head: b"",
     Behavior.CLOSE_AFTER_RUN: lambda head: b"",
     Behavior.TRUNCATED: lambda head: make_response(head, body=b"half", extra=CLOSE_HEADER)[:-2],
@@ -59,6 +64,11 @@
         head, request_id=b"other", extra=CLOSE_HEADER
     ),
     Behavior.UNSIGNED: lambda head: make_response(head, signed=False),
+    Behavior.SIGNED_408: lambda head: make_response(head, status=b"408 Slow"),
+    Behavior.SIGNED_421: lambda head: make_response(head, status=b"421 Other"),
+    Behavior.SIGNED_429: lambda head: make_response(head, status=b"429 Many"),
+    Behavior.UNSIGNED_429: lambda head: make_response(head, status=b"429 Many", signed=False),
+    Behavior.UNSIGNED_503: lambda head: make_response(head, status=b"503 Busy", signed=False),
 }
 
 
--- a/packages/gooseberryport-gateway/tests/test_forwarding.py
+++ b/packages/gooseberryport-gateway/tests/test_forwarding.py
@@ -242,7 +242,7 @@
 def test_another_upstream_at_the_address_is_left_alone():
     async def main():
         def misdirect(head, _):
-            return make_response(head, status=b"421 Misdirected Request")
+            return make_response(head, status=b"421 Misdirected Request", signed=False)
 
         async with (
             start_upstream(misdirect) as other,
