Take a response with an invalid status for no response

Seen by callers (MIXED): an upstream in trouble responded with 000, and the client of a gateway got "HTTP/1.1 0 Status". The same with 001, 099, 600, 799 and 999, signed or not; from daemons with 600 to 999.

Cause: no decoder checked the status line beyond its library. llhttp takes any three digits, HTTP/0.9 and HTTP/2.0; http.client takes 100 to 999 in each spelling of int() ("2_00" and "+200" were read as 200), and 101 to 199 as final. Ruled out: writing the reply, which wrote what was read.

Change: the status is judged where it is decoded, for upstreams, the store, the VM list and other gateways alike; outside 100 to 599 there is no response, the connection is closed and the request may have run. The table of verdicts has a row for it as well. An owner's answer with such a status breaks the stream between daemons. Related: a daemon lost the answer after "103 Early Hints"; interim responses other than 101 are skipped.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_wire.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_wire.py
@@ -8,6 +8,7 @@
 from grpclib.config import Configuration
 
 from gooseberryport_core.decoding import InputError, decode_with
+from gooseberryport_core.http_status import FINAL_STATUSES
 from gooseberryport_core.messages import Ticket, TicketReply
 from gooseberryport_core.types import AttemptOutcome
 from gooseberryport_daemon import _peer_pb2 as pb
@@ -124,10 +125,12 @@
 
 
 def read_answer_head(frame: pb.OwnerFrame) -> AnswerHead | None:
-    """Return the answer head in a frame, or None."""
+    """Return the answer head in a frame, or None; raises `FrameInvalidError`."""
     if not frame.HasField("head"):
         return None
     head = frame.head
+    if head.status not in FINAL_STATUSES:
+        raise FrameInvalidError(f"the answer's status is {head.status:03}")
     return AnswerHead(head.status, head.reason, _from_headers(head.headers))
 
 
--- a/packages/gooseberryport-daemon/tests/test_peer_streams.py
+++ b/packages/gooseberryport-daemon/tests/test_peer_streams.py
@@ -143,6 +143,15 @@
     await stream.send_message(frame)
 
 
+async def send_invalid_status(stream: Stream) -> None:
+    # Failure: an owner of an earlier version passes on an upstream's status that is none.
+    await stream.recv_message()
+    await stream.send_message(GRANTED)
+    frame = next(answer_frames(AnswerHead(600, "Odd", ()), b"odd"))
+    add_end(frame, AttemptEnd(AttemptOutcome.ANSWERED, 600, 3))
+    await stream.send_message(frame)
+
+
 async def send_invalid_reply(stream: Stream) -> None:
     await stream.recv_message()
     await stream.send_message(pb.OwnerFrame(reply=b"nonsense"))
@@ -160,6 +169,7 @@
         (grant_and_cancel, False, UNKNOWN),
         (grant_and_end, False, UNKNOWN),
         (send_half_answer, False, AttemptEnded("t-1", AttemptOutcome.UNKNOWN, 200, 8)),
+        (send_invalid_status, False, UNKNOWN),
     ],
 )
 def test_broken_stream_is_not_run_only_if_no_body_was_sent(
--- a/packages/gooseberryport-daemon/tests/test_upstreams.py
+++ b/packages/gooseberryport-daemon/tests/test_upstreams.py
@@ -75,6 +75,32 @@
         assert len(upstream.requests) == 1
 
 
+@pytest.mark.parametrize("head", ["", "X-Not-Run: 1\r\n"])
+@pytest.mark.parametrize(
+    "status",
+    ["000", "001", "099", "600", "799", "999", "101", "20", "2_00", "+200", "0200", "2000"],
+)
+def test_answer_with_an_invalid_status_is_unknown(
+    deployment: Deployment, status: str, head: str
+) -> None:
+    # Failure: a caller gets a status that HTTP does not have, or that the upstream did not send.
+    answer = f"HTTP/1.1 {status} Status\r\nContent-Length: 2\r\n{head}\r\nok".encode()
+    upstream = deployment.start_raw_upstream(answering(answer))
+    daemon = deployment.start_daemon_for(upstream, max_timeout_s=1.0, default_timeout_s=1.0)
+    reply = call(daemon.http, PATH, "POST", b"x")
+    assert (reply.status, reply.problem["outcome"]) == (502, "unknown")
+    assert len(upstream.requests) == 1
+
+
+def test_interim_answers_do_not_replace_the_final_one(deployment: Deployment) -> None:
+    # Failure: an answer after "103 Early Hints" is lost, and a request that ran is unknown.
+    hints = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+    upstream = deployment.start_raw_upstream(answering(hints + hints + OK))
+    daemon = deployment.start_daemon_for(upstream)
+    reply = call(daemon.http, PATH, "POST", b"x")
+    assert (reply.status, reply.body) == (200, b"ok")
+
+
 def sending_without_end(first: bytes, block: bytes) -> Callable[[socket.socket, bytes], None]:
     def serve(conn: socket.socket, request: bytes) -> None:
         with contextlib.suppress(OSError):
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -12,6 +12,7 @@
 
 from gooseberryport_core.decoding import MAX_DURATION_S, parse_count
 from gooseberryport_core.gateway.response_memory import HeldResponse
+from gooseberryport_core.http_status import INTERIM_STATUSES, is_valid_status
 from gooseberryport_gateway._byte_limits import (
     MAX_FIELDS,
     MAX_INTERIM_RESPONSES,
@@ -31,6 +32,9 @@
 CONNECT_TIMEOUT_S = 0.5
 """Timeout for opening a connection: many times the longest round trip; seconds."""
 
+HTTP_VERSIONS = ("1.0", "1.1")
+"""Versions of HTTP that a response may state; the parser accepts others."""
+
 TCP_USER_TIMEOUT_MS = 2_000
 """Time after which unacknowledged bytes break a connection; milliseconds."""
 
@@ -70,7 +74,8 @@
 class HttpConn(asyncio.BufferedProtocol):
     """Send requests one at a time, and return complete responses only.
 
-    A response with another request's id is dropped, and the connection is not used again.
+    A response with another request's id is dropped, and the connection is not used again. One whose
+    status line is not valid HTTP/1 is no response, and the connection is closed.
     A response that exceeds a limit is given up at once, whichever part of it is too long.
     `idle_s` is how long the connection was idle before its latest request, or 0, and `paused_s` how
     long its response was not read for lack of memory; seconds.
@@ -312,12 +317,17 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Determine how the end of the response is marked."""
+        """Check the status line, and determine how the end of the response is marked."""
+        status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
+        if not is_valid_status(status) or version not in HTTP_VERSIONS:
+            self._fail(f"malformed response (status {status:03} of HTTP/{version})")
+            self.close()
+            return
         self._in_body = True
         names = {name for name, _ in self._headers}
         self._has_explicit_length = b"content-length" in names or b"transfer-encoding" in names
-        status = self._parser.get_status_code()
-        if self._head_only and status >= 200:
+        if self._head_only and status not in INTERIM_STATUSES:
             self._unusable = True
             if self._is_own_response():
                 self._complete()
@@ -344,7 +354,7 @@
         if not self._in_body:
             return
         status = self._parser.get_status_code()
-        if 100 <= status < 200:
+        if status in INTERIM_STATUSES:
             self._in_body = False
             self._num_interim += 1
             if self._num_interim > MAX_INTERIM_RESPONSES:
--- a/tests/soak_harness.py
+++ b/tests/soak_harness.py
@@ -22,6 +22,9 @@
 """Statuses with which a gateway reports that the request did not run."""
 
 
+MISREPORTED_STATUSES = (0, 99, 600, 999, *NOT_RUN_STATUSES)
+"""Statuses with which a faulty upstream answers requests that it ran."""
+
 STRANGER = "stranger"
 """Tenant of the requests whose key no configuration holds."""
 
@@ -184,6 +187,8 @@
                 self.record_violation(
                     "mixed", f"{sent.request_id} got an answer though it never ran"
                 )
+        elif not 200 <= status < 600:
+            self.record_violation("mixed", f"{sent.request_id} got the status {status:03}")
         elif status == 401 and sent.tenant == STRANGER:
             pass
         elif 300 <= status < 500:
@@ -426,6 +431,9 @@
             head = self._head(200, len(body) + 9, headers)
             writer.write(head + body)
             return False
+        if chance < self.fault_rates.get("garbles", 0.0) / 2:
+            self._write(writer, self._rng.choice(MISREPORTED_STATUSES), body, headers)
+            return True
         if chance < self.fault_rates.get("garbles", 0.0):
             writer.write(b"\x00\x17 these bytes are no answer \r\n\r\n")
             return False
@@ -438,6 +446,6 @@
         writer.write(self._head(status, len(body), headers) + body)
 
     def _head(self, status, length, headers):
-        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {length}"]
+        lines = [f"HTTP/1.1 {status:03} X", f"Content-Length: {length}"]
         lines.extend(f"{name}: {value}" for name, value in headers.items())
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
