Tell a daemon's refusal from an upstream's own document

An upstream that ran an order could send a problem document with the outcome not-run, which was forwarded like a daemon's own, and the load tool sent the order again where its reason was "stopping".

Cause: the promise stood in a body that upstreams may write too, and of all answers that state X-Not-Run only 503 was judged. Ruled out: replacing statuses as gateways do; daemons forward all answers, as documented.

A daemon sets X-Not-Run on its own refusals and removes it from upstreams' answers. A 4xx or 5xx with it counts as shed, a 2xx or 3xx as unknown.

--- a/packages/gooseberryport-core/src/gooseberryport_core/types.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/types.py
@@ -107,7 +107,7 @@
     """A complete answer was received."""
 
     SHED = "shed"
-    """The upstream reported that it did not run the request: status 503 with ``X-Not-Run``."""
+    """The upstream reported that it did not run the request: 4xx or 5xx with ``X-Not-Run: 1``."""
 
     NOT_SENT = "not-sent"
     """No byte of the request left this process."""
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_http_messages.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_http_messages.py
@@ -24,6 +24,12 @@
 )
 """Hop-by-hop header fields, which are not forwarded; lower case."""
 
+NOT_RUN_HEADER = "X-Not-Run"
+"""States that a request did not run: from an upstream to a daemon, and from a daemon to a caller.
+Upstreams' own fields of this name are not forwarded, so callers know who says it."""
+
+NOT_RUN_VALUE = "1"
+
 
 class RequestHead(msgspec.Struct, frozen=True):
     """Method, target and end-to-end header fields of a request."""
@@ -95,3 +101,13 @@
             named.update(word.strip().lower() for word in value.split(","))
     dropped = HOP_BY_HOP | named
     return tuple((name, value) for name, value in headers if name.lower() not in dropped)
+
+
+def states_not_run(value: str | None) -> bool:
+    """Return whether the value of an answer's `NOT_RUN_HEADER` states that nothing ran."""
+    return value == NOT_RUN_VALUE
+
+
+def without_not_run(headers: Headers) -> Headers:
+    """Return the header fields of an upstream's answer without its own `NOT_RUN_HEADER`."""
+    return tuple(field for field in headers if field[0].lower() != NOT_RUN_HEADER.lower())
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_problems.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_problems.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from gooseberryport_core.types import Outcome, RefusalReason
-from gooseberryport_daemon._http_messages import Refusal
+from gooseberryport_daemon._http_messages import NOT_RUN_HEADER, NOT_RUN_VALUE, Refusal
 
 PROBLEM_TYPE = "application/problem+json"
 
@@ -124,6 +124,8 @@
         ("Content-Length", str(len(body))),
         ("Cache-Control", "no-store"),
     ]
+    if problem.outcome == Outcome.NOT_RUN.value:
+        headers.append((NOT_RUN_HEADER, NOT_RUN_VALUE))
     if problem.retry_after_s > 0:
         headers.append(("Retry-After", str(_whole_seconds(problem.retry_after_s))))
     return headers
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_upstreams.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_upstreams.py
@@ -23,7 +23,15 @@
     AttemptConnectionPool,
     current,
 )
-from gooseberryport_daemon._http_messages import AnswerHead, RequestHead, end_to_end
+from gooseberryport_daemon._http_messages import (
+    NOT_RUN_HEADER,
+    AnswerHead,
+    RequestHead,
+    end_to_end,
+    states_not_run,
+    without_not_run,
+)
+from gooseberryport_daemon._verdicts import judge
 from gooseberryport_daemon.settings import parse_endpoint
 
 READ_CHUNK_BYTES = 65_536
@@ -33,8 +41,6 @@
 MAX_CONNECTION_POOLS = 256
 """Maximum number of upstreams with a connection pool; the least recently used is closed."""
 
-SHED_STATUS = 503
-SHED_HEADER = "X-Not-Run"
 TIMEOUT_HEADER = "Request-Timeout"
 REQUEST_ID_HEADER = "X-Request-Id"
 
@@ -237,12 +243,14 @@
         return result
 
     def _read(self, resp: urllib3.BaseHTTPResponse) -> _Result:
-        if resp.status == SHED_STATUS and resp.headers.get(SHED_HEADER) == "1":
+        not_run = states_not_run(resp.headers.get(NOT_RUN_HEADER))
+        outcome = judge(status=resp.status, not_run=not_run)
+        if outcome is not AttemptOutcome.ANSWERED:
             resp.close()
-            return _Result(AttemptOutcome.SHED, resp.status)
+            return _Result(outcome, resp.status)
         if not _has_detectable_end(resp, self._request.head.method):
             raise IncompleteAnswerError
-        headers = end_to_end(tuple(resp.headers.items()))
+        headers = without_not_run(end_to_end(tuple(resp.headers.items())))
         head = AnswerHead(resp.status, resp.reason or "", headers)
         chunks: list[bytes] = []
         size = 0
--- a/packages/gooseberryport-daemon/tests/test_upstreams.py
+++ b/packages/gooseberryport-daemon/tests/test_upstreams.py
@@ -22,6 +22,8 @@
 SHED = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 EMPTY_CUT_IN_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Re"
 NO_CONTENT_CUT_IN_HEAD = b"HTTP/1.1 204 No Content\r\nX-Re"
+LIMITED = b"HTTP/1.1 429 Many\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+DONE_BUT_SHED = b"HTTP/1.1 200 OK\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nok"
 SHED_CUT_IN_HEAD = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nConte"
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"
 
@@ -61,6 +63,8 @@
         (NO_CONTENT_CUT_IN_HEAD, "unknown"),
         (SHED_CUT_IN_HEAD, "unknown"),
         (SHED, "not-run"),
+        (LIMITED, "not-run"),
+        (DONE_BUT_SHED, "unknown"),
     ],
 )
 def test_incomplete_answer_is_an_error(
@@ -92,6 +96,26 @@
     assert len(upstream.requests) == 1
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("statement", ["", "X-Not-Run: 0\r\n", "X-Not-Run: yes\r\n"])
+def test_upstreams_own_document_is_not_taken_for_a_refusal_of_the_daemon(
+    deployment: Deployment, status: int, statement: str
+) -> None:
+    # Failure: an upstream that ran an order has the caller told that it did not run.
+    body = b'{"outcome":"not-run","reason":"queue-full"}'
+    head = f"HTTP/1.1 {status} X\r\nContent-Type: application/problem+json\r\n{statement}"
+    answer = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+    upstream = deployment.start_raw_upstream(answering(answer))
+    daemon = deployment.start_daemon_for(upstream)
+    reply = call(daemon.http, PATH, "POST", b"x")
+    assert (reply.status, reply.body) == (status, body)
+    assert "X-Not-Run" not in reply.headers
+    refused = call(daemon.http, "/no-service/x", "POST", b"x")
+    assert refused.problem["outcome"] == "not-run"
+    assert refused.headers["X-Not-Run"] == "1"
+    assert len(upstream.requests) == 1
+
+
 def test_interim_answers_do_not_replace_the_final_one(deployment: Deployment) -> None:
     # Failure: an answer after "103 Early Hints" is lost, and a request that ran is unknown.
     hints = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
--- a/standins/src/gooseberryport_standins/_caller.py
+++ b/standins/src/gooseberryport_standins/_caller.py
@@ -18,6 +18,8 @@
 from gooseberryport_standins._upstream import KEY_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER
 
 PROBLEM_TYPE = "application/problem+json"
+NOT_RUN_HEADER = "X-Not-Run"
+"""Field of a daemon's own document; an upstream's may have any content."""
 LOOKUP_TIMEOUT_S = 1.0
 ANSWER_GRACE_S = 0.5
 """Time after the deadline during which an answer is still accepted; seconds."""
@@ -276,6 +278,8 @@
 
     def _handle_problem(self, resp: urllib3.BaseHTTPResponse) -> CallResult | None:
         problem = msgspec.json.decode(resp.data, type=_Problem)
+        if problem.outcome == Outcome.NOT_RUN and resp.headers.get(NOT_RUN_HEADER) != "1":
+            return self._handle_answer(resp)
         if problem.reason == RefusalReason.STOPPING.value:
             return None
         if problem.outcome == Outcome.NOT_RUN and not self._may_have_run:
--- a/standins/tests/test_caller.py
+++ b/standins/tests/test_caller.py
@@ -58,9 +58,12 @@
         elif self.behaviour == "half":
             exchange.answer(200, f"{request_id} up ...".encode(), sent_fraction=0.5)
         else:
-            outcome, reason = self.behaviour.split()
+            outcome, reason, *sender = self.behaviour.split()
             body = msgspec.json.encode({"outcome": outcome, "reason": reason})
-            exchange.answer(503, body, {"Content-Type": "application/problem+json"})
+            headers = {"Content-Type": "application/problem+json"}
+            if outcome == "not-run" and not sender:
+                headers["X-Not-Run"] = "1"
+            exchange.answer(503, body, headers)
 
 
 @contextmanager
@@ -86,6 +89,8 @@
         (["error", "answer"], GET, CallEnd.FAILED, [1, 0]),
         (["not-run queue-full", "answer"], KEYED, CallEnd.NOT_RUN, [1, 0]),
         (["not-run stopping", "answer"], ONCE, CallEnd.ANSWERED, [1, 1]),
+        (["not-run queue-full upstream", "answer"], ONCE, CallEnd.FAILED, [1, 0]),
+        (["not-run stopping upstream", "answer"], ONCE, CallEnd.FAILED, [1, 0]),
         (["unknown deadline", "answer"], KEYED, CallEnd.UNKNOWN, [1, 0]),
         (["cut", "answer"], GET, CallEnd.ANSWERED, [1, 1]),
         (["half", "answer"], KEYED, CallEnd.ANSWERED, [1, 1]),
