Answer each page of a gateway on its own listener only

Cause: one handler served all pages for every listener but that of requests; which page belonged where stood in the documentation only. Ruled out: look-ups, metrics, errors, 401 replies and log lines have no keys.

Change: one table in _pages.py names each page with its listeners, callers and contents; an address answers 404 for the rest. Stored items are served on the control address alone, and nowhere if it is another listener's too. /metrics is no longer answered on the look-up address. The pages moved out of gateway.py.

A planted credential is on no page and in no log of a daemon either (passed at once).

--- a/packages/gooseberryport-daemon/tests/test_forwarding.py
+++ b/packages/gooseberryport-daemon/tests/test_forwarding.py
@@ -34,6 +34,25 @@
     return entry
 
 
+def test_credentials_of_callers_are_read_on_no_page_and_in_no_log(deployment: Deployment) -> None:
+    # Failure: whoever may open a page reads what another caller sent to an upstream.
+    secret = "planted-secret"
+    entry = start_entry(deployment, UpstreamSpec("up-1", service_time_s=0.01))
+    headers = {"Authorization": f"Bearer {secret}", "Cookie": secret, "X-Api-Key": secret}
+    assert call(entry.http, PATH, headers=headers).status == 200
+    assert call(entry.http, "/no-service/x", headers=headers).status == 404
+    assert call(entry.http, PATH, headers=headers | {"Request-Timeout": secret}).status == 400
+    pages = ["/healthz", "/readyz", "/status", "/explain", "/v1", "/v1/snapshot", "/metrics", "/"]
+    query = "?service=dressing-registry&client=10.0.0.1"
+    for path in (*pages, f"/explain{query}", f"/v1/lookup{query}"):
+        for method in ("GET", "POST"):
+            reply = call(entry.http, path, method, headers=headers)
+            assert secret.encode() not in reply.body, path
+            assert secret not in str(reply.headers), path
+    assert entry.logs
+    assert secret not in repr(entry.logs)
+
+
 def test_requests_of_any_size_are_forwarded_to_the_owner(deployment: Deployment) -> None:
     entry = start_entry(deployment, UpstreamSpec("up-1", service_time_s=0.01))
     for method, body in (("GET", b""), ("POST", b"x" * 1_000), ("POST", b"y" * 300_000)):
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -10,13 +10,12 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any
-from urllib.parse import parse_qs
 
 from gooseberryport_core.gateway.model import ClientLimits, Member
 from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
 from gooseberryport_core.gateway.response_memory import ResponseMemory
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import RegionName, UpstreamId
+from gooseberryport_core.types import UpstreamId
 from gooseberryport_gateway._body_memory import BodyMemory
 from gooseberryport_gateway._client_conn import ClientConn
 from gooseberryport_gateway._client_messages import ClientRequest, Handler, Reply
@@ -30,23 +29,18 @@
     reserve_standard_streams,
 )
 from gooseberryport_gateway._metrics import Metrics
-from gooseberryport_gateway._peer_snapshots import COMPRESSED, SNAPSHOT_PATH
+from gooseberryport_gateway._pages import Pages, listeners_by_address
 from gooseberryport_gateway._peers import Peers
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._prober import Prober
-from gooseberryport_gateway._relay import CHANGES_PATH
 from gooseberryport_gateway._reload import Reloader
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway._supervisor import Supervisor
 from gooseberryport_gateway.wire import Codec, GatewaySettings, HeaderNames, StoreClient
 
 STDOUT = 1
-METRICS_PATH = "/metrics"
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
-LOOKUP_TTL_S = 2.0
-"""How long clients cache a lookup's result; a stopping gateway serves for longer; seconds."""
-
 HOUSEKEEPING_INTERVAL_S = 0.2
 """Interval between flushes of the log and checks of idle connections; seconds."""
 
@@ -107,7 +101,6 @@
         names: HeaderNames,
     ) -> None:
         os.set_blocking(STDOUT, False)
-        self._codec = codec
         self._loop = asyncio.get_running_loop()
         self.metrics = Metrics()
         self.log = Log(vm=settings.vm, fd=STDOUT)
@@ -144,6 +137,12 @@
         )
         self._store = store
         self._discovery = Discovery(state=self.state, store=store, codec=codec)
+        self._pages = Pages(
+            state=self.state,
+            discovery=self._discovery,
+            codec=codec,
+            metrics_text=self.metrics.text,
+        )
         self._peers = Peers(state=self.state)
         self._conns: set[ClientConn] = set()
         self._page_conns: set[ClientConn] = set()
@@ -222,12 +221,12 @@
     async def _listen_on_all(self) -> bool:
         """Open all listeners; return False if the process is told to stop before."""
         settings = self.state.settings
-        pages = {settings.ready, settings.lookup, settings.control} - {""}
         memory = self._response_memory
         if not await self._listen(settings.front, self._handle_front, self._conns, memory=memory):
             return False
-        for address in sorted(pages):
-            if not await self._listen(address, self._handle_page, self._page_conns):
+        for address, listeners in listeners_by_address(settings).items():
+            handler = self._pages.handler(listeners)
+            if not await self._listen(address, handler, self._page_conns):
                 return False
         return True
 
@@ -290,51 +289,6 @@
     async def _handle_front(self, req: ClientRequest) -> Reply:
         return await self._forwarder.handle(req)
 
-    async def _handle_page(self, req: ClientRequest) -> Reply:
-        if req.path == self._codec.lookup_path:
-            return self._lookup(req)
-        if req.path == self._codec.ready_path:
-            return Reply(status=200 if self.state.ready else 503, headers=[])
-        if req.path == SNAPSHOT_PATH:
-            return self._snapshot(req)
-        if req.path == CHANGES_PATH:
-            return await self._discovery.relay.handle_request(req)
-        if req.path == METRICS_PATH:
-            return Reply(
-                status=200,
-                headers=[(b"content-type", b"text/plain; version=0.0.4")],
-                body=self.metrics.text(),
-            )
-        return Reply(status=404, headers=[])
-
-    def _snapshot(self, req: ClientRequest) -> Reply:
-        """Return this gateway's state; uncompressed for gateways of version 1, which ask for it."""
-        fields = parse_qs(req.target.partition(b"?")[2].decode("latin-1"))
-        region = RegionName(fields.get("region", [self.state.me.region])[0])
-        snapshot = self._discovery.snapshot(region=region)
-        if snapshot is None or self.state.stopping:
-            return Reply(status=503, headers=[])
-        if req.header(b"accept-encoding") != COMPRESSED:
-            body = self._discovery.encode_snapshot(region=region)
-            return Reply(status=200, headers=[], body=body)
-        return Reply(status=200, headers=[(b"content-encoding", COMPRESSED)], body=snapshot)
-
-    def _lookup(self, req: ClientRequest) -> Reply:
-        location = self._codec.decode_location(req.target.partition(b"?")[2].decode("latin-1"))
-        now = self._loop.time()
-        addresses = self.state.fleet.entry_points(
-            zone=location.zone or self.state.settings.zone,
-            region=location.region or self.state.settings.region,
-            ready=self.state.ready,
-            demand_per_s=self.state.request_rate.per_s(now=now),
-            now=now,
-        )
-        if not addresses:
-            return Reply(status=503, headers=[])
-        ttl_s = min(LOOKUP_TTL_S, self.state.settings.bounds.max_lookup_ttl_s)
-        body = self._codec.lookup_answer(addresses, ttl_s=ttl_s)
-        return Reply(status=200, headers=[(b"content-type", b"application/json")], body=body)
-
     def _on_last_connection_closed(self, upstream: UpstreamId) -> None:
         known = self.state.upstreams.get(upstream)
         if known is not None:
--- a/standins/src/gooseberryport_standins/proof.py
+++ b/standins/src/gooseberryport_standins/proof.py
@@ -52,7 +52,7 @@
     with tempfile.TemporaryDirectory(prefix="gooseberryport-proof-") as name:
         copy = Path(name)
         ignored = shutil.ignore_patterns("__pycache__", "*.egg-info", ".hypothesis")
-        for folder in ("packages", "standins", "tests"):
+        for folder in ("packages", "standins", "tests", "platform"):
             shutil.copytree(root / folder, copy / folder, ignore=ignored)
         shutil.copy(root / "pyproject.toml", copy)
         yield copy
