Follow a store that returns from an older copy

Seen by callers: after such a return, whose epoch the store states in each answer, gateways went on from a revision that means something else by then, and sent requests to upstreams that drained or left since, for good.

Cause: a position in the store's history was a revision alone. Nothing read the epoch. Ruled out: the case in which the revision is still lower (410, a full read), which worked.

Change: a position is an epoch and a revision everywhere: watches, reads of several pages, what gateways relay, the state for one that starts. A new epoch means a full read; in large regions the watchers read, and the others take it from them. What was known is not taken back by the copy: one table says by kind of item what holds until it is written again, and for how long. Leases of an earlier epoch are neither renewed nor ended; entries and lists of warm objects are written again.

Not done: soak, state machine against a model, benchmark by fleet size (docs/design/store-returns.md).

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/warmth.py
@@ -248,6 +248,10 @@
         """Return the upstreams whose objects changed since they were last saved."""
         return sorted(self._unsaved)
 
+    def mark_all_unsaved(self) -> None:
+        """Record that what was saved may have been lost."""
+        self._unsaved.update(upstream for upstream, objects in self._objects.items() if objects)
+
     def mark_saved(self, upstreams: Sequence[UpstreamId]) -> None:
         """Record that the current objects of the given upstreams were saved."""
         self._unsaved.difference_update(upstreams)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -4,28 +4,29 @@
 
 import asyncio
 import zlib
-from collections.abc import Iterable
-from enum import Enum
+from collections.abc import Mapping, Sequence
 from math import inf
 
 import msgspec
 
-from gooseberryport_core.decoding import InputError, decode_json, parse_address
-from gooseberryport_core.gateway.model import Member
+from gooseberryport_core.gateway.store_epochs import UNKNOWN_EPOCH, StorePosition
 from gooseberryport_core.log_events import LogNumber
-from gooseberryport_core.types import RegionName, VmId, ZoneName
+from gooseberryport_core.types import RegionName, VmId
+from gooseberryport_gateway._membership import Membership
 from gooseberryport_gateway._peer_snapshots import (
     COMPRESSION_LEVEL,
     CachedSnapshot,
     FetchedSnapshot,
     fetch_snapshot,
 )
-from gooseberryport_gateway._relay import Relay, known_prefixes
+from gooseberryport_gateway._relay import Relay
+from gooseberryport_gateway._returned_store import ReturnedStore
 from gooseberryport_gateway._state import GatewayState
+from gooseberryport_gateway._stored_items import StoredItems
 from gooseberryport_gateway._warmth_store import WarmthStore, warmth_key_prefix
 from gooseberryport_gateway.errors import (
+    EpochChangedError,
     HistoryGoneError,
-    LeaseGoneError,
     StoreError,
 )
 from gooseberryport_gateway.wire import (
@@ -33,7 +34,6 @@
     StoreClient,
     StoreItem,
     StoreSnapshot,
-    shorten_unreadable,
 )
 
 WATCH_PAUSE_FRACTION = 0.4
@@ -53,13 +53,6 @@
 """How long the store may leave a watch unanswered while nothing changes; a watch that is unanswered
 for longer shows that the connection is dead; seconds."""
 
-LEASE_TTL_S = 15.0
-"""Lease of a gateway's own entry; a killed gateway is listed no longer than that. Look-ups leave
-out a silent one sooner; seconds."""
-
-RENEW_INTERVAL_S = 5.0
-"""Interval between renewals: a third of the lease, since each is billed; seconds."""
-
 MIN_START_RETRY_DELAY_S = 0.1
 MAX_START_RETRY_DELAY_S = 0.4
 """Bounds of the delay between two requests for another gateway's state; seconds."""
@@ -71,29 +64,15 @@
 MAX_RETRY_DELAY_S = 0.5
 """Bounds of the delay after a failed call; seconds."""
 
-MAX_LOGGED_MEMBERS = 20
-"""Maximum names in a log line on changed members."""
-
-OUTAGE_WINDOW_S = 2.5
-"""Time after an outage in which removed entries are suspended instead of dropped; seconds."""
-
+RETURN_WAIT_FRACTION = 0.25
+"""How long a gateway waits for its watcher's state after the store returned from a copy, as a
+fraction of the time within which a draining upstream must get no more requests."""
 
-class _Change(Enum):
-    """What must be updated after an item was applied."""
+RETURN_SPREAD_S = 0.1
+"""Longest delay between two requests for that state; seconds."""
 
-    NOTHING = "nothing"
-    MEMBERS = "members"
-    EVACUATIONS = "evacuations"
-
-
-def _decode_member(value: bytes) -> Member:
-    """Return a gateway's entry; raises `InputError` if it or an address in it is malformed."""
-    member = decode_json(value, expected_type=Member)
-    host, port = member.datagrams
-    for address in (member.front, f"{host}:{port}", member.control):
-        if address:
-            parse_address(address)
-    return member
+MAX_READ_RESTARTS = 4
+"""How often a full read starts again because the store returned from a copy."""
 
 
 class Discovery:
@@ -113,29 +92,35 @@
         self._state = state
         self._store = store
         self._codec = codec
-        self._prefixes = known_prefixes(codec)
         self._loop = asyncio.get_running_loop()
-        self._evacuated: dict[str, ZoneName] = {}
-        self._members: dict[str, Member] = {}
-        self._items: dict[str, StoreItem] = {}
-        # Why items are ignored, by key; each reason is logged once.
-        self._ignored: dict[str, str] = {}
-        self._revision = 0
+        self._position = StorePosition(epoch=UNKNOWN_EPOCH, revision=0)
         self._reachable: bool | None = None
-        self._lease: int | None = None
-        self._own_entry = b""
-        self._is_listed = False
         self._warmth_restored = False
         self._has_state = False
-        self._own_key = f"{codec.member_prefix}{state.me.vm}"
-        self._entry_lost = asyncio.Event()
-        self._listed: set[VmId] = set()
+        self._membership = Membership(
+            state=state, store=store, key=f"{codec.member_prefix}{state.me.vm}"
+        )
+        self._returned_store = ReturnedStore(state=state, codec=codec)
+        self._stored = StoredItems(
+            state=state,
+            codec=codec,
+            epoch=store.epoch,
+            returned_store=self._returned_store,
+            own_key=self._membership.key,
+            on_own_entry_lost=self._membership.record_entry_loss,
+        )
+        # When and from whom this gateway learned of the store's epoch.
+        self._epoch_learned_at: float | None = None
+        self._epoch_source = ""
         self._snapshots: dict[RegionName, CachedSnapshot] = {}
         self._watcher: VmId | None = None
         self.relay = Relay(state=state, codec=codec)
         state.config_age_s = lambda: self.relay.state_age_s
         self.warmth_store = WarmthStore(
-            state=state, store=store, prefix=codec.warmth_prefix, stored_keys=lambda: self._items
+            state=state,
+            store=store,
+            prefix=codec.warmth_prefix,
+            stored_keys=lambda: self._stored.items,
         )
 
     @property
@@ -143,52 +128,61 @@
         """Whether the store has been read at all."""
         return self._state.routes is not None
 
-    @property
-    def _lease_ttl_s(self) -> float:
-        return max(LEASE_TTL_S, self._state.settings.lease_min_ms / 1000.0)
-
     async def follow(self) -> None:
         """Read the store, then follow its changes, forever."""
-        after: int | None = None
         pause_s = MIN_RETRY_DELAY_S
         after = await self._load_state_at_start()
         has_failed = False
         while True:
             try:
+                if after is not None and after.epoch != self._store.epoch.current:
+                    self._learn_epoch(self._store.epoch.current, source="store")
+                    after = None
                 if after is None:
-                    after = await self._read_all()
+                    after = await self._read_state()
                 if await self._poll_watcher(after):
-                    after = self._revision
+                    after = self._position
                     continue
                 is_used = self.relay.is_used
                 wait_s = SHORT_WATCH_TIMEOUT_S if is_used or has_failed else WATCH_TIMEOUT_S
                 page = await self._store.watch("", after=after, wait_s=wait_s)
                 has_failed = False
-                after = self._revision = page.revision
+                after = self._position = page.position
                 self._record_store_reachable(reachable=True, reason="")
                 self.relay.record_store_page(page)
-                self._apply(page.items)
+                self._stored.apply(page.items)
                 pause_s = MIN_RETRY_DELAY_S
                 drain_s = self._state.settings.bounds.drain_s
                 if is_used:
                     await asyncio.sleep(drain_s * RELAYED_WATCH_PAUSE_FRACTION)
                 elif page.items:
                     await asyncio.sleep(drain_s * WATCH_PAUSE_FRACTION)
+            except EpochChangedError:
+                continue
             except HistoryGoneError:
-                self._state.log.write(LogNumber.GATEWAY_STORE_HISTORY_GONE, after=after)
+                self._state.log.write(
+                    LogNumber.GATEWAY_STORE_HISTORY_GONE, after=self._position.revision
+                )
                 after = None
             except StoreError as exc:
                 has_failed = True
                 self._record_store_reachable(reachable=False, reason=str(exc))
                 if after is None and not self.synced:
-                    after = (await self._load_peer_snapshot(max_age_s=inf)).revision
+                    after = (await self._load_peer_snapshot(max_age_s=inf)).position
                 await asyncio.sleep(
                     max(exc.retry_after_s, pause_s * (0.5 + self._state.rng.random()))
                 )
                 pause_s = min(pause_s * 2.0, MAX_RETRY_DELAY_S)
 
-    async def _poll_watcher(self, after: int) -> bool:
-        """Apply the changes, possibly none, that this gateway's watcher relays after a revision.
+    def _learn_epoch(self, epoch: int, *, source: str) -> None:
+        """Record that the store has returned from a copy, and from whom this was learned."""
+        if epoch != self._position.epoch and self._epoch_learned_at is None:
+            self._epoch_learned_at = self._loop.time()
+            self._epoch_source = source
+        self._store.epoch.observe(epoch)
+
+    async def _poll_watcher(self, after: StorePosition) -> bool:
+        """Apply the changes, possibly none, that this gateway's watcher relays after a position.
 
         Return False if there is no watcher, if the watcher is unreachable or refuses, or if its
         state is too old.
@@ -203,14 +197,18 @@
         page = await self.relay.fetch(watcher, after=after)
         if page is None:
             return False
+        if page.epoch != after.epoch:
+            self._learn_epoch(page.epoch, source=watcher.vm)
+            return True
         state = self._state
         state.store_available_since = max(
             state.store_available_since, self._loop.time() - page.regained_s
         )
-        self._revision = max(after, page.revision)
+        revision = max(after.revision, page.revision)
+        self._position = StorePosition(epoch=after.epoch, revision=revision)
         self._record_store_reachable(reachable=True, reason="")
         self.relay.record_relayed_page(page)
-        self._apply(page.items)
+        self._stored.apply(page.items)
         return True
 
     def snapshot(self, *, region: RegionName) -> bytes | None:
@@ -241,17 +239,19 @@
             StoreSnapshot(
                 items=[
                     item
-                    for key, item in self._items.items()
+                    for key, item in self._stored.items.items()
                     if not key.startswith(prefix)
                     or (not same_region and key.startswith(saved_prefix))
                 ],
-                revision=self._revision,
+                revision=self._position.revision,
                 age_s=self.relay.state_age_s,
                 warmth=self._state.warmth_records() if same_region else {},
+                epoch=self._position.epoch,
+                held=self._returned_store.held,
             )
         )
 
-    async def _load_state_at_start(self) -> int | None:
+    async def _load_state_at_start(self) -> StorePosition | None:
         """Load another gateway's recent state, so that a start costs few calls to the store.
 
         Load pattern: all gateways start together, or many are added. Each would read every entry,
@@ -262,8 +262,8 @@
         delay_s = MIN_START_RETRY_DELAY_S
         while True:
             loaded = await self._load_peer_snapshot(max_age_s=self.relay.max_age_s)
-            if loaded.revision is not None:
-                return loaded.revision
+            if loaded.position is not None:
+                return loaded.position
             if self._is_seed or self._loop.time() >= started_at + loaded.wait_s:
                 return None
             await asyncio.sleep(delay_s * (0.5 + self._state.rng.random()))
@@ -280,6 +280,7 @@
             state.peer_control_addresses(now=self._loop.time()),
             region=state.me.region,
             max_age_s=max_age_s,
+            min_epoch=self._store.epoch.current,
             log=state.log,
         )
         if fetched.snapshot is not None:
@@ -287,10 +288,13 @@
         return fetched
 
     def _load_snapshot(self, snapshot: StoreSnapshot, *, address: str) -> None:
-        self._revision = snapshot.revision
+        self._store.epoch.observe(snapshot.epoch)
+        self._position = snapshot.position
         self._has_state = True
-        self._apply(snapshot.items, were_listed=True)
-        self.relay.reset(snapshot.items, revision=snapshot.revision, age_s=snapshot.age_s)
+        self._stored.apply(snapshot.items, were_listed=True)
+        self._returned_store.hold(snapshot.held)
+        self.relay.reset(snapshot.items, position=snapshot.position, age_s=snapshot.age_s)
+        self._state.metrics.store_epoch.set(snapshot.epoch)
         self.warmth_store.restore(snapshot.items)
         for upstream, record in snapshot.warmth.items():
             self._state.restore_warmth(upstream, record)
@@ -304,189 +308,135 @@
 
     async def maintain_membership(self) -> None:
         """Keep this gateway's entry in the store, forever."""
-        key = self._own_key
-        while True:
-            try:
-                if self._lease is None:
-                    started_at = self._loop.time()
-                    self._lease = await self._store.grant_lease(ttl_s=self._lease_ttl_s)
-                    entry = msgspec.structs.replace(
-                        self._state.me, store_delay_s=round(self._loop.time() - started_at, 4)
-                    )
-                    self._own_entry = msgspec.json.encode(entry)
-                    self._is_listed = False
-                if self._is_listed:
-                    await self._store.renew_lease(self._lease)
-                else:
-                    # The store may list the entry even if its answer is lost or not waited for.
-                    await self._store.put(key, self._own_entry, lease=self._lease)
-                    self._is_listed = True
-                    self._state.log.write(LogNumber.GATEWAY_LEASE_TAKEN, lease=self._lease)
-                await self._wait_for_entry_loss(RENEW_INTERVAL_S)
-            except LeaseGoneError:
-                self._state.log.write(LogNumber.GATEWAY_LEASE_LOST, lease=self._lease)
-                self._lease = None
-            except StoreError as exc:
-                await asyncio.sleep(
-                    max(exc.retry_after_s, MAX_RETRY_DELAY_S * (0.5 + self._state.rng.random()))
-                )
-
-    async def _wait_for_entry_loss(self, timeout_s: float) -> None:
-        """Wait until this gateway's entry is removed, which ends its lease, or for a time."""
-        self._entry_lost.clear()
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._entry_lost.wait()
-        except TimeoutError:
-            return
-        raise LeaseGoneError
+        await self._membership.maintain()
 
     async def end_membership(self) -> None:
         """Remove this gateway's entry, so that lookups return other gateways."""
-        if self._lease is None:
-            return
-        try:
-            await self._store.end_lease(self._lease)
-        except StoreError as exc:
-            self._state.log.write(LogNumber.GATEWAY_LEASE_LOST, lease=self._lease, reason=str(exc))
-        self._lease = None
+        await self._membership.end()
+
+    async def _read_state(self) -> StorePosition:
+        """Return the position after a full read.
 
-    async def _read_all(self) -> int:
+        Load pattern: the store returns from a copy, and all gateways need what stands there now.
+        Those that follow a watcher wait for its state, and read the store if it has none in time.
+        """
+        if self._has_state and self._position.epoch != self._store.epoch.current:
+            position = await self._read_from_watcher()
+            if position is not None:
+                return position
+        return await self._read_all()
+
+    async def _read_from_watcher(self) -> StorePosition | None:
+        """Return the position of the watcher's state in the store's epoch, or None without one."""
+        state = self._state
+        watcher = self.relay.watcher()
+        deadline = self._loop.time() + state.settings.bounds.drain_s * RETURN_WAIT_FRACTION
+        while watcher is not None and self._loop.time() < deadline:
+            await asyncio.sleep(RETURN_SPREAD_S * state.rng.random())
+            fetched = await fetch_snapshot(
+                [watcher.control],
+                region=state.me.region,
+                max_age_s=self.relay.max_age_s,
+                min_epoch=self._store.epoch.current,
+                log=state.log,
+            )
+            if fetched.snapshot is not None:
+                snapshot = fetched.snapshot
+                self._take_over(snapshot.items, position=snapshot.position, age_s=snapshot.age_s)
+                self._returned_store.hold(snapshot.held)
+                return snapshot.position
+        return None
+
+    async def _read_all(self) -> StorePosition:
         codec = self._codec
-        started_at = self._loop.time()
-        config = await self._store.read_range(codec.config_prefix)
-        upstreams = await self._store.read_range(codec.upstream_prefix)
-        members = await self._store.read_range(codec.member_prefix)
         # The warmth saved before this gateway started is needed only once, for its first requests.
         # Gateways that start after a seed get what was saved for their region from it.
         warmth_prefix = codec.warmth_prefix if self._is_seed else self.warmth_store.prefix
-        saved_warmth = (
-            () if self._warmth_restored else (await self._store.read_range(warmth_prefix)).items
-        )
+        prefixes = [codec.config_prefix, codec.upstream_prefix, codec.member_prefix]
+        if not self._warmth_restored:
+            prefixes.append(warmth_prefix)
+        for _ in range(MAX_READ_RESTARTS):
+            started_at = self._loop.time()
+            pages = [await self._store.read_range(prefix) for prefix in prefixes]
+            if len({page.position.epoch for page in pages}) == 1:
+                break
+        else:
+            raise StoreError("the store returned from older copies again and again")
         self._record_store_reachable(reachable=True, reason="")
-        read = [*config.items, *upstreams.items, *members.items]
-        known = {key for key in self._items if not key.startswith(codec.warmth_prefix)}
-        missing_keys = known - {item.key for item in read}
-        deletions = [StoreItem(key=key, value=None, revision=0) for key in missing_keys]
-        self._apply([*read, *saved_warmth, *deletions], were_listed=not self._has_state)
-        self._has_state = True
+        revision = min(page.position.revision for page in pages[:3])
+        position = StorePosition(epoch=pages[0].position.epoch, revision=revision)
+        read = [item for page in pages[:3] for item in page.items]
+        saved_warmth = pages[3].items if len(pages) > 3 else ()
+        age_s = self._loop.time() - started_at
+        self._take_over(read, position=position, age_s=age_s, saved_warmth=saved_warmth)
         if not self._warmth_restored:
             self.warmth_store.restore(saved_warmth)
             self._warmth_restored = True
-        self._revision = min(config.revision, upstreams.revision, members.revision)
-        age_s = self._loop.time() - started_at
-        self.relay.reset(read, revision=self._revision, age_s=age_s)
-        return self._revision
-
-    def _apply(self, items: Iterable[StoreItem], *, were_listed: bool = False) -> None:
-        members_changed = evacuations_changed = False
-        for item in items:
-            if not item.key.startswith(self._prefixes):
-                continue
-            if item.value is None:
-                self._items.pop(item.key, None)
-            else:
-                self._items[item.key] = item
-            try:
-                changed = self._apply_item(item)
-            except Exception as exc:
-                # One item that can't be used says nothing about the others.
-                self._ignore(item, exc)
-                changed = _Change.NOTHING
-            else:
-                self._ignored.pop(item.key, None)
-            members_changed = members_changed or changed is _Change.MEMBERS
-            evacuations_changed = evacuations_changed or changed is _Change.EVACUATIONS
+        return position
+
+    def _take_over(
+        self,
+        read: Sequence[StoreItem],
+        *,
+        position: StorePosition,
+        age_s: float,
+        saved_warmth: Sequence[StoreItem] = (),
+    ) -> None:
+        """Replace what is known by a full read, as far as nothing newer is known."""
+        warmth_prefix = self._codec.warmth_prefix
+        read = [item for item in read if not item.key.startswith(warmth_prefix)]
+        known = {
+            key: item
+            for key, item in self._stored.items.items()
+            if not key.startswith(warmth_prefix)
+        }
+        has_returned = self._has_state and position.epoch != self._position.epoch
+        if has_returned:
+            changes = self._compare_with_copy(read, known=known, position=position)
+        else:
+            missing = known.keys() - {item.key for item in read}
+            changes = [*read, *(StoreItem(key=key, value=None, revision=0) for key in missing)]
+        self._stored.apply(
+            [*changes, *saved_warmth], were_listed=has_returned or not self._has_state
+        )
+        self._has_state = True
+        self._position = position
+        self.relay.reset(read, position=position, age_s=age_s)
+        self._state.metrics.store_epoch.set(position.epoch)
+
+    def _compare_with_copy(
+        self,
+        read: Sequence[StoreItem],
+        *,
+        known: Mapping[str, StoreItem],
+        position: StorePosition,
+    ) -> list[StoreItem]:
+        """Return what to apply of the store's copy; what this gateway wrote is written again."""
         now = self._loop.time()
-        if members_changed:
-            self._set_members(now=now, were_listed=were_listed)
-        if evacuations_changed:
-            self._state.set_evacuated(self._evacuated.values())
-        self.expire()
-
-    def _apply_item(self, item: StoreItem) -> _Change:
-        """Apply one item, and return what must be updated after all items of its page.
-
-        Raises
-        ------
-        InputError
-            The item can't be used.
-        """
-        codec = self._codec
-        if item.key.startswith(codec.upstream_prefix):
-            self._apply_upstream(item)
-        elif item.key.startswith(codec.member_prefix):
-            self._apply_member(item)
-            return _Change.MEMBERS
-        elif (zone := codec.evacuated_zone(item.key)) is not None:
-            if item.value is None:
-                self._evacuated.pop(item.key, None)
-            else:
-                self._evacuated[item.key] = zone
-            return _Change.EVACUATIONS
-        elif item.key.startswith(codec.config_prefix):
-            config = codec.config(item)
-            if config is not None:
-                self._state.apply_config(config)
-        return _Change.NOTHING
-
-    def _ignore(self, item: StoreItem, exc: Exception) -> None:
-        """Ignore an item that can't be used; an upstream whose entry it is gets no requests."""
-        reason = str(exc) if isinstance(exc, InputError) else repr(exc)
-        codec = self._codec
-        kind, event = "entry", LogNumber.GATEWAY_ENTRY_IGNORED
-        if item.key.startswith(codec.upstream_prefix):
-            self._items[item.key] = shorten_unreadable(item)
-            self._state.remove_upstream(
-                codec.upstream_id(item.key), reason="unreadable entry", now=self._loop.time()
-            )
-        elif item.key.startswith(codec.member_prefix):
-            kind = "member"
-        elif item.key.startswith(codec.config_prefix):
-            kind, event = "config", LogNumber.GATEWAY_CONFIG_IGNORED
-            if not isinstance(exc, InputError):
-                # The text of an unexpected error may contain a key.
-                reason = type(exc).__name__
-        self._state.metrics.ignored.labels(kind).inc()
-        if self._ignored.get(item.key) != reason:
-            self._ignored[item.key] = reason
-            self._state.log.write(event, key=item.key, revision=item.revision, reason=reason)
-
-    def _set_members(self, *, now: float, were_listed: bool) -> None:
-        self._state.fleet.set_listed(self._members.values(), now=now, were_listed=were_listed)
-        listed = {member.vm for member in self._members.values()}
+        # Missing entries of upstreams are suspended as after an outage.
+        self._state.store_available_since = now
+        report = self._returned_store.compare(read, known=known)
+        learned_at = self._epoch_learned_at if self._epoch_learned_at is not None else now
         self._state.log.write(
-            LogNumber.GATEWAY_MEMBERS_CHANGED,
-            listed=len(listed),
-            joined=sorted(listed - self._listed)[:MAX_LOGGED_MEMBERS],
-            left=sorted(self._listed - listed)[:MAX_LOGGED_MEMBERS],
+            LogNumber.GATEWAY_STORE_RETURNED,
+            epoch=position.epoch,
+            earlier_epoch=self._position.epoch,
+            revision=position.revision,
+            earlier_revision=self._position.revision,
+            learned_from=self._epoch_source or "store",
+            read_s=round(now - learned_at, 3),
+            **report.log_fields(),
         )
-        self._listed = listed
+        self._epoch_learned_at = None
+        self._epoch_source = ""
+        self._snapshots.clear()
+        self._membership.record_entry_loss()
+        self._state.warmth.mark_all_unsaved()
+        return report.changes
 
     def expire(self) -> None:
-        """Drop upstreams whose entries did not reappear after an outage."""
-        self._state.expire_upstreams(now=self._loop.time())
-
-    def _apply_upstream(self, item: StoreItem) -> None:
-        now = self._loop.time()
-        upstream = self._codec.upstream_id(item.key)
-        if item.value is None:
-            if now - self._state.store_available_since < OUTAGE_WINDOW_S:
-                self._state.upstreams.mark_missing(
-                    upstream, store_available_at=self._state.store_available_since
-                )
-            else:
-                self._state.remove_upstream(upstream, reason="entry removed", now=now)
-            return
-        self._state.put_upstream(self._codec.upstream(item), now=now)
-
-    def _apply_member(self, item: StoreItem) -> None:
-        if item.value is None:
-            self._members.pop(item.key, None)
-            if item.key == self._own_key:
-                self._entry_lost.set()
-            return
-        self._members[item.key] = _decode_member(item.value)
+        """Drop what did not reappear in time after an outage, or after a return from a copy."""
+        self._stored.expire()
 
     def _record_store_reachable(self, *, reachable: bool, reason: str) -> None:
         if reachable == self._reachable:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -129,6 +129,16 @@
         self.config_version = Gauge(
             "gooseberryport_config_version", "Configuration in force", registry=self.registry
         )
+        self.store_epoch = Gauge(
+            "gooseberryport_store_epoch",
+            "Epoch of the store whose data is in use; it grows when the store returns from a copy",
+            registry=self.registry,
+        )
+        self.held_items = Gauge(
+            "gooseberryport_held_items",
+            "Keys for which the earlier value holds after the store returned from a copy",
+            registry=self.registry,
+        )
 
         self.response_bytes = Gauge(
             "gooseberryport_response_bytes",
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peer_snapshots.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peer_snapshots.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from gooseberryport_core.decoding import InputError, decode_with, parse_address
+from gooseberryport_core.gateway.store_epochs import StorePosition
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName
 from gooseberryport_gateway._byte_limits import SERVICE_BUDGET, SERVICE_LIMITS
@@ -82,9 +83,9 @@
     address: str = ""
 
     @property
-    def revision(self) -> int | None:
-        """Revision of the store that the state corresponds to; None without a state."""
-        return self.snapshot.revision if self.snapshot is not None else None
+    def position(self) -> StorePosition | None:
+        """Position in the store's history that the state corresponds to; None without a state."""
+        return self.snapshot.position if self.snapshot is not None else None
 
     @property
     def wait_s(self) -> float:
@@ -106,7 +107,7 @@
 
 
 async def fetch_snapshot(
-    addresses: Sequence[str], *, region: RegionName, max_age_s: float, log: Log
+    addresses: Sequence[str], *, region: RegionName, max_age_s: float, min_epoch: int, log: Log
 ) -> FetchedSnapshot:
     """Return the first recent state that another gateway returns.
 
@@ -118,6 +119,8 @@
         Region of this gateway.
     max_age_s
         Maximum age of the state; seconds.
+    min_epoch
+        Epoch of the store in which the state must be, or a later one.
     log
         Where gateways are logged that don't answer.
     """
@@ -131,9 +134,12 @@
         for request in asyncio.as_completed(requests):
             answer = await request
             states.add(answer.state)
-            if answer.snapshot is not None and answer.snapshot.age_s <= max_age_s:
+            snapshot = answer.snapshot
+            if snapshot is None or snapshot.epoch < min_epoch:
+                continue
+            if snapshot.age_s <= max_age_s:
                 return FetchedSnapshot(
-                    states=frozenset(states), snapshot=answer.snapshot, address=answer.address
+                    states=frozenset(states), snapshot=snapshot, address=answer.address
                 )
     finally:
         for task in requests:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -26,6 +26,7 @@
     parse_count,
 )
 from gooseberryport_core.gateway.model import Member, UpstreamEntry
+from gooseberryport_core.gateway.store_epochs import UNKNOWN_EPOCH, StorePosition
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId
 from gooseberryport_gateway._byte_limits import SERVICE_BUDGET, SERVICE_LIMITS
@@ -88,12 +89,21 @@
         How long ago the watcher received them from the store; seconds.
     regained_s
         For how long the store has been available again to the watcher; seconds.
+    epoch
+        Epoch of the store in which the revision was given out. If it is not the one that was asked
+        for, there are no items, and the state has to be read anew.
     """
 
     items: list[StoreItem]
     revision: Count
     age_s: Seconds
     regained_s: float
+    epoch: Count = UNKNOWN_EPOCH
+
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store's history up to which the watcher has all changes."""
+        return StorePosition(epoch=self.epoch, revision=self.revision)
 
 
 _page_decoder = msgspec.msgpack.Decoder(RelayPage)
@@ -127,9 +137,13 @@
         self._last_relayed: dict[str, tuple[UpstreamEntry, float] | None] = {}
         self._complete_from: int | None = None
         self.revision = 0
+        self.epoch = UNKNOWN_EPOCH
 
-    def reset(self, items: Iterable[StoreItem], *, revision: int, now: float) -> None:
+    def reset(
+        self, items: Iterable[StoreItem], *, revision: int, now: float, epoch: int = UNKNOWN_EPOCH
+    ) -> None:
         """Restart from a full read of the store."""
+        self.epoch = epoch
         self._changes.clear()
         self._change_bytes = 0
         self._last_relayed.clear()
@@ -237,26 +251,29 @@
         """How long ago the store confirmed this gateway's state; seconds."""
         return self._loop.time() - self._up_to_date_at
 
-    def reset(self, items: Iterable[StoreItem], *, revision: int, age_s: float) -> None:
+    def reset(self, items: Iterable[StoreItem], *, position: StorePosition, age_s: float) -> None:
         """Restart from a full read of the store, or from another gateway's snapshot.
 
         Parameters
         ----------
         items
             Items that were read.
-        revision
-            Revision of the store up to which they contain all changes.
+        position
+            Position in the store's history up to which they contain all changes.
         age_s
             How long ago the store confirmed them; seconds.
         """
         now = self._loop.time()
-        self.log.reset(items, revision=revision, now=now)
+        was_in_epoch = self.log.epoch
+        self.log.reset(items, revision=position.revision, now=now, epoch=position.epoch)
         self._up_to_date_at = now - age_s
+        if position.epoch != was_in_epoch:
+            self._wake_requests()
 
     def record_store_page(self, page: StorePage) -> None:
         """Record a page that this gateway received from the store."""
         now = self._loop.time()
-        has_relevant = self.log.add(page.items, revision=page.revision, now=now)
+        has_relevant = self.log.add(page.items, revision=page.position.revision, now=now)
         self._up_to_date_at = now
         if has_relevant:
             self._notify_changed(now)
@@ -299,8 +316,8 @@
         )
         return eligible[:WATCHERS] if len(eligible) >= MIN_GATEWAYS_FOR_RELAY else []
 
-    async def fetch(self, watcher: Member, *, after: int) -> RelayPage | None:
-        """Return a watcher's changes after a revision, possibly none.
+    async def fetch(self, watcher: Member, *, after: StorePosition) -> RelayPage | None:
+        """Return a watcher's changes after a position, possibly none.
 
         Return None if the watcher is unreachable or refuses, or if its state is too old.
         """
@@ -310,9 +327,11 @@
         except (NotSentError, ResponseLostError, TimeoutError, InputError) as exc:
             self._avoid(watcher, reason=repr(exc))
             return None
-        if page is None or page.age_s > self.max_age_s:
+        if page is None or page.age_s > self.max_age_s or page.epoch < after.epoch:
             self._avoid(watcher, reason="refused, or its state is too old")
             return None
+        if page.epoch != after.epoch:
+            return page
         self._up_to_date_at = self._loop.time() - page.age_s
         return page
 
@@ -323,16 +342,21 @@
         after = parse_count(fields.get("after", [""])[0].encode())
         if after is None:
             return Reply(status=400, headers=[])
+        # Gateways of earlier versions state no epoch.
+        stated_epoch = fields.get("epoch")
+        epoch = self.log.epoch if stated_epoch is None else parse_count(stated_epoch[0].encode())
+        if epoch is None:
+            return Reply(status=400, headers=[])
         if self.state_age_s > self.max_age_s:
             # It does not become recent by waiting: this gateway may be cut off from the store.
             return Reply(status=503, headers=[])
-        changes = self.log.since(after)
-        if changes is not None and not changes:
+        changes = self._changes_since(after, epoch=epoch)
+        if changes is not None and not changes and epoch == self.log.epoch:
             changed = self._changed
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._long_poll_s):
                     await changed.wait()
-            changes = self.log.since(after)
+            changes = self._changes_since(after, epoch=epoch)
         age_s = self.state_age_s
         if changes is None or age_s > self.max_age_s or self._state.stopping:
             return Reply(status=503, headers=[])
@@ -341,10 +365,20 @@
             revision=self.log.revision,
             age_s=age_s,
             regained_s=self._loop.time() - self._state.store_available_since,
+            epoch=self.log.epoch,
         )
         return Reply(status=200, headers=[], body=msgspec.msgpack.encode(page))
 
-    async def _request_page(self, watcher: Member, *, after: int) -> RelayPage | None:
+    def _changes_since(self, after: int, *, epoch: int) -> list[StoreItem] | None:
+        """Return the changes after a revision of an epoch, and none if a later one has begun.
+
+        Return None if some of them are no longer kept, or if this gateway is in an earlier epoch.
+        """
+        if epoch != self.log.epoch:
+            return [] if epoch < self.log.epoch else None
+        return self.log.since(after)
+
+    async def _request_page(self, watcher: Member, *, after: StorePosition) -> RelayPage | None:
         address = watcher.control
         conn = self._conns.pop(address, None)
         if conn is None or not conn.usable:
@@ -354,7 +388,8 @@
                 limits=SERVICE_LIMITS,
                 budget=SERVICE_BUDGET,
             )
-        request = f"GET {CHANGES_PATH}?after={after} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+        query = f"after={after.revision}&epoch={after.epoch}"
+        request = f"GET {CHANGES_PATH}?{query} HTTP/1.1\r\nhost: {address}\r\n\r\n"
         response = await conn.request(request.encode())
         if conn.usable and address not in self._conns:
             self._conns[address] = conn
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -208,10 +208,23 @@
         self.cold_rate_limiter.set_bounds(overage=bounds.cold_overage, slack=bounds.cold_slack)
         self.quotas.set_bounds(bounds)
 
-    def apply_config(self, config: RoutingConfig) -> bool:
-        """Apply a configuration if it is newer than the current one; return whether it is."""
-        if self.routes is not None and config.version <= self.routes.config.version:
-            return False
+    def apply_config(self, config: RoutingConfig, *, replaces_same_version: bool = False) -> bool:
+        """Apply a configuration if it is newer than the current one; return whether it is.
+
+        Parameters
+        ----------
+        config
+            The configuration.
+        replaces_same_version
+            Whether it also replaces one of the same version with other contents.
+        """
+        if self.routes is not None:
+            current = self.routes.config
+            is_other = replaces_same_version and config != current
+            if config.version < current.version or (
+                config.version == current.version and not is_other
+            ):
+                return False
         self.routes = RouteTable(config, previous=self.routes)
         self.warm_objects.apply_routes(self.routes)
         self.tenants = TenantDirectory(config, secret=self._key_secret)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
@@ -61,6 +61,13 @@
         super().__init__("the changes since that revision were discarded; read the range again")
 
 
+class EpochChangedError(StoreError):
+    """The store has returned from an older copy of its data; read the range again."""
+
+    def __init__(self) -> None:
+        super().__init__("the store returned from an older copy; read the range again")
+
+
 class LeaseGoneError(StoreError):
     """The lease has expired or was ended; request a new one."""
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -10,6 +10,7 @@
 
 from gooseberryport_core.gateway.announcements import Announcement
 from gooseberryport_core.gateway.model import RoutingConfig, UpstreamEntry
+from gooseberryport_core.gateway.store_epochs import UNKNOWN_EPOCH, StoreEpoch, StorePosition
 from gooseberryport_core.gateway.warmth import WarmthRecord
 from gooseberryport_core.types import RegionName, UpstreamId, VmId, ZoneName
 from gooseberryport_gateway._http_conn import HttpResponse
@@ -180,12 +181,23 @@
         How long ago the store confirmed the items; seconds.
     warmth
         Objects that upstreams handled recently for the region of the gateway that starts.
+    epoch
+        Epoch of the store in which the revision was given out.
+    held
+        What the store says of keys for which the items still hold.
     """
 
     items: list[StoreItem]
     revision: int
     age_s: float = inf
     warmth: dict[UpstreamId, WarmthRecord] = {}
+    epoch: int = UNKNOWN_EPOCH
+    held: list[StoreItem] = []
+
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store's history from which a watch continues."""
+        return StorePosition(epoch=self.epoch, revision=self.revision)
 
 
 class StorePage(msgspec.Struct, frozen=True):
@@ -195,34 +207,54 @@
     ----------
     items
         Items, or changes in their order.
-    revision
-        Revision of the store from which a watch continues.
+    position
+        Position in the store's history from which a watch continues.
     """
 
     items: tuple[StoreItem, ...]
-    revision: int
+    position: StorePosition
+
+
+class Lease(msgspec.Struct, frozen=True):
+    """A lease of the store; in another epoch, its id may be that of another gateway's lease."""
+
+    id: int
+    epoch: int = UNKNOWN_EPOCH
 
 
 class StoreClient(Protocol):
-    """The platform's store. Every call may raise `StoreError`."""
+    """The platform's store. Every call may raise `StoreError`.
+
+    No answer of an earlier epoch than the latest known one is returned.
+    """
+
+    epoch: StoreEpoch
 
     async def read_range(self, prefix: str) -> StorePage:
-        """Return all items under a prefix."""
+        """Return all items under a prefix, all of one epoch."""
+
+    async def watch(self, prefix: str, *, after: StorePosition, wait_s: float) -> StorePage:
+        """Return the changes after a position as soon as there are any.
 
-    async def watch(self, prefix: str, *, after: int, wait_s: float) -> StorePage:
-        """Return the changes after a revision as soon as there are any."""
+        Raises
+        ------
+        EpochChangedError
+            The store is in another epoch than that of the position.
+        HistoryGoneError
+            The store does not have the changes since the position.
+        """
 
-    async def grant_lease(self, *, ttl_s: float) -> int:
-        """Request a lease and return its id."""
+    async def grant_lease(self, *, ttl_s: float) -> Lease:
+        """Request a lease."""
 
-    async def renew_lease(self, lease: int) -> None:
-        """Renew a lease."""
+    async def renew_lease(self, lease: Lease) -> None:
+        """Renew a lease; raises `LeaseGoneError` if it has ended, or is of an earlier epoch."""
 
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """End a lease; its keys are removed."""
 
-    async def put(self, key: str, value: bytes, *, lease: int) -> None:
-        """Write a key, whatever its current value."""
+    async def put(self, key: str, value: bytes, *, lease: Lease | None) -> None:
+        """Write a key, whatever its current value; raises `LeaseGoneError` as a renewal does."""
 
     async def save(self, values: Mapping[str, bytes], *, deletes: Sequence[str] = ()) -> None:
         """Write and delete keys without a lease, at most `MAX_KEYS_PER_CALL` in one call."""
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -16,7 +16,8 @@
 
     `fault` is called with the method and target of each request and returns None, a status to
     answer, "silent" (never answers), "reset" (resets the connection), or "lost" (carries out the
-    request, then resets the connection instead of answering).
+    request, then resets the connection instead of answering). `era` is stated in all answers unless
+    it is None.
     """
 
     def __init__(self):
@@ -28,6 +29,8 @@
         self.revision = 10
         self.oldest_revision = 0
         self.page_size = 500
+        self.era = None
+        self._writers = set()
         self.calls = []
         self.fault = lambda method, target: None
         self._items_changed = asyncio.Condition()
@@ -67,37 +70,65 @@
             if now - self.renewed_at[lease] > ttl_ms / 1000:
                 await self.end_lease(lease)
 
+    def copy(self):
+        """Return a copy of the data, from which the store may return later."""
+        leases = dict(self.leases), self.last_lease_id
+        return dict(self.items), leases, list(self.events), self.revision
+
+    async def return_from(self, copy, *, cut=True):
+        """Lose what was written since a copy was made; cut the connections, or leave them open."""
+        items, leases, events, revision = copy
+        async with self._items_changed:
+            self.items, self.events = dict(items), list(events)
+            self.leases, self.last_lease_id = dict(leases[0]), leases[1]
+            self.revision = revision
+            self.renewed_at = dict.fromkeys(self.leases, time.monotonic())
+            self.era = (self.era or 0) + 1
+        if cut:
+            for writer in list(self._writers):
+                writer.transport.abort()
+
     def forget_history(self):
         self.oldest_revision = self.revision
 
     async def serve(self, reader, writer):
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                method, target, _ = head.split("\r\n")[0].split(" ")
-                length = 0
-                for line in head.split("\r\n"):
-                    if line.lower().startswith("content-length:"):
-                        length = int(line.split(":")[1])
-                body = json.loads(await reader.readexactly(length) or b"{}")
-                self.calls.append((method, target))
-                fault = self.fault(method, target)
-                if fault == "silent":
-                    await reader.read()
-                    break
-                if fault == "reset":
-                    writer.transport.abort()
-                    break
-                if isinstance(fault, int):
-                    status, answer = fault, {}
-                else:
-                    status, answer = await self._answer(method, target, body)
-                if fault == "lost":
-                    writer.transport.abort()
-                    break
-                data = json.dumps(answer).encode()
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data)))
-                writer.write(data)
+        self._writers.add(writer)
+        try:
+            await self._serve(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve(self, reader, writer):
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            method, target, _ = head.split("\r\n")[0].split(" ")
+            length = 0
+            for line in head.split("\r\n"):
+                if line.lower().startswith("content-length:"):
+                    length = int(line.split(":")[1])
+            body = json.loads(await reader.readexactly(length) or b"{}")
+            self.calls.append((method, target))
+            fault = self.fault(method, target)
+            if fault == "silent":
+                await reader.read()
+                break
+            if fault == "reset":
+                writer.transport.abort()
+                break
+            if isinstance(fault, int):
+                status, answer = fault, {}
+            else:
+                status, answer = await self._answer(method, target, body)
+            if fault == "lost":
+                writer.transport.abort()
+                break
+            data = json.dumps(answer).encode()
+            head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n" % (status, len(data))
+            if self.era is not None:
+                head += b"Store-Era: %s\r\n" % str(self.era).encode()
+            writer.write(head + b"\r\n" + data)
 
     async def _answer(self, method, target, body):
         parts = urlsplit(target)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -141,7 +141,7 @@
         await standin.put("other/y", b"x" * 100_000)
         await standin.put("servers/u1", ENTRY)
         await wait_until(lambda: usable_ids(state) == ["u1"])
-        kept = {key: len(item.value) for key, item in discovery._items.items()}
+        kept = {key: len(item.value) for key, item in discovery._stored.items.items()}
         assert not [key for key in kept if key.startswith("other/")]
         assert kept["servers/odd"] <= MAX_UNREADABLE_BYTES
         relayed = discovery.relay.log.since(discovery.relay.log._complete_from)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,6 +12,7 @@
 from gooseberryport_gateway import _discovery, _relay
 from gooseberryport_gateway._client_conn import ClientConn, Reply
 from gooseberryport_gateway._discovery import Discovery
+from gooseberryport_gateway._peer_snapshots import SNAPSHOT_PATH
 from gooseberryport_gateway._relay import (
     CHANGES_PATH,
     MAX_CHANGES_KEPT,
@@ -44,6 +45,10 @@
                 await asyncio.sleep(60)
             if req.path == CHANGES_PATH:
                 return await self.discovery.relay.handle_request(req)
+            if req.path == SNAPSHOT_PATH:
+                region_name = self.place[1]
+                body = self.discovery.encode_snapshot(region=region_name)
+                return Reply(status=200, headers=[], body=body)
             return Reply(status=404, headers=[])
 
         loop = asyncio.get_running_loop()
@@ -105,7 +110,7 @@
     for gateway in gateways:
         now = asyncio.get_running_loop().time()
         gateway.state.fleet.set_listed(members, now=now)
-        gateway.discovery._members = {member.vm: member for member in members}
+        gateway.discovery._stored.members.update((member.vm, member) for member in members)
         gateway.start()
     heartbeat_task = asyncio.create_task(deliver_heartbeats())
     try:
@@ -118,7 +123,7 @@
 
 
 def run_scenario(
-    scenario, *, size, tmp_path, monkeypatch, places=(("a1", "A", 0.0),), watchers=None
+    scenario, *, size, tmp_path, monkeypatch, places=(("a1", "A", 0.0),), watchers=None, era=None
 ):
     monkeypatch.setattr(_discovery, "WATCH_TIMEOUT_S", 0.3)
     monkeypatch.setattr(_relay, "AVOID_WATCHER_WINDOW_S", 0.2)
@@ -127,6 +132,7 @@
     async def main():
         with (tmp_path / "log").open("wb") as log:
             async with store_standin() as (standin, _):
+                standin.era = era
                 await standin.put("servers/u1", ENTRY)
                 await standin.put("op/config", config(1))
                 async with region(standin, log, size=size, places=places) as gateways:
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -361,7 +361,7 @@
         await wait_until(lambda: discovery.synced and usable_ids(state) == ["u1"])
         await standin.put("gooseberryport/warmth/B/u1", record)
         await standin.put("gooseberryport/warmth/A/u1", record)
-        await wait_until(lambda: "gooseberryport/warmth/A/u1" in discovery._items)
+        await wait_until(lambda: "gooseberryport/warmth/A/u1" in discovery._stored.items)
         snapshot = msgspec.msgpack.decode(discovery.encode_snapshot(region="B"), type=StoreSnapshot)
         kept = [item.key for item in snapshot.items if "warmth" in item.key]
         assert kept == ["gooseberryport/warmth/B/u1"]
--- a/tests/test_site_store.py
+++ b/tests/test_site_store.py
@@ -3,6 +3,7 @@
 import pytest
 from store_standin import store_standin
 
+from gooseberryport_core.gateway.store_epochs import StorePosition
 from gooseberryport_gateway.errors import HistoryGoneError, LeaseGoneError, StoreError
 from gooseberryport_site import store as site_store
 from gooseberryport_site.store import PlatformStore
@@ -22,7 +23,7 @@
             await standin.put("b/0", b"other")
             page = await store.read_range("a/")
             assert [item.value for item in page.items] == [b"v%d" % index for index in range(8)]
-            assert page.revision == standin.revision
+            assert page.position.revision == standin.revision
 
     run(main())
 
@@ -32,12 +33,12 @@
         async with store_standin() as (standin, store):
             await standin.put("a", b"1")
             page = await store.read_range("")
-            waiting = asyncio.create_task(store.watch("", after=page.revision, wait_s=2.0))
+            waiting = asyncio.create_task(store.watch("", after=page.position, wait_s=2.0))
             await asyncio.sleep(0.05)
             await standin.delete("a")
             changes = await waiting
             assert [(item.key, item.value) for item in changes.items] == [("a", None)]
-            assert changes.revision == standin.revision
+            assert changes.position.revision == standin.revision
 
     run(main())
 
@@ -45,7 +46,7 @@
 def test_watch_without_changes_times_out_with_an_empty_page():
     async def main():
         async with store_standin() as (standin, store):
-            page = await store.watch("", after=standin.revision, wait_s=0.1)
+            page = await store.watch("", after=StorePosition(0, standin.revision), wait_s=0.1)
             assert page.items == ()
 
     run(main())
@@ -57,7 +58,7 @@
             await standin.put("a", b"1")
             standin.forget_history()
             with pytest.raises(HistoryGoneError):
-                await store.watch("", after=1, wait_s=0.1)
+                await store.watch("", after=StorePosition(0, 1), wait_s=0.1)
 
     run(main())
 
@@ -66,7 +67,7 @@
     async def main():
         async with store_standin() as (standin, store):
             lease = await store.grant_lease(ttl_s=3.0)
-            assert standin.leases[lease] == 3000
+            assert standin.leases[lease.id] == 3000
             await store.put("m", b"v", lease=lease)
             await store.renew_lease(lease)
             await store.end_lease(lease)
@@ -88,9 +89,9 @@
             await store.read_range("")
             standin.fault = lambda method, target: fault
             with pytest.raises(StoreError):
-                await store.put("k", b"v", lease=0)
+                await store.put("k", b"v", lease=None)
             standin.fault = lambda method, target: None
-            await store.put("k", b"v", lease=0)
+            await store.put("k", b"v", lease=None)
             assert (await store.read_range("k")).items[0].value == b"v"
 
     run(main())
