--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -85,50 +85,42 @@
             self.renewed_at = dict.fromkeys(self.leases, time.monotonic())
             self.era = (self.era or 0) + 1
         if cut:
-            for writer in list(self._writers):
-                writer.transport.abort()
+            while self._writers:
+                self._writers.pop().transport.abort()
 
     def forget_history(self):
         self.oldest_revision = self.revision
 
     async def serve(self, reader, writer):
         self._writers.add(writer)
-        try:
-            await self._serve(reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return
-        finally:
-            self._writers.discard(writer)
-
-    async def _serve(self, reader, writer):
-        while True:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            method, target, _ = head.split("\r\n")[0].split(" ")
-            length = 0
-            for line in head.split("\r\n"):
-                if line.lower().startswith("content-length:"):
-                    length = int(line.split(":")[1])
-            body = json.loads(await reader.readexactly(length) or b"{}")
-            self.calls.append((method, target))
-            fault = self.fault(method, target)
-            if fault == "silent":
-                await reader.read()
-                break
-            if fault == "reset":
-                writer.transport.abort()
-                break
-            if isinstance(fault, int):
-                status, answer = fault, {}
-            else:
-                status, answer = await self._answer(method, target, body)
-            if fault == "lost":
-                writer.transport.abort()
-                break
-            data = json.dumps(answer).encode()
-            head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n" % (status, len(data))
-            if self.era is not None:
-                head += b"Store-Era: %s\r\n" % str(self.era).encode()
-            writer.write(head + b"\r\n" + data)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                method, target, _ = head.split("\r\n")[0].split(" ")
+                length = 0
+                for line in head.split("\r\n"):
+                    if line.lower().startswith("content-length:"):
+                        length = int(line.split(":")[1])
+                body = json.loads(await reader.readexactly(length) or b"{}")
+                self.calls.append((method, target))
+                fault = self.fault(method, target)
+                if fault == "silent":
+                    await reader.read()
+                    break
+                if fault == "reset":
+                    writer.transport.abort()
+                    break
+                if isinstance(fault, int):
+                    status, answer = fault, {}
+                else:
+                    status, answer = await self._answer(method, target, body)
+                if fault == "lost":
+                    writer.transport.abort()
+                    break
+                data = json.dumps(answer).encode()
+                era = b"" if self.era is None else b"Store-Era: %s\r\n" % str(self.era).encode()
+                head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n" % (status, len(data))
+                writer.write(head + era + b"\r\n" + data)
 
     async def _answer(self, method, target, body):
         parts = urlsplit(target)
--- a/tests/test_own_ends.py
+++ b/tests/test_own_ends.py
@@ -233,7 +233,8 @@
     if gateway is not None and hasattr(gateway, "run_gateway") and not patched:
         patched.add(1)
         fail_twice(gateway.Discovery, "_poll_watcher")
-        fail_twice(gateway.Discovery, "_wait_for_entry_loss")
+        membership = sys.modules["gooseberryport_gateway._membership"].Membership
+        fail_twice(membership, "_wait_for_entry_loss")
         fail_twice(gateway.Peers, "_plan")
         fail_twice(gateway.ConnPool, "close_expired")
         fail_twice(gateway.Reloader, "reload")
