Show that a gateway keeps an old configuration behind a slow link

Seen by callers: after large configurations in quick succession, requests of routes whose homes moved run where only an old configuration allows it, by gateways in touch (hypothesis 1 of the HOME incident).

--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -10,6 +10,8 @@
 from gooseberryport_site.store import PlatformStore
 from gooseberryport_standins.streams import start_stream_server
 
+SEND_INTERVAL_S = 0.02
+
 
 class StoreStandIn:
     """Holds keys, leases and the history of changes, and serves them over HTTP.
@@ -17,7 +19,7 @@
     `fault` is called with the method and target of each request and returns None, a status to
     answer, "silent" (never answers), "reset" (resets the connection), or "lost" (carries out the
     request, then resets the connection instead of answering). `era` is stated in all answers unless
-    it is None.
+    it is None. `link_bytes_per_s` bounds how fast each answer is sent.
     """
 
     def __init__(self):
@@ -30,6 +32,7 @@
         self.oldest_revision = 0
         self.page_size = 500
         self.era = None
+        self.link_bytes_per_s = None
         self._writers = set()
         self.calls = []
         self.fault = lambda method, target: None
@@ -120,7 +123,16 @@
                 data = json.dumps(answer).encode()
                 era = b"" if self.era is None else b"Store-Era: %s\r\n" % str(self.era).encode()
                 head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n" % (status, len(data))
-                writer.write(head + era + b"\r\n" + data)
+                await self._send(writer, head + era + b"\r\n" + data)
+
+    async def _send(self, writer, data):
+        per_round = len(data)
+        if self.link_bytes_per_s is not None:
+            per_round = int(self.link_bytes_per_s * SEND_INTERVAL_S)
+        for start in range(0, len(data), per_round):
+            writer.write(data[start : start + per_round])
+            if per_round < len(data):
+                await asyncio.sleep(SEND_INTERVAL_S)
 
     async def _answer(self, method, target, body):
         parts = urlsplit(target)
