Read the store anew where changes come faster than the link carries them

Cause: a time limit for a whole answer. A watch is answered with all versions since the last one; what a link of 10 Mbit/s carries of them in 1.1 s was dropped, and the next call asked for the same and more. Answers beyond 16 MiB were refused for ever. Gateways fetch from each other in the same way, within 0.81 s. Ruled out: decoding and applying, which take milliseconds.

Change: the limits hold for the first byte and for a stall, not for the whole (_progress.py). An answer that arrived in part leads to a full read, which has one version of each key. So does a slow answer most of which later versions supersede (core, catching_up.py). A watcher keeps and relays only the newest version of each configuration. The age of what is relayed counts from its first byte, and a slow answer shortens the pause after it.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from gooseberryport_core.gateway.catching_up import reads_anew
 from gooseberryport_core.gateway.store_epochs import UNKNOWN_EPOCH, StorePosition
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId
@@ -27,6 +28,7 @@
 from gooseberryport_gateway.errors import (
     EpochChangedError,
     HistoryGoneError,
+    IncompleteAnswerError,
     StoreError,
 )
 from gooseberryport_gateway.wire import (
@@ -153,10 +155,15 @@
                 self._stored.apply(page.items)
                 pause_s = MIN_RETRY_DELAY_S
                 drain_s = self._state.settings.bounds.drain_s
-                if is_used:
-                    await asyncio.sleep(drain_s * RELAYED_WATCH_PAUSE_FRACTION)
-                elif page.items:
-                    await asyncio.sleep(drain_s * WATCH_PAUSE_FRACTION)
+                sizes = [(item.key, len(item.value or b"")) for item in page.items]
+                if reads_anew(sizes, transfer_s=page.transfer_s):
+                    self._log_read_anew(f"{len(sizes)} changes in {page.transfer_s:.2f} s")
+                    after = None
+                    continue
+                pause = RELAYED_WATCH_PAUSE_FRACTION if is_used else WATCH_PAUSE_FRACTION
+                if is_used or page.items:
+                    # A slow answer is a pause as well.
+                    await asyncio.sleep(max(drain_s * pause - page.transfer_s, 0.0))
             except EpochChangedError:
                 continue
             except HistoryGoneError:
@@ -165,6 +172,10 @@
                 )
                 after = None
             except StoreError as exc:
+                if isinstance(exc, IncompleteAnswerError) and after is not None:
+                    self._log_read_anew(exc.reason)
+                    after = None
+                    continue
                 has_failed = True
                 self._record_store_reachable(reachable=False, reason=str(exc))
                 if after is None and not self.synced:
@@ -174,6 +185,9 @@
                 )
                 pause_s = min(pause_s * 2.0, MAX_RETRY_DELAY_S)
 
+    def _log_read_anew(self, reason: str) -> None:
+        self._state.log.write(LogNumber.GATEWAY_STORE_READ_ANEW, reason=reason)
+
     def _learn_epoch(self, epoch: int, *, source: str) -> None:
         """Record that the store has returned from a copy, and from whom this was learned."""
         if epoch != self._position.epoch and self._epoch_learned_at is None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -20,6 +20,7 @@
     ResponseLimits,
 )
 from gooseberryport_gateway._headers import Headers, find_header
+from gooseberryport_gateway._progress import Transfer
 from gooseberryport_gateway._receiving import READ_BUFFER, SHORT_READ_BUFFER, add_chunk
 from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
 
@@ -52,12 +53,15 @@
         The body, with any transfer coding removed.
     chunks
         The body in pieces if a `HeldResponse` counts it; `body` is empty then.
+    transfer_s
+        Time from its first to its last byte, if that was measured; seconds.
     """
 
     status: int
     headers: Headers
     body: bytes
     chunks: Sequence[bytes | bytearray] = ()
+    transfer_s: float = 0.0
 
     @property
     def body_bytes(self) -> int:
@@ -112,6 +116,7 @@
         self._body: list[bytes | bytearray] = []
         self._body_bytes = 0
         self._held: HeldResponse | None = None
+        self._transfer: Transfer | None = None
         self._counted_bytes = 0
         self._paused_at: float | None = None
         self.paused_s = 0.0
@@ -151,6 +156,7 @@
         request_id: bytes | None = None,
         head_only: bool = False,
         held: HeldResponse | None = None,
+        transfer: Transfer | None = None,
     ) -> HttpResponse:
         """Send a request and return its complete response.
 
@@ -166,6 +172,8 @@
             Whether the response has no body, whatever its headers say.
         held
             Counts the response's bytes, and pauses reading when there is no memory for them.
+        transfer
+            Told when bytes of the response arrive.
 
         Raises
         ------
@@ -188,14 +196,19 @@
         self._unsent = deque(body)
         self.paused_s = 0.0
         self._held = held
+        self._transfer = transfer
         self._counted_bytes = 0
         transport.write(data)
         self._write_body()
         try:
-            return await self._response_future
+            response = await self._response_future
+            if transfer is not None:
+                response.transfer_s = transfer.took_s
+            return response
         finally:
             unfinished = self._response_future is not None
             self._unsent.clear()
+            self._transfer = None
             self._response_future = None
             self._free_body()
             if unfinished or self._unusable:
@@ -265,6 +278,8 @@
             return
         self.has_response_bytes = True
         self._received_bytes += len(data)
+        if self._transfer is not None:
+            self._transfer.record_bytes()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -32,6 +32,7 @@
 from gooseberryport_gateway._byte_limits import SERVICE_BUDGET, SERVICE_LIMITS
 from gooseberryport_gateway._client_messages import ClientRequest, Reply
 from gooseberryport_gateway._http_conn import HttpConn, open_conn
+from gooseberryport_gateway._progress import Transfer, transfer_timeout
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import NotSentError, ResponseLostError
 from gooseberryport_gateway.wire import Codec, StoreItem, StorePage, shorten_unreadable
@@ -158,6 +159,8 @@
             relevant = self._relevant(item, now=now)
             if relevant is not None:
                 has_relevant = True
+                if relevant.key.startswith(self._codec.config_prefix):
+                    self._drop_superseded(relevant.key)
                 self._changes.append(relevant)
                 self._change_bytes += len(relevant.value or b"")
         while self._changes and (
@@ -169,8 +172,17 @@
         self.revision = max(self.revision, revision)
         return has_relevant
 
+    def _drop_superseded(self, key: str) -> None:
+        kept = deque(item for item in self._changes if item.key != key)
+        if len(kept) < len(self._changes):
+            self._changes = kept
+            self._change_bytes = sum(len(item.value or b"") for item in kept)
+
     def since(self, after: int) -> list[StoreItem] | None:
-        """Return the changes after a revision, or None if some are no longer kept."""
+        """Return the changes after a revision, or None if some are no longer kept.
+
+        Of each configuration, which may be large, only the newest version is returned.
+        """
         if self._complete_from is None or after < self._complete_from:
             return None
         return [item for item in self._changes if item.revision > after]
@@ -322,8 +334,10 @@
         Return None if the watcher is unreachable or refuses, or if its state is too old.
         """
         try:
-            async with asyncio.timeout(self._long_poll_s + LONG_POLL_MARGIN_S):
-                page = await self._request_page(watcher, after=after)
+            async with transfer_timeout(
+                first_byte_s=self._long_poll_s + LONG_POLL_MARGIN_S, stall_s=LONG_POLL_MARGIN_S
+            ) as transfer:
+                page = await self._request_page(watcher, after=after, transfer=transfer)
         except (NotSentError, ResponseLostError, TimeoutError, InputError) as exc:
             self._avoid(watcher, reason=repr(exc))
             return None
@@ -332,7 +346,7 @@
             return None
         if page.epoch != after.epoch:
             return page
-        self._up_to_date_at = self._loop.time() - page.age_s
+        self._up_to_date_at = self._loop.time() - transfer.took_s - page.age_s
         return page
 
     async def handle_request(self, req: ClientRequest) -> Reply:
@@ -378,7 +392,9 @@
             return [] if epoch < self.log.epoch else None
         return self.log.since(after)
 
-    async def _request_page(self, watcher: Member, *, after: StorePosition) -> RelayPage | None:
+    async def _request_page(
+        self, watcher: Member, *, after: StorePosition, transfer: Transfer
+    ) -> RelayPage | None:
         address = watcher.control
         conn = self._conns.pop(address, None)
         if conn is None or not conn.usable:
@@ -390,7 +406,7 @@
             )
         query = f"after={after.revision}&epoch={after.epoch}"
         request = f"GET {CHANGES_PATH}?{query} HTTP/1.1\r\nhost: {address}\r\n\r\n"
-        response = await conn.request(request.encode())
+        response = await conn.request(request.encode(), transfer=transfer)
         if conn.usable and address not in self._conns:
             self._conns[address] = conn
         else:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
@@ -61,6 +61,13 @@
         super().__init__("the changes since that revision were discarded; read the range again")
 
 
+class IncompleteAnswerError(StoreError):
+    """An answer arrived in part only; read the range again, whose answers are shorter.
+
+    The same call would be answered with the same changes and more.
+    """
+
+
 class EpochChangedError(StoreError):
     """The store has returned from an older copy of its data; read the range again."""
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -209,10 +209,13 @@
         Items, or changes in their order.
     position
         Position in the store's history from which a watch continues.
+    transfer_s
+        Time from the first to the last byte of a watch's answer; seconds.
     """
 
     items: tuple[StoreItem, ...]
     position: StorePosition
+    transfer_s: float = 0.0
 
 
 class Lease(msgspec.Struct, frozen=True):
@@ -242,6 +245,8 @@
             The store is in another epoch than that of the position.
         HistoryGoneError
             The store does not have the changes since the position.
+        IncompleteAnswerError
+            The answer arrived in part only, or is longer than an answer may be.
         """
 
     async def grant_lease(self, *, ttl_s: float) -> Lease:
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -3,8 +3,13 @@
 import asyncio
 
 import pytest
+from store_standin import store_standin
 from test_site_discovery import config, run_scenario, wait_until
 
+from gooseberryport_core.gateway.catching_up import reads_anew, superseded_fraction
+from gooseberryport_gateway._progress import transfer_timeout
+from gooseberryport_gateway.errors import IncompleteAnswerError, StoreError
+
 CONFIG_BYTES = 600_000
 LINK_BYTES_PER_S = 1_250_000
 STORM_VERSIONS = 12
@@ -45,3 +50,55 @@
         await wait_until(lambda: state.routes.config.version == 31, within_s=APPLY_S)
 
     run_scenario(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+async def stop_midway(writer, data):
+    writer.write(data[:1000])
+    await asyncio.sleep(60)
+
+
+def test_answer_that_arrives_slowly_is_complete_and_one_that_stops_is_not():
+    async def main():
+        async with store_standin() as (standin, store):
+            await standin.put("op/config", b"x" * 3_000_000)
+            standin.link_bytes_per_s = 2_000_000
+            page = await asyncio.wait_for(store.read_range("op/"), 10)
+            assert len(page.items[0].value) == 3_000_000
+            standin._send = stop_midway
+            with pytest.raises(IncompleteAnswerError):
+                await store.read_range("op/")
+            standin.fault = lambda method, target: "silent"
+            with pytest.raises(StoreError) as silent:
+                await store.read_range("op/")
+            assert not isinstance(silent.value, IncompleteAnswerError)
+
+    asyncio.run(main())
+
+
+def test_wait_for_a_response_ends_in_any_case(monkeypatch):
+    monkeypatch.setattr("gooseberryport_gateway._progress.MAX_TRANSFER_S", 0.2)
+
+    async def main():
+        async with transfer_timeout(first_byte_s=0.1, stall_s=0.1) as transfer:
+            while True:
+                transfer.record_bytes()
+                await asyncio.sleep(0.01)
+
+    with pytest.raises(TimeoutError):
+        asyncio.run(asyncio.wait_for(main(), 2))
+
+
+@pytest.mark.parametrize(
+    ("changes", "transfer_s", "anew"),
+    [
+        ([], 5.0, False),
+        ([("op/config", 600_000)], 5.0, False),
+        ([("op/config", 600_000)] * 3, 0.1, False),
+        ([("op/config", 600_000)] * 3, 1.5, True),
+        ([("servers/a", 300), ("servers/b", 300)], 5.0, False),
+        ([("servers/a", 300)] * 2 + [("op/config", 600_000)], 0.6, False),
+    ],
+)
+def test_only_a_slow_answer_of_superseded_changes_leads_to_a_full_read(changes, transfer_s, anew):
+    assert reads_anew(changes, transfer_s=transfer_s) is anew
+    assert 0.0 <= superseded_fraction(changes) < 1.0
