Follow the homes in force before each send of a request

Cause: a decision was kept over a wait; only what upstreams announce in their responses was looked at again. Ruled out: the choice itself, which looks at route and tenant in every branch.

Change: before each send a request takes the regions of its route and tenant from the configuration in force (core, region_limits.py); after the wait for a connection its upstream must still be eligible, at the same address and in an allowed region, or it is placed anew. A request whose route or key is gone keeps the last homes. The age of the configuration is a gauge.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/upstreams.py
@@ -260,6 +260,13 @@
             and (upstream.expires_at is None or self._has_lost_most_entries(upstream.entry.service))
         )
 
+    def is_eligible(self, upstream: Upstream) -> bool:
+        """Return whether an upstream that was chosen earlier is still known and accepts requests.
+
+        It may not be reachable: a connection to it that was opened since shows that it is.
+        """
+        return self._upstreams.get(upstream.id) is upstream and self._accepts_requests(upstream)
+
     def _accepts_requests(self, upstream: Upstream) -> bool:
         return (
             upstream.entry.state is UpstreamState.READY
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -10,6 +10,7 @@
 from gooseberryport_core.decoding import parse_count
 from gooseberryport_core.gateway.model import ObjectKey, Route, Tenant
 from gooseberryport_core.gateway.refusals import RefusalCause
+from gooseberryport_core.gateway.routing import RouteTable
 from gooseberryport_core.gateway.verdicts import Verdict, judge
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId
 from gooseberryport_gateway._client_messages import ClientRequest
@@ -113,6 +114,12 @@
         Key by which its object is placed, or None.
     marks
         Hashes by which its object may be recorded, the present one first.
+    routes, regions
+        Configuration whose homes bind it, and the regions in which it may run; None for all.
+    sent_regions
+        Regions of the upstreams that it was sent to, in order.
+    config_age_s
+        Age of that configuration when the request was last placed; seconds.
     depth, last_use_at
         Other objects handled since by the upstream that it was sent to, and the time of the
         object's last use there; None if unknown.
@@ -145,15 +152,15 @@
     depth: int | None = None
     last_use_at: float | None = None
     key_checked: bool = False
+    routes: RouteTable | None = None
+    regions: frozenset[RegionName] | None = None
+    sent_regions: list[RegionName] = msgspec.field(default_factory=list)
+    config_age_s: float = 0.0
 
     @property
     def has_no_region(self) -> bool:
         """Whether no region may serve the request, as its route and tenant allow different ones."""
-        if self.tenant is None or not self.tenant.allowed_regions:
-            return False
-        return self.route.allowed_regions.isdisjoint(self.tenant.allowed_regions) and bool(
-            self.route.allowed_regions
-        )
+        return self.regions is not None and not self.regions
 
     @property
     def priority(self) -> int:
@@ -164,10 +171,7 @@
 
     def is_allowed_in(self, region: RegionName) -> bool:
         """Return whether upstreams of a region may serve the request."""
-        tenant_regions = self.tenant.allowed_regions if self.tenant is not None else ()
-        return (not self.route.allowed_regions or region in self.route.allowed_regions) and (
-            not tenant_regions or region in tenant_regions
-        )
+        return self.regions is None or region in self.regions
 
 
 _ENDS = {
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_keys.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_keys.py
@@ -53,6 +53,12 @@
             return self._replies.unauthorized(req, request_id, route, rejection=found)
         return found
 
+    def find_tenant(self, req: ClientRequest) -> Tenant | None:
+        """Return the tenant whose key a request carries by the configuration in force, or None."""
+        values = [value for name, value in req.headers if name == self._names.authorization]
+        found = self._state.tenants.find(values)
+        return found if isinstance(found, Tenant) else None
+
     def _may_hold_revoked_keys(self) -> bool:
         bounds = self._state.settings.bounds
         return bounds.strict_revoke and self._state.config_age_s() > bounds.revoke_s
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -8,8 +8,9 @@
 
 from gooseberryport_core.decoding import parse_count
 from gooseberryport_core.gateway.announcements import NOTHING_ANNOUNCED, Announcement, Gate
-from gooseberryport_core.gateway.model import Repeatability, Route, Tenant
+from gooseberryport_core.gateway.model import Address, Repeatability, Route, Tenant
 from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
+from gooseberryport_core.gateway.region_limits import allowed_regions
 from gooseberryport_core.gateway.stopping import ANSWER_MARGIN_S
 from gooseberryport_core.gateway.upstreams import Upstream
 from gooseberryport_core.gateway.verdicts import MISDIRECTED_STATUS
@@ -114,6 +115,7 @@
         if isinstance(tenant, Reply):
             return tenant
         job = self._job(req, request_id, route, tenant)
+        job.routes, job.regions = routes, allowed_regions(route, tenant)
         identify(job, routes)
         self._state.record_client_request(now=req.arrived_at)
         if (rejection := self._admit(job)) is not None:
@@ -177,10 +179,12 @@
     async def _serve(self, job: Job) -> Reply:
         while True:
             now = self._loop.time()
+            self._follow_config(job)
             upstream = self._placer.choose(job, now=now)
             if upstream is None:
                 return self._replies.failed(job)
             job.sent_to.append(upstream.id)
+            job.sent_regions.append(self._state.region_of(upstream.entry.zone))
             attempt = await self._attempt(job, upstream)
             self._record_attempt(job, upstream, attempt, sent_at=now)
             if attempt.end is AttemptEnd.ANSWERED:
@@ -225,6 +229,32 @@
             return False
         return True
 
+    def _follow_config(self, job: Job) -> None:
+        """Apply the homes in force to a request that was placed by an earlier configuration.
+
+        If its route or its key is gone since, the last known homes of it bind.
+        """
+        state = self._state
+        job.config_age_s = state.config_age_s()
+        if state.routes is None or state.routes is job.routes:
+            return
+        job.routes = state.routes
+        host = (job.req.header(b"host") or b"").decode("latin-1")
+        route = state.routes.find(host=host, path=job.req.path)
+        tenant = self._keys.find_tenant(job.req)
+        job.regions = allowed_regions(route or job.route, tenant or job.tenant)
+
+    def _find_change(self, job: Job, upstream: Upstream, address: Address) -> str | None:
+        """Return why a request must not be sent where it was placed before a wait, or None."""
+        gate = self._state.statements.gate(upstream)
+        if gate in (Gate.LEAVING, Gate.PAUSED):
+            return str(gate.value)
+        if not self._state.upstreams.is_eligible(upstream) or upstream.entry.address != address:
+            return "gone"
+        self._follow_config(job)
+        region = self._state.region_of(upstream.entry.zone)
+        return None if job.is_allowed_in(region) else "outside its regions"
+
     async def _attempt(self, job: Job, upstream: Upstream) -> Attempt:
         upstream.in_flight += 1
         try:
@@ -233,14 +263,15 @@
             )
             conn = self._pool.acquire(upstream.id, max_idle_s=max_idle_s, excluded=job.conns)
             if conn is None:
-                conn = await self._pool.connect(upstream.id, upstream.entry.address)
+                address = upstream.entry.address
+                conn = await self._pool.connect(upstream.id, address)
                 self._state.metrics.connections.inc()
-                gate = self._state.statements.gate(upstream)
-                if gate in (Gate.LEAVING, Gate.PAUSED):
-                    # It announced this while the connection was opened.
+                change = self._find_change(job, upstream, address)
+                if change is not None:
+                    # It changed while the connection was opened.
                     self._pool.release(upstream.id, conn)
-                    self._state.metrics.placed_anew.labels(gate.value).inc()
-                    return Attempt(end=AttemptEnd.NOT_SENT, reason=f"the upstream is {gate.value}")
+                    self._state.metrics.placed_anew.labels(change).inc()
+                    return Attempt(end=AttemptEnd.NOT_SENT, reason=f"the upstream is {change}")
             return await self._send(job, upstream, conn)
         except NotSentError as exc:
             self._state.record_unreachable(upstream, reason=str(exc), now=self._loop.time())
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -81,7 +81,7 @@
         )
         self.placed_anew = Counter(
             "gooseberryport_placed_anew",
-            "Requests placed anew because their upstream leaves or pauses",
+            "Requests placed anew because of a change while a connection was opened",
             ("gate",),
             registry=self.registry,
         )
@@ -129,6 +129,11 @@
         self.config_version = Gauge(
             "gooseberryport_config_version", "Configuration in force", registry=self.registry
         )
+        self.config_age = Gauge(
+            "gooseberryport_config_age_seconds",
+            "Time since the store confirmed the configuration, directly or through other gateways",
+            registry=self.registry,
+        )
         self.store_epoch = Gauge(
             "gooseberryport_store_epoch",
             "Epoch of the store whose data is in use; it grows when the store returns from a copy",
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
+from gooseberryport_core.decoding import MAX_DURATION_S
 from gooseberryport_core.gateway.model import Route
 from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
 from gooseberryport_core.gateway.tenants import KeyRejection
@@ -123,10 +125,12 @@
         outcome = str(status) if status else "cancelled"
         self._state.metrics.requests.labels(job.route.name, outcome).inc()
         self._state.metrics.latency.labels(job.route.name).observe(took_s)
-        tenant = {}
+        more: dict[str, Any] = {}
         if job.tenant is not None:
             self._state.metrics.tenant_requests.record(job.tenant.name, status=status)
-            tenant = {"tenant": job.tenant.name}
+            more["tenant"] = job.tenant.name
+        if job.regions is not None:
+            more |= _region_fields(job)
         self._state.log.write_request(
             event,
             now=now,
@@ -141,7 +145,7 @@
             cause=job.cause,
             took_ms=round(took_s * 1000),
             config=self._state.routes.config.version if self._state.routes else None,
-            **tenant,
+            **more,
         )
 
     def _empty(self, status: int, request_id: bytes, *, retry_s: float | None = None) -> Reply:
@@ -153,6 +157,16 @@
         return Reply(status=status, headers=headers)
 
 
+def _region_fields(job: Job) -> dict[str, Any]:
+    """Return what a request with homes was placed by, for the log line of its end."""
+    return {
+        "regions": sorted(job.regions or ()),
+        "sent_regions": job.sent_regions,
+        "placed_by": job.routes.config.version if job.routes is not None else None,
+        "placed_age_ms": round(min(job.config_age_s, MAX_DURATION_S) * 1000),
+    }
+
+
 def _reply(response: HttpResponse) -> Reply:
     """Return an upstream's response as the reply to a client."""
     return Reply(
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -310,6 +310,7 @@
             self.state.rate_limits.expire(now=self._loop.time())
             self.state.warm_objects.refresh(now=self._loop.time())
             self._discovery.expire()
+            self.metrics.config_age.set(self.state.config_age_s())
             if self.state.ready and not was_ready:
                 was_ready = True
                 self.log.write(LogNumber.GATEWAY_READY)
--- a/packages/gooseberryport-gateway/tests/test_changed_homes.py
+++ b/packages/gooseberryport-gateway/tests/test_changed_homes.py
@@ -118,16 +118,17 @@
         assert in_a.requests_received == in_b.requests_received == []
 
 
-def change_entry(state, **changes):
-    entry = msgspec.structs.replace(state.upstreams.get("ua").entry, sequence=9, **changes)
-    state.put_upstream(entry, now=asyncio.get_running_loop().time())
+def change_entry(gateway_state, **changes):
+    known = gateway_state.upstreams.get("ua").entry
+    entry = msgspec.structs.replace(known, sequence=9, **changes)
+    gateway_state.put_upstream(entry, now=asyncio.get_running_loop().time())
 
 
 CHANGES = {
     "evacuated": lambda state: state.set_evacuated(["a1"]),
     "draining": lambda state: change_entry(state, state=UpstreamState.DRAINING),
     "removed": lambda state: state.remove_upstream("ua", reason="test", now=0.0),
-    "moved": lambda state: change_entry(state, address=("127.0.0.1", 1), started_ms=2),
+    "moved": lambda state: change_entry(state, address=("127.0.0.1", 1), started_ms=2000),
 }
 
 
