Tell idle gateways of availability zones without idle ones

Callers saw: a look-up at an idle gateway (one of a zone with more than three gateways that clients don't need) named its own zone for clients of every zone with three gateways or less, in other regions too.

Cause: idle gateways know other zones by digests only, and reporters made digests only if their own zone had idle gateways.

Change: reporters of two zones exchange digests if either of them has idle gateways.

Measured: test_gateways_know_zones_of_all_sizes fails without the change for all three sets of sizes and passes with it; with 6, 3, 3 and 3 gateways, 3 of 15 gateways named region A for both zones of region B before, and none now.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -351,15 +351,26 @@
             )
             reporters.update(member.vm for member in ranked[:REPORTERS])
         me_active = busy or self._me.vm in active
-        # Digests tell of gateways that report within their zone only.
-        has_idle = any(member.vm not in active for member in by_zone.get(self._me.zone, []))
-        me_reporter = self._me.vm in reporters and has_idle
+        # Idle gateways report, and are reported to, within their zone only: digests tell the other
+        # zones of them, and them of all other zones, even of those without idle gateways.
+        idle_zones = {
+            zone
+            for zone, members in by_zone.items()
+            if any(member.vm not in active for member in members)
+        }
+        me_reporter = self._me.vm in reporters
         listeners: list[Listener] = []
         for vm, state in self._states.items():
             if not _is_counted(state, now=now):
                 continue
             peer_active = vm in active or now - state.active_at < ACTIVE_TTL_S
-            both_report = me_reporter and vm in reporters
+            zone = state.member.zone
+            both_report = (
+                me_reporter
+                and vm in reporters
+                and zone != self._me.zone
+                and not idle_zones.isdisjoint((zone, self._me.zone))
+            )
             audience = self._audience(
                 state.member,
                 me_active=me_active,
@@ -368,7 +379,7 @@
             )
             if audience is not None:
                 digests = Digests.NONE
-                if me_reporter and state.member.zone == self._me.zone:
+                if me_reporter and zone == self._me.zone and zone in idle_zones:
                     digests = Digests.RECEIVED
                 elif both_report:
                     digests = Digests.OWN
--- a/packages/gooseberryport-core/tests/test_fleet.py
+++ b/packages/gooseberryport-core/tests/test_fleet.py
@@ -285,8 +285,7 @@
 class FleetSimulation:
     """Gateways that start together, know each other from the store, and report as planned."""
 
-    def __init__(self, *, zone_size):
-        members = all_members(zone_size)
+    def __init__(self, members):
         self.fleets = {me.vm: Fleet(me=me) for me in members}
         for fleet in self.fleets.values():
             fleet.set_listed(members, now=0.0, were_listed=True)
@@ -321,7 +320,7 @@
 
 @pytest.mark.parametrize("zone_size", [1, 2, 3, 12])
 def test_gateways_that_start_together_find_each_other(zone_size):
-    simulation = FleetSimulation(zone_size=zone_size)
+    simulation = FleetSimulation(all_members(zone_size))
     simulation.run(12)
     for zone in ZONES:
         answers = {frozenset(simulation.entry_points(vm, zone)) for vm in simulation.fleets}
@@ -333,9 +332,25 @@
     assert all(len(heard) == len(simulation.fleets) - 1 for heard in hearing.values())
 
 
+# Guards against idle gateways that never hear of a zone without idle ones, and send its clients to
+# another region.
+@pytest.mark.parametrize("sizes", [(6, 3, 3, 3), (6, 0, 2, 0), (4, 1, 0, 9)])
+def test_gateways_know_zones_of_all_sizes(sizes):
+    sizes = dict(zip(ZONES, sizes, strict=True))
+    simulation = FleetSimulation(
+        [member(f"{zone}-{n}", zone=zone) for zone, size in sizes.items() for n in range(size)]
+    )
+    simulation.run(12)
+    for zone in ZONES:
+        answers = {frozenset(simulation.entry_points(vm, zone)) for vm in simulation.fleets}
+        assert len(answers) == 1 and {REGIONS[name[:2]] for name in answers.pop()} == {
+            REGIONS[zone]
+        }
+
+
 @pytest.mark.parametrize("zone_size", [2, 3, 12])
 def test_dead_gateway_is_no_entry_point_anywhere_after_some_seconds(zone_size):
-    simulation = FleetSimulation(zone_size=zone_size)
+    simulation = FleetSimulation(all_members(zone_size))
     simulation.run(12)
     victim = sorted(simulation.entry_points("b1-0", "a1"))[0].removesuffix(":80")
     del simulation.fleets[victim]
