Log and count look-ups that leave the client's region

What was missing: nothing showed that the directory sends clients to other regions, nor why.

Change: GATEWAY_LOOKUP_ELSEWHERE, at most one line a second for each gateway, with the number of such look-ups, the region's gateways in the store, the ages of the newest datagram and digest from there, and the time since this gateway's start; gooseberryport_lookups counts look-ups by basis.

Measured: 50 look-ups give one line and a counter of 50 (test_lookups.py).

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -46,6 +46,12 @@
             ("outcome",),
             registry=self.registry,
         )
+        self.lookups = Counter(
+            "gooseberryport_lookups",
+            "Look-ups of gateways by basis of the answer",
+            ("basis",),
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "gooseberryport_store_calls",
             "Calls to the store by kind and outcome",
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pages.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pages.py
@@ -9,9 +9,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 from enum import Enum
+from math import inf
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
+from gooseberryport_core.gateway.lookups import Basis, EntryPoints
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, ZoneName
 from gooseberryport_gateway._client_messages import ClientRequest, Handler, Reply
 from gooseberryport_gateway._discovery import Discovery
@@ -25,6 +28,15 @@
 LOOKUP_TTL_S = 2.0
 """How long clients cache a lookup's result; a stopping gateway serves for longer; seconds."""
 
+ELSEWHERE_LOG_INTERVAL_S = 1.0
+"""Minimum interval between log lines on look-ups that name other regions; seconds."""
+
+MAX_LOGGED_ADDRESSES = 8
+"""Maximum addresses in such a line."""
+
+MAX_LOGGED_REGION_CHARS = 64
+"""Maximum length of a region in such a line, as clients may state any text."""
+
 
 class Listener(Enum):
     """A listener for pages; several may have the same address."""
@@ -143,6 +155,10 @@
         self._codec = codec
         self._metrics_text = metrics_text
         self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
+        # Look-ups that named other regions since the latest line on them.
+        self._elsewhere = 0
+        self._elsewhere_logged_at = -inf
         self._by_path: dict[str, tuple[Page, Callable[[ClientRequest], Awaitable[Reply]]]] = {
             codec.lookup_path: (Page.LOOKUP, self._lookup),
             codec.ready_path: (Page.READY, self._ready),
@@ -198,6 +214,9 @@
             demand_per_s=state.request_rate.per_s(now=now),
             now=now,
         )
+        state.metrics.lookups.labels(found.basis.value).inc()
+        if found.basis is Basis.ELSEWHERE:
+            self._log_elsewhere(region, found, now=now)
         if not found.addresses:
             return Reply(status=503, headers=[])
         ttl_s = min(LOOKUP_TTL_S, state.settings.bounds.max_lookup_ttl_s)
@@ -213,3 +232,24 @@
         if zone is None:
             return settings.zone, settings.region
         return zone, settings.regions.get(zone, settings.region)
+
+    def _log_elsewhere(self, region: RegionName, found: EntryPoints, *, now: float) -> None:
+        """Log that a client is sent to other regions, at most once in a while."""
+        self._elsewhere += 1
+        if now - self._elsewhere_logged_at < ELSEWHERE_LOG_INTERVAL_S:
+            return
+        state = self._state
+        evidence = state.fleet.region_evidence(region, now=now)
+        state.log.write(
+            LogNumber.GATEWAY_LOOKUP_ELSEWHERE,
+            client_region=region[:MAX_LOGGED_REGION_CHARS],
+            named=list(found.addresses[:MAX_LOGGED_ADDRESSES]),
+            lookups=self._elsewhere,
+            listed=evidence.listed,
+            heard_s=evidence.heard_s,
+            digest_s=evidence.digest_s,
+            up_s=round(now - self._started_at, 3),
+            phase=state.phase.value,
+        )
+        self._elsewhere = 0
+        self._elsewhere_logged_at = now
--- a/packages/gooseberryport-gateway/tests/test_lookups.py
+++ b/packages/gooseberryport-gateway/tests/test_lookups.py
@@ -3,9 +3,11 @@
 from types import SimpleNamespace
 from urllib.parse import parse_qsl
 
+import msgspec
 from gateway_harness import run, start_gateway
 
 from gooseberryport_core.gateway.model import Member
+from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._pages import Listener, Pages
 from gooseberryport_gateway.wire import ClientLocation
 from gooseberryport_standins.samples import make_route
@@ -65,3 +67,27 @@
             assert await look_up("zone=a1&region=A") is None
 
     run(main())
+
+
+# Guards against requests elsewhere that nobody can explain, and against a line for each look-up.
+def test_lookups_that_leave_the_region_are_counted_and_explained_once_a_second(tmp_path):
+    path = tmp_path / "log"
+
+    async def main():
+        with path.open("wb") as file:
+            async with start_gateway(make_route()) as gateway:
+                log = gateway.state.log = Log(vm="vm1", fd=file.fileno())
+                now = asyncio.get_running_loop().time()
+                fleet = gateway.state.fleet
+                fleet.set_listed([REMOTE], now=now - 20.0)
+                fleet.record_datagram("far", incarnation=1, ready=True, now=now - 9.0)
+                look_up = make_look_up(gateway)
+                for _ in range(50):
+                    assert await look_up("zone=b1&region=B") == ["127.0.0.1:1"]
+                log.flush()
+                return gateway.state.metrics.text().decode()
+
+    assert 'gooseberryport_lookups_total{basis="elsewhere"} 50.0' in run(main())
+    (line,) = map(msgspec.json.decode, path.read_bytes().splitlines())
+    assert (line["number"], line["client_region"], line["named"]) == (1158, "B", ["127.0.0.1:1"])
+    assert line["heard_s"] >= 9.0 and line["digest_s"] is None and line["listed"] == 1
