Take no upstream of an unknown availability zone for one of a home

Callers saw: a request with homes ran at an upstream whose zone the settings don't know, if the zone had the name of one of the homes, an empty one included.

Cause: the name of an unknown zone stood for its region.

Change: an unknown zone is in a region of its own, which no home names.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -61,6 +61,9 @@
 CAPACITY_TTL_S = 0.5
 """Time for which a summary of a service's upstreams is kept; seconds."""
 
+UNKNOWN_REGION_MARK = "\0"
+"""First character of what stands for the region of an unknown availability zone."""
+
 BUSY_TTL_S = 3.0
 """Time for which a gateway counts as serving clients after its last request; seconds."""
 
@@ -191,8 +194,11 @@
         return self.routes.config.limits if self.routes is not None else ClientLimits()
 
     def region_of(self, zone: ZoneName) -> RegionName:
-        """Return the region of an availability zone."""
-        return self.settings.regions.get(zone, RegionName(zone))
+        """Return the region of an availability zone.
+
+        A zone that the settings don't know is in a region of its own, which no home names.
+        """
+        return self.settings.regions.get(zone, RegionName(f"{UNKNOWN_REGION_MARK}{zone}"))
 
     def is_local(self, upstream: Upstream) -> bool:
         """Return whether an upstream is in this gateway's region."""
