Test that a rule whose homes can't be read is rejected

Found nothing wrong: seven malformed values of a rule's allowedRegions reject the document, and four odd lists are taken as stated (test_site_codec.py, held at once).

--- a/tests/test_site_codec.py
+++ b/tests/test_site_codec.py
@@ -185,6 +185,21 @@
         PlatformCodec().config(item(bad, "op/config"))
 
 
+# Guards against a rule that is served everywhere since its homes can't be read.
+@pytest.mark.parametrize("bad", [None, "A", 7, {}, [7], [None], ["A", 7]])
+def test_configuration_with_malformed_homes_of_a_route_is_rejected(bad):
+    path = ("listeners", 0, "rules", 0, "action", "allowedRegions")
+    with pytest.raises(ValueError, match="allowedRegions"):
+        PlatformCodec().config(item(with_field(CONFIG, bad, *path), "op/config"))
+
+
+@pytest.mark.parametrize("homes", [[], [""], ["A", "A"], ["unknown", "B"]])
+def test_homes_of_a_route_are_taken_as_stated(homes):
+    path = ("listeners", 0, "rules", 0, "action", "allowedRegions")
+    config = PlatformCodec().config(item(with_field(CONFIG, homes, *path), "op/config"))
+    assert config.routes[0].allowed_regions == set(homes)
+
+
 # Guards against connections that close before a request over them can arrive.
 @pytest.mark.parametrize("field", ["headerTimeoutMs", "idleTimeoutMs"])
 @pytest.mark.parametrize("stated_ms", [-5, 0, -1e300, 0.001, 1e300, 100, 86_400_000, 3000])
