Take a gateway that leaves the store's list while it serves for one that stops

Callers saw: with all gateways of a region stopped, gateways elsewhere that exchange digests only, or no requests lately, sent its clients away at once or when the last datagram was 3 s old.

Cause: a gateway without clients reports within its zone only, so others never hear that it stops; and the first datagram that said so was taken for that of a start.

Change: an entry that is removed while its gateway is alive counts as the begin of a stop, and so does the first datagram that is not ready of a gateway that digests knew to serve. Gateways that were listed again do not stop. Lost ones stay listed until after they are silent, and are left at once as before.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/fleet.py
@@ -112,8 +112,8 @@
     known_since
         Time at which it was first listed, or listed again after a restart; monotonic seconds.
     stopped_at
-        Time of the first datagram in which it no longer served clients; infinite if it serves them,
-        or did not yet; monotonic seconds.
+        Time at which it left the store's list while it served clients, or of its first datagram in
+        which it no longer served them; infinite if neither has happened; monotonic seconds.
     active_at
         Time of its last datagram that said that it serves clients; monotonic seconds.
     """
@@ -135,6 +135,10 @@
     return state.listed or now - state.last_seen_at < DEPARTED_MEMBER_TTL_S
 
 
+def _is_kept(state: _MemberState, *, now: float) -> bool:
+    return _is_counted(state, now=now) or 0.0 <= now - state.stopped_at < DEPARTED_MEMBER_TTL_S
+
+
 def _may_run(state: _MemberState, *, now: float) -> bool:
     left_s = now - state.last_seen_at
     return state.listed or (state.ready and left_s < DEPARTED_QUOTA_TTL_S)
@@ -190,10 +194,12 @@
         self._lookups.clear()
         for vm, old in self._states.items():
             if vm not in listed:
+                # A gateway that stops removes its entry at once; that of a lost one is listed
+                # until it has been silent for long.
+                if old.listed and old.ready and self._is_alive(old, now=now):
+                    old.stopped_at = now
                 old.listed = False
-        self._states = {
-            vm: state for vm, state in self._states.items() if _is_counted(state, now=now)
-        }
+        self._states = {vm: state for vm, state in self._states.items() if _is_kept(state, now=now)}
         for vm, member in listed.items():
             state = self._states.get(vm)
             if state is None or state.member.incarnation != member.incarnation:
@@ -208,6 +214,8 @@
                 self._sharing_at = -inf
             else:
                 state.member = member
+                if not state.listed and state.ready:
+                    state.stopped_at = inf
                 state.listed = True
                 state.last_seen_at = now
 
@@ -250,8 +258,8 @@
         if incarnation != state.member.incarnation:
             state.member = msgspec.structs.replace(state.member, incarnation=incarnation)
             state.stopped_at = inf
-        elif state.ready and not ready and state.last_received_at > -inf:
-            state.stopped_at = now
+        elif state.ready and not ready and self._has_served(state, now=now):
+            state.stopped_at = min(state.stopped_at, now)
         if ready:
             state.stopped_at = inf
         if not self._is_in_contact(state, now=now) or state.ready != ready:
@@ -264,6 +272,13 @@
         if active:
             state.active_at = now
 
+    def _has_served(self, state: _MemberState, *, now: float) -> bool:
+        """Return whether a gateway has served clients, so that it stops if it is not ready."""
+        if state.last_received_at > -inf:
+            return True
+        is_new = now - state.listed_at < FIRST_DATAGRAM_TIMEOUT_S
+        return not is_new and self._is_alive(state, now=now)
+
     def record_digests(self, digests: Iterable[ZoneDigest], *, now: float) -> None:
         """Record digests of other availability zones; of each zone the newest counts."""
         for digest in digests:
--- a/packages/gooseberryport-core/tests/test_entry_points_regions.py
+++ b/packages/gooseberryport-core/tests/test_entry_points_regions.py
@@ -57,6 +57,39 @@
     assert look_up(fleet, now=17.5) == (Basis.ELSEWHERE, ["me"])
 
 
+# Guards against the same where the stop is known only from the store's list, since gateways without
+# clients report to those of their zone only.
+@pytest.mark.parametrize("heard_at", [None, 59.0])
+def test_region_whose_gateways_leave_the_list_while_they_serve_is_awaited(heard_at):
+    fleet = fleet_of(B1, B2, heard_at=heard_at)
+    fleet.record_digests([ZoneDigest(zone, 0.0, [], 0.0) for zone in ("b1", "b2")], now=59.0)
+    fleet.set_listed([], now=60.0)
+    expected = Basis.CLOSING if heard_at is None else Basis.REGION
+    assert look_up(fleet, now=60.1) == (expected, ["b1", "b2"])
+    assert look_up(fleet, now=62.1) == (Basis.AWAITED, [])
+    assert look_up(fleet, now=66.1) == (Basis.ELSEWHERE, ["me"])
+    fleet.set_listed([B1], now=66.2)
+    fleet.set_listed([], now=120.0)
+    assert look_up(fleet, now=120.1) == (Basis.ELSEWHERE, ["me"])
+
+
+# Guards against a list that the store lost in an outage and that is taken for a stop of all.
+def test_gateways_that_are_listed_again_do_not_stop():
+    fleet = fleet_of(B1, heard_at=59.0)
+    fleet.set_listed([], now=60.0)
+    fleet.set_listed([B1], now=61.0)
+    hear(fleet, "b1", now=61.1)
+    assert look_up(fleet, now=61.2) == (Basis.REGION, ["b1"])
+    assert look_up(fleet, now=61.2 + REMOTE_REGION_TIMEOUT_S) == (Basis.ELSEWHERE, ["me"])
+
+
+def test_first_report_of_a_stop_by_a_gateway_known_from_digests_counts():
+    fleet = fleet_of(B1)
+    fleet.record_digests([ZoneDigest("b1", 0.0, [], 0.0)], now=59.0)
+    hear(fleet, "b1", now=60.0, ready=False)
+    assert look_up(fleet, now=60.1) == (Basis.CLOSING, ["b1"])
+
+
 @pytest.mark.parametrize(
     ("phase", "expected"),
     [
