Give each watch of the store a time that the configuration bound allows

Seen by callers: while the open connections to the store are silent for good and new ones work, a gateway applied a new configuration (the homes of routes with it) 3.8 s after the store had accepted it; 2 s are allowed.

Cause: the pause, the wait for changes (2 s) and the wait for the answer (1 s) added up to 3.8 s at a bound of 2 s, 4.2 s at 3 s. The times that did follow from a bound followed from that on draining only; that on configurations was not read.

Change: all ages follow from the shorter of drainMs and configApplyMs, by fractions in the core's state_ages module: pause and wait 0.5, the begin of the answer 0.3.

Tests: the constants that tests patched have moved. The settled wait for changes, which a test compares with the short one, was 2 s and is 0.2 s at that test's bound; the short one stays 0.1 s.

--- /dev/null
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/state_ages.py
@@ -0,0 +1,105 @@
+"""How old a gateway's state may become, and how long each of its sources may take.
+
+Failure pattern: a source of changes fails without a sign: a connection goes silent for good while
+new ones work, or the gateway that watches the store for this one loses its power. A change that is
+made just then must still be in force in time, though the source is found to be silent first, and
+another one is asked then. All times are therefore fractions of that bound. Of a direct watch, the
+pause and the wait for changes (0.5) and the wait for an answer (0.3) leave a fifth for a new
+connection and a slow answer. Of a relayed state, the age (0.62) and a held request (0.17) leave as
+much.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+WATCH_PAUSE_FRACTION = 0.4
+"""Pause after a watch that returned changes: upstreams report continuously, and each call is
+billed."""
+
+RELAYED_WATCH_PAUSE_FRACTION = 0.33
+"""The same for a watcher whose state other gateways use, which adds the delay of their requests. It
+pauses after every watch, so that the watches have a fixed rate."""
+
+WATCH_FRACTION = 0.5
+"""The pause and the time for which the store may leave a watch unanswered while nothing changes,
+together."""
+
+MIN_WATCH_WAIT_S = 0.2
+"""The least that the latter may be; seconds."""
+
+SHORT_WATCH_WAIT_S = 0.1
+"""The same for such a watcher, since the age of its state, which other gateways check, must not
+grow while nothing changes; and after a failed call, since a call that the store lost in an outage
+is never answered and hides that the store is available again; seconds."""
+
+ANSWER_FRACTION = 0.3
+"""Time within which the answer to a watch must begin, beyond the wait for changes."""
+
+MIN_ANSWER_S = 0.5
+"""The least that this may be; a slow store answers within a few hundred milliseconds."""
+
+LONG_POLL_FRACTION = 0.17
+"""How long a watcher holds a request while nothing changes."""
+
+MAX_AGE_FRACTION = 0.62
+"""Maximum age of another gateway's state that may be used: covers the pause between watches and a
+request held by another region's watcher."""
+
+
+class StateAges(msgspec.Struct, frozen=True):
+    """Times that follow from the bound within which a change must be in force.
+
+    Parameters
+    ----------
+    bound_s
+        The shorter of the times within which a draining upstream must get no more requests and a
+        configuration must be in force; seconds.
+    """
+
+    bound_s: float
+
+    @property
+    def max_age_s(self) -> float:
+        """Maximum age of another gateway's state that may be used; seconds."""
+        return self.bound_s * MAX_AGE_FRACTION
+
+    @property
+    def long_poll_s(self) -> float:
+        """How long a watcher holds a request while nothing changes; seconds."""
+        return self.bound_s * LONG_POLL_FRACTION
+
+    @property
+    def answer_s(self) -> float:
+        """Time within which the answer to a watch must begin, beyond the wait; seconds."""
+        return max(self.bound_s * ANSWER_FRACTION, MIN_ANSWER_S)
+
+    def pause_s(self, *, is_used: bool, has_changes: bool) -> float:
+        """Return the pause after a watch; seconds.
+
+        Parameters
+        ----------
+        is_used
+            Whether other gateways use this one's state.
+        has_changes
+            Whether the watch returned changes.
+        """
+        if is_used:
+            return self.bound_s * RELAYED_WATCH_PAUSE_FRACTION
+        return self.bound_s * WATCH_PAUSE_FRACTION if has_changes else 0.0
+
+    def wait_s(self, *, is_used: bool, has_failed: bool, paused_s: float) -> float:
+        """Return how long the store may leave a watch unanswered while nothing changes; seconds.
+
+        Parameters
+        ----------
+        is_used
+            Whether other gateways use this one's state.
+        has_failed
+            Whether the last call failed.
+        paused_s
+            The pause before this watch; seconds.
+        """
+        if is_used or has_failed:
+            return SHORT_WATCH_WAIT_S
+        return max(self.bound_s * WATCH_FRACTION - paused_s, MIN_WATCH_WAIT_S)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -36,23 +36,6 @@
     StoreSnapshot,
 )
 
-WATCH_PAUSE_FRACTION = 0.4
-"""Pause between watches, as a fraction of the time after which a draining upstream gets no more
-requests: upstreams report continuously, each call is billed, and a slow call must fit as well."""
-
-RELAYED_WATCH_PAUSE_FRACTION = 0.33
-"""The same for a watcher whose state other gateways use, which adds the delay of their requests. It
-pauses after every watch, so that the watches have a fixed rate."""
-
-SHORT_WATCH_TIMEOUT_S = 0.1
-"""The same as `WATCH_TIMEOUT_S` for such a watcher, since the age of its state, which other
-gateways check, must not grow while nothing changes; and after a failed call, since a call that the
-store lost in an outage is never answered and hides that the store is available again; seconds."""
-
-WATCH_TIMEOUT_S = 2.0
-"""How long the store may leave a watch unanswered while nothing changes; a watch that is unanswered
-for longer shows that the connection is dead; seconds."""
-
 MIN_START_RETRY_DELAY_S = 0.1
 MAX_START_RETRY_DELAY_S = 0.4
 """Bounds of the delay between two requests for another gateway's state; seconds."""
@@ -133,6 +116,7 @@
         pause_s = MIN_RETRY_DELAY_S
         after = await self._load_state_at_start()
         has_failed = False
+        paused_s = 0.0
         while True:
             try:
                 if after is not None and after.epoch != self._store.epoch.current:
@@ -144,19 +128,19 @@
                     after = self._position
                     continue
                 is_used = self.relay.is_used
-                wait_s = SHORT_WATCH_TIMEOUT_S if is_used or has_failed else WATCH_TIMEOUT_S
-                page = await self._store.watch("", after=after, wait_s=wait_s)
+                ages = self._state.settings.bounds.ages
+                wait_s = ages.wait_s(is_used=is_used, has_failed=has_failed, paused_s=paused_s)
+                page = await self._store.watch(
+                    "", after=after, wait_s=wait_s, answer_s=ages.answer_s
+                )
                 has_failed = False
                 after = self._position = page.position
                 self._record_store_reachable(reachable=True, reason="")
                 self.relay.record_store_page(page)
                 self._stored.apply(page.items)
                 pause_s = MIN_RETRY_DELAY_S
-                drain_s = self._state.settings.bounds.drain_s
-                if is_used:
-                    await asyncio.sleep(drain_s * RELAYED_WATCH_PAUSE_FRACTION)
-                elif page.items:
-                    await asyncio.sleep(drain_s * WATCH_PAUSE_FRACTION)
+                paused_s = ages.pause_s(is_used=is_used, has_changes=bool(page.items))
+                await asyncio.sleep(paused_s)
             except EpochChangedError:
                 continue
             except HistoryGoneError:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -46,12 +46,9 @@
 MIN_GATEWAYS_FOR_RELAY = 5
 """Minimum gateways of a region for using watchers; with fewer the saving is small."""
 
-LONG_POLL_FRACTION = 0.17
-"""How long a watcher holds a request while nothing changes, as a fraction of the time within which
-a draining upstream must get no more requests."""
-
 LONG_POLL_MARGIN_S = 0.3
-"""Time for the reply beyond that: many round trips within a region; seconds."""
+"""Time for the reply beyond that for which a watcher holds a request: many round trips within a
+region; seconds."""
 
 AVOID_WATCHER_WINDOW_S = 2.0
 """How long a watcher that did not reply is avoided; seconds."""
@@ -60,11 +57,6 @@
 """Time after a request for changes for which this gateway counts as a watcher for others; seconds.
 """
 
-MAX_AGE_FRACTION = 0.62
-"""Maximum age of a watcher's state, as a fraction of the time within which a draining upstream must
-get no more requests: covers the pause between watches and a request held by another region's
-watcher, and leaves the time for an unanswered request and a watch by this gateway."""
-
 COLD_TOLERANCE_S = 0.5
 """A cold upstream's entry is relayed again if the time at which the upstream stops being cold moved
 by this or more; seconds."""
@@ -235,7 +227,7 @@
     @property
     def max_age_s(self) -> float:
         """Maximum age of another gateway's state that this one may use; seconds."""
-        return self._state.settings.bounds.drain_s * MAX_AGE_FRACTION
+        return self._state.settings.bounds.ages.max_age_s
 
     @property
     def is_used(self) -> bool:
@@ -244,7 +236,7 @@
 
     @property
     def _long_poll_s(self) -> float:
-        return self._state.settings.bounds.drain_s * LONG_POLL_FRACTION
+        return self._state.settings.bounds.ages.long_poll_s
 
     @property
     def state_age_s(self) -> float:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -10,6 +10,7 @@
 
 from gooseberryport_core.gateway.announcements import Announcement
 from gooseberryport_core.gateway.model import RoutingConfig, UpstreamEntry
+from gooseberryport_core.gateway.state_ages import StateAges
 from gooseberryport_core.gateway.store_epochs import UNKNOWN_EPOCH, StoreEpoch, StorePosition
 from gooseberryport_core.gateway.warmth import WarmthRecord
 from gooseberryport_core.types import RegionName, UpstreamId, VmId, ZoneName
@@ -80,6 +81,12 @@
     quota_slack: float = 0.0
     strict_revoke: bool = False
     revoke_s: float = 0.0
+    config_apply_s: float = inf
+
+    @property
+    def ages(self) -> StateAges:
+        """Ages that the gateway's state may have, so that each change is in force in time."""
+        return StateAges(bound_s=min(self.drain_s, self.config_apply_s))
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
@@ -233,8 +240,12 @@
     async def read_range(self, prefix: str) -> StorePage:
         """Return all items under a prefix, all of one epoch."""
 
-    async def watch(self, prefix: str, *, after: StorePosition, wait_s: float) -> StorePage:
-        """Return the changes after a position as soon as there are any.
+    async def watch(
+        self, prefix: str, *, after: StorePosition, wait_s: float, answer_s: float
+    ) -> StorePage:
+        """Return the changes after a position as soon as there are any, or none after `wait_s`.
+
+        The answer must begin within `answer_s` beyond that.
 
         Raises
         ------
--- a/tests/soak_harness.py
+++ b/tests/soak_harness.py
@@ -239,6 +239,7 @@
         self.delay_s = 0.0
         self._directions_open = {"up": asyncio.Event(), "down": asyncio.Event()}
         self._transports = set()
+        self._silenced = 0
         self._server = None
         self.port = 0
         self.restore()
@@ -261,6 +262,10 @@
         for transport in list(self._transports):
             transport.abort()
 
+    def silence_connections(self):
+        """Drop what the open connections carry from now on; new ones work."""
+        self._silenced += 1
+
     def close(self):
         if self._server is not None:
             self._server.close()
@@ -292,10 +297,13 @@
             self._transports -= ends
 
     async def _forward(self, reader, writer, direction):
+        silenced = self._silenced
         while data := await reader.read(65536):
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             await self._directions_open[direction].wait()
+            if silenced != self._silenced:
+                continue
             writer.write(data)
             await writer.drain()
         await self._directions_open[direction].wait()
--- /dev/null
+++ b/tests/test_config_age.py
@@ -0,0 +1,59 @@
+"""Gateways that new connections reach apply a configuration in time, whichever source fails."""
+
+import asyncio
+
+import msgspec
+from store_standin import store_standin
+from test_relay import region
+from test_site_discovery import ENTRY, config, entry, wait_until
+
+BOUND_S = 2.0
+"""Time within which a configuration must be in force, the shortest of the sites; seconds."""
+
+
+def run_region(scenario, *, size, tmp_path):
+    """Run a scenario beside a report of an upstream each 0.1 s, with the pace of a real site."""
+
+    async def report(standin):
+        number = 10
+        while True:
+            await standin.put("servers/u1", entry(sequence=number))
+            number += 1
+            await asyncio.sleep(0.1)
+
+    async def main():
+        with (tmp_path / "log").open("wb") as log:
+            async with store_standin() as (standin, _):
+                await standin.put("servers/u1", ENTRY)
+                await standin.put("op/config", config(1))
+                async with region(standin, log, size=size) as gateways:
+                    for gateway in gateways:
+                        settings = gateway.state.settings
+                        bounds = msgspec.structs.replace(settings.bounds, drain_s=BOUND_S)
+                        gateway.state.settings = msgspec.structs.replace(settings, bounds=bounds)
+                    reports = asyncio.create_task(report(standin))
+                    try:
+                        await wait_until(lambda: all(gateway.state.ready for gateway in gateways))
+                        await asyncio.sleep(1.0)
+                        await scenario(standin, gateways)
+                    finally:
+                        reports.cancel()
+
+    asyncio.run(asyncio.wait_for(main(), 30))
+
+
+async def time_to_apply(standin, gateway, *, version=2):
+    """Write a configuration, and return how long a gateway takes to apply it; seconds."""
+    loop = asyncio.get_running_loop()
+    await standin.put("op/config", config(version))
+    written_at = loop.time()
+    await wait_until(lambda: gateway.state.routes.config.version == version, within_s=9.0)
+    return loop.time() - written_at
+
+
+def test_connections_to_the_store_that_go_silent(tmp_path):
+    async def scenario(standin, gateways):
+        gateways[0].store_link.silence_connections()
+        assert await time_to_apply(standin, gateways[0]) < BOUND_S
+
+    run_region(scenario, size=1, tmp_path=tmp_path)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,7 +9,8 @@
 from store_standin import store_standin
 from test_site_discovery import ENTRY, OWN_MEMBER, config, entry, make_state, usable_ids, wait_until
 
-from gooseberryport_gateway import _discovery, _relay
+from gooseberryport_core.gateway import state_ages
+from gooseberryport_gateway import _relay
 from gooseberryport_gateway._client_conn import ClientConn, Reply
 from gooseberryport_gateway._discovery import Discovery
 from gooseberryport_gateway._peer_snapshots import SNAPSHOT_PATH
@@ -125,9 +126,8 @@
 def run_scenario(
     scenario, *, size, tmp_path, monkeypatch, places=(("a1", "A", 0.0),), watchers=None, era=None
 ):
-    monkeypatch.setattr(_discovery, "WATCH_TIMEOUT_S", 0.3)
     monkeypatch.setattr(_relay, "AVOID_WATCHER_WINDOW_S", 0.2)
-    monkeypatch.setattr(_relay, "MAX_AGE_FRACTION", 20.0)
+    monkeypatch.setattr(state_ages, "MAX_AGE_FRACTION", 20.0)
 
     async def main():
         with (tmp_path / "log").open("wb") as log:
@@ -186,7 +186,7 @@
         others = [gateway for gateway in gateways if not gateway.silent]
         assert len(others) == 6
         drain_s = others[0].state.settings.bounds.drain_s
-        within_s = _relay.LONG_POLL_FRACTION * drain_s + _relay.LONG_POLL_MARGIN_S + 0.7
+        within_s = state_ages.LONG_POLL_FRACTION * drain_s + _relay.LONG_POLL_MARGIN_S + 0.7
         await wait_until(
             lambda: all(usable_ids(other.state) == [] for other in others), within_s=within_s
         )
@@ -211,7 +211,7 @@
 
 def test_stale_watcher_is_not_followed(tmp_path, monkeypatch):
     async def scenario(standin, gateways):
-        monkeypatch.setattr(_relay, "MAX_AGE_FRACTION", 0.0)
+        monkeypatch.setattr(state_ages, "MAX_AGE_FRACTION", 0.0)
         before = count_watch_calls(standin)
         await publish_upstream_states(standin, 5)
         assert all(
--- a/tests/test_site_codec.py
+++ b/tests/test_site_codec.py
@@ -12,6 +12,7 @@
     Repeatability,
     UpstreamState,
 )
+from gooseberryport_core.gateway.state_ages import StateAges
 from gooseberryport_gateway._client_conn import ClientConn, Reply
 from gooseberryport_gateway.errors import SettingsError
 from gooseberryport_gateway.wire import StoreItem
@@ -246,6 +247,11 @@
     )
     assert settings.control == ""
     assert settings.bounds.grace_s == 6.0
+    # Failure: a configuration that must be in force before a drain does is applied too late.
+    bounds = {"drainMs": 3000, "configApplyMs": 2500}
+    assert decode_settings(json.dumps(SETTINGS | {"bounds": bounds}).encode()).bounds.ages == (
+        StateAges(bound_s=2.5)
+    )
     assert settings.peer_port == 7720
     # Failure: a settings file of an earlier release, without the switch, changes the placement.
     assert not settings.even_load
--- a/tests/test_site_discovery.py
+++ b/tests/test_site_discovery.py
@@ -5,9 +5,10 @@
 import msgspec
 from store_standin import store_standin
 
+from gooseberryport_core.gateway import state_ages
 from gooseberryport_core.gateway.model import Member
 from gooseberryport_core.gateway.warmth import WarmthRecord
-from gooseberryport_gateway import _discovery, _peer_snapshots, _relay
+from gooseberryport_gateway import _peer_snapshots
 from gooseberryport_gateway._discovery import Discovery
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway._metrics import Metrics
@@ -15,7 +16,7 @@
 from gooseberryport_gateway.errors import StoreError
 from gooseberryport_gateway.wire import Bounds, GatewaySettings, StoreSnapshot
 from gooseberryport_site.codec import PlatformCodec
-from gooseberryport_site.store import CALL_TIMEOUT_S, PlatformStore
+from gooseberryport_site.store import PlatformStore
 from gooseberryport_standins.streams import start_stream_server
 
 ENTRY = {
@@ -79,7 +80,6 @@
 
 
 def run_scenario(scenario, *, tmp_path, monkeypatch):
-    monkeypatch.setattr(_discovery, "WATCH_TIMEOUT_S", 0.3)
 
     async def main():
         log_path = tmp_path / "log"
@@ -277,7 +277,7 @@
 
 
 def test_starting_gateway_reads_another_ones_state_instead_of_the_store(tmp_path, monkeypatch):
-    monkeypatch.setattr(_relay, "MAX_AGE_FRACTION", 20.0)
+    monkeypatch.setattr(state_ages, "MAX_AGE_FRACTION", 20.0)
 
     async def scenario(standin, state, discovery):
         await standin.put("op/config", config(3))
@@ -352,7 +352,7 @@
 
 
 def test_warmth_of_another_region_is_passed_on_as_it_was_saved(tmp_path, monkeypatch):
-    monkeypatch.setattr(_relay, "MAX_AGE_FRACTION", 20.0)
+    monkeypatch.setattr(state_ages, "MAX_AGE_FRACTION", 20.0)
 
     async def scenario(standin, state, discovery):
         record = msgspec.msgpack.encode(WarmthRecord(started_ms=ENTRY["born"], marks=(5, 6)))
@@ -371,7 +371,7 @@
 
 
 def test_gateway_that_starts_with_its_seeds_waits_for_their_state(tmp_path, monkeypatch):
-    monkeypatch.setattr(_relay, "MAX_AGE_FRACTION", 20.0)
+    monkeypatch.setattr(state_ages, "MAX_AGE_FRACTION", 20.0)
 
     async def scenario(standin, state, discovery):
         await standin.put("op/config", config(3))
@@ -408,12 +408,12 @@
     def __getattr__(self, name):
         return getattr(self._store, name)
 
-    async def watch(self, prefix, *, after, wait_s):
+    async def watch(self, prefix, *, after, wait_s, answer_s):
         self.watches.append(wait_s)
         if self.is_down:
-            await asyncio.sleep(wait_s + CALL_TIMEOUT_S)
+            await asyncio.sleep(wait_s + answer_s)
             raise StoreError("no answer")
-        return await self._store.watch(prefix, after=after, wait_s=wait_s)
+        return await self._store.watch(prefix, after=after, wait_s=wait_s, answer_s=answer_s)
 
 
 def test_return_of_a_silent_store_is_noticed_within_two_seconds(tmp_path):
@@ -432,9 +432,9 @@
                 silent.is_down = False
                 await standin.put("op/config", config(9))
                 await wait_until(lambda: state.routes.config.version == 9, within_s=2.0)
-                assert silent.watches[0] == _discovery.WATCH_TIMEOUT_S
+                assert silent.watches[0] == state_ages.MIN_WATCH_WAIT_S
                 await wait_until(
-                    lambda: silent.watches[-1] == _discovery.WATCH_TIMEOUT_S, within_s=2.0
+                    lambda: silent.watches[-1] == state_ages.MIN_WATCH_WAIT_S, within_s=2.0
                 )
                 task.cancel()
 
--- a/tests/test_site_store.py
+++ b/tests/test_site_store.py
@@ -141,3 +141,28 @@
         server.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("begins", [False, True])
+def test_watch_ends_unless_its_answer_has_begun_in_time(begins):
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        body = b'{"events": [], "storeRevision": 7}'
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        writer.write(head if begins else b"")
+        await asyncio.sleep(0.6)
+        writer.write(body if begins else head + body)
+
+    async def main():
+        server = await start_stream_server(serve)
+        store = PlatformStore(address=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        watch = store.watch("", after=StorePosition(0, 1), wait_s=0.1, answer_s=0.2)
+        if begins:
+            assert (await watch).position.revision == 7
+        else:
+            with pytest.raises(StoreError):
+                await watch
+        store.close()
+        server.close()
+
+    run(main())
--- a/tests/test_warmth_keeper.py
+++ b/tests/test_warmth_keeper.py
@@ -7,8 +7,9 @@
 from store_standin import store_standin
 from test_site_discovery import ENTRY, config, make_state, wait_until
 
+from gooseberryport_core.gateway import state_ages
 from gooseberryport_core.gateway.warmth import WarmthRecord
-from gooseberryport_gateway import _discovery, _state, _warmth_store
+from gooseberryport_gateway import _state, _warmth_store
 from gooseberryport_gateway._discovery import Discovery
 from gooseberryport_site.codec import PlatformCodec
 
@@ -31,7 +32,7 @@
 
 
 def run_scenario(scenario, *, tmp_path, monkeypatch):
-    monkeypatch.setattr(_discovery, "WATCH_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(state_ages, "MIN_WATCH_WAIT_S", 0.1)
     monkeypatch.setattr(_warmth_store, "SAVE_INTERVAL_S", 0.05)
 
     async def main():
