Ask other gateways for changes while the store rejects this one

Seen by callers: a gateway that the store rejects, with 503 or 429 and a Retry-After of 10 s, ran requests by the configuration from before for more than 9 s, though the gateways beside it had the new one; and for 6.7 s after the store served all gateways again.

Cause: the one loop that follows changes slept for as long as the store asked (up to 10 s) after a failed call, and asked nobody. In regions of fewer than five gateways there was no other source at all.

Change: while the store must not be called, changes come from another gateway that the store answers: of the own region, of the region near the store, of any other. Such a gateway does not count as one that follows the store, so that none elects it as a watcher. The store gets the pause that it asks for while the state is recent; once that is older than what gateways may use of each other, it is called each 0.4 of the bound (the core's StoreRetries). A gateway whose watcher fails leaves its own watch after 0.1 s without changes, to ask another one.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/state_ages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/state_ages.py
@@ -47,6 +47,15 @@
 request held by another region's watcher."""
 
 
+MIN_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 0.5
+"""Bounds of the mean delay after a failed call if no other gateway has recent state; seconds."""
+
+MAX_SPARED_DELAY_S = 2.0
+"""Longest mean delay after a failed call while other gateways have recent state, unless the store
+asks for a longer one; seconds."""
+
+
 class StateAges(msgspec.Struct, frozen=True):
     """Times that follow from the bound within which a change must be in force.
 
@@ -69,6 +78,11 @@
         """How long a watcher holds a request while nothing changes; seconds."""
         return self.bound_s * LONG_POLL_FRACTION
 
+    @property
+    def max_store_pause_s(self) -> float:
+        """Longest pause between calls to the store if others have no recent state; seconds."""
+        return self.bound_s * WATCH_PAUSE_FRACTION
+
     @property
     def answer_s(self) -> float:
         """Time within which the answer to a watch must begin, beyond the wait; seconds."""
@@ -103,3 +117,62 @@
         if is_used or has_failed:
             return SHORT_WATCH_WAIT_S
         return max(self.bound_s * WATCH_FRACTION - paused_s, MIN_WATCH_WAIT_S)
+
+
+class StoreRetries:
+    """When the store may be called again after calls that failed.
+
+    Failure pattern: the store rejects some gateways, and asks them to pause for seconds, while it
+    serves the others and the operator; or it rejects all. While other gateways have recent state,
+    the store gets the pause that it asks for. A gateway whose state gets too old calls it sooner:
+    what was acknowledged meanwhile must be in force soon after the rejection ends.
+    """
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._failed_at = float("-inf")
+        self._retry_after_s = 0.0
+        self._spread = 1.0
+
+    def record_success(self) -> None:
+        """Record that the store answered a call."""
+        self._failures = 0
+
+    def record_failure(self, *, retry_after_s: float, spread: float, now: float) -> None:
+        """Record that a call failed.
+
+        Parameters
+        ----------
+        retry_after_s
+            Pause that the store asks for, or 0; seconds.
+        spread
+            Factor of the delay that spreads the gateways' calls.
+        now
+            Monotonic time; seconds.
+        """
+        self._failures += 1
+        self._failed_at = now
+        self._retry_after_s = retry_after_s
+        self._spread = spread
+
+    def left_s(self, *, age_s: float, ages: StateAges, now: float) -> float:
+        """Return how long the store must not be called yet, 0 or less for now; seconds.
+
+        Parameters
+        ----------
+        age_s
+            How long ago the store confirmed this gateway's state; seconds.
+        ages
+            Ages that the state may have.
+        now
+            Monotonic time; seconds.
+        """
+        if self._failures == 0:
+            return 0.0
+        is_recent = age_s <= ages.max_age_s
+        longest_s = MAX_SPARED_DELAY_S if is_recent else MAX_RETRY_DELAY_S
+        delay_s = min(MIN_RETRY_DELAY_S * 2.0 ** min(self._failures - 1, 10), longest_s)
+        pause_s = max(self._retry_after_s, delay_s * self._spread)
+        if not is_recent:
+            pause_s = min(pause_s, ages.max_store_pause_s)
+        return self._failed_at + pause_s - now
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from gooseberryport_core.gateway.model import Member
+from gooseberryport_core.gateway.state_ages import StoreRetries
 from gooseberryport_core.gateway.store_epochs import UNKNOWN_EPOCH, StorePosition
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId
@@ -43,9 +45,8 @@
 SNAPSHOT_CACHE_S = 0.3
 """Time for which an encoded snapshot is served again; seconds."""
 
-MIN_RETRY_DELAY_S = 0.2
-MAX_RETRY_DELAY_S = 0.5
-"""Bounds of the delay after a failed call; seconds."""
+MAX_SUBSTITUTE_PAUSE_S = 0.1
+"""Longest delay between two looks for a gateway that has what the store refuses; seconds."""
 
 RETURN_WAIT_FRACTION = 0.25
 """How long a gateway waits for its watcher's state after the store returned from a copy, as a
@@ -97,6 +98,7 @@
         self._epoch_source = ""
         self._snapshots: dict[RegionName, CachedSnapshot] = {}
         self._watcher: VmId | None = None
+        self._retries = StoreRetries()
         self.relay = Relay(state=state, codec=codec)
         state.config_age_s = lambda: self.relay.state_age_s
         self.warmth_store = WarmthStore(
@@ -113,7 +115,6 @@
 
     async def follow(self) -> None:
         """Read the store, then follow its changes, forever."""
-        pause_s = MIN_RETRY_DELAY_S
         after = await self._load_state_at_start()
         has_failed = False
         paused_s = 0.0
@@ -124,21 +125,22 @@
                     after = None
                 if after is None:
                     after = await self._read_state()
-                if await self._poll_watcher(after):
+                if await self._poll_watcher(self.relay.watcher(), after):
                     after = self._position
                     continue
                 is_used = self.relay.is_used
                 ages = self._state.settings.bounds.ages
+                has_failed = has_failed or self._watcher is not None
                 wait_s = ages.wait_s(is_used=is_used, has_failed=has_failed, paused_s=paused_s)
                 page = await self._store.watch(
                     "", after=after, wait_s=wait_s, answer_s=ages.answer_s
                 )
                 has_failed = False
+                self._retries.record_success()
                 after = self._position = page.position
                 self._record_store_reachable(reachable=True, reason="")
                 self.relay.record_store_page(page)
                 self._stored.apply(page.items)
-                pause_s = MIN_RETRY_DELAY_S
                 paused_s = ages.pause_s(is_used=is_used, has_changes=bool(page.items))
                 await asyncio.sleep(paused_s)
             except EpochChangedError:
@@ -153,10 +155,32 @@
                 self._record_store_reachable(reachable=False, reason=str(exc))
                 if after is None and not self.synced:
                     after = (await self._load_peer_snapshot(max_age_s=inf)).position
-                await asyncio.sleep(
-                    max(exc.retry_after_s, pause_s * (0.5 + self._state.rng.random()))
+                self._retries.record_failure(
+                    retry_after_s=exc.retry_after_s,
+                    spread=0.5 + self._state.rng.random(),
+                    now=self._loop.time(),
                 )
-                pause_s = min(pause_s * 2.0, MAX_RETRY_DELAY_S)
+                after = await self._wait_for_store(after)
+
+    async def _wait_for_store(self, after: StorePosition | None) -> StorePosition | None:
+        """Wait until the store may be called again, and get changes from other gateways meanwhile.
+
+        Return the position up to which changes are known, or None if the state has to be read.
+        """
+        while True:
+            ages = self._state.settings.bounds.ages
+            age_s = self.relay.state_age_s
+            left_s = self._retries.left_s(age_s=age_s, ages=ages, now=self._loop.time())
+            if left_s <= 0.0:
+                return after
+            if self._has_state and self._position.epoch == self._store.epoch.current:
+                substitute = self.relay.substitute()
+                if substitute is not None and await self._poll_watcher(
+                    substitute, self._position, store_fails=True
+                ):
+                    after = self._position
+                    continue
+            await asyncio.sleep(min(left_s, MAX_SUBSTITUTE_PAUSE_S * self._state.rng.random()))
 
     def _learn_epoch(self, epoch: int, *, source: str) -> None:
         """Record that the store has returned from a copy, and from whom this was learned."""
@@ -165,13 +189,14 @@
             self._epoch_source = source
         self._store.epoch.observe(epoch)
 
-    async def _poll_watcher(self, after: StorePosition) -> bool:
-        """Apply the changes, possibly none, that this gateway's watcher relays after a position.
+    async def _poll_watcher(
+        self, watcher: Member | None, after: StorePosition, *, store_fails: bool = False
+    ) -> bool:
+        """Apply the changes, possibly none, that another gateway relays after a position.
 
-        Return False if there is no watcher, if the watcher is unreachable or refuses, or if its
-        state is too old.
+        Return False if there is no such gateway, if it is unreachable or refuses, or if its state
+        is too old.
         """
-        watcher = self.relay.watcher()
         name = watcher.vm if watcher is not None else None
         if name != self._watcher:
             self._watcher = name
@@ -190,7 +215,8 @@
         )
         revision = max(after.revision, page.revision)
         self._position = StorePosition(epoch=after.epoch, revision=revision)
-        self._record_store_reachable(reachable=True, reason="")
+        if not store_fails:
+            self._record_store_reachable(reachable=True, reason="")
         self.relay.record_relayed_page(page)
         self._stored.apply(page.items)
         return True
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -286,16 +286,41 @@
         if any(member.vm == state.me.vm for member in watchers):
             near = state.fleet.region_near_store()
             watchers = self._watchers_of(near) if near not in (None, state.me.region) else []
+        return self._choose(watchers)
+
+    def substitute(self) -> Member | None:
+        """Return a gateway to fetch changes from while the store fails for this one, or None.
+
+        Of its own region first, then of the region near the store, then of any other.
+        """
+        state = self._state
+        near = state.fleet.region_near_store()
+        preferred = [state.me.region] if near is None else [state.me.region, near]
+        now = self._loop.time()
+        for region in dict.fromkeys([*preferred, *state.settings.regions.values()]):
+            candidates = state.fleet.assignees(
+                WATCH_TASK,
+                count=MIN_GATEWAYS_FOR_RELAY,
+                follows_store=False,
+                region=region,
+                now=now,
+            )
+            chosen = self._choose(candidates)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _choose(self, gateways: list[Member]) -> Member | None:
+        """Return the gateway to ask, of those that are not avoided."""
         now = self._loop.time()
         usable = [
             member
-            for member in watchers
+            for member in gateways
             if member.control and now >= self._avoided.get(member.vm, float("-inf"))
         ]
-        # Rendezvous hashing spreads the gateways over the watchers and keeps each at the same one.
-        return max(
-            usable, key=lambda member: rendezvous_weight(member.vm, state.me.vm), default=None
-        )
+        # Rendezvous hashing spreads the requests and keeps each gateway at the same one.
+        vm = self._state.me.vm
+        return max(usable, key=lambda member: rendezvous_weight(member.vm, vm), default=None)
 
     def _watchers_of(self, region: RegionName | None) -> list[Member]:
         """Return the watchers of a region; none if it has too few gateways for a relay."""
