--- a/tests/test_config_age.py
+++ b/tests/test_config_age.py
@@ -116,3 +116,16 @@
         assert max(map(len, rejected_at)) < 8
 
     run_region(scenario, size=2, tmp_path=tmp_path)
+
+
+def test_configurations_missed_during_a_rejection_that_exceed_one_answer(tmp_path):
+    async def scenario(standin, gateways):
+        rejected_at = reject(gateways[0], retry_after_s=0.0)
+        await wait_until(lambda: rejected_at)
+        filler = "x" * 600_000
+        for version in range(2, 40):
+            await standin.put("op/config", config(version) | {"filler": filler})
+        accept(gateways[0])
+        assert await time_to_apply(standin, gateways[0], version=40) < 2 * BOUND_S
+
+    run_region(scenario, size=1, tmp_path=tmp_path)
