Merge the bounds on the age of the configuration

The watch of the store keeps the time limit for its first byte that follows from the bounds, and the one for stalls that large answers need; an answer beyond the size limit leads to a full read by either way, so one of the two is kept.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from gooseberryport_core.gateway.catching_up import reads_anew
+from gooseberryport_core.gateway.model import Member
+from gooseberryport_core.gateway.state_ages import StoreRetries
 from gooseberryport_core.gateway.store_epochs import UNKNOWN_EPOCH, StorePosition
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, VmId
@@ -38,23 +40,6 @@
     StoreSnapshot,
 )
 
-WATCH_PAUSE_FRACTION = 0.4
-"""Pause between watches, as a fraction of the time after which a draining upstream gets no more
-requests: upstreams report continuously, each call is billed, and a slow call must fit as well."""
-
-RELAYED_WATCH_PAUSE_FRACTION = 0.33
-"""The same for a watcher whose state other gateways use, which adds the delay of their requests. It
-pauses after every watch, so that the watches have a fixed rate."""
-
-SHORT_WATCH_TIMEOUT_S = 0.1
-"""The same as `WATCH_TIMEOUT_S` for such a watcher, since the age of its state, which other
-gateways check, must not grow while nothing changes; and after a failed call, since a call that the
-store lost in an outage is never answered and hides that the store is available again; seconds."""
-
-WATCH_TIMEOUT_S = 2.0
-"""How long the store may leave a watch unanswered while nothing changes; a watch that is unanswered
-for longer shows that the connection is dead; seconds."""
-
 MIN_START_RETRY_DELAY_S = 0.1
 MAX_START_RETRY_DELAY_S = 0.4
 """Bounds of the delay between two requests for another gateway's state; seconds."""
@@ -62,9 +47,8 @@
 SNAPSHOT_CACHE_S = 0.3
 """Time for which an encoded snapshot is served again; seconds."""
 
-MIN_RETRY_DELAY_S = 0.2
-MAX_RETRY_DELAY_S = 0.5
-"""Bounds of the delay after a failed call; seconds."""
+MAX_SUBSTITUTE_PAUSE_S = 0.1
+"""Longest delay between two looks for a gateway that has what the store refuses; seconds."""
 
 RETURN_WAIT_FRACTION = 0.25
 """How long a gateway waits for its watcher's state after the store returned from a copy, as a
@@ -116,6 +100,7 @@
         self._epoch_source = ""
         self._snapshots: dict[RegionName, CachedSnapshot] = {}
         self._watcher: VmId | None = None
+        self._retries = StoreRetries()
         self.relay = Relay(state=state, codec=codec)
         state.config_age_s = lambda: self.relay.state_age_s
         self.warmth_store = WarmthStore(
@@ -132,9 +117,9 @@
 
     async def follow(self) -> None:
         """Read the store, then follow its changes, forever."""
-        pause_s = MIN_RETRY_DELAY_S
         after = await self._load_state_at_start()
         has_failed = False
+        paused_s = 0.0
         while True:
             try:
                 if after is not None and after.epoch != self._store.epoch.current:
@@ -142,28 +127,31 @@
                     after = None
                 if after is None:
                     after = await self._read_state()
-                if await self._poll_watcher(after):
+                if await self._poll_watcher(self.relay.watcher(), after):
                     after = self._position
                     continue
                 is_used = self.relay.is_used
-                wait_s = SHORT_WATCH_TIMEOUT_S if is_used or has_failed else WATCH_TIMEOUT_S
-                page = await self._store.watch("", after=after, wait_s=wait_s)
+                ages = self._state.settings.bounds.ages
+                has_failed = has_failed or self._watcher is not None
+                wait_s = ages.wait_s(is_used=is_used, has_failed=has_failed, paused_s=paused_s)
+                page = await self._store.watch(
+                    "", after=after, wait_s=wait_s, answer_s=ages.answer_s
+                )
                 has_failed = False
+                self._retries.record_success()
                 after = self._position = page.position
                 self._record_store_reachable(reachable=True, reason="")
                 self.relay.record_store_page(page)
                 self._stored.apply(page.items)
-                pause_s = MIN_RETRY_DELAY_S
-                drain_s = self._state.settings.bounds.drain_s
                 sizes = [(item.key, len(item.value or b"")) for item in page.items]
                 if reads_anew(sizes, transfer_s=page.transfer_s):
                     self._log_read_anew(f"{len(sizes)} changes in {page.transfer_s:.2f} s")
                     after = None
                     continue
-                pause = RELAYED_WATCH_PAUSE_FRACTION if is_used else WATCH_PAUSE_FRACTION
-                if is_used or page.items:
-                    # A slow answer is a pause as well.
-                    await asyncio.sleep(max(drain_s * pause - page.transfer_s, 0.0))
+                paused_s = ages.pause_s(is_used=is_used, has_changes=bool(page.items))
+                # A slow answer is a pause as well.
+                paused_s = max(paused_s - page.transfer_s, 0.0)
+                await asyncio.sleep(paused_s)
             except EpochChangedError:
                 continue
             except HistoryGoneError:
@@ -180,10 +168,32 @@
                 self._record_store_reachable(reachable=False, reason=str(exc))
                 if after is None and not self.synced:
                     after = (await self._load_peer_snapshot(max_age_s=inf)).position
-                await asyncio.sleep(
-                    max(exc.retry_after_s, pause_s * (0.5 + self._state.rng.random()))
+                self._retries.record_failure(
+                    retry_after_s=exc.retry_after_s,
+                    spread=0.5 + self._state.rng.random(),
+                    now=self._loop.time(),
                 )
-                pause_s = min(pause_s * 2.0, MAX_RETRY_DELAY_S)
+                after = await self._wait_for_store(after)
+
+    async def _wait_for_store(self, after: StorePosition | None) -> StorePosition | None:
+        """Wait until the store may be called again, and get changes from other gateways meanwhile.
+
+        Return the position up to which changes are known, or None if the state has to be read.
+        """
+        while True:
+            ages = self._state.settings.bounds.ages
+            age_s = self.relay.state_age_s
+            left_s = self._retries.left_s(age_s=age_s, ages=ages, now=self._loop.time())
+            if left_s <= 0.0:
+                return after
+            if self._has_state and self._position.epoch == self._store.epoch.current:
+                substitute = self.relay.substitute()
+                if substitute is not None and await self._poll_watcher(
+                    substitute, self._position, store_fails=True
+                ):
+                    after = self._position
+                    continue
+            await asyncio.sleep(min(left_s, MAX_SUBSTITUTE_PAUSE_S * self._state.rng.random()))
 
     def _log_read_anew(self, reason: str) -> None:
         self._state.log.write(LogNumber.GATEWAY_STORE_READ_ANEW, reason=reason)
@@ -195,13 +205,14 @@
             self._epoch_source = source
         self._store.epoch.observe(epoch)
 
-    async def _poll_watcher(self, after: StorePosition) -> bool:
-        """Apply the changes, possibly none, that this gateway's watcher relays after a position.
+    async def _poll_watcher(
+        self, watcher: Member | None, after: StorePosition, *, store_fails: bool = False
+    ) -> bool:
+        """Apply the changes, possibly none, that another gateway relays after a position.
 
-        Return False if there is no watcher, if the watcher is unreachable or refuses, or if its
-        state is too old.
+        Return False if there is no such gateway, if it is unreachable or refuses, or if its state
+        is too old.
         """
-        watcher = self.relay.watcher()
         name = watcher.vm if watcher is not None else None
         if name != self._watcher:
             self._watcher = name
@@ -220,7 +231,8 @@
         )
         revision = max(after.revision, page.revision)
         self._position = StorePosition(epoch=after.epoch, revision=revision)
-        self._record_store_reachable(reachable=True, reason="")
+        if not store_fails:
+            self._record_store_reachable(reachable=True, reason="")
         self.relay.record_relayed_page(page)
         self._stored.apply(page.items)
         return True
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -47,12 +47,9 @@
 MIN_GATEWAYS_FOR_RELAY = 5
 """Minimum gateways of a region for using watchers; with fewer the saving is small."""
 
-LONG_POLL_FRACTION = 0.17
-"""How long a watcher holds a request while nothing changes, as a fraction of the time within which
-a draining upstream must get no more requests."""
-
 LONG_POLL_MARGIN_S = 0.3
-"""Time for the reply beyond that: many round trips within a region; seconds."""
+"""Time for the reply beyond that for which a watcher holds a request: many round trips within a
+region; seconds."""
 
 AVOID_WATCHER_WINDOW_S = 2.0
 """How long a watcher that did not reply is avoided; seconds."""
@@ -61,11 +58,6 @@
 """Time after a request for changes for which this gateway counts as a watcher for others; seconds.
 """
 
-MAX_AGE_FRACTION = 0.62
-"""Maximum age of a watcher's state, as a fraction of the time within which a draining upstream must
-get no more requests: covers the pause between watches and a request held by another region's
-watcher, and leaves the time for an unanswered request and a watch by this gateway."""
-
 COLD_TOLERANCE_S = 0.5
 """A cold upstream's entry is relayed again if the time at which the upstream stops being cold moved
 by this or more; seconds."""
@@ -247,7 +239,7 @@
     @property
     def max_age_s(self) -> float:
         """Maximum age of another gateway's state that this one may use; seconds."""
-        return self._state.settings.bounds.drain_s * MAX_AGE_FRACTION
+        return self._state.settings.bounds.ages.max_age_s
 
     @property
     def is_used(self) -> bool:
@@ -256,7 +248,7 @@
 
     @property
     def _long_poll_s(self) -> float:
-        return self._state.settings.bounds.drain_s * LONG_POLL_FRACTION
+        return self._state.settings.bounds.ages.long_poll_s
 
     @property
     def state_age_s(self) -> float:
@@ -306,16 +298,41 @@
         if any(member.vm == state.me.vm for member in watchers):
             near = state.fleet.region_near_store()
             watchers = self._watchers_of(near) if near not in (None, state.me.region) else []
+        return self._choose(watchers)
+
+    def substitute(self) -> Member | None:
+        """Return a gateway to fetch changes from while the store fails for this one, or None.
+
+        Of its own region first, then of the region near the store, then of any other.
+        """
+        state = self._state
+        near = state.fleet.region_near_store()
+        preferred = [state.me.region] if near is None else [state.me.region, near]
+        now = self._loop.time()
+        for region in dict.fromkeys([*preferred, *state.settings.regions.values()]):
+            candidates = state.fleet.assignees(
+                WATCH_TASK,
+                count=MIN_GATEWAYS_FOR_RELAY,
+                follows_store=False,
+                region=region,
+                now=now,
+            )
+            chosen = self._choose(candidates)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _choose(self, gateways: list[Member]) -> Member | None:
+        """Return the gateway to ask, of those that are not avoided."""
         now = self._loop.time()
         usable = [
             member
-            for member in watchers
+            for member in gateways
             if member.control and now >= self._avoided.get(member.vm, float("-inf"))
         ]
-        # Rendezvous hashing spreads the gateways over the watchers and keeps each at the same one.
-        return max(
-            usable, key=lambda member: rendezvous_weight(member.vm, state.me.vm), default=None
-        )
+        # Rendezvous hashing spreads the requests and keeps each gateway at the same one.
+        vm = self._state.me.vm
+        return max(usable, key=lambda member: rendezvous_weight(member.vm, vm), default=None)
 
     def _watchers_of(self, region: RegionName | None) -> list[Member]:
         """Return the watchers of a region; none if it has too few gateways for a relay."""
