Give gateways of tests ports that nothing else gets before they listen

Its log, kept this time, says address_taken for one of its ports.

Cause: free_port() asked the system for a port and closed it; until the gateway's process had started, the system gave the same port to another socket that asked for none: an upstream of the test, or any connection. The gateway then waits for the port, as it should.

Change: ports below the range that systems choose from, each given once.

--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import socket
 import sys
 from pathlib import Path
@@ -13,11 +14,20 @@
 ROOT = Path(__file__).parents[1]
 READY_S = 15.0
 
+# Below the ports from which systems choose one for a socket that asks for none.
+FIXED_PORTS = range(10_000, 32_000)
+_given_ports = set()
+
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that the system gives to no other socket before a gateway listens there."""
+    while True:
+        port = random.choice(FIXED_PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            if port not in _given_ports:
+                sock.bind(("127.0.0.1", port))
+                _given_ports.add(port)
+                return port
 
 
 def routing_config(version=1):
