--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import base64
 import contextlib
 import itertools
 import json
@@ -37,6 +38,9 @@
 
 GRACE_S = 5
 DRAIN_S = 2.0
+RETURN_SEEDS = 5
+"""In the runs of seeds that are divisible by this, the store returns from older copies."""
+
 RECOVERY_TIMEOUT_S = 15.0
 MIN_SERVED_FRACTION = 0.25
 ROUTE_TIMEOUT_S = 1.5
@@ -155,6 +159,9 @@
         if seed % 2:
             # Odd seeds run with tenants, even ones without.
             self.checker.quotas[LIMITED_TENANT] = QUOTA
+        self.store_returns = seed % RETURN_SEEDS == 0
+        if self.store_returns:
+            standin.era = 1
         self.rate_per_client = 5.0
         self.timeout_s = ROUTE_TIMEOUT_S
         self.upstreams = []
@@ -380,6 +387,36 @@
         gateway.store_link.reset_connections()
 
 
+async def return_store(env, away_s):
+    """Let the store return from a copy, and write again what operators and upstreams had written.
+
+    Gateways write their own items again.
+    """
+    standin = env.standin
+    copy = standin.copy()
+    await asyncio.sleep(env.rng.uniform(0.3, 3.0))
+    async with unplanned_fault(env, "store returns", 0.0):
+        standin.fault = lambda method, target: "reset"
+        await asyncio.sleep(away_s)
+        lost, kept = dict(standin.items), copy[0]
+        await standin.return_from(copy)
+        standin.fault = lambda method, target: None
+        await asyncio.sleep(env.rng.uniform(0.1, 1.5))
+        for key in sorted(lost.keys() | kept.keys()):
+            is_unchanged = lost.get(key) == kept.get(key)
+            if is_unchanged or key.startswith("gooseberryport/") or written(standin, key, kept):
+                continue
+            if key in lost:
+                await standin.put(key, base64.b64decode(lost[key]["value"]))
+            else:
+                await standin.delete(key)
+
+
+def written(standin, key, kept):
+    """Return whether a key was written since the store returned."""
+    return standin.items.get(key) != kept.get(key)
+
+
 async def upstream_fault(env, upstream, kind, fraction, duration_s):
     async with unplanned_fault(env, kind, 0.0):
         upstream.fault_rates = {kind: fraction}
@@ -483,7 +520,9 @@
         ),
         "configuration changed": lambda: env.put_config(pages=rng.choice(("s", "s", "t"))),
     }
-    weights = {"kill all": 0.3, "upstream added": 0.5}
+    if env.store_returns:
+        steps["store returns"] = lambda: return_store(env, rng.uniform(0.1, 1.0))
+    weights = {"kill all": 0.3, "upstream added": 0.5, "store returns": 3.0}
     name = rng.choices(list(steps), [weights.get(step, 1.0) for step in steps])[0]
     return name, steps[name]
 
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -11,6 +11,7 @@
     1: "general run",
     3: "SIGTERM while Python was still importing modules killed the process",
     7: "SIGHUP while Python was still importing modules killed the process",
+    10: "the store returns from older copies",
 }
 
 
