Use no kept connection to a former address of an upstream

Seen by callers: after an upstream's entry moves to another address, requests are sent on connections to the former one: kept ones, and the one that opened while the entry moved, which goes back to the pool as it is not used.

Cause: the pool keeps connections by id. Change: it closes those whose address is not the upstream's.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -261,9 +261,11 @@
             max_idle_s = self._state.idle_limits.max_idle_s(
                 service=job.service, upstream=upstream.id, now=self._loop.time()
             )
-            conn = self._pool.acquire(upstream.id, max_idle_s=max_idle_s, excluded=job.conns)
+            address = upstream.entry.address
+            conn = self._pool.acquire(
+                upstream.id, address, max_idle_s=max_idle_s, excluded=job.conns
+            )
             if conn is None:
-                address = upstream.entry.address
                 conn = await self._pool.connect(upstream.id, address)
                 self._state.metrics.connections.inc()
                 change = self._find_change(job, upstream, address)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -82,7 +82,7 @@
     status line is not valid HTTP/1 is no response, and the connection is closed.
     A response that exceeds a limit is given up at once, whichever part of it is too long.
     `idle_s` is how long the connection was idle before its latest request, or 0, and `paused_s` how
-    long its response was not read for lack of memory; seconds.
+    long its response was not read for lack of memory; seconds. `address` is where it was opened to.
 
     Parameters
     ----------
@@ -131,6 +131,7 @@
         self._used = False
         self._answered = False
         self.idle_s = 0.0
+        self.address: tuple[str, int] | None = None
         self.closed = False
         self.closed_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.has_response_bytes = False
@@ -509,4 +510,5 @@
             )
     except (OSError, TimeoutError) as exc:
         raise NotSentError(f"no connection to {address[0]}:{address[1]}: {exc!r}") from exc
+    conn.address = address
     return conn
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
@@ -35,6 +35,7 @@
     def acquire(
         self,
         upstream: UpstreamId,
+        address: Address,
         *,
         max_idle_s: float = inf,
         excluded: Collection[HttpConn] = (),
@@ -43,14 +44,18 @@
 
         Parameters
         ----------
-        upstream
-            Upstream that the connection leads to.
+        upstream, address
+            Upstream that the connection leads to, and its present address; connections to former
+            addresses are closed.
         max_idle_s
             Longest idle time; seconds.
         excluded
             Connections that are not returned.
         """
         idle = self._idle.get(upstream, [])
+        for conn in [conn for conn in idle if conn.address != address]:
+            idle.remove(conn)
+            conn.close()
         now = self._loop.time()
         for position in range(len(idle) - 1, -1, -1):
             conn = idle[position]
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -96,7 +96,7 @@
         routes = self._state.routes
         spec = routes.config.services.get(upstream.entry.service) if routes else None
         path = spec.health_path if spec is not None else DEFAULT_HEALTH_PATH
-        conn = self._pool.acquire(upstream.id)
+        conn = self._pool.acquire(upstream.id, upstream.entry.address)
         if conn is None:
             conn = await self._pool.connect(upstream.id, upstream.entry.address)
             self._state.metrics.connections.inc()
--- a/packages/gooseberryport-gateway/tests/test_changed_homes.py
+++ b/packages/gooseberryport-gateway/tests/test_changed_homes.py
@@ -157,3 +157,30 @@
         assert await post(gateway) == 200
         assert len(in_a.requests_received) == 1
         assert state.upstreams.get("ua").entry.sequence == make_entry("ua", sequence=9).sequence
+
+
+# Guards against a kept connection that leads to the former address of an upstream.
+@pytest.mark.parametrize("while_opening", [True, False])
+@in_loop
+async def test_connection_to_a_former_address_is_not_used(while_opening):
+    async with (
+        start_upstream(lambda head, _: make_response(head)) as former,
+        start_upstream(lambda head, _: make_response(head)) as present,
+        start_gateway(make_route(max_attempts=3, timeout_s=5.0)) as gateway,
+    ):
+        gateway.put_upstream("ua", former.port, zone="a1")
+
+        def move():
+            address = ("127.0.0.1", present.port)
+            change_entry(gateway.state, address=address, started_ms=2000)
+
+        if while_opening:
+            delay_connections(gateway, move)
+            await post(gateway)
+        else:
+            assert await post(gateway) == 200
+            move()
+        received = len(former.requests_received)
+        assert await post(gateway) == 200
+        assert len(former.requests_received) == received
+        assert len(present.requests_received) == 1
