Count the time of a slow answer of the store in the age of the state

Seen by callers: a watcher whose answer from the store took up to 8 s to arrive states an age of 0 to the gateways that follow it, which take it for recent. Keys with strict revocation are judged by the same age.

Cause: the age was counted from the answer's last byte. Change: it is counted from the first one, as for relayed pages.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -278,9 +278,9 @@
         """Record a page that this gateway received from the store."""
         now = self._loop.time()
         has_relevant = self.log.add(page.items, revision=page.position.revision, now=now)
-        self._up_to_date_at = now
+        self._up_to_date_at = now - page.transfer_s
         if has_relevant:
-            self._notify_changed(now)
+            self._wake_requests()
 
     def record_relayed_page(self, page: RelayPage) -> None:
         """Record a relayed page, for gateways that request changes from this one."""
@@ -442,10 +442,6 @@
         self._avoided[watcher.vm] = self._loop.time() + AVOID_WATCHER_WINDOW_S
         self._state.log.write(LogNumber.GATEWAY_WATCHER_AVOIDED, watcher=watcher.vm, reason=reason)
 
-    def _notify_changed(self, now: float) -> None:
-        self._up_to_date_at = now
-        self._wake_requests()
-
     def _wake_requests(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,6 +10,7 @@
 from test_site_discovery import ENTRY, OWN_MEMBER, config, entry, make_state, usable_ids, wait_until
 
 from gooseberryport_core.gateway import state_ages
+from gooseberryport_core.gateway.store_epochs import StorePosition
 from gooseberryport_gateway import _relay
 from gooseberryport_gateway._client_conn import ClientConn, Reply
 from gooseberryport_gateway._discovery import Discovery
@@ -21,7 +22,7 @@
     WATCHERS,
     ChangeLog,
 )
-from gooseberryport_gateway.wire import StoreItem
+from gooseberryport_gateway.wire import StoreItem, StorePage
 from gooseberryport_site.codec import PlatformCodec
 from gooseberryport_site.store import PlatformStore
 
@@ -317,3 +318,17 @@
     assert log.since(5) is None
     assert len(log.since(6)) == MAX_CHANGES_KEPT
     assert ChangeLog(codec=PlatformCodec()).since(0) is None
+
+
+def test_answer_that_arrived_slowly_counts_as_old(tmp_path):
+    # Failure: a watcher behind a slow link states an age of 0, and is followed and believed.
+    async def main():
+        with (tmp_path / "log").open("wb") as log:
+            relay = _relay.Relay(state=make_state(log.fileno()), codec=PlatformCodec())
+            position = StorePosition(epoch=1, revision=6)
+            relay.reset([], position=position, age_s=0.0)
+            for items in [(), (item("op/x", {}, 6),)]:
+                relay.record_store_page(StorePage(items=items, position=position, transfer_s=5.0))
+                assert 5.0 <= relay.state_age_s < 6.0
+
+    asyncio.run(main())
