Pass on to followers what a watcher learns by a full read

Seen by callers: when a watcher reads the store anew, all gateways that follow it are refused, avoid it, and call the store themselves, each for all changes since; requests that it holds are not answered by the new state.

Cause: a full read emptied the kept changes. Change: within an epoch of the store, what the read shows is added to them as changes and removals.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -421,13 +421,18 @@
             changes = self._compare_with_copy(read, known=known, position=position)
         else:
             missing = known.keys() - {item.key for item in read}
-            changes = [*read, *(StoreItem(key=key, value=None, revision=0) for key in missing)]
+            removed = [StoreItem(key, value=None, revision=position.revision) for key in missing]
+            changes = [*read, *removed]
         self._stored.apply(
             [*changes, *saved_warmth], were_listed=has_returned or not self._has_state
         )
+        is_behind = position.revision < self.relay.log.revision
+        if has_returned or is_behind or not self._has_state:
+            self.relay.reset(read, position=position, age_s=age_s)
+        else:
+            self.relay.record_read(changes, position=position, age_s=age_s)
         self._has_state = True
         self._position = position
-        self.relay.reset(read, position=position, age_s=age_s)
         self._state.metrics.store_epoch.set(position.epoch)
 
     def _compare_with_copy(
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -274,6 +274,30 @@
         if position.epoch != was_in_epoch:
             self._wake_requests()
 
+    def record_read(
+        self, changes: Iterable[StoreItem], *, position: StorePosition, age_s: float
+    ) -> None:
+        """Record a full read of the store in the epoch of what is known.
+
+        The gateways that request changes from this one get what the read has shown.
+
+        Parameters
+        ----------
+        changes
+            Items that were read, and removals of those that were known and are gone.
+        position, age_s
+            As in `reset`.
+        """
+        now = self._loop.time()
+        known_to = self.log.revision
+        newer = sorted(
+            (item for item in changes if item.revision > known_to), key=lambda item: item.revision
+        )
+        has_relevant = self.log.add(newer, revision=position.revision, now=now)
+        self._up_to_date_at = now - age_s
+        if has_relevant:
+            self._wake_requests()
+
     def record_store_page(self, page: StorePage) -> None:
         """Record a page that this gateway received from the store."""
         now = self._loop.time()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -22,6 +22,7 @@
     WATCHERS,
     ChangeLog,
 )
+from gooseberryport_gateway.errors import IncompleteAnswerError
 from gooseberryport_gateway.wire import StoreItem, StorePage
 from gooseberryport_site.codec import PlatformCodec
 from gooseberryport_site.store import PlatformStore
@@ -332,3 +333,44 @@
                 assert 5.0 <= relay.state_age_s < 6.0
 
     asyncio.run(main())
+
+
+def test_followers_get_what_a_watcher_learns_by_a_full_read(tmp_path, monkeypatch):
+    # Failure: all of its followers are refused, and call the store themselves.
+    async def scenario(standin, gateways):
+        watchers = [gateway for gateway in gateways if gateway.discovery._watcher is None]
+        followers = [gateway for gateway in gateways if gateway.discovery._watcher is not None]
+        stores, reads = [], []
+        for watcher in watchers:
+            # Watches fail as if their answers arrived in part, so the watchers read all anew.
+            watch = watcher.discovery._store.watch
+
+            async def watch_in_part(*args, watch=watch, **kwargs):
+                page = await watch(*args, **kwargs)
+                if any(item.key == "op/config" for item in page.items):
+                    reads.append(page)
+                    raise IncompleteAnswerError("test")
+                return page
+
+            watcher.discovery._store.watch = watch_in_part
+        for gateway in followers:
+            gateway.discovery._store.watch = count_calls(gateway.discovery._store.watch, stores)
+        await asyncio.sleep(0.5)
+        await standin.put("servers/u2", ENTRY)
+        await standin.delete("servers/u1")
+        await standin.put("op/config", config(2))
+        await wait_until(
+            lambda: all(gateway.state.routes.config.version == 2 for gateway in gateways)
+        )
+        assert all(gateway.state.upstreams.get("u1") is None for gateway in gateways)
+        assert len(reads) == len(watchers) and stores == []
+
+    run_scenario(scenario, size=8, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def count_calls(call, calls):
+    async def counted(*args, **kwargs):
+        calls.append(args)
+        return await call(*args, **kwargs)
+
+    return counted
