Pause between full reads while watches are cut again and again

Seen by callers: a gateway whose watches are cut after their first bytes, while entries change, reads the whole store again and again without a pause, which counts toward the store's rate limit for all gateways.

Cause: an incomplete answer led to a full read at once, however often. Change: from the second one in a row on, the pause between watches comes before it.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -118,7 +118,7 @@
     async def follow(self) -> None:
         """Read the store, then follow its changes, forever."""
         after = await self._load_state_at_start()
-        has_failed = False
+        has_failed = was_incomplete = False
         paused_s = 0.0
         while True:
             try:
@@ -137,7 +137,7 @@
                 page = await self._store.watch(
                     "", after=after, wait_s=wait_s, answer_s=ages.answer_s
                 )
-                has_failed = False
+                has_failed = was_incomplete = False
                 self._retries.record_success()
                 after = self._position = page.position
                 self._record_store_reachable(reachable=True, reason="")
@@ -163,6 +163,12 @@
                 if isinstance(exc, IncompleteAnswerError) and after is not None:
                     self._log_read_anew(exc.reason)
                     after = None
+                    if was_incomplete:
+                        ages = self._state.settings.bounds.ages
+                        await asyncio.sleep(
+                            ages.pause_s(is_used=self.relay.is_used, has_changes=True)
+                        )
+                    was_incomplete = True
                     continue
                 has_failed = True
                 self._record_store_reachable(reachable=False, reason=str(exc))
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from store_standin import store_standin
-from test_site_discovery import config, run_scenario, wait_until
+from test_site_discovery import config, entry, run_scenario, wait_until
 
 from gooseberryport_core.gateway.catching_up import reads_anew, superseded_fraction
 from gooseberryport_gateway._progress import transfer_timeout
@@ -102,3 +103,34 @@
 def test_only_a_slow_answer_of_superseded_changes_leads_to_a_full_read(changes, transfer_s, anew):
     assert reads_anew(changes, transfer_s=transfer_s) is anew
     assert 0.0 <= superseded_fraction(changes) < 1.0
+
+
+def test_watches_that_are_cut_again_and_again_do_not_lead_to_a_full_read_each(
+    tmp_path, monkeypatch
+):
+    # Failure: a gateway reads the whole store again and again without a pause.
+    async def scenario(standin, state, discovery):
+        await standin.put("op/config", config(1))
+        await wait_until(lambda: state.routes is not None)
+        bounds = msgspec.structs.replace(state.settings.bounds, drain_s=APPLY_S)
+        state.settings = msgspec.structs.replace(state.settings, bounds=bounds)
+        send = standin._send
+
+        async def cut_watches(writer, data):
+            if b'"events"' not in data:
+                await send(writer, data)
+                return
+            writer.write(data[:20])
+            await writer.drain()
+            writer.close()
+
+        standin._send = cut_watches
+        standin.calls.clear()
+        for number in range(100):
+            await standin.put("servers/u1", entry(sequence=10 + number))
+            await asyncio.sleep(0.03)
+        assert 3 <= sum("kv-range" in target for _, target in standin.calls) <= 12
+        await standin.put("op/config", config(2))
+        await wait_until(lambda: state.routes.config.version == 2, within_s=APPLY_S)
+
+    run_scenario(scenario, tmp_path=tmp_path, monkeypatch=monkeypatch)
