Let requests in flight keep no former configuration in memory

Seen by callers: none so far; in a storm of large configurations each waiting request keeps the routes in force when it was placed or last sent.

Change: a request keeps the number and the version of the configuration.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -10,7 +10,6 @@
 from gooseberryport_core.decoding import parse_count
 from gooseberryport_core.gateway.model import ObjectKey, Route, Tenant
 from gooseberryport_core.gateway.refusals import RefusalCause
-from gooseberryport_core.gateway.routing import RouteTable
 from gooseberryport_core.gateway.verdicts import Verdict, judge
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId
 from gooseberryport_gateway._client_messages import ClientRequest
@@ -114,8 +113,9 @@
         Key by which its object is placed, or None.
     marks
         Hashes by which its object may be recorded, the present one first.
-    routes, regions
-        Configuration whose homes bind it, and the regions in which it may run; None for all.
+    config_number, placed_by, regions
+        Number and version of the configuration whose homes bind it, and the regions in which it may
+        run; None for all.
     sent_regions
         Regions of the upstreams that it was sent to, in order.
     config_age_s
@@ -152,7 +152,8 @@
     depth: int | None = None
     last_use_at: float | None = None
     key_checked: bool = False
-    routes: RouteTable | None = None
+    config_number: int = 0
+    placed_by: int | None = None
     regions: frozenset[RegionName] | None = None
     sent_regions: list[RegionName] = msgspec.field(default_factory=list)
     config_age_s: float = 0.0
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -115,8 +115,11 @@
         if isinstance(tenant, Reply):
             return tenant
         job = self._job(req, request_id, route, tenant)
-        job.routes, job.regions = routes, allowed_regions(route, tenant)
+        job.config_number, job.placed_by = self._state.num_configs, routes.config.version
+        job.regions = allowed_regions(route, tenant)
         identify(job, routes)
+        # A request that waits long must not keep a large configuration in memory.
+        del routes
         self._state.record_client_request(now=req.arrived_at)
         if (rejection := self._admit(job)) is not None:
             return rejection
@@ -236,9 +239,9 @@
         """
         state = self._state
         job.config_age_s = state.config_age_s()
-        if state.routes is None or state.routes is job.routes:
+        if state.routes is None or state.num_configs == job.config_number:
             return
-        job.routes = state.routes
+        job.config_number, job.placed_by = state.num_configs, state.routes.config.version
         host = (job.req.header(b"host") or b"").decode("latin-1")
         route = state.routes.find(host=host, path=job.req.path)
         tenant = self._keys.find_tenant(job.req)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
@@ -162,7 +162,7 @@
     return {
         "regions": sorted(job.regions or ()),
         "sent_regions": job.sent_regions,
-        "placed_by": job.routes.config.version if job.routes is not None else None,
+        "placed_by": job.placed_by,
         "placed_age_ms": round(min(job.config_age_s, MAX_DURATION_S) * 1000),
     }
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -96,6 +96,8 @@
 class GatewayState:
     """State of one gateway.
 
+    `num_configs` is the number of configurations that were applied.
+
     Parameters
     ----------
     settings
@@ -124,6 +126,7 @@
         self.metrics = metrics
         self.rng = random.Random(f"{me.vm}|{me.incarnation}")
         self.routes: RouteTable | None = None
+        self.num_configs = 0
         self._key_secret = secrets.token_bytes(SECRET_BYTES)
         self.tenants = TenantDirectory(None, secret=self._key_secret)
         self.upstreams = UpstreamTable()
@@ -233,6 +236,7 @@
             ):
                 return False
         self.routes = RouteTable(config, previous=self.routes)
+        self.num_configs += 1
         self.warm_objects.apply_routes(self.routes)
         self.tenants = TenantDirectory(config, secret=self._key_secret)
         self.metrics.tenant_requests.retain([tenant.name for tenant in config.tenants])
--- a/packages/gooseberryport-gateway/tests/test_changed_homes.py
+++ b/packages/gooseberryport-gateway/tests/test_changed_homes.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import functools
+import gc
+import weakref
 
 import msgspec
 import pytest
@@ -184,3 +186,17 @@
         assert await post(gateway) == 200
         assert len(former.requests_received) == received
         assert len(present.requests_received) == 1
+
+
+# Guards against a process that runs out of memory while large configurations follow each other.
+@in_loop
+async def test_requests_in_flight_keep_no_former_configuration():
+    async with start_two_regions("route", script_a=lambda head, _: None) as (gateway, in_a, _):
+        former = weakref.ref(gateway.state.routes)
+        task = asyncio.create_task(post(gateway))
+        while not in_a.requests_received:
+            await asyncio.sleep(0.01)
+        gateway.state.apply_config(home_config("B", version=2, limit="route"))
+        gc.collect()
+        assert former() is None
+        task.cancel()
