--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -118,7 +118,7 @@
     async def follow(self) -> None:
         """Read the store, then follow its changes, forever."""
         after = await self._load_state_at_start()
-        has_failed = False
+        has_failed = was_incomplete = False
         paused_s = 0.0
         while True:
             try:
@@ -137,7 +137,7 @@
                 page = await self._store.watch(
                     "", after=after, wait_s=wait_s, answer_s=ages.answer_s
                 )
-                has_failed = False
+                has_failed = was_incomplete = False
                 self._retries.record_success()
                 after = self._position = page.position
                 self._record_store_reachable(reachable=True, reason="")
@@ -163,6 +163,12 @@
                 if isinstance(exc, IncompleteAnswerError) and after is not None:
                     self._log_read_anew(exc.reason)
                     after = None
+                    if was_incomplete:
+                        ages = self._state.settings.bounds.ages
+                        await asyncio.sleep(
+                            ages.pause_s(is_used=self.relay.is_used, has_changes=True)
+                        )
+                    was_incomplete = True
                     continue
                 has_failed = True
                 self._record_store_reachable(reachable=False, reason=str(exc))
@@ -421,13 +427,18 @@
             changes = self._compare_with_copy(read, known=known, position=position)
         else:
             missing = known.keys() - {item.key for item in read}
-            changes = [*read, *(StoreItem(key=key, value=None, revision=0) for key in missing)]
+            removed = [StoreItem(key, value=None, revision=position.revision) for key in missing]
+            changes = [*read, *removed]
         self._stored.apply(
             [*changes, *saved_warmth], were_listed=has_returned or not self._has_state
         )
+        is_behind = position.revision < self.relay.log.revision
+        if has_returned or is_behind or not self._has_state:
+            self.relay.reset(read, position=position, age_s=age_s)
+        else:
+            self.relay.record_read(changes, position=position, age_s=age_s)
         self._has_state = True
         self._position = position
-        self.relay.reset(read, position=position, age_s=age_s)
         self._state.metrics.store_epoch.set(position.epoch)
 
     def _compare_with_copy(
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -274,13 +274,37 @@
         if position.epoch != was_in_epoch:
             self._wake_requests()
 
+    def record_read(
+        self, changes: Iterable[StoreItem], *, position: StorePosition, age_s: float
+    ) -> None:
+        """Record a full read of the store in the epoch of what is known.
+
+        The gateways that request changes from this one get what the read has shown.
+
+        Parameters
+        ----------
+        changes
+            Items that were read, and removals of those that were known and are gone.
+        position, age_s
+            As in `reset`.
+        """
+        now = self._loop.time()
+        known_to = self.log.revision
+        newer = sorted(
+            (item for item in changes if item.revision > known_to), key=lambda item: item.revision
+        )
+        has_relevant = self.log.add(newer, revision=position.revision, now=now)
+        self._up_to_date_at = now - age_s
+        if has_relevant:
+            self._wake_requests()
+
     def record_store_page(self, page: StorePage) -> None:
         """Record a page that this gateway received from the store."""
         now = self._loop.time()
         has_relevant = self.log.add(page.items, revision=page.position.revision, now=now)
-        self._up_to_date_at = now
+        self._up_to_date_at = now - page.transfer_s
         if has_relevant:
-            self._notify_changed(now)
+            self._wake_requests()
 
     def record_relayed_page(self, page: RelayPage) -> None:
         """Record a relayed page, for gateways that request changes from this one."""
@@ -442,10 +466,6 @@
         self._avoided[watcher.vm] = self._loop.time() + AVOID_WATCHER_WINDOW_S
         self._state.log.write(LogNumber.GATEWAY_WATCHER_AVOIDED, watcher=watcher.vm, reason=reason)
 
-    def _notify_changed(self, now: float) -> None:
-        self._up_to_date_at = now
-        self._wake_requests()
-
     def _wake_requests(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,6 +10,7 @@
 from test_site_discovery import ENTRY, OWN_MEMBER, config, entry, make_state, usable_ids, wait_until
 
 from gooseberryport_core.gateway import state_ages
+from gooseberryport_core.gateway.store_epochs import StorePosition
 from gooseberryport_gateway import _relay
 from gooseberryport_gateway._client_conn import ClientConn, Reply
 from gooseberryport_gateway._discovery import Discovery
@@ -21,7 +22,8 @@
     WATCHERS,
     ChangeLog,
 )
-from gooseberryport_gateway.wire import StoreItem
+from gooseberryport_gateway.errors import IncompleteAnswerError
+from gooseberryport_gateway.wire import StoreItem, StorePage
 from gooseberryport_site.codec import PlatformCodec
 from gooseberryport_site.store import PlatformStore
 
@@ -317,3 +319,58 @@
     assert log.since(5) is None
     assert len(log.since(6)) == MAX_CHANGES_KEPT
     assert ChangeLog(codec=PlatformCodec()).since(0) is None
+
+
+def test_answer_that_arrived_slowly_counts_as_old(tmp_path):
+    # Failure: a watcher behind a slow link states an age of 0, and is followed and believed.
+    async def main():
+        with (tmp_path / "log").open("wb") as log:
+            relay = _relay.Relay(state=make_state(log.fileno()), codec=PlatformCodec())
+            position = StorePosition(epoch=1, revision=6)
+            relay.reset([], position=position, age_s=0.0)
+            for items in [(), (item("op/x", {}, 6),)]:
+                relay.record_store_page(StorePage(items=items, position=position, transfer_s=5.0))
+                assert 5.0 <= relay.state_age_s < 6.0
+
+    asyncio.run(main())
+
+
+def test_followers_get_what_a_watcher_learns_by_a_full_read(tmp_path, monkeypatch):
+    # Failure: all of its followers are refused, and call the store themselves.
+    async def scenario(standin, gateways):
+        watchers = [gateway for gateway in gateways if gateway.discovery._watcher is None]
+        followers = [gateway for gateway in gateways if gateway.discovery._watcher is not None]
+        stores, reads = [], []
+        for watcher in watchers:
+            # Watches fail as if their answers arrived in part, so the watchers read all anew.
+            watch = watcher.discovery._store.watch
+
+            async def watch_in_part(*args, watch=watch, **kwargs):
+                page = await watch(*args, **kwargs)
+                if any(item.key == "op/config" for item in page.items):
+                    reads.append(page)
+                    raise IncompleteAnswerError("test")
+                return page
+
+            watcher.discovery._store.watch = watch_in_part
+        for gateway in followers:
+            gateway.discovery._store.watch = count_calls(gateway.discovery._store.watch, stores)
+        await asyncio.sleep(0.5)
+        await standin.put("servers/u2", ENTRY)
+        await standin.delete("servers/u1")
+        await standin.put("op/config", config(2))
+        await wait_until(
+            lambda: all(gateway.state.routes.config.version == 2 for gateway in gateways)
+        )
+        assert all(gateway.state.upstreams.get("u1") is None for gateway in gateways)
+        assert len(reads) == len(watchers) and stores == []
+
+    run_scenario(scenario, size=8, tmp_path=tmp_path, monkeypatch=monkeypatch)
+
+
+def count_calls(call, calls):
+    async def counted(*args, **kwargs):
+        calls.append(args)
+        return await call(*args, **kwargs)
+
+    return counted
