--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/state_ages.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/state_ages.py
@@ -3,10 +3,8 @@
 Failure pattern: a source of changes fails without a sign: a connection goes silent for good while
 new ones work, or the gateway that watches the store for this one loses its power. A change that is
 made just then must still be in force in time, though the source is found to be silent first, and
-another one is asked then. All times are therefore fractions of that bound. Of a direct watch, the
-pause and the wait for changes (0.5) and the wait for an answer (0.3) leave a fifth for a new
-connection and a slow answer. Of a relayed state, the age (0.62) and a held request (0.17) leave as
-much.
+another one is asked then. All times are therefore fractions of that bound, and together leave time
+for a new connection and a slow answer.
 """
 
 from __future__ import annotations
@@ -46,7 +44,6 @@
 """Maximum age of another gateway's state that may be used: covers the pause between watches and a
 request held by another region's watcher."""
 
-
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.5
 """Bounds of the mean delay after a failed call if no other gateway has recent state; seconds."""
