Log what ended a connection, and whether the gateway was stopping

Cause: 'lost, connection closed' was the same for an upstream that closes and for a request that the gateway itself gives up, 'connection reset' the same for a reset and for bytes that nobody acknowledged, and a request without a reply was 'cancelled' whoever had closed its connection. So the three hypotheses on LOST could not be told apart by logs.

Change: the line of a failed send names what ended the connection, after how long, and the phase of the gateway; the line of a request without a reply names who closed its connection; gooseberryport_lost_responses counts by cause and phase. No decision changes.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -14,6 +14,7 @@
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId
 from gooseberryport_gateway._client_messages import ClientRequest
 from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
+from gooseberryport_gateway.errors import LossCause
 from gooseberryport_gateway.wire import HeaderNames
 
 MAX_REPORTED_REQUESTS = 1_000_000
@@ -51,6 +52,9 @@
     end: AttemptEnd
     response: HttpResponse | None = None
     reason: str = ""
+    cause: LossCause | None = None
+    """What ended the connection, if the response was lost."""
+
     paused: bool = False
     """Whether the upstream wants no more requests for a time."""
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -100,6 +100,7 @@
         self._closing = False
         self._write_paused = False
         self._read_paused = False
+        self._aborted = False
         self._timer: asyncio.TimerHandle | None = None
         self.closing_when_idle = False
 
@@ -133,6 +134,7 @@
 
     def abort(self) -> None:
         """Close the connection at once."""
+        self._aborted = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -140,7 +142,7 @@
         """Close the connection at once, as others need the memory of its replies."""
         self._closing = True
         self._cancel_timer()
-        self._cancel_pending()
+        self._cancel_pending("disconnected, as others need the memory of its replies")
         self.abort()
 
     # Callbacks from asyncio.
@@ -193,7 +195,12 @@
         self._closing = True
         self._body.release()
         self._cancel_timer()
-        self._cancel_pending()
+        if self._aborted:
+            self._cancel_pending("aborted by this gateway")
+        elif exc is not None:
+            self._cancel_pending("the client's connection broke")
+        else:
+            self._cancel_pending("the client closed the connection")
         if self._writer is not None:
             self._writer.discard()
         if self._responses is not None:
@@ -428,7 +435,7 @@
             return
         self._closing = True
         self._cancel_timer()
-        self._cancel_pending()
+        self._cancel_pending("behind a reply that closed the connection")
         transport, writer = self._transport, self._writer
         if transport is None or writer is None:
             return
@@ -465,12 +472,12 @@
             return
         self._loop.call_later(CLOSE_DELAY_S, self._abort_if_written, transport, left, stalled_s)
 
-    def _cancel_pending(self) -> None:
+    def _cancel_pending(self, reason: str) -> None:
         for pending in self._pending:
             if pending.body is not None:
                 pending.body.release()
             if pending.task is not None:
-                pending.task.cancel()
+                pending.task.cancel(reason)
         self._pending.clear()
         self._unstarted.clear()
         if self._responses is not None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -131,7 +131,8 @@
                 return await self._serve(job)
         except TimeoutError:
             return self._replies.timed_out(job)
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as exc:
+            job.cause = str(exc.args[0]) if exc.args else ""
             self._replies.log(job, LogNumber.GATEWAY_REQUEST_CANCELLED, status=0)
             raise
         finally:
@@ -287,9 +288,9 @@
         except ResponseLimitError as exc:
             # Each further attempt would cost as much; a probe must succeed first.
             self._state.record_unreachable(upstream, reason=exc.reason, now=self._loop.time())
-            return Attempt(end=AttemptEnd.LOST, reason=exc.reason)
+            return Attempt(end=AttemptEnd.LOST, reason=exc.reason, cause=exc.cause)
         except ResponseLostError as exc:
-            return Attempt(end=AttemptEnd.LOST, reason=exc.reason)
+            return Attempt(end=AttemptEnd.LOST, reason=exc.reason, cause=exc.cause)
         finally:
             upstream.in_flight -= 1
 
@@ -315,7 +316,7 @@
                 after_s = self._loop.time() - now
                 if not conn.idle_s or conn.has_response_bytes or after_s > STALE_RESET_WINDOW_S:
                     raise
-                return self._record_stale_reset(job, upstream, conn, reason=exc.reason)
+                return self._record_stale_reset(job, upstream, conn, exc)
         job.sending = False
         self._pool.release(upstream.id, conn)
         load = reported_load(response, names=self._names)
@@ -364,7 +365,7 @@
         )
 
     def _record_stale_reset(
-        self, job: Job, upstream: Upstream, conn: HttpConn, *, reason: str
+        self, job: Job, upstream: Upstream, conn: HttpConn, exc: ResponseLostError
     ) -> Attempt:
         self._state.idle_limits.record_reset(
             service=job.service,
@@ -372,8 +373,8 @@
             idle_s=conn.idle_s,
             now=self._loop.time(),
         )
-        detail = f"{reason} after the connection was idle for {conn.idle_s:.3f} s"
-        return Attempt(end=AttemptEnd.STALE_CONNECTION, reason=detail)
+        reason = f"{exc.reason} after the connection was idle for {conn.idle_s:.3f} s"
+        return Attempt(end=AttemptEnd.STALE_CONNECTION, reason=reason, cause=exc.cause)
 
     def _record_attempt(
         self, job: Job, upstream: Upstream, attempt: Attempt, *, sent_at: float
@@ -381,6 +382,9 @@
         job.sending = False
         job.may_have_run = job.may_have_run or attempt.may_have_run
         self._state.metrics.attempts.labels(job.service, attempt.end.value).inc()
+        if attempt.cause is not None:
+            phase = self._state.phase.value
+            self._state.metrics.lost_responses.labels(attempt.cause.value, phase).inc()
         now = self._loop.time()
         if self._must_avoid(attempt, upstream, job):
             job.avoided.add(upstream.id)
@@ -409,6 +413,8 @@
             upstream=upstream.id,
             end=attempt.end.value,
             reason=attempt.reason,
+            after_ms=round((now - sent_at) * 1000),
+            phase=self._state.phase.value,
             load=job.load,
             left_ms=round((job.deadline - now) * 1000),
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -22,7 +22,12 @@
 from gooseberryport_gateway._headers import Headers, find_header
 from gooseberryport_gateway._progress import Transfer
 from gooseberryport_gateway._receiving import READ_BUFFER, SHORT_READ_BUFFER, add_chunk
-from gooseberryport_gateway.errors import NotSentError, ResponseLimitError, ResponseLostError
+from gooseberryport_gateway.errors import (
+    LossCause,
+    NotSentError,
+    ResponseLimitError,
+    ResponseLostError,
+)
 
 DEFAULT_IDLE_TIMEOUT_S = 5.0
 """Idle timeout assumed if the server sends no keep-alive timeout; seconds."""
@@ -132,6 +137,7 @@
         self._answered = False
         self.idle_s = 0.0
         self.address: tuple[str, int] | None = None
+        self._given_up = ""
         self.closed = False
         self.closed_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.has_response_bytes = False
@@ -215,8 +221,16 @@
             if unfinished or self._unusable:
                 self.close()
 
-    def close(self) -> None:
-        """Close the connection at once, dropping unsent bytes."""
+    def close(self, *, reason: str = "") -> None:
+        """Close the connection at once, dropping unsent bytes.
+
+        Parameters
+        ----------
+        reason
+            Why a request on it is given up.
+        """
+        if not self.closed:
+            self._given_up = reason
         self.closed = True
         if self._transport is not None:
             self._transport.abort()
@@ -308,10 +322,21 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request that waits for a response."""
         self.closed = True
-        self._fail("connection reset" if exc is not None else "connection closed")
+        reason, cause = self._end_of(exc)
+        self._fail(reason, cause=cause)
         if not self.closed_future.done():
             self.closed_future.set_result(None)
 
+    def _end_of(self, exc: Exception | None) -> tuple[str, LossCause]:
+        """Return why the connection ended, in words and as a cause."""
+        if self._given_up:
+            return f"connection given up: {self._given_up}", LossCause.GIVEN_UP
+        if isinstance(exc, TimeoutError):
+            return "connection unacknowledged", LossCause.UNACKNOWLEDGED
+        if exc is not None:
+            return "connection reset", LossCause.RESET
+        return "connection closed", LossCause.CLOSED
+
     # Callbacks from the parser.
 
     def on_message_begin(self) -> None:
@@ -471,12 +496,12 @@
         if self._response_future is None or self._response_future.done():
             self.close()
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, *, cause: LossCause = LossCause.MALFORMED) -> None:
         future, self._response_future = self._response_future, None
         if future is not None and not future.done():
             if self.paused_s:
                 reason += f" after it was not read for {self.paused_s:.1f} s for lack of memory"
-            future.set_exception(ResponseLostError(reason))
+            future.set_exception(ResponseLostError(reason, cause=cause))
 
 
 def configure_socket(sock: socket.socket) -> None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_metrics.py
@@ -35,6 +35,13 @@
             ("service", "outcome"),
             registry=self.registry,
         )
+        self.lost_responses = Counter(
+            "gooseberryport_lost_responses",
+            "Requests whose upstream may have been at work when the connection to it ended, by"
+            " what ended it and the phase of this gateway",
+            ("cause", "phase"),
+            registry=self.registry,
+        )
         self.connections = Counter(
             "gooseberryport_upstream_connections",
             "Connections opened to upstreams",
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
@@ -144,6 +144,7 @@
             status=status,
             cause=job.cause,
             took_ms=round(took_s * 1000),
+            phase=self._state.phase.value,
             config=self._state.routes.config.version if self._state.routes else None,
             **more,
         )
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
@@ -103,7 +103,7 @@
             reason = f"no response, and {exc}"
             self._state.record_unreachable(upstream, reason=reason, now=self._loop.time())
             for waiting_conn in list(self._repeatable.get(upstream.id, ())):
-                waiting_conn.close()
+                waiting_conn.close(reason=reason)
             return
         self._state.metrics.connections.inc()
         self._pool.release(upstream.id, conn)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 
 class GatewayError(Exception):
     """Base of all errors of the gateway; the message says what is wrong and what to do."""
@@ -11,6 +13,25 @@
     """The request was not sent: no byte of it left this process."""
 
 
+class LossCause(Enum):
+    """What ended a connection before its response was complete."""
+
+    CLOSED = "closed"
+    """The server closed it."""
+
+    RESET = "reset"
+    """The server, or something on the way, reset it."""
+
+    UNACKNOWLEDGED = "unacknowledged"
+    """The server's host acknowledged neither bytes nor probes in time."""
+
+    MALFORMED = "malformed"
+    """What came is no response to the request, or exceeds a limit."""
+
+    GIVEN_UP = "given-up"
+    """This process closed it."""
+
+
 class ResponseLostError(GatewayError):
     """Bytes of the request were sent, and no complete response was received.
 
@@ -18,11 +39,14 @@
     ----------
     reason
         Why there is no complete response.
+    cause
+        What ended the connection.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, *, cause: LossCause = LossCause.MALFORMED) -> None:
         super().__init__(f"no complete response: {reason}; the request may have run")
         self.reason = reason
+        self.cause = cause
 
 
 class ResponseLimitError(ResponseLostError):
