Show that a refused new connection ends requests that run

Callers saw 502 for a request at which its upstream was at work, and after SIGTERM that is a request given up by the stop.

The former test took a refused connection beside a live, silent one for an upstream without power, which is the very state of an upstream that is at work. It is replaced: the host's sockets now drop all packets (a socket filter), so nothing is acknowledged, and requests that may run only once must get their reply as early as the others (fails: 504 at the timeout).

--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -21,6 +21,7 @@
 from gooseberryport_gateway.wire import Bounds, GatewaySettings, HeaderNames
 from gooseberryport_standins.samples import make_entry
 from gooseberryport_standins.streams import open_stream, start_stream_server
+from gooseberryport_standins.unreachable import drop_received
 
 HEADER_NAMES = HeaderNames(
     request_id=b"x-id",
@@ -122,6 +123,11 @@
     def stop_listening(self):
         self.server.close()
 
+    def drop_received(self):
+        """Drop what arrives on its connections, as if its host had lost power."""
+        for writer in self._writers:
+            drop_received(writer.get_extra_info("socket")._sock)
+
     def close_connections(self):
         for writer in list(self._writers):
             writer.close()
