End a request only by what its own connection shows

Callers saw 502 for idempotent requests at which their upstream was at work, also after SIGTERM, when there is rarely room elsewhere: requests given up by the stop (LOST).

Cause: a silent upstream was checked by opening a connection. If that was not established in 0.5 s, or was refused, all idempotent requests there were closed, however long they had waited (one after 146 ms). A lost SYN, a full queue of new connections or a limit on connections is enough, and none of these says anything about connections that are open.

Class: evidence about one thing ends another.

Change: the check decides only whether the upstream gets further requests. A request goes on for as long as the host of its upstream answers probes on the request's own connection (TCP keep-alive, from 0.5 s after it was sent; three unanswered ones break the connection). So requests that may run only once get their reply earlier too, and a connection that went silent while others work is found.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -302,8 +302,7 @@
         job.sending = True
         job.conns.append(conn)
         expected_s = self._state.warm_s(job.route) if job.warm else None
-        repeatable = job.route.repeatability is Repeatability.IDEMPOTENT
-        with self._silence.watching(upstream, conn, expected_s=expected_s, repeatable=repeatable):
+        with self._silence.watching(upstream, conn, expected_s=expected_s):
             try:
                 response = await conn.request(
                     self._encode(job, upstream, now=now),
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -13,6 +13,7 @@
 from gooseberryport_core.decoding import MAX_DURATION_S, parse_count
 from gooseberryport_core.gateway.response_memory import HeldResponse
 from gooseberryport_core.http_status import INTERIM_STATUSES, is_valid_status
+from gooseberryport_gateway import _liveness
 from gooseberryport_gateway._byte_limits import (
     MAX_FIELDS,
     MAX_INTERIM_RESPONSES,
@@ -41,9 +42,6 @@
 HTTP_VERSIONS = ("1.0", "1.1")
 """Versions of HTTP that a response may state; the parser accepts others."""
 
-TCP_USER_TIMEOUT_MS = 2_000
-"""Time after which unacknowledged bytes break a connection; milliseconds."""
-
 
 class HttpResponse(msgspec.Struct):
     """A complete HTTP response.
@@ -137,7 +135,7 @@
         self._answered = False
         self.idle_s = 0.0
         self.address: tuple[str, int] | None = None
-        self._given_up = ""
+        self._probed = False
         self.closed = False
         self.closed_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.has_response_bytes = False
@@ -221,16 +219,26 @@
             if unfinished or self._unusable:
                 self.close()
 
-    def close(self, *, reason: str = "") -> None:
-        """Close the connection at once, dropping unsent bytes.
+    def probe(self, *, active: bool) -> None:
+        """Start or stop asking the server's host whether it still has the connection.
 
-        Parameters
-        ----------
-        reason
-            Why a request on it is given up.
+        If the host does not answer, the request on the connection fails.
         """
-        if not self.closed:
-            self._given_up = reason
+        sock = self._socket
+        if sock is not None and active != self._probed:
+            self._probed = active
+            _liveness.probe(sock, active=active)
+
+    @property
+    def _socket(self) -> socket.socket | None:
+        """The socket, or None if it is closed or about to be."""
+        if self.closed or self._transport is None or self._transport.is_closing():
+            return None
+        sock: socket.socket | None = self._transport.get_extra_info("socket")
+        return sock
+
+    def close(self) -> None:
+        """Close the connection at once, dropping unsent bytes."""
         self.closed = True
         if self._transport is not None:
             self._transport.abort()
@@ -279,9 +287,9 @@
         """Prepare the socket."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        sock = transport.get_extra_info("socket")
+        sock = self._socket
         if sock is not None:
-            configure_socket(sock)
+            _liveness.configure(sock)
         self._idle_since = asyncio.get_running_loop().time()
 
     def data_received(self, data: bytes | memoryview) -> None:
@@ -321,16 +329,16 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request that waits for a response."""
-        self.closed = True
         reason, cause = self._end_of(exc)
+        self.closed = True
         self._fail(reason, cause=cause)
         if not self.closed_future.done():
             self.closed_future.set_result(None)
 
     def _end_of(self, exc: Exception | None) -> tuple[str, LossCause]:
         """Return why the connection ended, in words and as a cause."""
-        if self._given_up:
-            return f"connection given up: {self._given_up}", LossCause.GIVEN_UP
+        if self.closed:
+            return "connection given up", LossCause.GIVEN_UP
         if isinstance(exc, TimeoutError):
             return "connection unacknowledged", LossCause.UNACKNOWLEDGED
         if exc is not None:
@@ -504,12 +512,6 @@
             future.set_exception(ResponseLostError(reason, cause=cause))
 
 
-def configure_socket(sock: socket.socket) -> None:
-    """Disable Nagle's algorithm, and reset connections whose bytes stay unacknowledged."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-
-
 async def open_conn(
     address: tuple[str, int],
     *,
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
@@ -3,6 +3,9 @@
 Failure pattern: an upstream loses power or is cut off from the network. Its connections are not
 reset, so requests that it had, and those still sent to it, wait until their routes' timeouts and
 occupy its slots.
+
+Two questions, with an answer each: whether the upstream gets further requests follows from a new
+connection; whether a request that it has goes on follows from the connection of that request.
 """
 
 from __future__ import annotations
@@ -24,6 +27,10 @@
 """Multiple of the expected time after which a silent upstream is checked: more than
 the longest wait at a warm home."""
 
+PROBE_DELAY_S = 0.5
+"""Time without a response after which the host of an upstream is probed on the connection of the
+request; most requests take less; seconds."""
+
 MIN_CHECK_INTERVAL_S = 2.0
 """Minimum interval between checks of one upstream, as each may open a connection; seconds."""
 
@@ -31,8 +38,8 @@
 class SilenceDetector:
     """Check upstreams that do not respond within the expected time, by opening a new connection.
 
-    If that fails, the upstream gets no more requests until a probe succeeds, and the connections of
-    its repeatable requests are closed, so that these requests can be retried elsewhere.
+    If that fails, the upstream gets no more requests until a probe succeeds. It keeps those that it
+    has for as long as its host answers on their connections.
 
     Parameters
     ----------
@@ -46,13 +53,12 @@
         self._state = state
         self._pool = pool
         self._loop = asyncio.get_running_loop()
-        self._repeatable: dict[UpstreamId, set[HttpConn]] = {}
         self._checked_at: dict[UpstreamId, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextmanager
     def watching(
-        self, upstream: Upstream, conn: HttpConn, *, expected_s: float | None, repeatable: bool
+        self, upstream: Upstream, conn: HttpConn, *, expected_s: float | None
     ) -> Iterator[None]:
         """Watch one request while an upstream handles it.
 
@@ -62,23 +68,17 @@
             The upstream that has the request, and the connection used.
         expected_s
             Expected time of the request; seconds; None if it is not known.
-        repeatable
-            Whether the request may be retried at another upstream.
         """
-        handle = None
+        handles = [self._loop.call_later(PROBE_DELAY_S, partial(conn.probe, active=True))]
         if expected_s is not None:
-            handle = self._loop.call_later(SILENCE_FACTOR * expected_s, self._start_check, upstream)
-        conns = self._repeatable.setdefault(upstream.id, set())
-        if repeatable:
-            conns.add(conn)
+            delay_s = SILENCE_FACTOR * expected_s
+            handles.append(self._loop.call_later(delay_s, self._start_check, upstream))
         try:
             yield
         finally:
-            if handle is not None:
+            for handle in handles:
                 handle.cancel()
-            conns.discard(conn)
-            if not conns:
-                self._repeatable.pop(upstream.id, None)
+            conn.probe(active=False)
 
     def _start_check(self, upstream: Upstream) -> None:
         now = self._loop.time()
@@ -102,8 +102,6 @@
         except NotSentError as exc:
             reason = f"no response, and {exc}"
             self._state.record_unreachable(upstream, reason=reason, now=self._loop.time())
-            for waiting_conn in list(self._repeatable.get(upstream.id, ())):
-                waiting_conn.close(reason=reason)
             return
         self._state.metrics.connections.inc()
         self._pool.release(upstream.id, conn)
--- a/packages/gooseberryport-gateway/tests/gateway_harness.py
+++ b/packages/gooseberryport-gateway/tests/gateway_harness.py
@@ -126,7 +126,7 @@
     def drop_received(self):
         """Drop what arrives on its connections, as if its host had lost power."""
         for writer in self._writers:
-            drop_received(writer.get_extra_info("socket")._sock)
+            drop_received(writer.get_extra_info("socket"))
 
     def close_connections(self):
         for writer in list(self._writers):
--- a/packages/gooseberryport-gateway/tests/test_silence.py
+++ b/packages/gooseberryport-gateway/tests/test_silence.py
@@ -57,8 +57,7 @@
 
 def drop_connections(upstream):
     for sock in upstream.server.sockets:
-        # The server keeps a view of its socket that has no method for options.
-        drop_received(sock._sock)
+        drop_received(sock)
 
 
 @pytest.mark.parametrize("stops", [False, True])
--- a/standins/src/gooseberryport_standins/unreachable.py
+++ b/standins/src/gooseberryport_standins/unreachable.py
@@ -1,4 +1,4 @@
-"""Sockets on loopback whose host seems to have lost power: what they receive is not acknowledged."""
+"""Sockets on loopback whose host seems to have lost power: it acknowledges nothing."""
 
 from __future__ import annotations
 
