Leave an upload at an upstream that does not read for a while

Cause: TCP_USER_TIMEOUT also counts the time for which a host that is alive has no room for more bytes.

Change: a connection has no such bound while its request has a body. What ends a request with a body whose upstream loses power before it has acknowledged all of it is the request's deadline; after that it is probed as any other.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -136,6 +136,7 @@
         self.idle_s = 0.0
         self.address: tuple[str, int] | None = None
         self._probed = False
+        self._has_slow_reader = False
         self.closed = False
         self.closed_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.has_response_bytes = False
@@ -203,6 +204,7 @@
         self._held = held
         self._transfer = transfer
         self._counted_bytes = 0
+        self._expect_slow_reader(bool(body))
         transport.write(data)
         self._write_body()
         try:
@@ -237,6 +239,12 @@
         sock: socket.socket | None = self._transport.get_extra_info("socket")
         return sock
 
+    def _expect_slow_reader(self, expected: bool) -> None:
+        sock = self._socket
+        if sock is not None and expected != self._has_slow_reader:
+            self._has_slow_reader = expected
+            _liveness.expect_slow_reader(sock, expected=expected)
+
     def close(self) -> None:
         """Close the connection at once, dropping unsent bytes."""
         self.closed = True
--- a/packages/gooseberryport-gateway/tests/test_ended_requests.py
+++ b/packages/gooseberryport-gateway/tests/test_ended_requests.py
@@ -3,12 +3,16 @@
 import asyncio
 import json
 import os
+import socket
 
 import pytest
 from gateway_harness import (
     connect_client,
+    header_value,
     make_request,
+    make_response,
     run,
+    send_request,
     start_gateway,
     start_upstream,
 )
@@ -16,6 +20,7 @@
 from gooseberryport_core.gateway.model import Repeatability
 from gooseberryport_gateway._logs import Log
 from gooseberryport_standins.samples import make_route
+from gooseberryport_standins.streams import start_stream_server
 
 
 def read_events(gateway, path, name):
@@ -86,3 +91,33 @@
             assert counter._value.get() == 1
 
     run(main())
+
+
+UNREAD_S = 5.5
+"""Longer than bytes may stay unacknowledged by a host that is gone; seconds."""
+
+
+@pytest.mark.parametrize("repeatability", [Repeatability.IDEMPOTENT, Repeatability.AT_MOST_ONCE])
+def test_upload_that_its_upstream_leaves_unread_for_a_while_is_not_cut_off(repeatability):
+    async def main():
+        received = []
+
+        async def serve(reader, writer):
+            await asyncio.sleep(UNREAD_S)
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(header_value(head, b"content-length"))
+            received.append(len(await reader.readexactly(length)))
+            writer.write(make_response(head))
+            await reader.read()
+
+        server = await start_stream_server(serve)
+        server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+        route = make_route(timeout_s=9.0, repeatability=repeatability)
+        async with start_gateway(route) as gateway:
+            gateway.put_upstream("u1", server.sockets[0].getsockname()[1])
+            request = make_request(method=b"POST", deadline_ms=9000, body=bytes(1_000_000))
+            assert (await send_request(gateway, request))[0] == 200
+            assert received == [1_000_000]
+        server.close()
+
+    run(main())
