Bound the time for which bytes wait for a host that is gone

Cause: without a bound, a request with a body that waits in the kernel while a link is cut reaches its upstream late, when that may have left; and a request with a large body at a host without power waits for its deadline.

Only bodies of more than 16 KB, which may find no room at an upstream that reads nothing, have no bound in the kernel: the gateway itself asks the kernel twice a second whether the host answers, and fails the request after 8 such polls without an answer.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -86,6 +86,7 @@
     A response that exceeds a limit is given up at once, whichever part of it is too long.
     `idle_s` is how long the connection was idle before its latest request, or 0, and `paused_s` how
     long its response was not read for lack of memory; seconds. `address` is where it was opened to.
+    `has_slow_reader` is whether the kernel leaves bytes unread without a bound.
 
     Parameters
     ----------
@@ -136,7 +137,7 @@
         self.idle_s = 0.0
         self.address: tuple[str, int] | None = None
         self._probed = False
-        self._has_slow_reader = False
+        self.has_slow_reader = False
         self.closed = False
         self.closed_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.has_response_bytes = False
@@ -204,7 +205,7 @@
         self._held = held
         self._transfer = transfer
         self._counted_bytes = 0
-        self._expect_slow_reader(bool(body))
+        self._expect_slow_reader(sum(map(len, body)) > _liveness.SMALL_BODY_BYTES)
         transport.write(data)
         self._write_body()
         try:
@@ -229,7 +230,8 @@
         sock = self._socket
         if sock is not None and active != self._probed:
             self._probed = active
-            _liveness.probe(sock, active=active)
+            set_probes = _liveness.start_probes if active else _liveness.stop_probes
+            set_probes(sock, has_timeout=not self.has_slow_reader)
 
     @property
     def _socket(self) -> socket.socket | None:
@@ -239,10 +241,21 @@
         sock: socket.socket | None = self._transport.get_extra_info("socket")
         return sock
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the server's host has not answered the latest packet."""
+        sock = self._socket
+        return sock is not None and _liveness.is_unanswered(sock)
+
+    def fail_unacknowledged(self) -> None:
+        """Fail the request, since the server's host answers no more, and close the connection."""
+        self._fail("connection unacknowledged", cause=LossCause.UNACKNOWLEDGED)
+        self.close()
+
     def _expect_slow_reader(self, expected: bool) -> None:
         sock = self._socket
-        if sock is not None and expected != self._has_slow_reader:
-            self._has_slow_reader = expected
+        if sock is not None and expected != self.has_slow_reader:
+            self.has_slow_reader = expected
             _liveness.expect_slow_reader(sock, expected=expected)
 
     def close(self) -> None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
@@ -19,6 +19,7 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import UpstreamId
 from gooseberryport_gateway._http_conn import HttpConn
+from gooseberryport_gateway._liveness import PROBES_TIMEOUT_MS
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import NotSentError
@@ -31,6 +32,12 @@
 """Time without a response after which the host of an upstream is probed on the connection of the
 request; most requests take less; seconds."""
 
+UPLOAD_POLL_INTERVAL_S = 0.5
+"""Interval between polls for whether a host answers to an upload; seconds."""
+
+MAX_UNANSWERED_POLLS = round(PROBES_TIMEOUT_MS / (1000 * UPLOAD_POLL_INTERVAL_S))
+"""Polls in a row without an answer after which the host counts as gone."""
+
 MIN_CHECK_INTERVAL_S = 2.0
 """Minimum interval between checks of one upstream, as each may open a connection; seconds."""
 
@@ -54,6 +61,7 @@
         self._pool = pool
         self._loop = asyncio.get_running_loop()
         self._checked_at: dict[UpstreamId, float] = {}
+        self._polls: dict[HttpConn, asyncio.TimerHandle] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextmanager
@@ -69,7 +77,7 @@
         expected_s
             Expected time of the request; seconds; None if it is not known.
         """
-        handles = [self._loop.call_later(PROBE_DELAY_S, partial(conn.probe, active=True))]
+        handles = [self._loop.call_later(PROBE_DELAY_S, self._watch_host, conn)]
         if expected_s is not None:
             delay_s = SILENCE_FACTOR * expected_s
             handles.append(self._loop.call_later(delay_s, self._start_check, upstream))
@@ -78,7 +86,39 @@
         finally:
             for handle in handles:
                 handle.cancel()
-            conn.probe(active=False)
+            self._end_watch(conn)
+
+    def _watch_host(self, conn: HttpConn) -> None:
+        """Let a request fail if the host of its upstream answers no more on its connection."""
+        conn.probe(active=True)
+        if conn.has_slow_reader:
+            self._polls[conn] = self._loop.call_later(UPLOAD_POLL_INTERVAL_S, self._poll, conn, 0)
+
+    def _end_watch(self, conn: HttpConn) -> None:
+        conn.probe(active=False)
+        poll = self._polls.pop(conn, None)
+        if poll is not None:
+            poll.cancel()
+
+    def _poll(self, conn: HttpConn, num_unanswered: int) -> None:
+        """Fail the request if the host has answered nothing at a number of polls in a row.
+
+        Parameters
+        ----------
+        conn
+            Connection of the request, whose body the kernel may leave unread without a bound.
+        num_unanswered
+            Latest polls in a row at which the host had not answered. They are counted instead of
+            timed, since the answers to a process that was paused are read first.
+        """
+        num_unanswered = num_unanswered + 1 if conn.is_unanswered else 0
+        if num_unanswered >= MAX_UNANSWERED_POLLS:
+            del self._polls[conn]
+            conn.fail_unacknowledged()
+            return
+        self._polls[conn] = self._loop.call_later(
+            UPLOAD_POLL_INTERVAL_S, self._poll, conn, num_unanswered
+        )
 
     def _start_check(self, upstream: Upstream) -> None:
         now = self._loop.time()
--- a/packages/gooseberryport-gateway/tests/test_ended_requests.py
+++ b/packages/gooseberryport-gateway/tests/test_ended_requests.py
@@ -21,6 +21,7 @@
 from gooseberryport_gateway._logs import Log
 from gooseberryport_standins.samples import make_route
 from gooseberryport_standins.streams import start_stream_server
+from gooseberryport_standins.unreachable import drop_received
 
 
 def read_events(gateway, path, name):
@@ -121,3 +122,28 @@
         server.close()
 
     run(main())
+
+
+def test_upload_to_a_host_without_power_fails_before_its_timeout():
+    async def main():
+        arrived = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            drop_received(writer.get_extra_info("socket"))
+            arrived.set()
+            await asyncio.sleep(20)
+
+        server = await start_stream_server(serve)
+        server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+        route = make_route(timeout_s=15.0, repeatability=Repeatability.AT_MOST_ONCE)
+        async with start_gateway(route) as gateway:
+            gateway.put_upstream("u1", server.sockets[0].getsockname()[1])
+            request = make_request(method=b"POST", deadline_ms=15_000, body=bytes(1_000_000))
+            sent_at = asyncio.get_running_loop().time()
+            assert (await send_request(gateway, request))[0] == 502
+            assert asyncio.get_running_loop().time() - sent_at < 9.0
+            assert arrived.is_set()
+        server.close()
+
+    run(main())
