Read what a client has sent before its connection is closed as idle

Callers saw: a request that had reached the gateway was read and dropped, and its connection ended without an answer; or a request of which the gateway had all bytes got 408.

Cause: an idle or header timer, and the end of accepting in a stop, closed a connection by what had been read of it so far. If the event loop does not run for a while, the timer and a request are due in the same iteration, and a stop closes connections after the poll. What waits in the socket was then read during the second for which a closing connection reads on, and dropped.

Change: before it closes such a connection, the gateway asks the kernel whether bytes wait there. If so it polls once more, and ends the wait only if nothing came. A client that sends a byte now and then gains one iteration at most. Reading that is paused for lack of memory is not waited for.

To make room, the wait after the last reply moved to ReplyWriter, and Pending beside Reply, unchanged.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -7,17 +7,22 @@
 from collections.abc import Callable
 
 import httptools
-import msgspec
 
 from gooseberryport_core.gateway.model import ClientLimits
 from gooseberryport_core.gateway.response_memory import (
     ClientResponses,
-    HeldResponse,
     ResponseMemory,
 )
 from gooseberryport_gateway._body_memory import BodyMemory, HeldBody
-from gooseberryport_gateway._client_messages import ClientRequest, Handler, Reply, encode_reply
+from gooseberryport_gateway._client_messages import (
+    ClientRequest,
+    Handler,
+    Pending,
+    Reply,
+    encode_reply,
+)
 from gooseberryport_gateway._headers import Headers
+from gooseberryport_gateway._receiving import unread_bytes
 from gooseberryport_gateway._reply_writer import ReplyWriter
 from gooseberryport_gateway.errors import BodyTooLargeError
 
@@ -38,15 +43,6 @@
 """Delay after which a client retries whose body did not fit into memory; seconds."""
 
 
-class _Pending(msgspec.Struct, eq=False):
-    keep_alive: bool
-    head_only: bool
-    task: asyncio.Task[Reply] | None = None
-    reply: Reply | None = None
-    body: HeldBody | None = None
-    held: HeldResponse | None = None
-
-
 class ClientConn(asyncio.Protocol):
     """Serve one connection of a client.
 
@@ -87,8 +83,8 @@
                 on_disconnect=self._disconnect, poll=self._record_progress
             )
         self._parser = httptools.HttpRequestParser(self)
-        self._pending: deque[_Pending] = deque()
-        self._unstarted: deque[tuple[ClientRequest, _Pending]] = deque()
+        self._pending: deque[Pending] = deque()
+        self._unstarted: deque[tuple[ClientRequest, Pending]] = deque()
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
@@ -117,7 +113,7 @@
         """
         self.closing_when_idle = True
         if not self.busy:
-            self._close()
+            self._end_unless_unread(self._close)
 
     def reject_unread(self, *, retry_s: float) -> bool:
         """Refuse a request that has not been read to its end; return whether there is one.
@@ -329,7 +325,7 @@
             arrived_at=self._loop.time(),
         )
         pending = self._add_pending(
-            _Pending(
+            Pending(
                 keep_alive=self._parser.should_keep_alive(), head_only=method == b"HEAD", body=body
             )
         )
@@ -344,7 +340,7 @@
             pending.task = self._loop.create_task(self._handle(req, pending))
         self._update_reading()
 
-    def _add_pending(self, pending: _Pending) -> _Pending:
+    def _add_pending(self, pending: Pending) -> Pending:
         if self._responses is not None:
             pending.held = self._responses.new_response()
         self._pending.append(pending)
@@ -368,7 +364,7 @@
             self._start_requests()
             self._update_reading()
 
-    async def _handle(self, req: ClientRequest, pending: _Pending) -> Reply:
+    async def _handle(self, req: ClientRequest, pending: Pending) -> Reply:
         try:
             reply = await self._handler(req)
         finally:
@@ -403,7 +399,7 @@
         self._body.release()
         self._cancel_timer()
         reply = Reply(status=status, headers=headers or [])
-        self._add_pending(_Pending(keep_alive=False, head_only=False, reply=reply))
+        self._add_pending(Pending(keep_alive=False, head_only=False, reply=reply))
         self._flush()
 
     def _flush(self) -> None:
@@ -448,29 +444,9 @@
             # The client has reset the connection, and the event loop has not reported it yet.
             transport.abort()
             return
-        unwritten = writer.unsent_bytes
-        self._loop.call_later(CLOSE_DELAY_S, self._abort_if_written, transport, unwritten, 0.0)
-
-    def _abort_if_written(
-        self, transport: asyncio.Transport, unwritten: int, stalled_s: float
-    ) -> None:
-        """Abort a closing connection, unless its client still reads the last replies.
-
-        Parameters
-        ----------
-        transport
-            Transport of the connection.
-        unwritten
-            Bytes of the replies that were not written a delay ago.
-        stalled_s
-            Time for which the client has read nothing; seconds.
-        """
-        left = self._writer.unsent_bytes if self._writer is not None else 0
-        stalled_s = 0.0 if left < unwritten else stalled_s + CLOSE_DELAY_S
-        if not unwritten or stalled_s >= self._limits().idle_timeout_s:
-            transport.abort()
-            return
-        self._loop.call_later(CLOSE_DELAY_S, self._abort_if_written, transport, left, stalled_s)
+        writer.abort_when_read(
+            delay_s=CLOSE_DELAY_S, max_stall_s=lambda: self._limits().idle_timeout_s
+        )
 
     def _cancel_pending(self, reason: str) -> None:
         for pending in self._pending:
@@ -497,10 +473,25 @@
         if self._reading and self._body.paused:
             self._reject_for_memory()
         elif self._reading:
-            self._reject(408)
+            self._end_unless_unread(lambda: self._reject(408))
         elif not self._pending:
             timeout_s = self._limits().idle_timeout_s
-            if self._writer is None or self._writer.is_done(timeout_s=timeout_s):
-                self._close()
+            if (
+                self.closing_when_idle
+                or self._writer is None
+                or self._writer.is_done(timeout_s=timeout_s)
+            ):
+                self._end_unless_unread(self._close)
             else:
                 self._start_timer(timeout_s)
+
+    def _end_unless_unread(self, end: Callable[[], None]) -> None:
+        """End what a client was waited for, or first read what it has sent by now.
+
+        Bytes that came since the event loop last polled may be a request, which would be dropped.
+        """
+        if self._transport is not None and not self._read_paused and unread_bytes(self._transport):
+            # The event loop polls, and reads, before it calls a timer.
+            self._start_timer(0.0)
+        else:
+            end()
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_messages.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_messages.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 
 import msgspec
 
 from gooseberryport_core.gateway.response_memory import HeldResponse
+from gooseberryport_gateway._body_memory import HeldBody
 from gooseberryport_gateway._headers import Headers, find_header
 
 REASON_PHRASES = {
@@ -98,6 +100,29 @@
         return len(self.body) + sum(map(len, self.chunks))
 
 
+class Pending(msgspec.Struct, eq=False):
+    """A request whose reply has not been written.
+
+    Parameters
+    ----------
+    keep_alive
+        Whether the connection may stay open after its reply.
+    head_only
+        Whether it asked for no body.
+    task, reply
+        Task that makes the reply, once it was started, and the reply once it is made.
+    body, held
+        Count the bytes of its body and of its response.
+    """
+
+    keep_alive: bool
+    head_only: bool
+    task: asyncio.Task[Reply] | None = None
+    reply: Reply | None = None
+    body: HeldBody | None = None
+    held: HeldResponse | None = None
+
+
 Handler = Callable[[ClientRequest], Awaitable[Reply]]
 
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_receiving.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_receiving.py
@@ -1,7 +1,13 @@
-"""Buffers into which responses are received, and the chunks in which they are held."""
+"""Bytes that a socket has, buffers for responses, and the chunks in which they are held."""
 
 from __future__ import annotations
 
+import asyncio
+import fcntl
+import socket
+import sys
+import termios
+
 from gooseberryport_core.gateway.response_memory import READ_BYTES, SMALL_RESPONSE_BYTES
 
 MIN_CHUNK_BYTES = 65_536
@@ -25,3 +31,12 @@
     if isinstance(last, bytes):
         chunks[-1] = last = bytearray(last)
     last += data
+
+
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many bytes were received on a connection and not read yet."""
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    return int.from_bytes(count, sys.byteorder)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_reply_writer.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_reply_writer.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from gooseberryport_core.gateway.response_memory import ClientResponses
 
@@ -95,6 +95,31 @@
         else:
             self._transport.write_eof()
 
+    def abort_when_read(self, *, delay_s: float, max_stall_s: Callable[[], float]) -> None:
+        """Abort the connection a while after its last replies are written.
+
+        Parameters
+        ----------
+        delay_s
+            Time after the last write; seconds.
+        max_stall_s
+            Returns the time after which a client that reads nothing is not waited for; seconds.
+        """
+        unsent = self.unsent_bytes
+        self._loop.call_later(delay_s, self._abort_if_written, unsent, delay_s, max_stall_s, 0.0)
+
+    def _abort_if_written(
+        self, unsent: int, delay_s: float, max_stall_s: Callable[[], float], stalled_s: float
+    ) -> None:
+        left = self.unsent_bytes
+        stalled_s = 0.0 if left < unsent else stalled_s + delay_s
+        if not unsent or stalled_s >= max_stall_s():
+            self._transport.abort()
+            return
+        self._loop.call_later(
+            delay_s, self._abort_if_written, left, delay_s, max_stall_s, stalled_s
+        )
+
     def is_done(self, *, timeout_s: float) -> bool:
         """Return whether nothing is left to be written, or the client has not read for a time."""
         if self._responses is None:
--- a/packages/gooseberryport-gateway/tests/test_client_conn.py
+++ b/packages/gooseberryport-gateway/tests/test_client_conn.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 
 import pytest
 from gateway_harness import (
@@ -326,3 +327,48 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(_client_conn, "MAX_PIPELINED_REQUESTS", MAX_OPEN)
         run(main())
+
+
+# Guards against a request that is read and dropped, since the connection that it came on was closed
+# as idle: a loop that did not run for a while finds both due at once.
+@pytest.mark.parametrize("begun", [b"", b"GET /a/x HTTP/1.1\r\nHost: h.ex"], ids=["idle", "head"])
+def test_request_that_came_before_its_connection_timed_out_is_answered(begun):
+    async def main():
+        loop = asyncio.get_running_loop()
+        limits = ClientLimits(idle_timeout_s=0.2, header_timeout_s=0.2)
+        async with (
+            start_upstream(lambda head, _: make_response(head)) as upstream,
+            start_gateway(make_route(), limits=limits) as gateway,
+            connect_client(gateway) as client,
+        ):
+            gateway.put_upstream("u1", upstream.port)
+            while not gateway.conns:
+                await asyncio.sleep(0.01)
+            client.send(begun)
+            await asyncio.sleep(0.05)
+            loop.call_later(0.05, client.send, make_request()[len(begun) :])
+            time.sleep(0.4)
+            assert (await client.read_reply())[0] == 200
+
+    run(main())
+
+
+# As above, for connections that are closed as idle in a planned stop.
+def test_request_that_came_before_its_idle_connection_is_closed_is_answered():
+    async def main():
+        async with (
+            start_upstream(lambda head, _: make_response(head)) as upstream,
+            start_gateway(make_route()) as gateway,
+            connect_client(gateway) as client,
+        ):
+            gateway.put_upstream("u1", upstream.port)
+            client.send(make_request())
+            assert (await client.read_reply())[0] == 200
+            (conn,) = gateway.conns
+            client.send(make_request(request_id=b"id2"))
+            conn.close_when_idle()
+            status, head, _ = await client.read_reply()
+            assert (status, header_value(head, b"connection")) == (200, b"close")
+            assert await client.is_closed()
+
+    run(main())
