Pass on a response that came as the time for it ended

Callers saw: 504 though the upstream had answered in time; also a 504 in place of the upstream's own failure or refusal, for requests that must not run twice. After a SIGTERM the same holds for the final replies, which end the time of every open request.

Cause: a timeout cancels the request's task. If the response is read in the same iteration of the event loop, as after a pause of the process, the future has its result but the task has not run, and the cancellation wins. The response was dropped, and its connection was neither closed nor reused.

Evidence: a process that does not run from before the response until after the timeout; 200, 500 and 503 of the upstream each became 504 before. All three pass now.

Change: HttpConn keeps a response that was complete when the wait was cancelled. The timed-out request is answered by it: passed on, passed on as the upstream's failure, or refused as not run if the upstream says so. The connection goes back to the pool.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -110,6 +110,8 @@
         Time after which its client should retry, if that follows from its priority level; seconds.
     full_from
         Load per slot from which upstreams count as full for its priority level.
+    late_response
+        Response that was complete when its time ended.
     given_up
         Whether it gets a final reply because the process exits.
     tenant
@@ -151,6 +153,7 @@
     full_from: float = 0.0
     refusal_cause: RefusalCause = RefusalCause.FULL
     last_failure: HttpResponse | None = None
+    late_response: HttpResponse | None = None
     timeout: asyncio.Timeout | None = None
     given_up: bool = False
     tenant: Tenant | None = None
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -130,7 +130,7 @@
             async with asyncio.timeout_at(job.deadline) as job.timeout:
                 return await self._serve(job)
         except TimeoutError:
-            return self._replies.timed_out(job)
+            return self._late_reply(job) or self._replies.timed_out(job)
         except asyncio.CancelledError as exc:
             job.cause = str(exc.args[0]) if exc.args else ""
             self._replies.log(job, LogNumber.GATEWAY_REQUEST_CANCELLED, status=0)
@@ -140,6 +140,26 @@
             self._state.quotas.settle(job)
             self._state.metrics.in_flight.dec()
 
+    def _late_reply(self, job: Job) -> Reply | None:
+        """Return the reply by a response that came as the time ended, or None if there is none.
+
+        After a pause of the process, both are found at once, and the response may have come long
+        before.
+        """
+        if job.late_response is None:
+            return None
+        attempt = classify(job.late_response, names=self._names)
+        if attempt.end is AttemptEnd.LOST:
+            return None
+        job.sending = False
+        job.may_have_run = job.may_have_run or attempt.may_have_run
+        if attempt.end is AttemptEnd.ANSWERED:
+            return self._replies.pass_on(job, job.late_response)
+        job.cause = f"{attempt.end.value}: {attempt.reason}; no time left"
+        if attempt.end is AttemptEnd.FAILED:
+            job.last_failure = attempt.response
+        return self._replies.failed(job)
+
     def give_up(self) -> int:
         """Give every open request its final reply now; return their number."""
         for job in self._jobs:
@@ -311,6 +331,11 @@
                     head_only=job.req.method == b"HEAD",
                     held=job.req.held,
                 )
+            except asyncio.CancelledError:
+                if conn.unclaimed is not None:
+                    job.late_response = conn.unclaimed
+                    self._pool.release(upstream.id, conn)
+                raise
             except ResponseLostError as exc:
                 after_s = self._loop.time() - now
                 if not conn.idle_s or conn.has_response_bytes or after_s > STALE_RESET_WINDOW_S:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -84,6 +84,7 @@
     A response with another request's id is dropped, and the connection is not used again. One whose
     status line is not valid HTTP/1 is no response, and the connection is closed.
     A response that exceeds a limit is given up at once, whichever part of it is too long.
+    `unclaimed` is a response that was complete when the wait for it was cancelled, or None.
     `idle_s` is how long the connection was idle before its latest request, or 0, and `paused_s` how
     long its response was not read for lack of memory; seconds. `address` is where it was opened to.
 
@@ -140,6 +141,7 @@
         self.closed = False
         self.closed_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.has_response_bytes = False
+        self.unclaimed: HttpResponse | None = None
 
     @property
     def usable(self) -> bool:
@@ -194,7 +196,9 @@
         loop = asyncio.get_running_loop()
         self.idle_s = self.idle_time_s(loop.time())
         self._used = True
-        self._response_future = loop.create_future()
+        future: asyncio.Future[HttpResponse] = loop.create_future()
+        self._response_future = future
+        self.unclaimed = None
         self._request_id = request_id
         self._head_only = head_only
         self.has_response_bytes = False
@@ -208,10 +212,14 @@
         transport.write(data)
         self._write_body()
         try:
-            response = await self._response_future
+            response = await future
             if transfer is not None:
                 response.transfer_s = transfer.took_s
             return response
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and future.exception() is None:
+                self.unclaimed = future.result()
+            raise
         finally:
             unfinished = self._response_future is not None
             self._unsent.clear()
--- a/packages/gooseberryport-gateway/tests/test_ended_requests.py
+++ b/packages/gooseberryport-gateway/tests/test_ended_requests.py
@@ -4,6 +4,8 @@
 import json
 import os
 import socket
+import threading
+import time
 
 import pytest
 from gateway_harness import (
@@ -121,3 +123,48 @@
         server.close()
 
     run(main())
+
+
+# Guards against a response that is thrown away because the time for it ends in the same iteration
+# of the event loop, as after a pause of the process; its client got 504 though the request had run.
+@pytest.mark.parametrize(
+    ("response", "status"),
+    [
+        ({}, 200),
+        ({"status": b"500 Failed"}, 500),
+        ({"signed": False, "extra": b"x-not-run: 1"}, 503),
+    ],
+)
+def test_response_that_came_while_the_process_was_paused_beyond_the_timeout_counts(
+    response, status
+):
+    if status == 503:
+        response = response | {"status": b"503 Full"}
+
+    async def main():
+        received = threading.Event()
+
+        def answer():
+            conn = listener.accept()[0]
+            with conn:
+                head = conn.recv(65_536)
+                received.set()
+                time.sleep(0.1)
+                conn.sendall(make_response(head, **response))
+                conn.recv(1)
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            thread = threading.Thread(target=answer, daemon=True)
+            thread.start()
+            route = make_route(timeout_s=0.4, repeatability=Repeatability.AT_MOST_ONCE)
+            async with start_gateway(route) as gateway, connect_client(gateway) as client:
+                gateway.put_upstream("u1", listener.getsockname()[1])
+                client.send(make_request(deadline_ms=5000))
+                await until(received.is_set)
+                time.sleep(0.6)
+                assert (await client.read_reply())[0] == status
+                gateway.pool.close()
+            thread.join(5)
+            assert not thread.is_alive()
+
+    run(main())
