Start the gateway's process of the tests with the sources of the tests

Tests that start a gateway's process replaced PYTHONPATH. In a checkout whose sources are not installed the process then ran whatever gateway the environment has installed: in this one, tests of the process passed and failed on other code than the one beside them. Where the packages are installed from the checkout nothing changes.

--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -49,10 +49,15 @@
     }
 
 
+def search_path(*folders):
+    """Return where a gateway's process finds modules: as in this process, with the platform's."""
+    own = filter(None, [os.environ.get("PYTHONPATH")])
+    return os.pathsep.join([*map(str, folders), str(ROOT / "platform"), *own])
+
+
 def start_gateway(settings_path, *, python_path=(), redirections="", **streams):
     """Start the gateway's process, with redirections of a shell if there are any."""
-    paths = [str(path) for path in (*python_path, ROOT / "platform")]
-    variables = {"GOOSEBERRYPORT_BOOT": str(settings_path), "PYTHONPATH": os.pathsep.join(paths)}
+    variables = {"GOOSEBERRYPORT_BOOT": str(settings_path), "PYTHONPATH": search_path(*python_path)}
     command = [sys.executable, "-m", "gooseberryport_site"]
     if redirections:
         command = ["/bin/sh", "-c", f'exec "$0" "$@" {redirections}', *command]
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).parents[1]
 sys.path.insert(0, str(ROOT / "platform"))
 
+from gateway_process import search_path  # noqa: E402
 from soak_clients import SoakClient  # noqa: E402
 from soak_harness import (  # noqa: E402
     STRANGER,
@@ -104,7 +105,7 @@
         if self.store_link.port == 0:
             await self.store_link.start()
             self.write_settings(seeds)
-        variables = {"GOOSEBERRYPORT_BOOT": str(self._path), "PYTHONPATH": str(ROOT / "platform")}
+        variables = {"GOOSEBERRYPORT_BOOT": str(self._path), "PYTHONPATH": search_path()}
         with self._log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "gooseberryport_site", env=os.environ | variables, stdout=log
--- a/tests/test_own_ends.py
+++ b/tests/test_own_ends.py
@@ -11,11 +11,11 @@
 import pytest
 from gateway_process import (
     READY_S,
-    ROOT,
     entry,
     free_port,
     routing_config,
     running_gateway,
+    search_path,
     send_signal,
     slow_upstream,
     status_once_listening,
@@ -288,8 +288,7 @@
             sys.executable,
             "-m",
             "gooseberryport_site",
-            env=os.environ
-            | {"GOOSEBERRYPORT_BOOT": str(path), "PYTHONPATH": str(ROOT / "platform")},
+            env=os.environ | {"GOOSEBERRYPORT_BOOT": str(path), "PYTHONPATH": search_path()},
             stderr=asyncio.subprocess.PIPE,
         )
         _, errors = await asyncio.wait_for(process.communicate(), READY_S)
