Accept requests in a stop for 2.7 s at most, and give none up before its last sixth

Callers saw: at a grace time of 10 s, a gateway still took requests 3.5 s after SIGTERM. Requests that are sent later than 3 s after it are owed an answer however long their work takes, and one whose work lasted beyond the exit got 504 from the gateway. At grace times below 5.4 s, the deadline passed on, and below 4.8 s the final reply, came before the last sixth of the grace time, in which alone a request may be given up.

Cause: the end of accepting was 35% of any grace time, and the exit 0.8 s before the end of any.

Evidence: a request 3.1 s after SIGTERM at a grace time of 10 s was passed on and answered 200 before; the connection is closed by then, or it gets 503, after. The former times break the property that is tested now at 3, 4 and 5 s (computed).

Change: accepting_time_s and serving_time_s in the core, the one place for both; look-ups of other gateways use the same times. A request sent up to 3 s after SIGTERM whose work lasts into the last sixth still gets 504.

--- a/packages/gooseberryport-core/src/gooseberryport_core/gateway/stopping.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/gateway/stopping.py
@@ -22,6 +22,18 @@
 """Fraction of the grace time for which a stopping gateway still accepts connections and requests.
 Later ones might not end before the process does."""
 
+MAX_ACCEPTING_S = 2.7
+"""Longest time for which it accepts them, however long the grace time is. Callers of requests that
+are sent later than 3 s after the signal count on an answer, whatever the work takes, and a busy
+process sees the signal and closes its listener late; seconds."""
+
+EXIT_MARGIN_S = 0.8
+"""How long before the end of the grace time a stopping gateway gives its open requests their final
+replies, and exits; seconds."""
+
+GIVE_UP_FRACTION = 1 / 6
+"""Last fraction of the grace time, before which no open request is given up."""
+
 KEPT_DURATIONS = 64
 """Number of durations kept for each route."""
 
@@ -39,6 +51,21 @@
 the client: more than a round trip between regions; seconds."""
 
 
+def accepting_time_s(grace_s: float) -> float:
+    """Return for how long a stopping gateway accepts connections and requests; seconds."""
+    return min(grace_s * STOP_ACCEPTING_FRACTION, MAX_ACCEPTING_S)
+
+
+def serving_time_s(grace_s: float) -> float:
+    """Return when a stopping gateway gives its open requests their final replies; seconds.
+
+    The deadline that it passes on ends `ANSWER_MARGIN_S` before, in the last part of the grace time
+    too.
+    """
+    last_part_s = grace_s * GIVE_UP_FRACTION - ANSWER_MARGIN_S
+    return grace_s - min(EXIT_MARGIN_S, max(last_part_s, EXIT_MARGIN_S / 2))
+
+
 class WorkTimes:
     """Durations of the latest requests that did not wait, for each route."""
 
--- a/packages/gooseberryport-core/tests/test_stopping.py
+++ b/packages/gooseberryport-core/tests/test_stopping.py
@@ -11,7 +11,9 @@
     ANSWER_MARGIN_S,
     UNSEEN_REQUESTS,
     WorkTimes,
+    accepting_time_s,
     ends_before_exit,
+    serving_time_s,
     stop_queue_factor,
 )
 from gooseberryport_standins.samples import make_route
@@ -163,3 +165,13 @@
     assert times.expected_s(route) == pytest.approx(1.9)
     times.forget_other_than(frozenset())
     assert times.expected_s(route) == 9.0
+
+
+# Guards against requests that are given up, or whose upstream is told to stop, while there is time
+# left for them; and against a process that has no time to write their final replies.
+@pytest.mark.parametrize("grace_s", [3.0, 4.0, 5.0, 6.0, 10.0, 30.0])
+def test_requests_are_given_up_in_the_last_sixth_of_the_grace_time_only(grace_s):
+    end_s = serving_time_s(grace_s)
+    assert end_s - ANSWER_MARGIN_S >= grace_s * 5 / 6 - 1e-9
+    assert 0.4 - 1e-9 <= grace_s - end_s <= 0.8 + 1e-9
+    assert accepting_time_s(grace_s) < 3.0
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_state.py
@@ -30,7 +30,7 @@
 from gooseberryport_core.gateway.routing import RouteTable, TrafficSplitter
 from gooseberryport_core.gateway.shortage import LevelShares
 from gooseberryport_core.gateway.speeds import MAX_SPEED_CHANGES
-from gooseberryport_core.gateway.stopping import STOP_ACCEPTING_FRACTION, WorkTimes
+from gooseberryport_core.gateway.stopping import WorkTimes, accepting_time_s
 from gooseberryport_core.gateway.tenants import SECRET_BYTES, TenantDirectory
 from gooseberryport_core.gateway.upstreams import Upstream, UpstreamTable
 from gooseberryport_core.gateway.warmth import UPDATE_TTL_S, WarmthRecord, WarmthTracker
@@ -376,7 +376,7 @@
     def stop_times(self) -> StopTimes:
         """How long gateways work on after they have begun to stop."""
         grace_s = self.settings.bounds.grace_s
-        return StopTimes(accepts_s=grace_s * STOP_ACCEPTING_FRACTION, ends_s=grace_s)
+        return StopTimes(accepts_s=accepting_time_s(grace_s), ends_s=grace_s)
 
     def record_sender_ip(self, ip: str, *, now: float) -> None:
         """Record the address of a gateway that sent a datagram."""
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/gateway.py
@@ -14,7 +14,7 @@
 from gooseberryport_core.gateway.model import ClientLimits, Member
 from gooseberryport_core.gateway.refusals import RefusalCause, retry_after
 from gooseberryport_core.gateway.response_memory import ResponseMemory
-from gooseberryport_core.gateway.stopping import STOP_ACCEPTING_FRACTION
+from gooseberryport_core.gateway.stopping import accepting_time_s, serving_time_s
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import UpstreamId
 from gooseberryport_gateway._body_memory import BodyMemory
@@ -56,10 +56,6 @@
 LISTEN_BACKLOG = 1024
 """Maximum connections that wait to be accepted: a burst of new clients on one VM."""
 
-EXIT_MARGIN_S = 0.8
-"""How long before the end of the grace time a stopping gateway gives its open requests their final
-replies, and exits; seconds."""
-
 STOP_POLL_INTERVAL_S = 0.05
 """Interval between checks of whether clients are still connected to a stopping gateway; seconds."""
 
@@ -334,11 +330,11 @@
         started = self._loop.time()
         grace_s = self.state.settings.bounds.grace_s
         self.state.stopping = True
-        self.state.exits_at = started + grace_s - EXIT_MARGIN_S
+        self.state.exits_at = started + serving_time_s(grace_s)
         self.log.write(LogNumber.GATEWAY_STOPPING, connections=len(self._conns))
         self._supervisor.start("last report", self._send_last_report)
         self._supervisor.start("end of membership", self._discovery.end_membership)
-        await asyncio.sleep(grace_s * STOP_ACCEPTING_FRACTION)
+        await asyncio.sleep(accepting_time_s(grace_s))
         await self._close_front()
         self.state.accepting = False
         for conn in list(self._conns):
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,8 +8,8 @@
 from gateway_process import entry, running_gateway
 from store_standin import store_standin
 
+from gooseberryport_core.gateway.stopping import serving_time_s
 from gooseberryport_gateway.gateway import (
-    EXIT_MARGIN_S,
     LAST_REPLIES_POLLS,
     STOP_POLL_INTERVAL_S,
 )
@@ -133,7 +133,7 @@
                 while len(upstream.arrived) < len(tasks):
                     await asyncio.sleep(0.02)
             gateway.process.send_signal(signal.SIGTERM)
-            await asyncio.sleep(GRACE_S - EXIT_MARGIN_S - 0.3)
+            await asyncio.sleep(serving_time_s(GRACE_S) - 0.3)
             gateway.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(0.6 + LAST_REPLIES_POLLS * STOP_POLL_INTERVAL_S)
             gateway.process.send_signal(signal.SIGCONT)
--- a/tests/test_stop_paths.py
+++ b/tests/test_stop_paths.py
@@ -16,10 +16,12 @@
 )
 from store_standin import store_standin
 
-from gooseberryport_gateway.gateway import STOP_ACCEPTING_FRACTION
+from gooseberryport_core.gateway.stopping import accepting_time_s
 from gooseberryport_standins.streams import open_stream
 
 GRACE_S = 4
+LATEST_COUNTED_S = 3.0
+"""Time after the signal from which callers of accepted requests count on an answer; seconds."""
 POST = b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Deadline: 3000\r\n"
 
 
@@ -28,11 +30,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serving_gateway(tmp_path, *, work_s):
+async def serving_gateway(tmp_path, *, work_s, grace_s=GRACE_S):
     async with (
         store_standin() as (standin, _),
         slow_upstream(work_s) as port,
-        running_gateway(tmp_path, standin.port, grace_s=GRACE_S) as gateway,
+        running_gateway(tmp_path, standin.port, grace_s=grace_s) as gateway,
     ):
         await standin.put("op/config", routing_config())
         await standin.put("servers/u1", entry(port))
@@ -100,7 +102,7 @@
             await asyncio.sleep(0.2)
             gateway.process.send_signal(signal.SIGSTOP)
             tasks = [asyncio.create_task(ask(gateway.ports["front"])) for _ in range(5)]
-            await asyncio.sleep(GRACE_S * STOP_ACCEPTING_FRACTION)
+            await asyncio.sleep(accepting_time_s(GRACE_S))
             gateway.process.send_signal(signal.SIGCONT)
             assert [await task for task in tasks] == [1] * len(tasks)
             assert await end_of(gateway) == 0
@@ -123,7 +125,7 @@
                     await standin.delete("servers/u1")
                 for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
                     gateway.process.send_signal(number)
-                await asyncio.sleep(GRACE_S * STOP_ACCEPTING_FRACTION + 0.1)
+                await asyncio.sleep(accepting_time_s(GRACE_S) + 0.1)
                 gateway.process.send_signal(signal.SIGTERM)
                 writer.write(POST + b"Request-Id: behind\r\nContent-Length: 0\r\n\r\n")
                 answers = await reader.read()
@@ -136,6 +138,23 @@
     run(main())
 
 
+# Guards against requests that are accepted so late that their callers count on an answer, though
+# the work of their upstream lasts beyond the exit: 35% of a long grace time was too long.
+def test_a_long_grace_time_does_not_let_a_stopping_gateway_accept_for_longer(tmp_path):
+    async def main():
+        async with (
+            serving_gateway(tmp_path, work_s=0.01, grace_s=10) as (gateway, _),
+            open_stream(gateway.ports["front"]) as (reader, writer),
+        ):
+            gateway.process.send_signal(signal.SIGTERM)
+            for delay_s in (0.5, LATEST_COUNTED_S - 0.4):
+                await asyncio.sleep(delay_s)
+                writer.write(POST + b"Request-Id: %d\r\nContent-Length: 0\r\n\r\n" % delay_s)
+            assert statuses(await reader.read()) in ([200], [200, 503])
+
+    run(main())
+
+
 # Guards against a gateway that stays listed after its exit, because it was told to stop before the
 # store had confirmed its entry.
 @pytest.mark.parametrize("configured", [False, True])
