Guard a reply whose client closes its side while it reads

No fault: reading is paused while a reply waits to be written, so the end of the client's side is seen once the rest is with the transport, which writes it before it closes. Both cases passed on the code as it was; they guard that order.

--- a/packages/gooseberryport-gateway/tests/test_large_responses.py
+++ b/packages/gooseberryport-gateway/tests/test_large_responses.py
@@ -292,6 +292,26 @@
     run(main())
 
 
+# Guards against a reply that is cut off because its client, which sends no more, closes its side.
+@pytest.mark.parametrize("extra", [b"", b"Connection: close"])
+def test_client_that_closes_its_side_while_it_reads_gets_the_whole_reply(extra):
+    async def main():
+        async with start_small_gateway(process_bytes=200 * MB) as (gateway, _):
+            async with connect_raw(gateway) as sock:
+                loop, size, received = asyncio.get_running_loop(), 3 * MB, 0
+                sock.send(request_for(size, extra=extra))
+                await until(lambda: gateway.response_memory.writing_bytes)
+                sock.shutdown(socket.SHUT_WR)
+                await asyncio.sleep(0.1)
+                while data := await loop.sock_recv(sock, PIECE):
+                    received += len(data)
+            assert received > size
+            await until(lambda: not gateway.conns)
+            assert gateway.response_memory.total_bytes == 0
+
+    run(main())
+
+
 # Guards against a body in tiny pieces that needs many times its size, and miscounted bytes.
 def test_counted_body_in_tiny_chunks_is_held_in_large_ones_and_counted_once():
     body = BODY[:100_000]
