Judge a request by the limits in force when it began

Callers saw: 431 or 413 for a request that every configuration allowed when it was sent, if one with smaller limits came into force before its last byte. Clients do not send such a request again.

Cause: each check took the limits of that moment, between two parts of one request.

Evidence: a head and a body, half read when the limits shrink: 431 and 413 before, 200 for both after; the next request of the connection is judged by the new limits.

Change: the limits are taken when a request begins, for sizes and for its timers. An idle connection follows the limits in force when it became idle, as before.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -73,6 +73,8 @@
         self._memory = memory or BodyMemory()
         self._framing_bytes = 0
         self._limits = limits
+        # Those in force when the request began that is being read.
+        self._request_limits = limits()
         self._conns = conns
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -169,7 +171,7 @@
         if self._reading and not self._rejecting and not self._headers_complete:
             # Data in which a head begins may consist mostly of earlier requests.
             self._header_bytes += 0 if self._head_began_in_data else len(data)
-            if self._header_bytes > self._limits().max_header_bytes:
+            if self._header_bytes > self._request_limits.max_header_bytes:
                 self._reject(431)
         elif self._reading and not self._rejecting and not self._head_began_in_data:
             self._check_framing(len(data))
@@ -245,6 +247,7 @@
         if self.closing_when_idle and self._pending:
             self._rejecting = True
             return
+        self._request_limits = self._limits()
         self._target = b""
         self._headers = []
         self._header_bytes = 0
@@ -253,7 +256,7 @@
         self._framing_bytes = 0
         self._headers_complete = False
         self._reading = True
-        self._start_timer(self._limits().header_timeout_s)
+        self._start_timer(self._request_limits.header_timeout_s)
 
     def on_url(self, url: bytes) -> None:
         """Collect the target."""
@@ -270,7 +273,7 @@
             return
         self._headers_complete = True
         size = len(self._target) + sum(len(name) + len(value) + 4 for name, value in self._headers)
-        limits = self._limits()
+        limits = self._request_limits
         if size > limits.max_header_bytes:
             self._reject(431)
             return
@@ -290,7 +293,7 @@
         """Collect a chunk of the body."""
         if self._rejecting:
             return
-        if self._body.num_bytes + len(data) > self._limits().max_body_bytes:
+        if self._body.num_bytes + len(data) > self._request_limits.max_body_bytes:
             self._reject(413)
             return
         try:
@@ -298,7 +301,7 @@
         except BodyTooLargeError:
             self._reject_for_memory()
             return
-        self._start_timer(self._limits().idle_timeout_s)
+        self._start_timer(self._request_limits.idle_timeout_s)
 
     def on_message_complete(self) -> None:
         """Pass a complete request to the handler."""
@@ -384,7 +387,7 @@
     def _on_body_paused(self) -> None:
         """Stop or resume reading a body, as the memory for all bodies allows."""
         if self._reading:
-            self._start_timer(self._limits().idle_timeout_s)
+            self._start_timer(self._request_limits.idle_timeout_s)
         self._update_reading()
 
     def _reject_for_memory(self) -> None:
--- a/packages/gooseberryport-gateway/tests/test_client_conn.py
+++ b/packages/gooseberryport-gateway/tests/test_client_conn.py
@@ -5,6 +5,7 @@
 from gateway_harness import (
     connect_client,
     header_value,
+    make_config,
     make_request,
     make_response,
     run,
@@ -372,3 +373,29 @@
             assert await client.is_closed()
 
     run(main())
+
+
+# Guards against a proper request that is rejected, because a configuration that comes into force
+# while it is being sent allows less.
+@pytest.mark.parametrize("sent", [b"GET", b"POST"])
+def test_request_that_was_begun_is_judged_by_the_limits_of_then(sent):
+    async def main():
+        limits = ClientLimits(max_header_bytes=2000, max_body_bytes=1000)
+        async with (
+            start_upstream(lambda head, _: make_response(head)) as upstream,
+            start_gateway(make_route(), limits=limits) as gateway,
+            connect_client(gateway) as client,
+        ):
+            gateway.put_upstream("u1", upstream.port)
+            body = bytes(900 if sent == b"POST" else 0)
+            data = make_request(method=sent, body=body, extra=b"X: " + b"y" * 1500)
+            client.send(data[:-30])
+            await asyncio.sleep(0.05)
+            less = ClientLimits(max_header_bytes=1000, max_body_bytes=500)
+            gateway.state.apply_config(make_config(make_route(), version=2, limits=less))
+            client.send(data[-30:])
+            assert (await client.read_reply())[0] == 200
+            client.send(data)
+            assert (await client.read_reply())[0] == 431
+
+    run(main())
