Send no request on a connection whose end waits to be read

Callers saw: 502 for a request that must not run twice, sent on an idle connection that its upstream had closed while the event loop did not poll. Nothing had run, but that could not be known any more; requests that may run twice cost a part of the retry budget.

Cause: the pool judged an idle connection by what the event loop had read, once an iteration. An end that arrived since, as in a pause or beside long work in the same iteration, was found after the send.

Evidence: an upstream closes its idle connection, and a request is placed before the loop polls: 502 before, 200 on a new connection after. An idle connection has nothing to read unless it has ended or its server sent what was not asked for; both make it unusable, so the kernel is asked (about 1 us).

Left: an end that is still on its way when the request is sent.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -22,7 +22,7 @@
 )
 from gooseberryport_gateway._headers import Headers, find_header
 from gooseberryport_gateway._progress import Transfer
-from gooseberryport_gateway._receiving import READ_BUFFER, SHORT_READ_BUFFER, add_chunk
+from gooseberryport_gateway._receiving import READ_BUFFER, SHORT_READ_BUFFER, add_chunk, has_unread
 from gooseberryport_gateway.errors import (
     LossCause,
     NotSentError,
@@ -152,6 +152,13 @@
         """Return for how long the connection has been idle; 0 before its first request; seconds."""
         return now - self._idle_since if self._used else 0.0
 
+    def has_unread(self) -> bool:
+        """Return whether the server has closed the idle connection, or sent what was not asked for.
+
+        The event loop may not have read that yet, as it polls once an iteration.
+        """
+        return self._transport is not None and has_unread(self._transport)
+
     def expired(self, now: float) -> bool:
         """Return whether the server is about to close the idle connection."""
         return now - self._idle_since >= self._idle_timeout_s - IDLE_MARGIN_S
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_pool.py
@@ -64,7 +64,7 @@
             if conn in excluded:
                 continue
             del idle[position]
-            if conn.usable and not conn.expired(now):
+            if conn.usable and not conn.expired(now) and not conn.has_unread():
                 return conn
             conn.close()
         return None
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_receiving.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_receiving.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import fcntl
+import select
 import socket
 import sys
 import termios
@@ -33,6 +34,16 @@
     last += data
 
 
+def has_unread(transport: asyncio.BaseTransport) -> bool:
+    """Return whether a connection has bytes, its end or an error to be read."""
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def unread_bytes(transport: asyncio.BaseTransport) -> int:
     """Return how many bytes were received on a connection and not read yet."""
     sock: socket.socket | None = transport.get_extra_info("socket")
--- a/packages/gooseberryport-gateway/tests/test_ended_requests.py
+++ b/packages/gooseberryport-gateway/tests/test_ended_requests.py
@@ -20,6 +20,7 @@
 )
 
 from gooseberryport_core.gateway.model import Repeatability
+from gooseberryport_gateway._client_messages import ClientRequest
 from gooseberryport_gateway._logs import Log
 from gooseberryport_standins.samples import make_route
 from gooseberryport_standins.streams import start_stream_server
@@ -168,3 +169,30 @@
             assert not thread.is_alive()
 
     run(main())
+
+
+# Guards against a request that is lost on a connection whose end waits to be read, since the event
+# loop has not polled after the upstream closed it; it might have run, so it was not sent again.
+def test_request_is_not_sent_on_a_connection_that_its_upstream_has_closed():
+    async def main():
+        route = make_route(timeout_s=5.0, repeatability=Repeatability.AT_MOST_ONCE)
+        async with (
+            start_upstream(lambda head, _: make_response(head)) as upstream,
+            start_gateway(route) as gateway,
+        ):
+            gateway.put_upstream("u1", upstream.port)
+            assert (await send_request(gateway, make_request()))[0] == 200
+            (writer,) = upstream._writers
+            writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            req = ClientRequest(
+                method=b"GET",
+                target=b"/a/x",
+                path="/a/x",
+                headers=[(b"host", b"h.example"), (b"x-id", b"id2")],
+                body=(),
+                arrived_at=asyncio.get_running_loop().time(),
+            )
+            assert (await gateway.forwarder.handle(req)).status == 200
+            assert upstream.requests_received[1:] and gateway.pool.opened == 2
+
+    run(main())
