--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -22,7 +22,7 @@
 )
 from gooseberryport_gateway._headers import Headers, find_header
 from gooseberryport_gateway._progress import Transfer
-from gooseberryport_gateway._receiving import READ_BUFFER, SHORT_READ_BUFFER, add_chunk
+from gooseberryport_gateway._receiving import READ_BUFFER, SHORT_READ_BUFFER, add_chunk, has_unread
 from gooseberryport_gateway.errors import (
     LossCause,
     NotSentError,
@@ -84,6 +84,7 @@
     A response with another request's id is dropped, and the connection is not used again. One whose
     status line is not valid HTTP/1 is no response, and the connection is closed.
     A response that exceeds a limit is given up at once, whichever part of it is too long.
+    `unclaimed` is a response that was complete when the wait for it was cancelled, or None.
     `idle_s` is how long the connection was idle before its latest request, or 0, and `paused_s` how
     long its response was not read for lack of memory; seconds. `address` is where it was opened to.
     `has_slow_reader` is whether the kernel leaves bytes unread without a bound.
@@ -141,6 +142,7 @@
         self.closed = False
         self.closed_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.has_response_bytes = False
+        self.unclaimed: HttpResponse | None = None
 
     @property
     def usable(self) -> bool:
@@ -151,6 +153,13 @@
         """Return for how long the connection has been idle; 0 before its first request; seconds."""
         return now - self._idle_since if self._used else 0.0
 
+    def has_unread(self) -> bool:
+        """Return whether the server has closed the idle connection, or sent what was not asked for.
+
+        The event loop may not have read that yet, as it polls once an iteration.
+        """
+        return self._transport is not None and has_unread(self._transport)
+
     def expired(self, now: float) -> bool:
         """Return whether the server is about to close the idle connection."""
         return now - self._idle_since >= self._idle_timeout_s - IDLE_MARGIN_S
@@ -195,7 +204,9 @@
         loop = asyncio.get_running_loop()
         self.idle_s = self.idle_time_s(loop.time())
         self._used = True
-        self._response_future = loop.create_future()
+        future: asyncio.Future[HttpResponse] = loop.create_future()
+        self._response_future = future
+        self.unclaimed = None
         self._request_id = request_id
         self._head_only = head_only
         self.has_response_bytes = False
@@ -209,10 +220,14 @@
         transport.write(data)
         self._write_body()
         try:
-            response = await self._response_future
+            response = await future
             if transfer is not None:
                 response.transfer_s = transfer.took_s
             return response
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and future.exception() is None:
+                self.unclaimed = future.result()
+            raise
         finally:
             unfinished = self._response_future is not None
             self._unsent.clear()
--- a/packages/gooseberryport-gateway/tests/test_ended_requests.py
+++ b/packages/gooseberryport-gateway/tests/test_ended_requests.py
@@ -4,6 +4,8 @@
 import json
 import os
 import socket
+import threading
+import time
 
 import pytest
 from gateway_harness import (
@@ -18,6 +20,7 @@
 )
 
 from gooseberryport_core.gateway.model import Repeatability
+from gooseberryport_gateway._client_messages import ClientRequest
 from gooseberryport_gateway._logs import Log
 from gooseberryport_standins.samples import make_route
 from gooseberryport_standins.streams import start_stream_server
@@ -147,3 +150,75 @@
         server.close()
 
     run(main())
+
+
+# Guards against a response that is thrown away because the time for it ends in the same iteration
+# of the event loop, as after a pause of the process; its client got 504 though the request had run.
+@pytest.mark.parametrize(
+    ("response", "status"),
+    [
+        ({}, 200),
+        ({"status": b"500 Failed"}, 500),
+        ({"signed": False, "extra": b"x-not-run: 1"}, 503),
+    ],
+)
+def test_response_that_came_while_the_process_was_paused_beyond_the_timeout_counts(
+    response, status
+):
+    if status == 503:
+        response = response | {"status": b"503 Full"}
+
+    async def main():
+        received = threading.Event()
+
+        def answer():
+            conn = listener.accept()[0]
+            with conn:
+                head = conn.recv(65_536)
+                received.set()
+                time.sleep(0.1)
+                conn.sendall(make_response(head, **response))
+                conn.recv(1)
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            thread = threading.Thread(target=answer, daemon=True)
+            thread.start()
+            route = make_route(timeout_s=0.4, repeatability=Repeatability.AT_MOST_ONCE)
+            async with start_gateway(route) as gateway, connect_client(gateway) as client:
+                gateway.put_upstream("u1", listener.getsockname()[1])
+                client.send(make_request(deadline_ms=5000))
+                await until(received.is_set)
+                time.sleep(0.6)
+                assert (await client.read_reply())[0] == status
+                gateway.pool.close()
+            thread.join(5)
+            assert not thread.is_alive()
+
+    run(main())
+
+
+# Guards against a request that is lost on a connection whose end waits to be read, since the event
+# loop has not polled after the upstream closed it; it might have run, so it was not sent again.
+def test_request_is_not_sent_on_a_connection_that_its_upstream_has_closed():
+    async def main():
+        route = make_route(timeout_s=5.0, repeatability=Repeatability.AT_MOST_ONCE)
+        async with (
+            start_upstream(lambda head, _: make_response(head)) as upstream,
+            start_gateway(route) as gateway,
+        ):
+            gateway.put_upstream("u1", upstream.port)
+            assert (await send_request(gateway, make_request()))[0] == 200
+            (writer,) = upstream._writers
+            writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            req = ClientRequest(
+                method=b"GET",
+                target=b"/a/x",
+                path="/a/x",
+                headers=[(b"host", b"h.example"), (b"x-id", b"id2")],
+                body=(),
+                arrived_at=asyncio.get_running_loop().time(),
+            )
+            assert (await gateway.forwarder.handle(req)).status == 200
+            assert upstream.requests_received[1:] and gateway.pool.opened == 2
+
+    run(main())
