Give the tests' transport the method that a connection's probes use

test_large_responses.py (tiny chunks) and four tests of test_wire_fuzz.py failed on with NotImplementedError: a connection now asks its transport whether it is closing before it sets an option of the socket, and the fake transport inherited that method from asyncio's base class.

--- a/packages/gooseberryport-gateway/tests/test_wire_fuzz.py
+++ b/packages/gooseberryport-gateway/tests/test_wire_fuzz.py
@@ -34,6 +34,9 @@
     def abort(self):
         self.ended = True
 
+    def is_closing(self):
+        return self.ended
+
     def can_write_eof(self):
         return True
 
