Let the test of a cut response decide itself when its upstream cuts it

Its upstream closed what stayed unread for 0.2 s, and gateway, upstreams and clients share one process. If this is not run for longer, responses that nobody had paused are closed too: then the memory is never used up, the test waits for paused responses until its own end (20 s), or the fifth response is not paused and arrives with 200.

Seen on beside two busy processes: 1 of 7 runs (two cases each) ended in the test's own wait for paused responses after 20 s; the machine had been paused for 1.18 s.

The upstream now closes when the test says so, after the fifth response is seen to be paused and its upstream can't write on. The response has 7 MB, more than the buffers of the sockets, so part of it is certain to be missing. What is asserted is as before.

--- a/packages/gooseberryport-gateway/tests/test_large_responses.py
+++ b/packages/gooseberryport-gateway/tests/test_large_responses.py
@@ -42,19 +42,26 @@
 
 @contextlib.asynccontextmanager
 async def start_large_upstream(*, unread_s):
-    """Serve bodies of the size that a request's path names, and close what stays unread."""
-    cut = []
+    """Serve bodies of the size that a request's path names, and close what stays unread.
+
+    Yields its port, the responses that it closed, and those that it can't write on with, each with
+    its connection.
+    """
+    cut, unread = [], {}
 
     async def serve(reader, writer):
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                request_id = header_value(head, b"x-id")
                 size = int(head.split(b" ")[1].rpartition(b"/")[2])
                 writer.write(make_response(head, body=BODY[:size])[:-size])
                 for start in range(0, size, PIECE):
                     writer.write(BODY[start : min(start + PIECE, size)])
+                    unread[request_id] = writer.transport
                     async with asyncio.timeout(unread_s):
                         await writer.drain()
+                    del unread[request_id]
         except TimeoutError:
             cut.append(1)
             writer.transport.abort()
@@ -64,24 +71,27 @@
     server = await start_stream_server(serve)
     server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BYTES)
     try:
-        yield server.sockets[0].getsockname()[1], cut
+        yield server.sockets[0].getsockname()[1], cut, unread
     finally:
         server.close()
 
 
 @contextlib.asynccontextmanager
-async def start_small_gateway(*, process_bytes, unread_s=20.0, idle_timeout_s=15.0, **changes):
-    """Start a gateway with little memory and one upstream; yield it and what the upstream cut."""
+async def start_small_gateway(*, process_bytes, idle_timeout_s=15.0, **changes):
+    """Start a gateway with little memory and one upstream.
+
+    Yields it, what the upstream cut, and what it can't write on with.
+    """
     route = make_route(timeout_s=19.0, **changes)
     limits = ClientLimits(idle_timeout_s=idle_timeout_s)
     async with (
-        start_large_upstream(unread_s=unread_s) as (port, cut),
+        start_large_upstream(unread_s=20.0) as (port, cut, unread),
         start_gateway(route, limits=limits) as gateway,
     ):
         gateway.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BYTES)
         gateway.response_memory = ResponseMemory(process_bytes=process_bytes)
         gateway.put_upstream("u1", port, slots=500)
-        yield gateway, cut
+        yield gateway, cut, unread
 
 
 def request_for(size, *, number=0, extra=b""):
@@ -123,7 +133,7 @@
 # Guards against large responses that are given up, though clients read them: 48 of 60 got a 502.
 def test_large_responses_at_once_are_all_delivered_and_stay_within_the_memory():
     async def main():
-        async with start_small_gateway(process_bytes=200 * MB) as (gateway, _):
+        async with start_small_gateway(process_bytes=200 * MB) as (gateway, *_):
             memory, peak = gateway.response_memory, 0
 
             async def watch():
@@ -148,7 +158,11 @@
 # Guards against a client that reads nothing, whose replies take the memory of all others.
 def test_client_that_stops_reading_loses_only_its_own_responses():
     async def main():
-        async with start_small_gateway(process_bytes=24 * MB, idle_timeout_s=0.5) as (gateway, cut):
+        async with start_small_gateway(process_bytes=24 * MB, idle_timeout_s=0.5) as (
+            gateway,
+            cut,
+            _,
+        ):
             memory = gateway.response_memory
             async with connect_raw(gateway) as stalled:
                 stalled.send(b"".join(request_for(2 * MB, number=n) for n in range(8)))
@@ -171,7 +185,7 @@
 # Guards against memory that stays counted for clients that have closed their connections.
 def test_client_that_leaves_frees_its_memory():
     async def main():
-        async with start_small_gateway(process_bytes=24 * MB) as (gateway, _):
+        async with start_small_gateway(process_bytes=24 * MB) as (gateway, *_):
             memory = gateway.response_memory
             async with contextlib.AsyncExitStack() as clients:
                 for number in range(4):
@@ -194,7 +208,7 @@
 # Guards against small responses that wait for large ones, and against large ones starved by them.
 def test_small_responses_pass_while_the_memory_is_used_up():
     async def main():
-        async with start_small_gateway(process_bytes=24 * MB) as (gateway, _):
+        async with start_small_gateway(process_bytes=24 * MB) as (gateway, *_):
             memory = gateway.response_memory
             async with contextlib.AsyncExitStack() as clients:
                 for number in range(4):
@@ -219,16 +233,20 @@
 def test_paused_response_that_the_upstream_cuts_off_ends_with_502(repeatability):
     async def main():
         async with start_small_gateway(
-            process_bytes=24 * MB, unread_s=0.2, repeatability=repeatability, max_attempts=1
-        ) as (gateway, cut):
+            process_bytes=24 * MB, repeatability=repeatability, max_attempts=1
+        ) as (gateway, _, unread):
             memory = gateway.response_memory
             async with contextlib.AsyncExitStack() as clients:
                 for number in range(4):
                     client = await clients.enter_async_context(connect_raw(gateway))
                     client.send(request_for(2 * MB, number=number))
-                await until(lambda: memory.paused_responses)
-                waiting = asyncio.create_task(read_body(gateway, 2 * MB, number=7))
-                await until(lambda: len(cut) >= memory.paused_responses > 1)
+                # One is complete and not read by its client, so the others wait.
+                await until(lambda: memory.writing_bytes > MB and memory.paused_responses == 3)
+                # Larger than the buffers of the sockets.
+                waiting = asyncio.create_task(read_body(gateway, 7 * MB, number=7))
+                await until(lambda: memory.paused_responses == 4 and b"i7" in unread)
+                for transport in unread.values():
+                    transport.abort()
             assert (await waiting)[0] == 502
             upstream = gateway.state.upstreams.get("u1")
             assert upstream.failure_fraction == 0.0
@@ -277,7 +295,7 @@
     monkeypatch.setattr(_client_conn, "CLOSE_DELAY_S", 0.05)
 
     async def main():
-        async with start_small_gateway(process_bytes=200 * MB, idle_timeout_s=0.3) as (gateway, _):
+        async with start_small_gateway(process_bytes=200 * MB, idle_timeout_s=0.3) as (gateway, *_):
             async with connect_raw(gateway) as sock:
                 loop, size, received = asyncio.get_running_loop(), 3 * MB, 0
                 sock.send(request_for(size, extra=extra))
