Keep a sent request at an owner whose heartbeats stop

Callers of the daemon got 502 or 504 for idempotent requests at which their upstream was at work, or saw a large answer cut off, about 1 s after the owner's heartbeats had stopped arriving at the entry daemon.

Cause: _reassign_silent_owners cancelled the ticket of every repeatable request that such an owner had, which resets the stream and shuts the upstream's socket down, and sent the request elsewhere. Without an upstream that answers in the rest of the time, or with the retry budget used up, the request ended as unknown. Heartbeats are datagrams; they may be lost, or be unread after a pause of the entry daemon itself, while the streams work.

Class: evidence about one thing (datagrams) ends another (a request on a stream that is alive).

Change: the request is sent to another owner as before, within the same budget, but the first attempt goes on and the first answer counts. If nobody else can take it, it waits for the silent owner up to its deadline. Once a caller has a part of a streamed answer, the other attempts are cancelled and no further one is made (new event AnswerStarted).

--- a/packages/gooseberryport-core/src/gooseberryport_core/_request.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_request.py
@@ -61,6 +61,11 @@
         it may run.
     ran_before
         Whether an earlier attempt may have run.
+    silent_tickets, given_up_reason
+        Earlier attempts whose owners' heartbeats have stopped and which may still be answered, and
+        why the request is not offered again, if only they are left.
+    answer_started
+        Whether the caller has been sent a part of the current attempt's answer.
     avoid, offers, retries
         Upstreams of earlier attempts, number of owners it was offered to since the last wait for
         a handover, and number of retries.
@@ -88,6 +93,9 @@
     failed_over: bool = False
     body_sent: bool = False
     ran_before: bool = False
+    silent_tickets: tuple[TicketId, ...] = ()
+    given_up_reason: RefusalReason | None = None
+    answer_started: bool = False
     offers: int = 0
     resume_at: float = float("inf")
     retries: int = 0
--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -22,6 +22,7 @@
     SendTicket,
 )
 from gooseberryport_core.events import (
+    AnswerStarted,
     AttemptEnded,
     ClaimDecided,
     Event,
@@ -143,6 +144,8 @@
             return self._handle_refusal(Refused(event.ticket_id, RefusalReason.UNREACHABLE), now)
         if isinstance(event, AttemptEnded):
             return self._handle_attempt_end(event, now)
+        if isinstance(event, AnswerStarted):
+            return self._handle_answer_start(event)
         if isinstance(event, Tick):
             self._wall_offset = event.wall - now
             return (
@@ -212,7 +215,7 @@
         if self._may_wait_for_handover(req, now):
             req.resume_at = now + HANDOVER_RETRY_INTERVAL_S
             return effects
-        return effects + self._finish(req, self._refusal_outcome(req), req.reason, now)
+        return effects + self._give_up(req, req.reason, now)
 
     def _may_wait_for_handover(self, req: EntryRequest, now: float) -> bool:
         """Return whether a request that every owner refused should wait for handovers."""
@@ -303,6 +306,9 @@
         req = self._request(reply.ticket_id)
         if req is None:
             return [CancelTicket(reply.ticket_id)] if isinstance(reply, Granted) else []
+        if reply.ticket_id in req.silent_tickets:
+            is_over = isinstance(reply, Moved)
+            return self._forget_silent_ticket(req, reply.ticket_id, now) if is_over else []
         if isinstance(reply, Moved):
             return self._handle_move(req, reply, now)
         at_most_once = req.repeatable or not req.ran_before
@@ -330,6 +336,8 @@
         req = self._request(reply.ticket_id)
         if req is None:
             return []
+        if reply.ticket_id in req.silent_tickets:
+            return self._forget_silent_ticket(req, reply.ticket_id, now)
         self._forget_attempt(req, ran=False)
         req.reason = reply.reason
         req.retry_after_s = reply.retry_after_s
@@ -342,19 +350,23 @@
         if req is None:
             return []
         if event.outcome == AttemptOutcome.ANSWERED:
-            return self._finish(req, Outcome.ANSWERED, None, now)
+            return self._keep_only(req, event.ticket_id) + self._finish(
+                req, Outcome.ANSWERED, None, now
+            )
+        if event.ticket_id in req.silent_tickets:
+            return self._forget_silent_ticket(req, event.ticket_id, now)
         ran = event.outcome == AttemptOutcome.UNKNOWN
         self._forget_attempt(req, ran=ran)
         req.failed_pools = (*req.failed_pools, req.pool)
         if ran and not req.repeatable:
             return self._finish(req, Outcome.UNKNOWN, None, now)
-        if now >= req.deadline:
-            return self._finish(req, self._refusal_outcome(req), RefusalReason.DEADLINE, now)
-        if not self._budgets[req.event.service].spend():
-            return self._finish(req, self._refusal_outcome(req), RefusalReason.RETRY_BUDGET, now)
         return self._retry(req, now)
 
     def _retry(self, req: EntryRequest, now: float) -> list[Effect]:
+        if now >= req.deadline:
+            return self._finish(req, self._refusal_outcome(req), RefusalReason.DEADLINE, now)
+        if not self._budgets[req.event.service].spend():
+            return self._give_up(req, RefusalReason.RETRY_BUDGET, now)
         assert req.placement is not None
         req.retries += 1
         req.reason = RefusalReason.NO_UPSTREAM
@@ -383,8 +395,55 @@
             return []
         self._request_ids.pop(req.ticket_id, None)
         effects: list[Effect] = [CancelTicket(req.ticket_id)] if req.ticket_id else []
+        effects += self._cancel_silent_tickets(req)
         return effects + self._end_claim(req, ran=req.may_have_run, now=now)
 
+    def _handle_answer_start(self, event: AnswerStarted) -> list[Effect]:
+        """Cancel the other attempts of a request whose caller receives an answer from now on."""
+        req = self._request(event.ticket_id)
+        if req is None:
+            return []
+        req.answer_started = True
+        return self._keep_only(req, event.ticket_id)
+
+    def _keep_only(self, req: EntryRequest, ticket_id: TicketId) -> list[Effect]:
+        """Cancel every attempt of a request but one, which becomes its current attempt."""
+        effects: list[Effect] = []
+        if ticket_id in req.silent_tickets:
+            if self._request_ids.pop(req.ticket_id, None) is not None:
+                effects.append(CancelTicket(req.ticket_id))
+            req.silent_tickets = tuple(t for t in req.silent_tickets if t != ticket_id)
+            req.ticket_id = ticket_id
+            req.owner = VmId("")
+            req.body_sent = True
+            req.resume_at = float("inf")
+            req.given_up_reason = None
+        return effects + self._cancel_silent_tickets(req)
+
+    def _cancel_silent_tickets(self, req: EntryRequest) -> list[Effect]:
+        for ticket_id in req.silent_tickets:
+            self._request_ids.pop(ticket_id, None)
+        effects: list[Effect] = [CancelTicket(ticket_id) for ticket_id in req.silent_tickets]
+        req.silent_tickets = ()
+        return effects
+
+    def _forget_silent_ticket(
+        self, req: EntryRequest, ticket_id: TicketId, now: float
+    ) -> list[Effect]:
+        """Forget a silent owner's attempt that ended without an answer."""
+        del self._request_ids[ticket_id]
+        req.silent_tickets = tuple(t for t in req.silent_tickets if t != ticket_id)
+        if req.given_up_reason is None or req.silent_tickets:
+            return []
+        return self._finish(req, self._refusal_outcome(req), req.given_up_reason, now)
+
+    def _give_up(self, req: EntryRequest, reason: RefusalReason, now: float) -> list[Effect]:
+        """Finish a request that is not offered again, unless a silent owner may still answer."""
+        if req.silent_tickets and now < req.deadline:
+            req.given_up_reason = reason
+            return []
+        return self._finish(req, self._refusal_outcome(req), reason, now)
+
     def _finish_overdue(self, now: float) -> list[Effect]:
         overdue = [r for r in self._requests.values() if now >= r.deadline + OWNER_REPLY_GRACE_S]
         effects: list[Effect] = []
@@ -396,9 +455,10 @@
         return effects
 
     def _reassign_silent_owners(self, now: float) -> list[Effect]:
-        """Withdraw requests from owners whose heartbeats have stopped since the offer.
+        """Offer the requests of owners whose heartbeats have stopped since the offer elsewhere.
 
-        A request that was sent and must not be repeated stays: its answer may still arrive.
+        Heartbeats show nothing about a stream that is open, so a request that was sent stays with
+        its owner as well: its answer may still arrive.
         """
         silent = {req.owner for req in self._requests.values() if req.owner_was_reachable}
         silent = {vm for vm in silent if not self._is_reachable(vm, now)}
@@ -406,13 +466,17 @@
             return []
         effects: list[Effect] = []
         for req in [req for req in self._requests.values() if req.owner in silent]:
-            if not req.owner_was_reachable or (req.body_sent and not req.repeatable):
+            if not req.owner_was_reachable or req.answer_started:
                 continue
-            effects.append(CancelTicket(req.ticket_id))
-            if req.body_sent:
-                ended_event = AttemptEnded(req.ticket_id, AttemptOutcome.UNKNOWN, 0, 0)
-                effects.extend(self._handle_attempt_end(ended_event, now))
-            else:
+            if req.body_sent and req.repeatable:
+                ticket_id = req.ticket_id
+                self._forget_attempt(req, ran=True)
+                self._request_ids[ticket_id] = req.event.request_id
+                req.silent_tickets = (*req.silent_tickets, ticket_id)
+                req.failed_pools = (*req.failed_pools, req.pool)
+                effects.extend(self._retry(req, now))
+            elif not req.body_sent:
+                effects.append(CancelTicket(req.ticket_id))
                 refused = Refused(req.ticket_id, RefusalReason.UNREACHABLE)
                 effects.extend(self._handle_refusal(refused, now))
         return effects
@@ -442,6 +506,7 @@
             retry_after_s = (req.retry_after_s or DEFAULT_RETRY_AFTER_S) * self._rng.uniform(
                 1.0, 1.5
             )
+        effects.extend(self._cancel_silent_tickets(req))
         effects.append(FinishRequest(request_id, outcome, req.ticket_id, reason, retry_after_s))
         return effects + self._end_claim(req, ran=outcome != Outcome.NOT_RUN, now=now)
 
--- a/packages/gooseberryport-core/src/gooseberryport_core/events.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/events.py
@@ -127,6 +127,12 @@
     answer_bytes: int
 
 
+class AnswerStarted(_Event, frozen=True):
+    """The caller is sent the beginning of an attempt's answer; no other answer can replace it."""
+
+    ticket_id: TicketId
+
+
 class PeerUnreachable(_Event, frozen=True):
     """A ticket could not be sent to an owner; no byte of the body was sent."""
 
@@ -233,6 +239,7 @@
     | TicketCancelled
     | UpstreamAttemptEnded
     | AttemptEnded
+    | AnswerStarted
     | PeerUnreachable
     | MessageArrived
     | VmListArrived
--- a/packages/gooseberryport-core/tests/test_requests.py
+++ b/packages/gooseberryport-core/tests/test_requests.py
@@ -19,6 +19,7 @@
     SendTicket,
 )
 from gooseberryport_core.events import (
+    AnswerStarted,
     AttemptEnded,
     Event,
     PeerUnreachable,
@@ -250,6 +251,54 @@
     assert fleet.ends["sent"][0].outcome == Outcome.UNKNOWN
 
 
+def send_to_silent_owner(fleet: SimulatedFleet) -> tuple[str, str | None]:
+    """Send a GET to an owner whose heartbeats then stop; return its ticket and the next one."""
+    fleet.peers.peers["vm-2"] = make_peer(make_settings("vm-2"), last_heartbeat_at=0.0)
+    fleet.peers.peers["vm-3"] = make_peer(make_settings("vm-3"))
+    fleet.arrive("r1", "GET", 0.0)
+    first, _ = fleet.open[-1]
+    fleet.feed(TicketReplied("vm-2", Granted(first, "up-bern-a")), 0.0)
+    fleet.owners.owners.update({pool: Owner("vm-3", 2) for pool in POOLS})
+    effects = fleet.requests.handle(Tick(1.1), 1.1)
+    assert CancelTicket(first) not in effects
+    return first, next((e.ticket.ticket_id for e in effects if isinstance(e, SendTicket)), None)
+
+
+@pytest.mark.parametrize("refused", [True, False])
+def test_owner_without_heartbeats_can_still_answer_what_it_was_sent(refused: bool) -> None:
+    # Failure: lost datagrams end a request on a stream that is alive.
+    fleet = SimulatedFleet(random.Random(1))
+    first, second = send_to_silent_owner(fleet)
+    if refused:
+        fleet.feed(PeerUnreachable("vm-3", second), 1.2)
+        while fleet.open[-1][0] != first:
+            fleet.feed(PeerUnreachable("vm-3", fleet.open.pop()[0]), 1.2)
+        assert not fleet.ends
+    effects = fleet.requests.handle(AttemptEnded(first, AttemptOutcome.ANSWERED, 200, 10), 1.5)
+    cancelled = [e.ticket_id for e in effects if isinstance(e, CancelTicket)]
+    assert cancelled == ([] if refused else [second])
+    (end,) = [e for e in effects if isinstance(e, FinishRequest)]
+    assert (end.outcome, end.ticket_id) == (Outcome.ANSWERED, first)
+
+
+def test_answer_of_the_next_owner_cancels_the_silent_one() -> None:
+    fleet = SimulatedFleet(random.Random(1))
+    first, second = send_to_silent_owner(fleet)
+    effects = fleet.requests.handle(AttemptEnded(second, AttemptOutcome.ANSWERED, 200, 10), 1.5)
+    assert CancelTicket(first) in effects
+    (end,) = [e for e in effects if isinstance(e, FinishRequest)]
+    assert (end.outcome, end.ticket_id) == (Outcome.ANSWERED, second)
+
+
+def test_only_the_answer_that_has_started_is_kept() -> None:
+    fleet = SimulatedFleet(random.Random(1))
+    first, second = send_to_silent_owner(fleet)
+    assert fleet.requests.handle(AnswerStarted(first), 1.2) == [CancelTicket(second)]
+    assert fleet.requests.handle(Tick(1.4), 1.4) == []
+    fleet.feed(AttemptEnded(first, AttemptOutcome.ANSWERED, 200, 10), 1.5)
+    assert fleet.ends["r1"][0].ticket_id == first
+
+
 def test_best_pool_is_tried_if_no_owner_is_reachable() -> None:
     fleet = SimulatedFleet(random.Random(1))
     fleet.peers.peers["vm-2"] = make_peer(make_settings("vm-2"), last_heartbeat_at=-9.0)
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_callers.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import queue
+from collections.abc import Callable
 
 import msgspec
 
@@ -69,10 +70,15 @@
     ----------
     loop
         Loop on which the answers are collected.
+    on_answer_start
+        Called with the ticket whose answer a caller is sent the beginning of.
     """
 
-    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, *, loop: asyncio.AbstractEventLoop, on_answer_start: Callable[[TicketId], None]
+    ) -> None:
         self._loop = loop
+        self._on_answer_start = on_answer_start
         self._pending: dict[RequestId, PendingRequest] = {}
         self._answers: dict[TicketId, _PartialAnswer] = {}
 
@@ -117,7 +123,7 @@
             return
         answer.chunks.append(chunk)
         if answer.size > MAX_BUFFERED_ANSWER_BYTES:
-            await self._start_stream(answer)
+            await self._start_stream(ticket_id, answer)
 
     def streaming_request(self, ticket_id: TicketId) -> RequestId | None:
         """Return the id of the request whose caller is being sent the answer, or None."""
@@ -141,12 +147,13 @@
             return
         pending.finish(_result_of(effect, answer))
 
-    async def _start_stream(self, answer: _PartialAnswer) -> None:
+    async def _start_stream(self, ticket_id: TicketId, answer: _PartialAnswer) -> None:
         pending = self._pending.get(answer.request_id)
         if pending is None or answer.head is None:
             return
         answer.pipe = Pipe(loop=self._loop)
         pending.finish(StreamedAnswer(answer.head, answer.pipe))
+        self._on_answer_start(ticket_id)
         chunks = answer.chunks
         answer.chunks = []
         for chunk in chunks:
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -229,7 +229,7 @@
     loop: asyncio.AbstractEventLoop,
     driver: Driver,
 ) -> None:
-    driver.callers = Callers(loop=loop)
+    driver.callers = Callers(loop=loop, on_answer_start=driver.handle_answer_start)
     driver.upstreams = stack.enter_context(
         open_upstreams(
             threads=settings.threads.upstream, loop=loop, on_finished=driver.handle_attempt_end
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_driver.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_driver.py
@@ -30,6 +30,7 @@
     StoreWatch,
 )
 from gooseberryport_core.events import (
+    AnswerStarted,
     Event,
     RequestArrived,
     RequestCancelled,
@@ -166,6 +167,10 @@
         self.peer_server.finish(event)
         self.handle_event(event)
 
+    def handle_answer_start(self, ticket_id: TicketId) -> None:
+        """Tell the node that a caller is sent the beginning of an attempt's answer."""
+        self.handle_event(AnswerStarted(ticket_id))
+
     def handle_broken_answer(self, ticket_id: TicketId) -> None:
         """Discard an incomplete answer; a caller that already has a part of it is disconnected."""
         request_id = self.callers.streaming_request(ticket_id)
--- a/packages/gooseberryport-daemon/tests/test_forwarding.py
+++ b/packages/gooseberryport-daemon/tests/test_forwarding.py
@@ -1,5 +1,8 @@
 import http.client
+import json
 import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from daemon_harness import (
@@ -14,6 +17,7 @@
 
 from gooseberryport_daemon import _http_server
 from gooseberryport_standins.faults import UpstreamFaults
+from gooseberryport_standins.unreachable import drop_received
 from gooseberryport_standins.upstream import UpstreamSpec
 
 PATH = "/dressing-registry/x"
@@ -83,6 +87,30 @@
     wait_until(lambda: deployment.fleet.stats()[0].cancelled == 1)
 
 
+def test_lost_heartbeats_of_the_owner_end_no_request_at_work(deployment: Deployment) -> None:
+    # Failure: lost datagrams end a request on a stream that is alive.
+    runs: list[bytes] = []
+
+    def serve(conn: socket.socket, request: bytes) -> None:
+        if request.startswith(b"GET /load "):
+            return
+        runs.append(request)
+        time.sleep(2.5 if len(runs) == 1 else WAIT_TIMEOUT_S)
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    upstream = deployment.start_raw_upstream(serve)
+    owner = deployment.start_daemon_for(upstream, default_timeout_s=6.0, max_attempt_s=6.0)
+    entry = deployment.start_daemon(deployment.settings("vm-2", ZONES[1], peers=(owner.peer,)))
+    lookup = f"/v1/lookup?service={PATH.split('/')[1]}&client=10.0.0.1"
+    wait_until(lambda: len(json.loads(call(entry.http, lookup).body)) == 2)
+    with ThreadPoolExecutor(1) as executor:
+        reply = executor.submit(call, entry.http, PATH)
+        wait_until(lambda: bool(runs))
+        drop_received(entry.running.driver.datagrams._transport.get_extra_info("socket"))
+        assert reply.result(WAIT_TIMEOUT_S).status == 200
+    assert len(runs) == 2
+
+
 def test_answer_in_progress_is_written_before_the_process_ends(
     deployment: Deployment, monkeypatch: pytest.MonkeyPatch
 ) -> None:
