Do not give up the requests on a connection whose daemon is paused

Callers of the daemon got 502 for requests at which their upstream was at work when a daemon's process, entry or owner, did not run for 1 to 2 s: all requests on the connections between it and the others ended.

Cause: both sides sent an HTTP/2 ping each second and closed the connection if it was not answered within another second. The daemon's process answers pings, so a pause, or a large answer ahead of the reply on a slow link, is enough. The owner then also shut the upstream's socket down.

Class: evidence about one thing (a process that does not run for a moment) ends another (requests at an upstream that works).

Change: the kernels probe the connections between daemons (TCP keep-alive and a bound on unacknowledged bytes), as the gateway does for upstreams. A host that is gone breaks them after about 4 s, in place of 1 to 2 s. Requests that wait at a silent owner, or may be repeated, are offered elsewhere by its missing heartbeats after 1 s as before.

The case of a dark entry daemon had no test.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -34,7 +34,6 @@
 from gooseberryport_daemon._pages import Pages
 from gooseberryport_daemon._peer_client import AnswerCallbacks, PeerClient
 from gooseberryport_daemon._peer_server import PeerServer
-from gooseberryport_daemon._peer_wire import KEEPALIVE
 from gooseberryport_daemon._platform_calls import open_platform_calls
 from gooseberryport_daemon._sockets import PeerSockets, bind_peer_port
 from gooseberryport_daemon._timers import Timers, open_timers
@@ -261,7 +260,7 @@
         ),
     )
     stack.push_async_callback(driver.peer_client.close)
-    server = Server([driver.peer_server], config=KEEPALIVE)
+    server = Server([driver.peer_server])
     await server.start(sock=sockets.stream)
     stack.push_async_callback(_close_server, server)
     driver.datagrams = Datagrams(
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
@@ -8,6 +8,7 @@
 import msgspec
 from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
 
 from gooseberryport_core.effects import SendTicket
 from gooseberryport_core.events import AttemptEnded, Event, PeerUnreachable, TicketReplied
@@ -15,9 +16,9 @@
 from gooseberryport_core.types import AttemptOutcome, TicketId, VmId
 from gooseberryport_daemon import _peer_pb2 as pb
 from gooseberryport_daemon._http_messages import AnswerHead, CallerRequest
+from gooseberryport_daemon._liveness import probe_peer
 from gooseberryport_daemon._peer_grpc import PeerStub
 from gooseberryport_daemon._peer_wire import (
-    KEEPALIVE,
     AttemptEnd,
     FrameInvalidError,
     read_answer_head,
@@ -43,6 +44,15 @@
 )
 
 
+class _PeerChannel(Channel):
+    """A channel whose connections are probed by the kernel."""
+
+    async def _create_connection(self) -> H2Protocol:
+        protocol = await super()._create_connection()
+        probe_peer(protocol.connection._transport.get_extra_info("socket"))
+        return protocol
+
+
 class AnswerCallbacks(msgspec.Struct, frozen=True):
     """Callbacks for a part of an answer, an incomplete answer and a broken stream."""
 
@@ -198,7 +208,7 @@
         channel = self._channels.get(address)
         if channel is None:
             endpoint = parse_endpoint(address, field="address")
-            channel = Channel(endpoint.ip, endpoint.port, config=KEEPALIVE)
+            channel = _PeerChannel(endpoint.ip, endpoint.port)
             self._channels[address] = channel
         return channel
 
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_wire.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_wire.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable, Iterator
 
 import msgspec
-from grpclib.config import Configuration
 
 from gooseberryport_core.decoding import InputError, decode_with
 from gooseberryport_core.http_status import FINAL_STATUSES
@@ -17,16 +16,6 @@
 CHUNK_BYTES = 65_536
 """Maximum bytes of a body in one frame."""
 
-KEEPALIVE_S = 1.0
-"""Idle time on a connection with open streams after which the peer is pinged; seconds."""
-
-KEEPALIVE = Configuration(
-    _keepalive_time=KEEPALIVE_S,
-    _keepalive_timeout=KEEPALIVE_S,
-    _http2_max_pings_without_data=0,
-    _http2_min_sent_ping_interval_without_data=KEEPALIVE_S / 2,
-)
-
 _encoder = msgspec.msgpack.Encoder()
 _ticket_decoder = msgspec.msgpack.Decoder(Ticket)
 _reply_decoder: msgspec.msgpack.Decoder[TicketReply] = msgspec.msgpack.Decoder(TicketReply)
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_sockets.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_sockets.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gooseberryport_daemon._liveness import probe_peer
 from gooseberryport_daemon.errors import AddressInUseError
 from gooseberryport_daemon.settings import Endpoint
 
@@ -51,6 +52,7 @@
     stream = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     datagram = socket.socket(family, socket.SOCK_DGRAM)
     try:
+        probe_peer(stream)
         if listen.port:
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         stream.bind((listen.ip, listen.port))
