Pass on an answer that arrived before the end of its attempt's time

Callers of the daemon got 502 for requests that their upstream had answered in time, when the owner daemon did not run for a moment.

Cause: the owner ends an attempt after max_attempt_s or at the deadline. A thread that came to read the answer after that, because its process had been paused, discarded the answer although all of it had arrived.

Class: evidence about one thing (the daemon's own clock after a pause) ends another (a request that has been answered).

Change: the check of the time between two chunks is gone. The timer of the attempt still shuts the socket down, so nothing that arrives later is accepted, and an answer without end ends then.

Evidence: the test fails before for both framings (502), and holds now, with the tests of endless, slow and truncated answers.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_upstreams.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_upstreams.py
@@ -257,7 +257,9 @@
         is_forwarded = False
         for chunk in resp.stream(READ_CHUNK_BYTES, decode_content=False):
             size += len(chunk)
-            if size > self._request.max_answer_bytes or self._attempt.remaining_s <= 0:
+            # The end of the attempt's time shuts the socket down. What had arrived by then can
+            # still be read, and is passed on if it is complete.
+            if size > self._request.max_answer_bytes:
                 raise IncompleteAnswerError
             chunks.append(chunk)
             if size > MAX_INLINE_ANSWER_BYTES:
--- a/packages/gooseberryport-daemon/tests/test_upstreams.py
+++ b/packages/gooseberryport-daemon/tests/test_upstreams.py
@@ -8,7 +8,12 @@
 import pytest
 from daemon_harness import WAIT_TIMEOUT_S, Deployment, RawUpstream, call
 
-from gooseberryport_daemon._attempt import Attempt, AttemptConnectionPool, current
+from gooseberryport_daemon._attempt import (
+    Attempt,
+    AttemptConnection,
+    AttemptConnectionPool,
+    current,
+)
 from gooseberryport_standins._bench_report import resident_bytes
 from gooseberryport_standins.faults import Outage, UpstreamFaults
 from gooseberryport_standins.upstream import UpstreamSpec
@@ -196,6 +201,23 @@
     assert call(daemon.http, PATH).status == 200
 
 
+@pytest.mark.parametrize("answer", [OK, CHUNKS])
+def test_answer_that_arrived_in_time_is_passed_on_after_a_pause(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch, answer: bytes
+) -> None:
+    # Failure: a pause of the daemon makes it discard an answer that it has.
+    get_answer = AttemptConnection.getresponse
+
+    def get_answer_late(conn: AttemptConnection) -> object:
+        time.sleep(1.5)
+        return get_answer(conn)
+
+    monkeypatch.setattr(AttemptConnection, "getresponse", get_answer_late)
+    upstream = deployment.start_raw_upstream(answering(answer))
+    daemon = deployment.start_daemon_for(upstream, max_attempt_s=0.5, default_timeout_s=9.0)
+    assert call(daemon.http, PATH, "POST", b"x").status == 200
+
+
 def test_upstream_sees_end_to_end_headers_only(deployment: Deployment) -> None:
     upstream = deployment.start_raw_upstream(answering(OK))
     daemon = deployment.start_daemon_for(upstream)
