Let a stopping owner hand its answers over before it ends

Callers of the daemon got no answer before their deadline, or 502, for requests that their upstream had answered, when the owner of the upstream was stopped by SIGTERM.

Cause: an owner has no work left when its attempts have ended, but the last frames of their answers may still wait, for capacity of the link to the entry daemon's region, for room in the stream's window or in the process's buffers. The stop waited for its own callers only, and cancelled these streams.

Change: the end waits for streams of entry daemons as for callers, with the same bound of 30 s. A stream counts as open until the entry daemon, which closes its side after the last frame, has done so: then nothing is left in buffers that end with the process.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -131,7 +131,7 @@
             frontend.snapshot = msgspec.structs.replace(
                 frontend.snapshot, stopping=True, closed=True
             )
-            await _drain_answers(frontend, log)
+            await _drain_answers(frontend, driver.peer_server, log)
 
 
 def _exception_logger(log: WriteLog) -> Callable[[asyncio.AbstractEventLoop, dict[str, Any]], None]:
@@ -146,26 +146,33 @@
     return log_exception
 
 
-async def _drain_answers(frontend: Frontend, log: WriteLog) -> None:
-    """Wait until the answers in progress are written.
+async def _drain_answers(frontend: Frontend, peer_server: PeerServer, log: WriteLog) -> None:
+    """Wait until the answers in progress are written, to callers and to entry daemons.
 
-    Callers that have not read theirs after `ANSWER_DRAIN_TIMEOUT_S` are disconnected.
+    Those that have not read theirs after `ANSWER_DRAIN_TIMEOUT_S` are disconnected.
     """
     deadline = time.monotonic() + ANSWER_DRAIN_TIMEOUT_S
-    while frontend.active_callers and time.monotonic() < deadline:
+    while _open_answers(frontend, peer_server) and time.monotonic() < deadline:
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
-    if frontend.active_callers:
-        fields = {"callers": str(frontend.active_callers)}
+    if _open_answers(frontend, peer_server):
+        fields = {
+            "callers": str(frontend.active_callers),
+            "streams": str(peer_server.stream_count()),
+        }
         log(
             LogEvent(
                 LogNumber.ANSWER_CUT,
                 LogLevel.WARNING,
-                "answers cut off at the stop: callers read too slowly",
+                "answers cut off at the stop: they are read too slowly",
                 fields,
             )
         )
 
 
+def _open_answers(frontend: Frontend, peer_server: PeerServer) -> int:
+    return frontend.active_callers + peer_server.stream_count()
+
+
 def _make_node(settings: DaemonSettings, addresses: Addresses) -> Node:
     incarnation = Incarnation(time.time_ns() // 1_000_000)
     node_settings = NodeSettings(
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_server.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_server.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 from grpclib.const import Status
-from grpclib.exceptions import GRPCError
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from gooseberryport_core.events import (
     BodyArrived,
@@ -102,6 +103,8 @@
         ended = False
         try:
             ended = await self._serve(stream, inbound, first)
+            if ended:
+                await _wait_for_receipt(stream)
         finally:
             del self._inbound[ticket.ticket_id]
             inbound.outbox.close()
@@ -167,6 +170,16 @@
         return await _send_answer(stream, inbound.outbox, pacer)
 
 
+async def _wait_for_receipt(stream: PeerStream) -> None:
+    """Wait until the entry daemon has read the last frame, after which it closes the stream.
+
+    Until then a stopping daemon keeps running: bytes in its own buffers would be lost.
+    """
+    with contextlib.suppress(StreamTerminatedError):
+        while await stream.recv_message() is not None:
+            pass
+
+
 async def _send_answer(stream: PeerStream, outbox: Outbox, pacer: Pacer) -> bool:
     """Send an answer; returns False if its link has no capacity before the deadline."""
     while True:
--- a/packages/gooseberryport-daemon/tests/test_forwarding.py
+++ b/packages/gooseberryport-daemon/tests/test_forwarding.py
@@ -133,6 +133,21 @@
     assert daemon.join()
 
 
+def test_owner_that_ends_has_handed_its_answers_over(deployment: Deployment) -> None:
+    # Failure: an answer that is paced for its link is cut off when its owner has stopped.
+    size = 200_000
+    entry = start_entry(deployment, UpstreamSpec("up-1", service_time_s=0.01, answer_bytes=size))
+    owner = deployment.daemons[0].running.driver
+    owner.peer_server._reserve = lambda ticket, num_bytes: 0.3
+    ran = deployment.fleet.stats()[0].ran
+    with ThreadPoolExecutor(1) as executor:
+        reply = executor.submit(call, entry.http, PATH, "POST", b"x")
+        wait_until(lambda: deployment.fleet.stats()[0].ran > ran and owner.node._admission.idle)
+        deployment.daemons[0].run_on_loop(owner.done.set)
+        assert len(reply.result(WAIT_TIMEOUT_S).body) == size
+    assert deployment.daemons[0].join()
+
+
 def refuses_new_requests(address: str) -> bool:
     reply = call(address, PATH)
     return reply.status == 503 and reply.problem["reason"] == "stopping"
