Report a request as not run if the silent owner refuses it later

Callers got 504 unknown for a request that was queued at an owner whose heartbeats stopped and that every owner refused in the end.

Cause: it counted as run from the moment at which the heartbeats stopped. The silent owner's own refusal, which says that it did not run, came too late.

Change: it may have run while its ticket is open, or if its attempt ends as unknown.

Evidence: the test failed before; 28 passed with those of the node.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_request.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_request.py
@@ -105,7 +105,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether the current attempt or an earlier one may have run."""
-        return self.body_sent or self.ran_before
+        return self.body_sent or self.ran_before or bool(self.silent_tickets)
 
 
 def timeout_of(event: RequestArrived, service: Service) -> float:
--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -307,8 +307,9 @@
         if req is None:
             return [CancelTicket(reply.ticket_id)] if isinstance(reply, Granted) else []
         if reply.ticket_id in req.silent_tickets:
-            is_over = isinstance(reply, Moved)
-            return self._forget_silent_ticket(req, reply.ticket_id, now) if is_over else []
+            if not isinstance(reply, Moved):
+                return []
+            return self._forget_silent_ticket(req, reply.ticket_id, ran=False, now=now)
         if isinstance(reply, Moved):
             return self._handle_move(req, reply, now)
         at_most_once = req.repeatable or not req.ran_before
@@ -337,7 +338,7 @@
         if req is None:
             return []
         if reply.ticket_id in req.silent_tickets:
-            return self._forget_silent_ticket(req, reply.ticket_id, now)
+            return self._forget_silent_ticket(req, reply.ticket_id, ran=False, now=now)
         self._forget_attempt(req, ran=False)
         req.reason = reply.reason
         req.retry_after_s = reply.retry_after_s
@@ -354,7 +355,8 @@
                 req, Outcome.ANSWERED, None, now
             )
         if event.ticket_id in req.silent_tickets:
-            return self._forget_silent_ticket(req, event.ticket_id, now)
+            ran = event.outcome == AttemptOutcome.UNKNOWN
+            return self._forget_silent_ticket(req, event.ticket_id, ran=ran, now=now)
         ran = event.outcome == AttemptOutcome.UNKNOWN
         self._forget_attempt(req, ran=ran)
         req.failed_pools = (*req.failed_pools, req.pool)
@@ -428,9 +430,10 @@
         return effects
 
     def _forget_silent_ticket(
-        self, req: EntryRequest, ticket_id: TicketId, now: float
+        self, req: EntryRequest, ticket_id: TicketId, *, ran: bool, now: float
     ) -> list[Effect]:
         """Forget a silent owner's attempt that ended without an answer."""
+        req.ran_before = req.ran_before or ran
         del self._request_ids[ticket_id]
         req.silent_tickets = tuple(t for t in req.silent_tickets if t != ticket_id)
         if req.given_up_reason is None or req.silent_tickets:
@@ -470,7 +473,7 @@
                 continue
             if req.body_sent and req.repeatable:
                 ticket_id = req.ticket_id
-                self._forget_attempt(req, ran=True)
+                self._forget_attempt(req, ran=False)
                 self._request_ids[ticket_id] = req.event.request_id
                 req.silent_tickets = (*req.silent_tickets, ticket_id)
                 req.failed_pools = (*req.failed_pools, req.pool)
--- a/packages/gooseberryport-core/tests/test_requests.py
+++ b/packages/gooseberryport-core/tests/test_requests.py
@@ -281,6 +281,16 @@
     assert (end.outcome, end.ticket_id) == (Outcome.ANSWERED, first)
 
 
+def test_request_that_a_silent_owner_refuses_later_did_not_run() -> None:
+    fleet = SimulatedFleet(random.Random(1))
+    first, second = send_to_silent_owner(fleet)
+    fleet.feed(AttemptEnded(second, AttemptOutcome.SHED, 503, 0), 1.2)
+    while fleet.open[-1][0] != first:
+        fleet.feed(TicketReplied("vm-3", Refused(fleet.open.pop()[0], RefusalReason.DEADLINE)), 1.2)
+    fleet.feed(TicketReplied("vm-2", Refused(first, RefusalReason.LEASE_LAPSED)), 1.4)
+    assert fleet.ends["r1"][0].outcome == Outcome.NOT_RUN
+
+
 def test_answer_of_the_next_owner_cancels_the_silent_one() -> None:
     fleet = SimulatedFleet(random.Random(1))
     first, second = send_to_silent_owner(fleet)
