Log why an attempt or a stream between daemons ended without an answer

Change: ATTEMPT_FAILED names the types of the exceptions, the time that the attempt ran and the time it had; PEER_STREAM_BROKEN the cause and whether the request had been sent. Texts of exceptions of the HTTP client are left out: they may quote callers' headers. The loads of the tests' local cluster print these lines, and the requests that ended UNKNOWN. No decision changes.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -238,7 +238,10 @@
     driver.callers = Callers(loop=loop, on_answer_start=driver.handle_answer_start)
     driver.upstreams = stack.enter_context(
         open_upstreams(
-            threads=settings.threads.upstream, loop=loop, on_finished=driver.handle_attempt_end
+            threads=settings.threads.upstream,
+            loop=loop,
+            on_finished=driver.handle_attempt_end,
+            on_failure=driver.record_failed_attempt,
         )
     )
     driver.platform = stack.enter_context(
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_driver.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_driver.py
@@ -49,7 +49,7 @@
 from gooseberryport_daemon._peer_client import PeerClient
 from gooseberryport_daemon._peer_server import PeerServer
 from gooseberryport_daemon._platform_calls import PlatformCalls
-from gooseberryport_daemon._upstreams import UpstreamRequest, Upstreams
+from gooseberryport_daemon._upstreams import AttemptFailure, UpstreamRequest, Upstreams
 from gooseberryport_platform import ServiceError
 
 FAILURE_LOG_INTERVAL_S = 10.0
@@ -192,9 +192,23 @@
         """Count a request that was refused before it was passed to the node."""
         self._metrics.count(f"refused.{reason}")
 
-    def handle_broken_stream(self, ticket_id: TicketId) -> None:
-        """Count a broken stream to an owner and discard its answer."""
+    def record_failed_attempt(self, failure: AttemptFailure) -> None:
+        """Log why an attempt at an upstream ended without an answer."""
+        fields = {
+            "ticket": failure.ticket_id,
+            "upstream": failure.address,
+            "outcome": failure.outcome.value,
+            "cause": failure.cause,
+            "duration_s": f"{failure.duration_s:.3f}",
+            "timeout_s": f"{failure.timeout_s:.3f}",
+        }
+        self.log(LogNumber.ATTEMPT_FAILED, "attempt without an answer", fields)
+
+    def handle_broken_stream(self, ticket_id: TicketId, cause: str, sent: bool) -> None:
+        """Count and log a broken stream to an owner, and discard its answer."""
         self._metrics.count("streams.broken")
+        fields = {"ticket": ticket_id, "cause": cause, "request_sent": str(sent).lower()}
+        self.log(LogNumber.PEER_STREAM_BROKEN, "stream to an owner broke", fields)
         self.handle_broken_answer(ticket_id)
 
     def record_gauges(self) -> None:
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
@@ -58,7 +58,7 @@
 
     on_answer_part: Callable[[TicketId, AnswerHead | None, bytes], Awaitable[None]]
     on_broken_answer: Callable[[TicketId], None]
-    on_broken_stream: Callable[[TicketId], None]
+    on_broken_stream: Callable[[TicketId, str, bool], None]
 
 
 class _OutboundStream:
@@ -133,19 +133,19 @@
         ticket_id = outbound.effect.ticket.ticket_id
         try:
             await self._exchange_frames(outbound)
-        except STREAM_ERRORS:
-            self._report_broken_stream(outbound)
+        except STREAM_ERRORS as exc:
+            self._report_broken_stream(outbound, repr(exc))
         finally:
             if self._outbound.get(ticket_id) is outbound:
                 del self._outbound[ticket_id]
 
-    def _report_broken_stream(self, outbound: _OutboundStream) -> None:
+    def _report_broken_stream(self, outbound: _OutboundStream, cause: str) -> None:
         """Report a broken stream to the node, as not run only if none of the request was sent."""
         ticket_id = outbound.effect.ticket.ticket_id
         if outbound.end_reported or self._outbound.get(ticket_id) is not outbound:
             return
         outbound.end_reported = True
-        self._callbacks.on_broken_stream(ticket_id)
+        self._callbacks.on_broken_stream(ticket_id, cause, outbound.request_sent)
         if outbound.request_sent:
             self._handle_event(AttemptEnded(ticket_id, AttemptOutcome.UNKNOWN, 0, 0))
         else:
--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_upstreams.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_upstreams.py
@@ -46,6 +46,9 @@
 
 MIN_TIMEOUT_S = 0.001
 
+MAX_CAUSES = 3
+"""Maximum number of exceptions that a log line names."""
+
 
 class AnswerSink(Protocol):
     """Receives the parts of an answer, on the loop."""
@@ -68,6 +71,17 @@
     """The answer ended early, is too long, or has no detectable end."""
 
 
+class AttemptFailure(msgspec.Struct, frozen=True):
+    """Why an attempt ended without an answer; times in seconds."""
+
+    ticket_id: TicketId
+    address: str
+    outcome: AttemptOutcome
+    cause: str
+    duration_s: float
+    timeout_s: float
+
+
 class _Result(msgspec.Struct, frozen=True):
     """How a call ended; a short answer is included completely."""
 
@@ -77,6 +91,7 @@
     head: AnswerHead | None = None
     body: bytes = b""
     connected: bool = True
+    cause: str = ""
 
 
 class Upstreams:
@@ -90,6 +105,8 @@
         Threads that make the calls.
     on_finished
         Called on the loop with the end of each attempt, after its answer was passed to its sink.
+    on_failure
+        Called before that if the attempt ended without an answer.
     """
 
     def __init__(
@@ -98,10 +115,12 @@
         loop: asyncio.AbstractEventLoop,
         executor: ThreadPoolExecutor,
         on_finished: Callable[[UpstreamAttemptEnded], None],
+        on_failure: Callable[[AttemptFailure], None],
     ) -> None:
         self._loop = loop
         self._executor = executor
         self._on_finished = on_finished
+        self._on_failure = on_failure
         self._attempts: dict[TicketId, Attempt] = {}
         self._connection_pools: dict[str, AttemptConnectionPool] = {}
 
@@ -110,7 +129,7 @@
         attempt = Attempt(timeout_s=effect.timeout_s, fresh=effect.fresh)
         self._attempts[effect.ticket_id] = attempt
         connection_pool = self._connection_pool(effect.address, request.connections)
-        self._loop.create_task(self._run(effect.ticket_id, attempt, connection_pool, request))
+        self._loop.create_task(self._run(effect, attempt, connection_pool, request))
 
     def cancel(self, ticket_id: TicketId) -> None:
         """Cancel an attempt; its end is still reported."""
@@ -132,11 +151,12 @@
 
     async def _run(
         self,
-        ticket_id: TicketId,
+        effect: StartUpstreamAttempt,
         attempt: Attempt,
         connection_pool: AttemptConnectionPool,
         request: UpstreamRequest,
     ) -> None:
+        ticket_id = effect.ticket_id
         timer = self._loop.call_later(attempt.remaining_s, attempt.cancel)
         call = _Call(
             attempt=attempt, connection_pool=connection_pool, request=request, loop=self._loop
@@ -144,6 +164,17 @@
         result = await self._loop.run_in_executor(self._executor, call.run)
         timer.cancel()
         del self._attempts[ticket_id]
+        if result.outcome is not AttemptOutcome.ANSWERED:
+            self._on_failure(
+                AttemptFailure(
+                    ticket_id,
+                    effect.address,
+                    result.outcome,
+                    result.cause,
+                    attempt.duration_s,
+                    effect.timeout_s,
+                )
+            )
         if result.head is not None:
             await request.sink.write(result.head, result.body)
         self._on_finished(
@@ -177,10 +208,13 @@
     threads: int,
     loop: asyncio.AbstractEventLoop,
     on_finished: Callable[[UpstreamAttemptEnded], None],
+    on_failure: Callable[[AttemptFailure], None],
 ) -> Iterator[Upstreams]:
     """Open the connection pools of upstreams and the threads that use them."""
     executor = ThreadPoolExecutor(threads, thread_name_prefix="upstream")
-    upstreams = Upstreams(loop=loop, executor=executor, on_finished=on_finished)
+    upstreams = Upstreams(
+        loop=loop, executor=executor, on_finished=on_finished, on_failure=on_failure
+    )
     try:
         yield upstreams
     finally:
@@ -210,11 +244,17 @@
         current.attempt = attempt
         try:
             return self._send_request()
-        except (NewConnectionError, ConnectTimeoutError):
-            return _Result(AttemptOutcome.NOT_SENT, connected=False)
-        except (HTTPError, OSError, AttemptCancelledError, IncompleteAnswerError, ValueError):
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            return _Result(AttemptOutcome.NOT_SENT, connected=False, cause=_cause(exc))
+        except (
+            HTTPError,
+            OSError,
+            AttemptCancelledError,
+            IncompleteAnswerError,
+            ValueError,
+        ) as exc:
             outcome = AttemptOutcome.UNKNOWN if attempt.sent else AttemptOutcome.NOT_SENT
-            return _Result(outcome)
+            return _Result(outcome, cause=_cause(exc))
         finally:
             attempt.detach_socket()
 
@@ -247,7 +287,7 @@
         outcome = judge(status=resp.status, not_run=not_run)
         if outcome is not AttemptOutcome.ANSWERED:
             resp.close()
-            return _Result(outcome, resp.status)
+            return _Result(outcome, resp.status, cause=f"status {resp.status}")
         if not _has_detectable_end(resp, self._request.head.method):
             raise IncompleteAnswerError
         headers = without_not_run(end_to_end(tuple(resp.headers.items())))
@@ -280,6 +320,16 @@
             raise IncompleteAnswerError from exc
 
 
+def _cause(exc: BaseException) -> str:
+    """Return the types of an exception and those before it; texts may quote callers' headers."""
+    names: list[str] = []
+    found: BaseException | None = exc
+    while found is not None and len(names) < MAX_CAUSES:
+        names.append(type(found).__name__)
+        found = found.__cause__ or found.__context__
+    return ", after ".join(names)
+
+
 def _has_detectable_end(resp: urllib3.BaseHTTPResponse, method: str) -> bool:
     """Return whether a truncated answer can be distinguished from a complete one."""
     if method == "HEAD" or resp.status in (204, 304):
--- a/packages/gooseberryport-daemon/tests/test_peer_streams.py
+++ b/packages/gooseberryport-daemon/tests/test_peer_streams.py
@@ -98,7 +98,7 @@
     async def collect(self, ticket_id: str, head: AnswerHead | None, chunk: bytes) -> None:
         self.answer += chunk
 
-    def on_broken(self, ticket_id: str) -> None:
+    def on_broken(self, ticket_id: str, cause: str = "", sent: bool = False) -> None:
         self.broken += 1
 
     async def offer(self, address: str, *, inline: bool = False) -> None:
--- a/standins/src/gooseberryport_standins/local_cluster.py
+++ b/standins/src/gooseberryport_standins/local_cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
@@ -11,10 +12,11 @@
 import urllib3
 
 from gooseberryport_core.config import Config, Limits, Region, Service, Upstream
+from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId, ZoneName
 from gooseberryport_platform import StoreSettings, open_store
 from gooseberryport_standins._process import STOP_TIMEOUT_S
-from gooseberryport_standins.caller import CallResult, LoadPlan, run_load
+from gooseberryport_standins.caller import CallEnd, CallResult, LoadPlan, run_load
 from gooseberryport_standins.checks import find_violations, raise_if_unsafe
 from gooseberryport_standins.daemons import (
     Daemon,
@@ -33,6 +35,11 @@
 SERVICE = ServiceName("registry")
 UPSTREAMS = ("registry-1", "registry-2")
 
+FAILURE_LINE = re.compile(
+    rf'"number": ?({LogNumber.ATTEMPT_FAILED:d}|{LogNumber.PEER_STREAM_BROKEN:d})'
+)
+"""A log line that states why an attempt ended without an answer."""
+
 LIMITS = Limits(lookup_max_age_s=1.0, lease_s=2.0)
 SERVICE_RULES = Service(slots=4, max_attempt_s=1.0, max_body_bytes=100_000, slow_start_s=1.0)
 
@@ -114,7 +121,20 @@
 
     def load(self, plan: LoadPlan, *, name: str = "trial") -> list[CallResult]:
         """Generate a load through all daemons and return how each request ended."""
-        return run_load(plan, self.addresses, name=f"{name}-{time.monotonic_ns()}")
+        results = run_load(plan, self.addresses, name=f"{name}-{time.monotonic_ns()}")
+        if any(result.end is CallEnd.UNKNOWN for result in results):
+            self._print_failed_attempts(results)
+        return results
+
+    def _print_failed_attempts(self, results: list[CallResult]) -> None:
+        """Print why requests may be unknown; pytest shows it beside a failure."""
+        for result in results:
+            if result.end is CallEnd.UNKNOWN:
+                print(result.plan.request_id, result.plan.method, result.status, result.reason)
+        for daemon in self.daemons.values():
+            for line in daemon.log:
+                if FAILURE_LINE.search(line):
+                    print(line)
 
     def violations(self, results: list[CallResult]) -> list[str]:
         """Return which requests were lost; raise `SafetyViolationError` for any other violation."""
