Wait for the decision of an issued key while its daemon is alive

Callers of the daemon got 503 unknown (claim-undecided) for requests with keys that another daemon issued, when that daemon did not run for 0.5 s.

Cause: a claim on an issued key ended as undecided 0.5 s after it was first sent, whatever the deciding daemon's heartbeats said and however much time the request had left.

Class: a peer that is silent for a moment counts as gone.

Change: the claim ends as undecided once the daemon's heartbeats have stopped as well (peer_timeout_s, 1 s); until then it is sent again each 0.05 s as before, up to the request's deadline.

Evidence: the test failed before (undecided at 0.5 s in all three cases); 19 passed in test_claims.py.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_claims.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_claims.py
@@ -14,7 +14,7 @@
 
 from gooseberryport_core._claim_buckets import ClaimBuckets, bucket_of, key_digest
 from gooseberryport_core._hashing import rendezvous_weight
-from gooseberryport_core._views import Peers
+from gooseberryport_core._views import Peer, Peers
 from gooseberryport_core.config import Config
 from gooseberryport_core.effects import DispatchEvent, Effect, SendMessage
 from gooseberryport_core.events import ClaimDecided, Event, MessageArrived, Tick
@@ -36,7 +36,8 @@
 """Time between two claim messages for the same request; seconds."""
 
 ISSUED_CLAIM_TIMEOUT_S = 0.5
-"""Time after which a claim on an issued key ends as undecided; seconds."""
+"""Time after which a claim on an issued key ends as undecided if the deciding daemon's heartbeats
+have stopped; seconds. Otherwise it may only be paused, and the request's deadline counts."""
 
 FORWARD_TIMEOUT_S = 0.25
 """Time after which a daemon that forwarded a claim on a caller-chosen key, and got no reply,
@@ -222,10 +223,14 @@
         peer = self._peers.peer(pending.issued.vm)
         if peer is not None and peer.incarnation > pending.issued.incarnation:
             return self._finish(pending, ClaimVerdict.LOST)
-        if now >= pending.requested_at + ISSUED_CLAIM_TIMEOUT_S:
+        if now >= pending.requested_at + ISSUED_CLAIM_TIMEOUT_S and self._is_silent(peer, now):
             return self._finish(pending, ClaimVerdict.UNDECIDED)
         return self._send(pending, peer.address) if peer else []
 
+    def _is_silent(self, peer: Peer | None, now: float) -> bool:
+        timeout_s = self._settings.timing.peer_timeout_s
+        return peer is None or now - peer.last_heartbeat_at > timeout_s
+
     def _forward(self, pending: _PendingClaim, now: float) -> list[Effect]:
         """Forward a claim to the daemon that commits its bucket, or commit it here."""
         writer = self._bucket_writer(bucket_of(key_digest(pending.key)), now)
--- a/packages/gooseberryport-core/tests/test_claims.py
+++ b/packages/gooseberryport-core/tests/test_claims.py
@@ -190,6 +190,24 @@
     assert set(fleet.verdicts.values()) == {ClaimVerdict.LOST}
 
 
+@pytest.mark.parametrize(("silent_since", "undecided_at"), [(0.0, 1.05), (1.5, 2.55), (9.0, None)])
+def test_issued_key_is_undecided_once_its_daemon_sends_no_heartbeats(
+    silent_since: float, undecided_at: float | None
+) -> None:
+    # Failure: a daemon that does not run for half a second costs requests with its keys.
+    peers = {"vm-2": make_peer(make_settings("vm-2"))}
+    node = Claims(settings=make_settings(), peers=FixedPeers(peers), rng=random.Random(3))
+    node.claim("vm-2~1~0~word", "r1", 0.0)
+    decided: list[float] = []
+    for tick in range(1, 80):
+        now = tick * 0.05
+        heartbeat_at = min(now, silent_since)
+        peers["vm-2"] = make_peer(make_settings("vm-2"), last_heartbeat_at=heartbeat_at)
+        effects = node.handle(Tick(now), now)
+        decided += [now for effect in effects if isinstance(effect, DispatchEvent)]
+    assert decided == ([pytest.approx(undecided_at)] if undecided_at else [])
+
+
 def test_expired_key_is_refused_after_its_claim_is_forgotten() -> None:
     fleet = Fleet(random.Random(3), faults=False)
     node = fleet.nodes["vm-1"]
