--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_client.py
@@ -8,6 +8,7 @@
 import msgspec
 from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
 
 from gooseberryport_core.effects import SendTicket
 from gooseberryport_core.events import AttemptEnded, Event, PeerUnreachable, TicketReplied
@@ -15,9 +16,9 @@
 from gooseberryport_core.types import AttemptOutcome, TicketId, VmId
 from gooseberryport_daemon import _peer_pb2 as pb
 from gooseberryport_daemon._http_messages import AnswerHead, CallerRequest
+from gooseberryport_daemon._liveness import probe_peer
 from gooseberryport_daemon._peer_grpc import PeerStub
 from gooseberryport_daemon._peer_wire import (
-    KEEPALIVE,
     AttemptEnd,
     FrameInvalidError,
     read_answer_head,
@@ -43,12 +44,21 @@
 )
 
 
+class _PeerChannel(Channel):
+    """A channel whose connections are probed by the kernel."""
+
+    async def _create_connection(self) -> H2Protocol:
+        protocol = await super()._create_connection()
+        probe_peer(protocol.connection._transport.get_extra_info("socket"))
+        return protocol
+
+
 class AnswerCallbacks(msgspec.Struct, frozen=True):
     """Callbacks for a part of an answer, an incomplete answer and a broken stream."""
 
     on_answer_part: Callable[[TicketId, AnswerHead | None, bytes], Awaitable[None]]
     on_broken_answer: Callable[[TicketId], None]
-    on_broken_stream: Callable[[TicketId], None]
+    on_broken_stream: Callable[[TicketId, str, bool], None]
 
 
 class _OutboundStream:
@@ -123,19 +133,19 @@
         ticket_id = outbound.effect.ticket.ticket_id
         try:
             await self._exchange_frames(outbound)
-        except STREAM_ERRORS:
-            self._report_broken_stream(outbound)
+        except STREAM_ERRORS as exc:
+            self._report_broken_stream(outbound, repr(exc))
         finally:
             if self._outbound.get(ticket_id) is outbound:
                 del self._outbound[ticket_id]
 
-    def _report_broken_stream(self, outbound: _OutboundStream) -> None:
+    def _report_broken_stream(self, outbound: _OutboundStream, cause: str) -> None:
         """Report a broken stream to the node, as not run only if none of the request was sent."""
         ticket_id = outbound.effect.ticket.ticket_id
         if outbound.end_reported or self._outbound.get(ticket_id) is not outbound:
             return
         outbound.end_reported = True
-        self._callbacks.on_broken_stream(ticket_id)
+        self._callbacks.on_broken_stream(ticket_id, cause, outbound.request_sent)
         if outbound.request_sent:
             self._handle_event(AttemptEnded(ticket_id, AttemptOutcome.UNKNOWN, 0, 0))
         else:
@@ -198,7 +208,7 @@
         channel = self._channels.get(address)
         if channel is None:
             endpoint = parse_endpoint(address, field="address")
-            channel = Channel(endpoint.ip, endpoint.port, config=KEEPALIVE)
+            channel = _PeerChannel(endpoint.ip, endpoint.port)
             self._channels[address] = channel
         return channel
 
