--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Sequence
 
@@ -13,7 +12,6 @@
 from gooseberryport_core.decoding import MAX_DURATION_S, parse_count
 from gooseberryport_core.gateway.response_memory import HeldResponse
 from gooseberryport_core.http_status import INTERIM_STATUSES, is_valid_status
-from gooseberryport_gateway import _liveness
 from gooseberryport_gateway._byte_limits import (
     MAX_FIELDS,
     MAX_INTERIM_RESPONSES,
@@ -21,6 +19,7 @@
     ResponseLimits,
 )
 from gooseberryport_gateway._headers import Headers, find_header
+from gooseberryport_gateway._liveness import HostCheck
 from gooseberryport_gateway._progress import Transfer
 from gooseberryport_gateway._receiving import READ_BUFFER, SHORT_READ_BUFFER, add_chunk, has_unread
 from gooseberryport_gateway.errors import (
@@ -87,7 +86,7 @@
     `unclaimed` is a response that was complete when the wait for it was cancelled, or None.
     `idle_s` is how long the connection was idle before its latest request, or 0, and `paused_s` how
     long its response was not read for lack of memory; seconds. `address` is where it was opened to.
-    `has_slow_reader` is whether the kernel leaves bytes unread without a bound.
+    `host` finds out whether the server's host is gone.
 
     Parameters
     ----------
@@ -137,8 +136,7 @@
         self._answered = False
         self.idle_s = 0.0
         self.address: tuple[str, int] | None = None
-        self._probed = False
-        self.has_slow_reader = False
+        self.host: HostCheck | None = None
         self.closed = False
         self.closed_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.has_response_bytes = False
@@ -216,7 +214,8 @@
         self._held = held
         self._transfer = transfer
         self._counted_bytes = 0
-        self._expect_slow_reader(sum(map(len, body)) > _liveness.SMALL_BODY_BYTES)
+        if self.host is not None:
+            self.host.expect_body(sum(map(len, body)))
         transport.write(data)
         self._write_body()
         try:
@@ -237,42 +236,11 @@
             if unfinished or self._unusable:
                 self.close()
 
-    def probe(self, *, active: bool) -> None:
-        """Start or stop asking the server's host whether it still has the connection.
-
-        If the host does not answer, the request on the connection fails.
-        """
-        sock = self._socket
-        if sock is not None and active != self._probed:
-            self._probed = active
-            set_probes = _liveness.start_probes if active else _liveness.stop_probes
-            set_probes(sock, has_timeout=not self.has_slow_reader)
-
-    @property
-    def _socket(self) -> socket.socket | None:
-        """The socket, or None if it is closed or about to be."""
-        if self.closed or self._transport is None or self._transport.is_closing():
-            return None
-        sock: socket.socket | None = self._transport.get_extra_info("socket")
-        return sock
-
-    @property
-    def is_unanswered(self) -> bool:
-        """Whether the server's host has not answered the latest packet."""
-        sock = self._socket
-        return sock is not None and _liveness.is_unanswered(sock)
-
     def fail_unacknowledged(self) -> None:
         """Fail the request, since the server's host answers no more, and close the connection."""
         self._fail("connection unacknowledged", cause=LossCause.UNACKNOWLEDGED)
         self.close()
 
-    def _expect_slow_reader(self, expected: bool) -> None:
-        sock = self._socket
-        if sock is not None and expected != self.has_slow_reader:
-            self.has_slow_reader = expected
-            _liveness.expect_slow_reader(sock, expected=expected)
-
     def close(self) -> None:
         """Close the connection at once, dropping unsent bytes."""
         self.closed = True
@@ -323,9 +291,7 @@
         """Prepare the socket."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        sock = self._socket
-        if sock is not None:
-            _liveness.configure(sock)
+        self.host = HostCheck(transport)
         self._idle_since = asyncio.get_running_loop().time()
 
     def data_received(self, data: bytes | memoryview) -> None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_liveness.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_liveness.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 
 PROBE_IDLE_S = 1
@@ -40,59 +41,92 @@
 INFO_BYTES = 8
 """Fields of the kernel's ``tcp_info`` and the part of it that is read; bytes."""
 
+OPTIONS = (
+    (socket.TCP_NODELAY, 1),
+    (socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+    (socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+    (socket.TCP_KEEPCNT, MAX_PROBES),
+    (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
+)
+"""Options of TCP with which a connection begins."""
 
-def configure(sock: socket.socket) -> None:
-    """Disable Nagle's algorithm, and bound the time for which bytes may stay unacknowledged."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_PROBES)
-    expect_slow_reader(sock, expected=False)
 
-
-def expect_slow_reader(sock: socket.socket, *, expected: bool) -> None:
-    """State whether the other end may leave bytes unread for long.
-
-    The kernel counts the time for which a host that is alive has no room for more bytes as time
-    without an acknowledgement, so it must not be bounded then.
-    """
-    _set_timeout(sock, NO_TIMEOUT if expected else UNACKNOWLEDGED_TIMEOUT_MS)
-
-
-def is_unanswered(sock: socket.socket) -> bool:
-    """Return whether the other end has not answered the latest packet that was sent more than once.
-
-    A host that is alive answers within a round trip, also if it has no room for more bytes. Where
-    the system does not tell, return False.
-    """
-    try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_BYTES)
-    except OSError:
-        return False
-    return len(info) == INFO_BYTES and (info[RETRANSMITS_OFFSET] > 0 or info[PROBES_OFFSET] > 0)
-
-
-def start_probes(sock: socket.socket, *, has_timeout: bool) -> None:
-    """Probe the other end, whose kernel answers even if its process is busy.
+class HostCheck:
+    """Lets the kernel find out that the host at the other end of one connection is gone.
 
     Parameters
     ----------
-    sock
-        Socket of the connection.
-    has_timeout
-        Whether unacknowledged bytes break the connection; those that were sent already still do.
+    transport
+        The connection.
     """
-    if has_timeout and not is_unanswered(sock):
-        _set_timeout(sock, PROBES_TIMEOUT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-
-
-def stop_probes(sock: socket.socket, *, has_timeout: bool) -> None:
-    """End `start_probes`."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
-    if has_timeout:
-        _set_timeout(sock, UNACKNOWLEDGED_TIMEOUT_MS)
-
 
-def _set_timeout(sock: socket.socket, timeout_ms: int) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+    def __init__(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._probes = False
+        self.reads_slowly = False
+        """Whether the other end may leave bytes unread for long."""
+
+        for option, value in OPTIONS:
+            self._set(socket.IPPROTO_TCP, option, value)
+
+    def expect_body(self, num_bytes: int) -> None:
+        """Allow a request's body to be left unread for long if it may find no room.
+
+        The kernel counts the time for which a host that is alive has no room for more bytes as time
+        without an acknowledgement, so it must not be bounded then.
+        """
+        reads_slowly = num_bytes > SMALL_BODY_BYTES
+        if reads_slowly != self.reads_slowly:
+            self.reads_slowly = reads_slowly
+            self._set_timeout(NO_TIMEOUT if reads_slowly else UNACKNOWLEDGED_TIMEOUT_MS)
+
+    def start_probes(self) -> None:
+        """Probe the host, whose kernel answers even if its process is busy.
+
+        Bytes that were sent before and are not acknowledged keep their own timeout.
+        """
+        self._probes = True
+        if not self.reads_slowly and not self.is_unanswered:
+            self._set_timeout(PROBES_TIMEOUT_MS)
+        self._set(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+    def stop_probes(self) -> None:
+        """End `start_probes`, if it was called."""
+        if not self._probes:
+            return
+        self._probes = False
+        self._set(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
+        if not self.reads_slowly:
+            self._set_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the host has not answered a packet that was sent more than once.
+
+        A host that is alive answers within a round trip, also if it has no room for more bytes.
+        Where the system does not tell, it is False.
+        """
+        sock = self._socket
+        if sock is None:
+            return False
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_BYTES)
+        except OSError:
+            return False
+        return len(info) == INFO_BYTES and (info[RETRANSMITS_OFFSET] > 0 or info[PROBES_OFFSET] > 0)
+
+    @property
+    def _socket(self) -> socket.socket | None:
+        """The socket, or None if it is closed or about to be."""
+        if self._transport.is_closing():
+            return None
+        sock: socket.socket | None = self._transport.get_extra_info("socket")
+        return sock
+
+    def _set_timeout(self, timeout_ms: int) -> None:
+        self._set(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+    def _set(self, level: int, option: int, value: int) -> None:
+        sock = self._socket
+        if sock is not None:
+            sock.setsockopt(level, option, value)
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
@@ -90,12 +90,15 @@
 
     def _watch_host(self, conn: HttpConn) -> None:
         """Let a request fail if the host of its upstream answers no more on its connection."""
-        conn.probe(active=True)
-        if conn.has_slow_reader:
+        if conn.host is None:
+            return
+        conn.host.start_probes()
+        if conn.host.reads_slowly:
             self._polls[conn] = self._loop.call_later(UPLOAD_POLL_INTERVAL_S, self._poll, conn, 0)
 
     def _end_watch(self, conn: HttpConn) -> None:
-        conn.probe(active=False)
+        if conn.host is not None:
+            conn.host.stop_probes()
         poll = self._polls.pop(conn, None)
         if poll is not None:
             poll.cancel()
@@ -111,7 +114,8 @@
             Latest polls in a row at which the host had not answered. They are counted instead of
             timed, since the answers to a process that was paused are read first.
         """
-        num_unanswered = num_unanswered + 1 if conn.is_unanswered else 0
+        unanswered = conn.host is not None and conn.host.is_unanswered
+        num_unanswered = num_unanswered + 1 if unanswered else 0
         if num_unanswered >= MAX_UNANSWERED_POLLS:
             del self._polls[conn]
             conn.fail_unacknowledged()
