Take no single lost packet for a host that is gone

They start once the bytes are acknowledged. - The polls of an upload counted one lost probe of a closed window again and again until the kernel's next one, up to 6.4 s later. The kernel's own counts decide now: three probes or four repetitions without an answer. - A request on a connection whose kernel still had an earlier body to send set the 2 s for that body. A connection that had a large body keeps no bound.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_liveness.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_liveness.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import socket
+from typing import NamedTuple
 
 PROBE_IDLE_S = 1
 """Time without a byte or an acknowledgement after which the first probe is sent; seconds."""
@@ -22,6 +23,9 @@
 MAX_PROBES = 3
 """Unanswered probes after which a connection is broken: links lose packets now and then."""
 
+MAX_RETRANSMITS = 4
+"""Unacknowledged repetitions of bytes after which a host counts as gone; they take about 3 s."""
+
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 """Time after which bytes that are not acknowledged break a connection: by then they were sent four
 times, and an upstream may have left since; milliseconds."""
@@ -51,6 +55,18 @@
 """Options of TCP with which a connection begins."""
 
 
+class Unanswered(NamedTuple):
+    """Packets in a row that a host has not answered: bytes that were sent again, and probes."""
+
+    retransmits: int = 0
+    probes: int = 0
+
+    @property
+    def any(self) -> bool:
+        """Whether there are any."""
+        return self.retransmits > 0 or self.probes > 0
+
+
 class HostCheck:
     """Lets the kernel find out that the host at the other end of one connection is gone.
 
@@ -73,22 +89,29 @@
         """Allow a request's body to be left unread for long if it may find no room.
 
         The kernel counts the time for which a host that is alive has no room for more bytes as time
-        without an acknowledgement, so it must not be bounded then.
+        without an acknowledgement, so it must not be bounded then. It stays so, as an upstream may
+        respond before it reads the body.
         """
-        reads_slowly = num_bytes > SMALL_BODY_BYTES
-        if reads_slowly != self.reads_slowly:
-            self.reads_slowly = reads_slowly
-            self._set_timeout(NO_TIMEOUT if reads_slowly else UNACKNOWLEDGED_TIMEOUT_MS)
+        if num_bytes > SMALL_BODY_BYTES and not self.reads_slowly:
+            self.reads_slowly = True
+            self._set_timeout(NO_TIMEOUT)
 
-    def start_probes(self) -> None:
+    def start_probes(self) -> bool:
         """Probe the host, whose kernel answers even if its process is busy.
 
-        Bytes that were sent before and are not acknowledged keep their own timeout.
+        Returns
+        -------
+        bool
+            False if the host has not acknowledged what was sent: the timeout for bytes stays in
+            force, and would count for probes.
         """
-        self._probes = True
-        if not self.reads_slowly and not self.is_unanswered:
+        if not self.reads_slowly:
+            if self._count_unanswered().any:
+                return False
             self._set_timeout(PROBES_TIMEOUT_MS)
+        self._probes = True
         self._set(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        return True
 
     def stop_probes(self) -> None:
         """End `start_probes`, if it was called."""
@@ -100,20 +123,26 @@
             self._set_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
 
     @property
-    def is_unanswered(self) -> bool:
-        """Whether the host has not answered a packet that was sent more than once.
+    def is_gone(self) -> bool:
+        """Whether the host has not answered several packets in a row.
 
-        A host that is alive answers within a round trip, also if it has no room for more bytes.
-        Where the system does not tell, it is False.
+        A host that is alive answers each within a round trip, also if it has no room for more
+        bytes. Where the system does not tell, it is False.
         """
+        unanswered = self._count_unanswered()
+        return unanswered.retransmits >= MAX_RETRANSMITS or unanswered.probes >= MAX_PROBES
+
+    def _count_unanswered(self) -> Unanswered:
         sock = self._socket
         if sock is None:
-            return False
+            return Unanswered()
         try:
             info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_BYTES)
         except OSError:
-            return False
-        return len(info) == INFO_BYTES and (info[RETRANSMITS_OFFSET] > 0 or info[PROBES_OFFSET] > 0)
+            return Unanswered()
+        if len(info) < INFO_BYTES:
+            return Unanswered()
+        return Unanswered(info[RETRANSMITS_OFFSET], info[PROBES_OFFSET])
 
     @property
     def _socket(self) -> socket.socket | None:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_silence.py
@@ -19,7 +19,6 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import UpstreamId
 from gooseberryport_gateway._http_conn import HttpConn
-from gooseberryport_gateway._liveness import PROBES_TIMEOUT_MS
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import NotSentError
@@ -32,11 +31,8 @@
 """Time without a response after which the host of an upstream is probed on the connection of the
 request; most requests take less; seconds."""
 
-UPLOAD_POLL_INTERVAL_S = 0.5
-"""Interval between polls for whether a host answers to an upload; seconds."""
-
-MAX_UNANSWERED_POLLS = round(PROBES_TIMEOUT_MS / (1000 * UPLOAD_POLL_INTERVAL_S))
-"""Polls in a row without an answer after which the host counts as gone."""
+HOST_POLL_INTERVAL_S = 0.5
+"""Interval between polls for whether a host acknowledges a request; seconds."""
 
 MIN_CHECK_INTERVAL_S = 2.0
 """Minimum interval between checks of one upstream, as each may open a connection; seconds."""
@@ -90,11 +86,17 @@
 
     def _watch_host(self, conn: HttpConn) -> None:
         """Let a request fail if the host of its upstream answers no more on its connection."""
-        if conn.host is None:
+        host = conn.host
+        if host is None:
             return
-        conn.host.start_probes()
-        if conn.host.reads_slowly:
-            self._polls[conn] = self._loop.call_later(UPLOAD_POLL_INTERVAL_S, self._poll, conn, 0)
+        if host.is_gone:
+            self._polls.pop(conn, None)
+            conn.fail_unacknowledged()
+        elif not host.start_probes() or host.reads_slowly:
+            # The kernel has no timeout for a body, and the one for a request's bytes comes first.
+            self._polls[conn] = self._loop.call_later(HOST_POLL_INTERVAL_S, self._watch_host, conn)
+        else:
+            self._polls.pop(conn, None)
 
     def _end_watch(self, conn: HttpConn) -> None:
         if conn.host is not None:
@@ -103,27 +105,6 @@
         if poll is not None:
             poll.cancel()
 
-    def _poll(self, conn: HttpConn, num_unanswered: int) -> None:
-        """Fail the request if the host has answered nothing at a number of polls in a row.
-
-        Parameters
-        ----------
-        conn
-            Connection of the request, whose body the kernel may leave unread without a bound.
-        num_unanswered
-            Latest polls in a row at which the host had not answered. They are counted instead of
-            timed, since the answers to a process that was paused are read first.
-        """
-        unanswered = conn.host is not None and conn.host.is_unanswered
-        num_unanswered = num_unanswered + 1 if unanswered else 0
-        if num_unanswered >= MAX_UNANSWERED_POLLS:
-            del self._polls[conn]
-            conn.fail_unacknowledged()
-            return
-        self._polls[conn] = self._loop.call_later(
-            UPLOAD_POLL_INTERVAL_S, self._poll, conn, num_unanswered
-        )
-
     def _start_check(self, upstream: Upstream) -> None:
         now = self._loop.time()
         if now - self._checked_at.get(upstream.id, float("-inf")) < MIN_CHECK_INTERVAL_S:
--- a/packages/gooseberryport-gateway/tests/test_large_responses.py
+++ b/packages/gooseberryport-gateway/tests/test_large_responses.py
@@ -314,7 +314,7 @@
 @pytest.mark.parametrize("extra", [b"", b"Connection: close"])
 def test_client_that_closes_its_side_while_it_reads_gets_the_whole_reply(extra):
     async def main():
-        async with start_small_gateway(process_bytes=200 * MB) as (gateway, _):
+        async with start_small_gateway(process_bytes=200 * MB) as (gateway, *_):
             async with connect_raw(gateway) as sock:
                 loop, size, received = asyncio.get_running_loop(), 3 * MB, 0
                 sock.send(request_for(size, extra=extra))
