Do not read on when an idle connection closes

Cause: a closing connection reads on for 1 s, so that unread bytes do not reset it before the last reply has arrived. A request that crosses the close was read and dropped. If the close itself is lost on its way, which the kernel repeats after 0.2 s, the client waits for a reply that nobody will send; and it cannot know that its request did not run.

Evidence: a request that crosses the close, by the idle timer and in a stop: before, it was read and the connection closed in order; after, it stays unread and the client's kernel is told by a reset.

Change: an idle connection whose last reply the client's host has acknowledged is closed without reading on, and is gone 0.25 s later, not 1 s. One with bytes that are not acknowledged closes as before, and so does one that ends with a rejection.

The fakes of a transport get the methods that are used now.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_byte_limits.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_byte_limits.py
@@ -29,6 +29,10 @@
 OVERHEAD_PER_BODY_BYTE = 8
 """Framing accepted for each byte of a chunked body; one-byte chunks need six."""
 
+MAX_TRAILER_BYTES = 16_384
+"""Maximum bytes of the trailers and chunk extensions of a request's chunked body, beside its
+chunks; bytes."""
+
 MAX_FIELDS = 256
 """Maximum header and trailer fields of a response, interim responses included."""
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -14,6 +14,7 @@
     ResponseMemory,
 )
 from gooseberryport_gateway._body_memory import BodyMemory, HeldBody
+from gooseberryport_gateway._byte_limits import MAX_TRAILER_BYTES, OVERHEAD_PER_BODY_BYTE
 from gooseberryport_gateway._client_messages import (
     ClientRequest,
     Handler,
@@ -22,7 +23,7 @@
     encode_reply,
 )
 from gooseberryport_gateway._headers import Headers
-from gooseberryport_gateway._receiving import unread_bytes
+from gooseberryport_gateway._receiving import unacknowledged_bytes, unread_bytes
 from gooseberryport_gateway._reply_writer import ReplyWriter
 from gooseberryport_gateway.errors import BodyTooLargeError
 
@@ -33,11 +34,8 @@
 """How long a closing connection stays open once its last reply is written, as unread bytes would
 reset it before the client has read the reply; seconds."""
 
-MAX_TRAILER_BYTES = 16_384
-"""Maximum bytes of a chunked body's trailers and chunk extensions, beside its chunks; bytes."""
-
-FRAMING_PER_BODY_BYTE = 8
-"""Framing accepted for each byte of a chunked body; one-byte chunks need six."""
+IDLE_CLOSE_DELAY_S = 0.25
+"""The same for an idle connection, whose last reply was received before; seconds."""
 
 FULL_RETRY_DELAY_S = 0.5
 """Delay after which a client retries whose body did not fit into memory; seconds."""
@@ -115,7 +113,7 @@
         """
         self.closing_when_idle = True
         if not self.busy:
-            self._end_unless_unread(self._close)
+            self._end_unless_unread(self._close_idle)
 
     def reject_unread(self, *, retry_s: float) -> bool:
         """Refuse a request that has not been read to its end; return whether there is one.
@@ -179,7 +177,7 @@
     def _check_framing(self, num_bytes: int) -> None:
         """Reject a body that consists mostly of chunk extensions and trailers."""
         self._framing_bytes += num_bytes
-        allowed = MAX_TRAILER_BYTES + (FRAMING_PER_BODY_BYTE + 1) * self._body.num_bytes
+        allowed = MAX_TRAILER_BYTES + (OVERHEAD_PER_BODY_BYTE + 1) * self._body.num_bytes
         if self._framing_bytes > allowed:
             self._reject(431)
 
@@ -428,7 +426,22 @@
         if self._writer is not None and not self._closing:
             self._writer.write(data)
 
-    def _close(self) -> None:
+    def _close_idle(self) -> None:
+        """Close without reading on if replies were received: what crosses the close gets none.
+
+        Unread bytes reset the connection in the end, so the client's kernel knows of them.
+        """
+        transport, writer = self._transport, self._writer
+        if transport is None or writer is None or self._closing:
+            return
+        if writer.unsent_bytes or unacknowledged_bytes(transport):
+            self._close()
+            return
+        transport.pause_reading()
+        self._read_paused = False
+        self._close(delay_s=IDLE_CLOSE_DELAY_S)
+
+    def _close(self, *, delay_s: float | None = None) -> None:
         """Send buffered replies and close; read on briefly, as unread bytes reset a connection."""
         if self._closing:
             return
@@ -448,7 +461,7 @@
             transport.abort()
             return
         writer.abort_when_read(
-            delay_s=CLOSE_DELAY_S, max_stall_s=lambda: self._limits().idle_timeout_s
+            delay_s=delay_s or CLOSE_DELAY_S, max_stall_s=lambda: self._limits().idle_timeout_s
         )
 
     def _cancel_pending(self, reason: str) -> None:
@@ -484,7 +497,7 @@
                 or self._writer is None
                 or self._writer.is_done(timeout_s=timeout_s)
             ):
-                self._end_unless_unread(self._close)
+                self._end_unless_unread(self._close_idle)
             else:
                 self._start_timer(timeout_s)
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_receiving.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_receiving.py
@@ -46,8 +46,16 @@
 
 def unread_bytes(transport: asyncio.BaseTransport) -> int:
     """Return how many bytes were received on a connection and not read yet."""
+    return _queue_size(transport, termios.FIONREAD)
+
+
+def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many bytes the kernel has that the other end has not acknowledged."""
+    return _queue_size(transport, termios.TIOCOUTQ)
+
+
+def _queue_size(transport: asyncio.BaseTransport, number: int) -> int:
     sock: socket.socket | None = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
         return 0
-    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
-    return int.from_bytes(count, sys.byteorder)
+    return int.from_bytes(fcntl.ioctl(sock.fileno(), number, bytes(4)), sys.byteorder)
--- a/packages/gooseberryport-gateway/tests/test_client_conn.py
+++ b/packages/gooseberryport-gateway/tests/test_client_conn.py
@@ -1,4 +1,6 @@
 import asyncio
+import errno
+import socket
 import time
 
 import pytest
@@ -203,6 +205,12 @@
         super().__init__()
         self.aborted = False
 
+    def pause_reading(self):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
     def write(self, data):
         pass
 
@@ -399,3 +407,28 @@
             assert (await client.read_reply())[0] == 431
 
     run(main())
+
+
+# Guards against a request that crosses the close of its idle connection, and is read and dropped:
+# if the close is lost on its way, its client waits in vain, and cannot know that it was not run.
+@pytest.mark.parametrize("stops", [False, True])
+def test_request_that_crosses_the_close_of_its_idle_connection_is_not_read(stops):
+    async def main():
+        loop = asyncio.get_running_loop()
+        limits = ClientLimits(idle_timeout_s=10.0 if stops else 0.2)
+        async with start_gateway(make_route(), limits=limits) as gateway:
+            with socket.create_connection(("127.0.0.1", gateway.port)) as sock:
+                sock.setblocking(False)
+                while not gateway.conns:
+                    await asyncio.sleep(0.01)
+                for conn in list(gateway.conns):
+                    if stops:
+                        conn.close_when_idle()
+                assert await loop.sock_recv(sock, 100) == b""
+                sock.send(make_request())
+                while gateway.conns:
+                    await asyncio.sleep(0.01)
+                # The kernel tells the client that its bytes were not read.
+                assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == errno.EPIPE
+
+    run(main())
