Read a request that arrives just after the idle timeout

Cause: the gateway counts the idle time from its last reply, and closed at the timeout exactly. A reply and a request that wait in a full link reach the other end late, so a request that was sent in time crosses the close. It is read and dropped during the delay before the socket is closed, so its client can't tell whether it has run.

Ruled out: a timer that fires before bytes that wait in the socket are read (the event loop handles what can be read first); the header timeout, which replies with 408; a close of a connection whose request was handled (all lines of GATEWAY_REQUEST_CANCELLED name the client).

Change: an idle connection stays open for 1 s longer than the timeout, or for half of it if that is less. The test failed before.

Remains: a request that is late by more than that, and one that crosses the close of an idle connection during a stop.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -28,6 +28,13 @@
 """How long a closing connection stays open once its last reply is written, as unread bytes would
 reset it before the client has read the reply; seconds."""
 
+LATE_REQUEST_MARGIN_S = 1.0
+"""How much longer than the idle timeout an idle connection stays open, as a request that its client
+sent in time may arrive late; seconds."""
+
+MAX_LATE_REQUEST_FRACTION = 0.5
+"""Maximum of that margin, as a fraction of the idle timeout."""
+
 MAX_TRAILER_BYTES = 16_384
 """Maximum bytes of a chunked body's trailers and chunk extensions, beside its chunks; bytes."""
 
@@ -157,7 +164,7 @@
                 *(transport.get_extra_info("peername") or ("", 0))[:2]
             )
         self._conns.add(self)
-        self._start_timer(self._limits().idle_timeout_s)
+        self._start_idle_timer()
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
@@ -420,7 +427,7 @@
                 self._close()
                 return
         if not self._pending and not self._reading and not self._closing:
-            self._start_timer(self._limits().idle_timeout_s)
+            self._start_idle_timer()
         if self._unstarted:
             self._start_requests()
         self._update_reading()
@@ -487,6 +494,16 @@
         self._cancel_timer()
         self._timer = self._loop.call_later(delay_s, self._on_timer)
 
+    def _start_idle_timer(self) -> None:
+        """Wait for the next request.
+
+        A request that crosses the close of its connection has no reply, and its client can't tell
+        whether it has run.
+        """
+        timeout_s = self._limits().idle_timeout_s
+        margin_s = min(LATE_REQUEST_MARGIN_S, MAX_LATE_REQUEST_FRACTION * timeout_s)
+        self._start_timer(timeout_s + margin_s)
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/packages/gooseberryport-gateway/tests/test_client_conn.py
+++ b/packages/gooseberryport-gateway/tests/test_client_conn.py
@@ -152,6 +152,25 @@
     run(main())
 
 
+def test_request_that_arrives_after_the_idle_limit_is_served():
+    async def main():
+        limits = ClientLimits(idle_timeout_s=2.0)
+        async with (
+            start_upstream(lambda head, _: make_response(head)) as upstream,
+            start_gateway(make_route(), limits=limits) as gateway,
+            connect_client(gateway) as client,
+        ):
+            gateway.put_upstream("u1", upstream.port)
+            client.send(make_request())
+            assert (await client.read_reply())[0] == 200
+            # Its client sent it within the limit, and the network was slow.
+            await asyncio.sleep(limits.idle_timeout_s + 0.05)
+            client.send(make_request())
+            assert (await client.read_reply())[0] == 200
+
+    run(main())
+
+
 def test_connection_that_closes_when_idle_replies_first():
     async def main():
         async def script(head):
