Keep idle connections open for as long as replies are late

Clients stay idle for four fifths of the 15 s by their own clock, which begins when they have got the reply, so the reply and the next request together were late by up to 7 s.

Ruled out: counting from the acknowledgement of the reply. A trial shows that tcp_info does not state its age everywhere (all ages are 0 there), and 0 would mean that it has just come.

Change: the margin is 5 s, and still half of the timeout at most.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -28,9 +28,9 @@
 """How long a closing connection stays open once its last reply is written, as unread bytes would
 reset it before the client has read the reply; seconds."""
 
-LATE_REQUEST_MARGIN_S = 1.0
-"""How much longer than the idle timeout an idle connection stays open, as a request that its client
-sent in time may arrive late; seconds."""
+LATE_REQUEST_MARGIN_S = 5.0
+"""How much longer than the idle timeout an idle connection stays open, as its client counts from
+when it got the reply, and on a full link that and the next request are late; seconds."""
 
 MAX_LATE_REQUEST_FRACTION = 0.5
 """Maximum of that margin, as a fraction of the idle timeout."""
