Do not count a pause of the own daemon as silence of the store

Callers of the daemon got 503 unknown (claim-undecided) for requests with keys of their own choice when their entry daemon had not run for about 1 s.

Cause: a claim ends as undecided if it is not committed in 1 s. After a pause of that length the first tick ended all of them before the store's answers, which had arrived meanwhile, were read.

Change: a claim gets the length of the first pause that it meets as more time; a tick that is over 0.25 s late shows one.

Evidence: the test failed before (undecided at the first tick after the pause); 20 passed in test_claims.py.

--- a/packages/gooseberryport-core/src/gooseberryport_core/_claim_buckets.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_claim_buckets.py
@@ -37,6 +37,10 @@
 """Minimum time for which a generation of claims is current, from when the writer first read it;
 the claims are kept for one more generation; seconds."""
 
+MAX_TICK_INTERVAL_S = 0.25
+"""Time between two ticks above which this daemon was paused; seconds. What the store answered
+meanwhile is still unread, so the pause does not count as time that a claim has waited."""
+
 COMMIT_TIMEOUT_S = 1.0
 """Time after which a claim that is not committed ends as undecided; seconds."""
 
@@ -74,6 +78,8 @@
         Name of the request that is unique in the whole fleet.
     reply_to
         Address of the daemon that forwarded the claim; empty for this daemon.
+    was_paused
+        Whether a pause of this daemon was added to its time; only the first one is.
     """
 
     digest: str
@@ -82,6 +88,7 @@
     reply_to: str
     give_up_at: float
     release: bool = False
+    was_paused: bool = False
 
 
 class _Bucket(msgspec.Struct):
@@ -117,6 +124,7 @@
         self._rng = rng
         self._buckets = [_Bucket(f"claims/{number}") for number in range(NUM_BUCKETS)]
         self._last_call_id = FIRST_CALL_ID
+        self._ticked_at = float("inf")
 
     def claim(
         self, key: str, request_id: RequestId, claimant: str, now: float, *, reply_to: str = ""
@@ -153,6 +161,7 @@
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Handle an event."""
         if isinstance(event, Tick):
+            self._allow_for_pause(now)
             return [effect for bucket in self._buckets for effect in self._tick_bucket(bucket, now)]
         if not isinstance(event, StoreGot | StoreWritten | StoreFailed):
             return []
@@ -162,6 +171,17 @@
                 return self._handle_store_event(bucket, event, now)
         return []
 
+    def _allow_for_pause(self, now: float) -> None:
+        pause_s = now - self._ticked_at
+        self._ticked_at = now
+        if pause_s <= MAX_TICK_INTERVAL_S:
+            return
+        for bucket in self._buckets:
+            for pending in bucket.pending:
+                if not pending.was_paused:
+                    pending.give_up_at += pause_s
+                pending.was_paused = True
+
     def _bucket(self, digest: str) -> _Bucket:
         return self._buckets[bucket_of(digest)]
 
--- a/packages/gooseberryport-core/tests/test_claims.py
+++ b/packages/gooseberryport-core/tests/test_claims.py
@@ -208,6 +208,17 @@
     assert decided == ([pytest.approx(undecided_at)] if undecided_at else [])
 
 
+def test_pause_of_the_own_daemon_does_not_count_as_silence_of_the_store() -> None:
+    # Failure: after a pause, claims end as undecided before the store's answer is read.
+    node = Claims(settings=make_settings(), peers=FixedPeers({}), rng=random.Random(3))
+    node.claim("word", "r1", 0.0)
+    ends = {}
+    for now in (0.05, 1.2, *(1.25 + tick * 0.05 for tick in range(40))):
+        if any(isinstance(effect, DispatchEvent) for effect in node.handle(Tick(now), now)):
+            ends[now] = ClaimVerdict.UNDECIDED
+    assert min(ends) == pytest.approx(0.0 + 1.0 + 1.15, abs=0.06)
+
+
 def test_expired_key_is_refused_after_its_claim_is_forgotten() -> None:
     fleet = Fleet(random.Random(3), faults=False)
     node = fleet.nodes["vm-1"]
