Let the tests' harness publish to a store that answers late

Tests of other things failed in their preparation beside load: one read of the store's stand-in took over 0.5 s, the default of the store's client, which these tests do not test.

Change: the harness allows WAIT_TIMEOUT_S for publishing, as the local cluster does. No bound of what is tested is changed.

--- a/packages/gooseberryport-daemon/tests/daemon_harness.py
+++ b/packages/gooseberryport-daemon/tests/daemon_harness.py
@@ -204,7 +204,9 @@
         return daemon
 
     def publish(self, cfg: Config) -> None:
-        with open_store(StoreSettings(self.store.server.address)) as store:
+        with open_store(
+            StoreSettings(self.store.server.address, timeout_s=WAIT_TIMEOUT_S)
+        ) as store:
             publish_config(store, cfg)
 
     def settings(self, vm: str, zone: str = ZONES[0], **changes: object) -> DaemonSettings:
--- a/packages/gooseberryport-daemon/tests/test_frontend.py
+++ b/packages/gooseberryport-daemon/tests/test_frontend.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from daemon_harness import WAIT_TIMEOUT_S, Deployment, call, wait_until
+from daemon_harness import WAIT_TIMEOUT_S, Deployment, call, make_config, wait_until
 
 from gooseberryport_daemon._bodies import RequestRefusedError, read_body
 from gooseberryport_daemon._caller_limits import CallerLimits, PermitReleasingBody
@@ -127,6 +127,13 @@
     assert call(http, "/explain").status == 400
 
 
+def test_harness_publishes_to_a_slow_store(deployment: Deployment) -> None:
+    # Failure: a test of something else fails because its own preparation takes over 0.5 s.
+    deployment.start_upstreams(UpstreamSpec("up-1"))
+    deployment.store.set_faults(StoreFaults(delay_s=0.7))
+    deployment.publish(make_config(deployment.fleet))
+
+
 def test_daemon_without_configuration_reports_what_it_waits_for(deployment: Deployment) -> None:
     deployment.store.set_faults(StoreFaults(outage=Outage.REFUSE))
     daemon = deployment.start_daemon(deployment.settings("vm-1"), ready=False)
