Do not send a request when a pause has used up its attempt's time

Callers of the daemon got 502 for requests that may run only once: the owner sent them and gave them up a moment later, while their upstream worked.

Cause: the time of an attempt (max_attempt_s, or what is left to the deadline) starts when it is prepared. If the daemon does not run between that and the first byte, only the rest is left for the upstream.

Class: evidence about one thing (the daemon's own clock after a pause) ends another (a request at an upstream that has just received it).

Change: with under half of the time left before the first byte, nothing is sent, and the attempt ends as not sent: the entry daemon makes another one with full time, or reports the request as not run.

Evidence: the test failed before (502), holds now; 6 passed with those of cancellations and limits.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_attempt.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_attempt.py
@@ -17,6 +17,11 @@
     """The attempt was cancelled before or while it ran."""
 
 
+MIN_LEFT_FRACTION = 0.5
+"""Part of an attempt's time that must be left when its first byte is sent. With less, most likely
+after a pause of this daemon, the request is not sent: another attempt has more time."""
+
+
 class Attempt:
     """State of one call, shared by the thread that makes it and the loop that may cancel it.
 
@@ -69,8 +74,9 @@
 
     def record_send(self) -> None:
         """Record that bytes are about to be sent; raises `AttemptCancelledError`."""
+        is_too_late = self.remaining_s < MIN_LEFT_FRACTION * (self.deadline - self.started)
         with self._lock:
-            if self._cancelled:
+            if self._cancelled or (is_too_late and not self.sent):
                 raise AttemptCancelledError
             self.sent = True
 
--- a/packages/gooseberryport-daemon/tests/test_upstreams.py
+++ b/packages/gooseberryport-daemon/tests/test_upstreams.py
@@ -218,6 +218,28 @@
     assert call(daemon.http, PATH, "POST", b"x").status == 200
 
 
+def test_request_is_not_sent_once_a_pause_has_used_up_its_time(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Failure: a request is sent, and given up at once, because the daemon was paused before.
+    connect = AttemptConnection.connect
+    pauses = [0.9]
+
+    def connect_late(conn: AttemptConnection) -> None:
+        time.sleep(pauses.pop() if pauses else 0.0)
+        connect(conn)
+
+    def serve(conn: socket.socket, request: bytes) -> None:
+        time.sleep(0.0 if request.startswith(b"GET /load ") else 0.4)
+        conn.sendall(OK)
+
+    upstream = deployment.start_raw_upstream(serve)
+    daemon = deployment.start_daemon_for(upstream, max_attempt_s=1.0, default_timeout_s=9.0)
+    monkeypatch.setattr(AttemptConnection, "connect", connect_late)
+    assert call(daemon.http, PATH, "POST", b"x").status == 200
+    assert len(forwarded(upstream)) == 1
+
+
 def test_upstream_sees_end_to_end_headers_only(deployment: Deployment) -> None:
     upstream = deployment.start_raw_upstream(answering(OK))
     daemon = deployment.start_daemon_for(upstream)
