Ignore a hang-up in the daemon

Callers lost their connections and all requests when a daemon got SIGHUP, whose default action ends the process: a lost terminal, or an operator who means to have the settings read again, as the gateway does.

Change: SIGHUP is ignored; the daemon's configuration comes from the store.

Evidence: the test failed before (the process ended), holds now.

--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_daemon.py
@@ -84,6 +84,8 @@
 
 async def _run(settings: DaemonSettings, log: WriteLog) -> None:
     loop = asyncio.get_running_loop()
+    # The configuration comes from the store, so there is nothing to reload at a hang-up.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     async with open_daemon(settings, log=log) as running:
         for signum in STOP_SIGNALS:
             loop.add_signal_handler(signum, running.stop)
--- a/tests/test_daemon_ends.py
+++ b/tests/test_daemon_ends.py
@@ -88,6 +88,15 @@
         assert process.returncode == 0
 
 
+def test_hang_up_ends_no_request() -> None:
+    # Failure: a lost terminal, or a request to reload, ends the process with all requests.
+    with open_local_cluster(daemons=1) as trial:
+        trial.first.process.send_signal(signal.SIGHUP)
+        with pytest.raises(subprocess.TimeoutExpired):
+            trial.first.process.wait(1.0)
+        assert trial.send_request(trial.first, "POST").status == 200
+
+
 def test_paused_owner_is_fenced_when_it_resumes() -> None:
     with open_local_cluster(daemons=3, service_time_s=0.05) as trial:
         paused_owner = trial.owner(0)
