Do not count the daemon's own connections in a test of requests

Cause: the daemon reads the upstream's load report once a second over a connection of its own, which the test counted if preparation and requests took over a second.

Change: the upstream of this test has no load report. The counts that are asked for are the same.

--- a/packages/gooseberryport-daemon/tests/test_upstreams.py
+++ b/packages/gooseberryport-daemon/tests/test_upstreams.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 
+import msgspec
 import pytest
-from daemon_harness import WAIT_TIMEOUT_S, Deployment, RawUpstream, call
+from daemon_harness import WAIT_TIMEOUT_S, Deployment, RawUpstream, call, make_config, wait_until
 
 from gooseberryport_daemon._attempt import (
     Attempt,
@@ -271,7 +272,12 @@
 
 def test_non_idempotent_request_uses_a_new_connection(deployment: Deployment) -> None:
     upstream = deployment.start_raw_upstream(answering(OK, then_close=False))
-    daemon = deployment.start_daemon_for(upstream)
+    cfg = make_config(upstream)
+    # The daemon's own reads of the load report would use a connection of their own.
+    (silent,) = (msgspec.structs.replace(u, load_path="") for u in cfg.upstreams.values())
+    deployment.publish(msgspec.structs.replace(cfg, upstreams={"raw-1": silent}))
+    daemon = deployment.start_daemon(deployment.settings("vm-1"))
+    wait_until(daemon.owns_upstreams)
     for method in ("GET", "GET"):
         assert call(daemon.http, PATH, method).status == 200
     assert upstream.connections == 1
