Give a gateway without the store the state of another after the store returned

Callers: a gateway that is cut off from the store when the store returns from an older copy went on with its earlier state for as long as it was cut off, and sent requests to upstreams that had drained or left since, if its region had too few other gateways that follow the store for a relay (five).

Cause: another gateway's page told it that the store is in a new epoch, and in a later epoch no changes are relayed. From then on it only waited to call the store. The whole state was asked for only from the region's watcher, and there is none with fewer than five gateways that follow the store. With six gateways, one that is cut off has exactly five others: one more that does not follow the store for a moment is enough, and each round then takes a call to the store that times out.

Change: while the store fails, and the epoch is known to be a later one, the gateway takes over the state of the gateway from which it would get relayed changes. One that has none is avoided for a time, and an epoch that is later still is recorded, so that it is not asked for again at once.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_discovery.py
@@ -20,6 +20,7 @@
     COMPRESSION_LEVEL,
     CachedSnapshot,
     FetchedSnapshot,
+    PeerState,
     fetch_snapshot,
 )
 from gooseberryport_gateway._relay import Relay
@@ -193,11 +194,16 @@
             left_s = self._retries.left_s(age_s=age_s, ages=ages, now=self._loop.time())
             if left_s <= 0.0:
                 return after
-            if self._has_state and self._position.epoch == self._store.epoch.current:
-                substitute = self.relay.substitute()
-                if substitute is not None and await self._poll_watcher(
-                    substitute, self._position, store_fails=True
-                ):
+            substitute = self.relay.substitute() if self._has_state else None
+            if substitute is not None:
+                # Changes are relayed within an epoch only; a later one begins with a whole state.
+                if self._position.epoch != self._store.epoch.current:
+                    is_applied = await self._take_over_from(substitute)
+                else:
+                    is_applied = await self._poll_watcher(
+                        substitute, self._position, store_fails=True
+                    )
+                if is_applied:
                     after = self._position
                     continue
             await asyncio.sleep(min(left_s, MAX_SUBSTITUTE_PAUSE_S * self._state.rng.random()))
@@ -308,18 +314,23 @@
 
     async def _load_peer_snapshot(self, *, max_age_s: float) -> FetchedSnapshot:
         """Load the first state no older than `max_age_s` seconds that another gateway returns."""
-        state = self._state
-        fetched = await fetch_snapshot(
-            state.peer_control_addresses(now=self._loop.time()),
-            region=state.me.region,
-            max_age_s=max_age_s,
-            min_epoch=self._store.epoch.current,
-            log=state.log,
-        )
+        addresses = self._state.peer_control_addresses(now=self._loop.time())
+        fetched = await self._fetch_snapshot(addresses, max_age_s=max_age_s)
         if fetched.snapshot is not None:
             self._load_snapshot(fetched.snapshot, address=fetched.address)
         return fetched
 
+    async def _fetch_snapshot(
+        self, addresses: Sequence[str], *, max_age_s: float
+    ) -> FetchedSnapshot:
+        return await fetch_snapshot(
+            addresses,
+            region=self._state.me.region,
+            max_age_s=max_age_s,
+            min_epoch=self._store.epoch.current,
+            log=self._state.log,
+        )
+
     def _load_snapshot(self, snapshot: StoreSnapshot, *, address: str) -> None:
         self._store.epoch.observe(snapshot.epoch)
         self._position = snapshot.position
@@ -366,20 +377,23 @@
         deadline = self._loop.time() + state.settings.bounds.drain_s * RETURN_WAIT_FRACTION
         while watcher is not None and self._loop.time() < deadline:
             await asyncio.sleep(RETURN_SPREAD_S * state.rng.random())
-            fetched = await fetch_snapshot(
-                [watcher.control],
-                region=state.me.region,
-                max_age_s=self.relay.max_age_s,
-                min_epoch=self._store.epoch.current,
-                log=state.log,
-            )
-            if fetched.snapshot is not None:
-                snapshot = fetched.snapshot
-                self._take_over(snapshot.items, position=snapshot.position, age_s=snapshot.age_s)
-                self._returned_store.hold(snapshot.held)
-                return snapshot.position
+            if await self._take_over_from(watcher):
+                return self._position
         return None
 
+    async def _take_over_from(self, member: Member) -> bool:
+        """Take over another gateway's state in the store's epoch; return whether it has one."""
+        fetched = await self._fetch_snapshot([member.control], max_age_s=self.relay.max_age_s)
+        snapshot = fetched.snapshot
+        if snapshot is None:
+            if PeerState.LOADED not in fetched.states:
+                self.relay.avoid(member, reason="no state")
+            return False
+        self._learn_epoch(snapshot.epoch, source=member.vm)
+        self._take_over(snapshot.items, position=snapshot.position, age_s=snapshot.age_s)
+        self._returned_store.hold(snapshot.held)
+        return True
+
     async def _read_all(self) -> StorePosition:
         codec = self._codec
         # The warmth saved before this gateway started is needed only once, for its first requests.
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_relay.py
@@ -380,10 +380,10 @@
             ) as transfer:
                 page = await self._request_page(watcher, after=after, transfer=transfer)
         except (NotSentError, ResponseLostError, TimeoutError, InputError) as exc:
-            self._avoid(watcher, reason=repr(exc))
+            self.avoid(watcher, reason=repr(exc))
             return None
         if page is None or page.age_s > self.max_age_s or page.epoch < after.epoch:
-            self._avoid(watcher, reason="refused, or its state is too old")
+            self.avoid(watcher, reason="refused, or its state is too old")
             return None
         if page.epoch != after.epoch:
             return page
@@ -462,7 +462,8 @@
             conn.close()
         self._conns.clear()
 
-    def _avoid(self, watcher: Member, *, reason: str) -> None:
+    def avoid(self, watcher: Member, *, reason: str) -> None:
+        """Ask other gateways for a time."""
         self._avoided[watcher.vm] = self._loop.time() + AVOID_WATCHER_WINDOW_S
         self._state.log.write(LogNumber.GATEWAY_WATCHER_AVOIDED, watcher=watcher.vm, reason=reason)
 
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -304,6 +304,26 @@
     )
 
 
+@pytest.mark.parametrize(("size", "cut_off"), [(4, 1), (6, 2)])
+def test_gateways_cut_off_from_the_store_learn_of_its_return_in_a_region_without_watchers(
+    size, cut_off, tmp_path, monkeypatch
+):
+    # Failure: too few gateways follow the store for a watcher, and the others keep what drained.
+    async def scenario(standin, gateways):
+        copy = standin.copy()
+        await write_many(standin, 13)
+        by_role = sorted(gateways, key=lambda g: g.discovery._watcher is not None)
+        for gateway in by_role[:cut_off]:
+            gateway.store_link.block("up", "down")
+        await standin.return_from(copy)
+        await standin.put("servers/u1", entry(state="draining", sequence=99))
+        await standin.put("servers/u3", entry())
+        await wait_until(lambda: all(usable_ids(g.state) == ["u3"] for g in gateways))
+        assert all(g.discovery._position.epoch == 2 for g in gateways)
+
+    run_region(scenario, size=size, tmp_path=tmp_path, monkeypatch=monkeypatch, era=1)
+
+
 def in_use(state):
     return state.metrics.store_epoch._value.get()
 
