Use a connection that was established while the gateway did not run

Callers got 503, or another upstream, for requests whose upstream was well: after a pause of the gateway's own process of 0.5 s or more, each connection that it was opening counted as not established, and its upstream as unreachable until a probe succeeded.

Cause: the event loop runs the timers that have come due before the tasks that go on because of what arrived meanwhile. The timeout thus cancelled a connection whose socket was connected already.

Evidence: the new test failed before (NotSentError, TimeoutError).

Change: when the timer is late, the limit is moved once by as much as it is late. A process that runs keeps its limit, to within a few milliseconds.

--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -5,7 +5,8 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 
 import httptools
 import msgspec
@@ -550,7 +551,7 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with _running_timeout(timeout_s):
             _, conn = await loop.create_connection(
                 lambda: HttpConn(id_header=id_header, limits=limits, budget=budget),
                 host=address[0],
@@ -560,3 +561,19 @@
         raise NotSentError(f"no connection to {address[0]}:{address[1]}: {exc!r}") from exc
     conn.address = address
     return conn
+
+
+@asynccontextmanager
+async def _running_timeout(timeout_s: float) -> AsyncIterator[None]:
+    """Limit a wait, once longer by the time for which this process did not run at its end.
+
+    Timers run before the tasks that go on because of what arrived meanwhile.
+    """
+    loop = asyncio.get_running_loop()
+    due = loop.time() + timeout_s
+    async with asyncio.timeout(None) as timeout:
+        handle = loop.call_at(due, lambda: timeout.reschedule(2 * loop.time() - due))
+        try:
+            yield
+        finally:
+            handle.cancel()
--- a/packages/gooseberryport-gateway/tests/test_ended_requests.py
+++ b/packages/gooseberryport-gateway/tests/test_ended_requests.py
@@ -4,6 +4,7 @@
 import json
 import os
 import socket
+import time
 
 import pytest
 from gateway_harness import (
@@ -18,6 +19,7 @@
 )
 
 from gooseberryport_core.gateway.model import Repeatability
+from gooseberryport_gateway._http_conn import CONNECT_TIMEOUT_S, open_conn
 from gooseberryport_gateway._logs import Log
 from gooseberryport_standins.samples import make_route
 from gooseberryport_standins.streams import start_stream_server
@@ -147,3 +149,15 @@
         server.close()
 
     run(main())
+
+
+def test_connection_that_is_established_while_the_gateway_does_not_run_is_used():
+    # Failure: an upstream counts as unreachable after a pause of the gateway's own process.
+    async def main():
+        async with start_upstream(lambda head, _: make_response(head)) as upstream:
+            asyncio.get_running_loop().call_soon(time.sleep, 1.4 * CONNECT_TIMEOUT_S)
+            conn = await open_conn(("127.0.0.1", upstream.port))
+            assert conn.usable
+            conn.close()
+
+    run(main())
