--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_client_conn.py
@@ -38,7 +38,6 @@
 """How much longer than the idle timeout an idle connection stays open, as its client counts from
 when it got the reply, and on a full link that and the next request are late; seconds."""
 
-
 MAX_LATE_REQUEST_FRACTION = 0.5
 """Maximum of that margin, as a fraction of the idle timeout."""
 
--- a/packages/gooseberryport-gateway/tests/test_ended_requests.py
+++ b/packages/gooseberryport-gateway/tests/test_ended_requests.py
@@ -21,6 +21,7 @@
 
 from gooseberryport_core.gateway.model import Repeatability
 from gooseberryport_gateway._client_messages import ClientRequest
+from gooseberryport_gateway._http_conn import CONNECT_TIMEOUT_S, open_conn
 from gooseberryport_gateway._logs import Log
 from gooseberryport_standins.samples import make_route
 from gooseberryport_standins.streams import start_stream_server
@@ -224,3 +225,15 @@
             assert upstream.requests_received[1:] and gateway.pool.opened == 2
 
     run(main())
+
+
+def test_connection_that_is_established_while_the_gateway_does_not_run_is_used():
+    # Failure: an upstream counts as unreachable after a pause of the gateway's own process.
+    async def main():
+        async with start_upstream(lambda head, _: make_response(head)) as upstream:
+            asyncio.get_running_loop().call_soon(time.sleep, 1.4 * CONNECT_TIMEOUT_S)
+            conn = await open_conn(("127.0.0.1", upstream.port))
+            assert conn.usable
+            conn.close()
+
+    run(main())
