--- a/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_server.py
+++ b/packages/gooseberryport-daemon/src/gooseberryport_daemon/_peer_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -104,7 +105,7 @@
         try:
             ended = await self._serve(stream, inbound, first)
             if ended:
-                await _wait_for_receipt(stream)
+                await _wait_for_receipt(stream, timeout_s=ticket.remaining_s)
         finally:
             del self._inbound[ticket.ticket_id]
             inbound.outbox.close()
@@ -170,14 +171,15 @@
         return await _send_answer(stream, inbound.outbox, pacer)
 
 
-async def _wait_for_receipt(stream: PeerStream) -> None:
+async def _wait_for_receipt(stream: PeerStream, *, timeout_s: float) -> None:
     """Wait until the entry daemon has read the last frame, after which it closes the stream.
 
     Until then a stopping daemon keeps running: bytes in its own buffers would be lost.
     """
-    with contextlib.suppress(StreamTerminatedError):
-        while await stream.recv_message() is not None:
-            pass
+    with contextlib.suppress(StreamTerminatedError, TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            while await stream.recv_message() is not None:
+                pass
 
 
 async def _send_answer(stream: PeerStream, outbox: Outbox, pacer: Pacer) -> bool:
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_attempts.py
@@ -13,7 +13,8 @@
 from gooseberryport_core.gateway.verdicts import Verdict, judge
 from gooseberryport_core.types import RegionName, ServiceName, UpstreamId
 from gooseberryport_gateway._client_messages import ClientRequest
-from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
+from gooseberryport_gateway._http_conn import HttpConn
+from gooseberryport_gateway._http_response import HttpResponse
 from gooseberryport_gateway.errors import LossCause
 from gooseberryport_gateway.wire import HeaderNames
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_forwarder.py
@@ -25,7 +25,8 @@
 from gooseberryport_gateway._client_keys import ClientKeys
 from gooseberryport_gateway._client_messages import ClientRequest, Reply
 from gooseberryport_gateway._headers import object_key
-from gooseberryport_gateway._http_conn import HttpConn, HttpResponse
+from gooseberryport_gateway._http_conn import HttpConn
+from gooseberryport_gateway._http_response import HttpResponse
 from gooseberryport_gateway._levels import PriorityAdmission
 from gooseberryport_gateway._placing import Placer
 from gooseberryport_gateway._pool import ConnPool
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_http_conn.py
@@ -9,7 +9,6 @@
 from contextlib import asynccontextmanager
 
 import httptools
-import msgspec
 
 from gooseberryport_core.decoding import MAX_DURATION_S, parse_count
 from gooseberryport_core.gateway.response_memory import HeldResponse
@@ -21,6 +20,7 @@
     ResponseLimits,
 )
 from gooseberryport_gateway._headers import Headers, find_header
+from gooseberryport_gateway._http_response import HttpResponse
 from gooseberryport_gateway._liveness import HostCheck
 from gooseberryport_gateway._progress import Transfer
 from gooseberryport_gateway._receiving import READ_BUFFER, SHORT_READ_BUFFER, add_chunk, has_unread
@@ -47,41 +47,6 @@
 """Versions of HTTP that a response may state; the parser accepts others."""
 
 
-class HttpResponse(msgspec.Struct):
-    """A complete HTTP response.
-
-    Parameters
-    ----------
-    status
-        Status code.
-    headers
-        Header fields in order, with names in lower case.
-    body
-        The body, with any transfer coding removed.
-    chunks
-        The body in pieces if a `HeldResponse` counts it; `body` is empty then.
-    transfer_s
-        Time from its first to its last byte, if that was measured; seconds.
-    """
-
-    status: int
-    headers: Headers
-    body: bytes
-    chunks: Sequence[bytes | bytearray] = ()
-    transfer_s: float = 0.0
-
-    @property
-    def body_bytes(self) -> int:
-        """Size of the body; bytes."""
-        if len(self.chunks) == 1:
-            return len(self.body) + len(self.chunks[0])
-        return len(self.body) + sum(map(len, self.chunks))
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header field, by its name in lower case."""
-        return find_header(self.headers, name)
-
-
 class HttpConn(asyncio.BufferedProtocol):
     """Send requests one at a time, and return complete responses only.
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peer_snapshots.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_peer_snapshots.py
@@ -15,7 +15,8 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import RegionName
 from gooseberryport_gateway._byte_limits import SERVICE_BUDGET, SERVICE_LIMITS
-from gooseberryport_gateway._http_conn import HttpResponse, open_conn
+from gooseberryport_gateway._http_conn import open_conn
+from gooseberryport_gateway._http_response import HttpResponse
 from gooseberryport_gateway._logs import Log
 from gooseberryport_gateway.errors import NotSentError, ResponseLostError
 from gooseberryport_gateway.wire import StoreSnapshot
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_prober.py
@@ -12,7 +12,7 @@
 from gooseberryport_core.log_events import LogNumber
 from gooseberryport_core.types import UpstreamId
 from gooseberryport_gateway._attempts import reported_load
-from gooseberryport_gateway._http_conn import HttpResponse
+from gooseberryport_gateway._http_response import HttpResponse
 from gooseberryport_gateway._pool import ConnPool
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.errors import NotSentError, ResponseLostError
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_replies.py
@@ -13,7 +13,7 @@
 from gooseberryport_gateway._attempts import Job
 from gooseberryport_gateway._client_messages import ClientRequest, Reply
 from gooseberryport_gateway._headers import Headers, end_to_end_headers
-from gooseberryport_gateway._http_conn import HttpResponse
+from gooseberryport_gateway._http_response import HttpResponse
 from gooseberryport_gateway._state import GatewayState
 from gooseberryport_gateway.wire import HeaderNames
 
--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/wire.py
@@ -14,7 +14,7 @@
 from gooseberryport_core.gateway.store_epochs import UNKNOWN_EPOCH, StoreEpoch, StorePosition
 from gooseberryport_core.gateway.warmth import WarmthRecord
 from gooseberryport_core.types import RegionName, UpstreamId, VmId, ZoneName
-from gooseberryport_gateway._http_conn import HttpResponse
+from gooseberryport_gateway._http_response import HttpResponse
 
 
 class HeaderNames(msgspec.Struct, frozen=True):
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -9,7 +9,7 @@
 from store_standin import store_standin
 
 from gooseberryport_core.gateway.announcements import MAX_PAUSE_S, Announcement
-from gooseberryport_gateway._http_conn import HttpResponse
+from gooseberryport_gateway._http_response import HttpResponse
 from gooseberryport_site.codec import PlatformCodec
 from gooseberryport_standins.streams import start_stream_server
 
