--- a/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
+++ b/packages/gooseberryport-core/src/gooseberryport_core/_requests.py
@@ -397,8 +397,9 @@
             return []
         self._request_ids.pop(req.ticket_id, None)
         effects: list[Effect] = [CancelTicket(req.ticket_id)] if req.ticket_id else []
+        may_have_run = req.may_have_run
         effects += self._cancel_silent_tickets(req)
-        return effects + self._end_claim(req, ran=req.may_have_run, now=now)
+        return effects + self._end_claim(req, ran=may_have_run, now=now)
 
     def _handle_answer_start(self, event: AnswerStarted) -> list[Effect]:
         """Cancel the other attempts of a request whose caller receives an answer from now on."""
