--- a/packages/gooseberryport-gateway/src/gooseberryport_gateway/_liveness.py
+++ b/packages/gooseberryport-gateway/src/gooseberryport_gateway/_liveness.py
@@ -126,8 +126,8 @@
     def is_gone(self) -> bool:
         """Whether the host has not answered several packets in a row.
 
-        A host that is alive answers each within a round trip, also if it has no room for more
-        bytes. Where the system does not tell, it is False.
+        A host that is alive answers, also if it has no room for more bytes, and each answer begins
+        the counts anew. Where the system does not tell, it is False.
         """
         unanswered = self._count_unanswered()
         return unanswered.retransmits >= MAX_RETRANSMITS or unanswered.probes >= MAX_PROBES
